--- /dev/null
+++ b/e2e/suite_test.go
@@ -0,0 +1,130 @@
+// Package e2e proves the fleet's promises with real daemons on real sockets.
+package e2e
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/standin/backend"
+	"github.com/pearshelf/pearshelf/standin/fleet"
+)
+
+// patience bounds how long a condition may take; no proof depends on it.
+const patience = 30 * time.Second
+
+func TestE2E(t *testing.T) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	if err := flags.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"}); err != nil {
+		t.Fatal(err)
+	}
+	klog.SetOutput(io.Discard)
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pearshelf end to end")
+}
+
+// option changes a test fleet.
+type option func(*fleet.Config)
+
+// quick makes the control loop fast, so that tests are short.
+func quick(_ int, s *settings.Settings) {
+	s.Timing.Tick = config.Duration(20 * time.Millisecond)
+	s.Timing.ProbeInterval = config.Duration(200 * time.Millisecond)
+	s.Timing.ProbeTimeout = config.Duration(80 * time.Millisecond)
+	s.Timing.GossipInterval = config.Duration(20 * time.Millisecond)
+	s.Timing.ClaimHorizon = config.Duration(10 * time.Millisecond)
+	s.Timing.StopGrace = config.Duration(300 * time.Millisecond)
+}
+
+func servers(n int) []config.Backend {
+	list := make([]config.Backend, n)
+	for i := range list {
+		list[i] = config.Backend{ID: "b" + string(rune('1'+i))}
+	}
+	return list
+}
+
+// shop is a service with idempotent reads, downloads and non-idempotent posts.
+func shop(n int) config.Service {
+	return config.Service{
+		Name:      "shop",
+		Slots:     8,
+		Detection: config.DetectionFast,
+		Routes: []config.Route{
+			{Path: "/shop", Idempotent: false},
+			{Path: "/shop/read", Idempotent: true},
+			{Path: "/download", Idempotent: true},
+		},
+		Backends: servers(n),
+	}
+}
+
+func start(hosts int, services []config.Service, options ...option) *fleet.Fleet {
+	GinkgoHelper()
+	conf := fleet.Config{
+		Hosts:       hosts,
+		DataCentres: []string{"dc1", "dc2", "dc3"},
+		Services:    services,
+		Settings:    quick,
+		Backend: func(service string, b config.Backend) backend.Config {
+			return backend.Config{ID: service + "-" + b.ID, Slots: 8, Download: []byte(strings.Repeat("0123456789abcdef", 1<<16))}
+		},
+	}
+	for _, o := range options {
+		o(&conf)
+	}
+	f, err := fleet.Start(conf)
+	DeferCleanup(f.Close)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	Expect(f.WaitReady(ctx)).To(Succeed())
+	return f
+}
+
+// reply is an answer read to its end.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	bodyErr error
+}
+
+func (r reply) outcome() string { return r.header.Get("Pearshelf-Outcome") }
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
+func call(method, url, body string, headers ...string) (reply, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(raw), bodyErr: err}, nil
+}
+
+func mustCall(method, url, body string, headers ...string) reply {
+	GinkgoHelper()
+	r, err := call(method, url, body, headers...)
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
--- /dev/null
+++ b/internal/admin/show.go
@@ -0,0 +1,154 @@
+package admin
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/directive"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/query"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
+	"github.com/pearshelf/pearshelf/internal/system/rotation"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// table is a result in the making.
+type table struct {
+	columns []string
+	rows    [][]string
+}
+
+type lister func(w *world.World, now time.Time) table
+
+var listers = map[string]lister{
+	"hosts":      listHosts,
+	"services":   listServices,
+	"backends":   listBackends,
+	"routes":     listRoutes,
+	"directives": listDirectives,
+	"documents":  listDocuments,
+}
+
+func show(w *world.World, now time.Time, s *query.Show) (*adminpb.QueryResponse, error) {
+	t := listers[s.Table](w, now)
+	resp := &adminpb.QueryResponse{Columns: t.columns}
+	for _, cells := range t.rows {
+		ok, unknown := query.Matches(s.Where, t.columns, cells)
+		if unknown != "" {
+			return nil, errs.New(errs.KindStatement, "table "+s.Table+" has no column "+unknown, "use one of "+strings.Join(t.columns, ", "))
+		}
+		if ok {
+			resp.Rows = append(resp.Rows, &adminpb.Row{Cells: cells})
+		}
+	}
+	return resp, nil
+}
+
+func listHosts(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"host", "data_centre", "address", "state", "leaving", "reader"}}
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		state := strings.ToLower(strings.TrimPrefix(h.Liveness.String(), "LIVENESS_"))
+		t.rows = append(t.rows, []string{
+			h.Name, h.DataCentre, h.Address, state,
+			strconv.FormatBool(h.Leaving),
+			strconv.FormatBool(slices.Contains(w.Readers, h.Name)),
+		})
+	}
+	return t
+}
+
+func listServices(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"service", "detection", "floor", "backends", "in_rotation", "owners", "watchers", "document"}}
+	for _, name := range w.ServiceNames() {
+		svc := w.Services[name]
+		in := 0
+		for _, b := range svc.Backends {
+			if b.Rotation.In {
+				in++
+			}
+		}
+		t.rows = append(t.rows, []string{
+			name, string(svc.Config.Detection),
+			strconv.Itoa(rotation.Floor(w, svc)),
+			strconv.Itoa(len(svc.Backends)), strconv.Itoa(in),
+			strings.Join(svc.Owners[w.Self.DataCentre], " "),
+			strings.Join(svc.Watchers, " "), svc.Document,
+		})
+	}
+	return t
+}
+
+func listBackends(w *world.World, now time.Time) table {
+	t := table{columns: []string{"service", "backend", "address", "data_centre", "state", "rotation", "weight", "score", "since"}}
+	for _, name := range w.ServiceNames() {
+		for _, b := range w.Services[name].Backends {
+			t.rows = append(t.rows, []string{
+				name, b.Config.ID, b.Config.Address, b.Config.DataCentre,
+				b.State.String(), rotationWord(b.Rotation),
+				fmt.Sprintf("%.2f", b.Rotation.Weight),
+				fmt.Sprintf("%.1f", b.Detection.Relative),
+				now.Sub(b.Since).Round(time.Second).String(),
+			})
+		}
+	}
+	return t
+}
+
+func rotationWord(r world.Rotation) string {
+	switch {
+	case r.Reason != "":
+		return r.Reason
+	case r.In:
+		return "in"
+	default:
+		return "out"
+	}
+}
+
+func listRoutes(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"service", "host", "path", "methods", "idempotent"}}
+	for _, name := range w.ServiceNames() {
+		for _, r := range w.Services[name].Config.Routes {
+			t.rows = append(t.rows, []string{name, r.Host, r.Path, strings.Join(r.Methods, ","), strconv.FormatBool(r.Idempotent)})
+		}
+	}
+	return t
+}
+
+func listDirectives(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"kind", "target", "value", "actor", "from", "at", "version"}}
+	for _, r := range directive.All(w.Registers) {
+		d, err := directive.Parse(r)
+		if err != nil {
+			continue
+		}
+		t.rows = append(t.rows, []string{
+			d.Kind, d.Target, d.Value, d.Actor, r.Stamp.Host,
+			clockTime(r.Stamp.Clock), strconv.FormatUint(r.Stamp.Clock, 10),
+		})
+	}
+	return t
+}
+
+func listDocuments(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"document", "revision", "announced", "refused", "reason"}}
+	keys := make([]string, 0, len(w.Documents))
+	for key := range w.Documents {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		doc := w.Documents[key]
+		announced := w.Registers.Stamp(configsync.HeadKey(key)).GetRevision()
+		t.rows = append(t.rows, []string{
+			key, strconv.FormatUint(doc.Revision, 10), strconv.FormatUint(announced, 10),
+			strconv.FormatUint(doc.Refused, 10), doc.RefusedReason,
+		})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,363 @@
+// Package config reads the configuration that the platform publishes: the
+// index of shards, the services of each shard, and the list of hosts.
+// Documents are YAML; an unknown key or a value out of range refuses the whole
+// document, so that a half-understood configuration is never in force.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+// Defaults and bounds of a service.
+const (
+	DefaultTimeout       = 5 * time.Second
+	DefaultQueuePerSlot  = 2
+	DefaultQueueWait     = 1 * time.Second
+	DefaultSlots         = 4
+	DefaultProbePath     = "/healthz"
+	DefaultDetection     = DetectionCareful
+	MaxTimeout           = 2 * time.Hour
+	MaxSlots             = 10_000
+	MaxBackendsPerShard  = 20_000
+	minDuration          = time.Millisecond
+	documentLimitBytes   = 1 << 20
+	remedyFixAndPublish  = "correct the document and publish it again; the last good one stays in force"
+	allowedDetectionText = "fast or careful"
+)
+
+// Detection says which error a service would rather make.
+type Detection string
+
+// Detection policies.
+const (
+	// DetectionFast ejects on less evidence: shorter detection time.
+	DetectionFast Detection = "fast"
+	// DetectionCareful ejects on more evidence: fewer false ejections.
+	DetectionCareful Detection = "careful"
+)
+
+// Duration is a time.Duration written as in "250ms".
+type Duration time.Duration
+
+// UnmarshalYAML parses the text form.
+func (d *Duration) UnmarshalYAML(node *yaml.Node) error {
+	parsed, err := time.ParseDuration(node.Value)
+	if err != nil {
+		return fmt.Errorf("line %d: %q is not a duration such as 250ms or 5s", node.Line, node.Value)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalYAML writes the text form.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+
+// Backend is one backend server of a service.
+type Backend struct {
+	// ID is unique within the service.
+	ID string `yaml:"id"`
+	// Address is IP:port.
+	Address string `yaml:"address"`
+	// DataCentre is where the server runs.
+	DataCentre string `yaml:"data_centre"`
+	// Slots is how many requests it serves at a time. Default: the service's.
+	Slots int `yaml:"slots"`
+	// Leaving marks a server that gets no new work.
+	Leaving bool `yaml:"leaving"`
+}
+
+// Route maps requests to the service.
+type Route struct {
+	// Host is the request's host name, empty for any.
+	Host string `yaml:"host"`
+	// Path is a prefix of whole path segments.
+	Path string `yaml:"path"`
+	// Methods limits the route, empty for all.
+	Methods []string `yaml:"methods"`
+	// Idempotent declares that running a request twice does no harm. Default:
+	// false, also for GET.
+	Idempotent bool `yaml:"idempotent"`
+}
+
+// Limit bounds the requests of each caller.
+type Limit struct {
+	// PerSecond is the sustained rate over the whole fleet, 0 for no limit.
+	PerSecond float64 `yaml:"per_second"`
+	// Burst is how many requests may come at once. Default: PerSecond.
+	Burst int `yaml:"burst"`
+}
+
+// Probe is the request that checks a backend server.
+type Probe struct {
+	// Path of a GET. Default: /healthz. A path that does real work finds gray
+	// faults which a health endpoint hides.
+	Path string `yaml:"path"`
+}
+
+// Service is a set of backend servers behind a set of routes.
+type Service struct {
+	// Name is unique over all shards.
+	Name string `yaml:"name"`
+	// Floor is the least capacity, in backend servers, kept in rotation.
+	Floor int `yaml:"floor"`
+	// Detection is fast or careful. Default: careful.
+	Detection Detection `yaml:"detection"`
+	// Slots per backend server. Default: 4.
+	Slots int `yaml:"slots"`
+	// Timeout of a request without a deadline of its own. Default: 5s.
+	Timeout Duration `yaml:"timeout"`
+	// Queue is how many requests may wait on one host. Default: 2 a slot.
+	Queue int `yaml:"queue"`
+	// QueueWait is how long one request may wait. Default: 1s.
+	QueueWait Duration `yaml:"queue_wait"`
+	// SessionAffinity keeps a session on one backend server while it can.
+	SessionAffinity bool `yaml:"session_affinity"`
+	// AllowMissingEcho accepts answers without the request ID.
+	AllowMissingEcho bool `yaml:"allow_missing_echo"`
+	// CallerLimit bounds each caller's rate. Default: none.
+	CallerLimit Limit `yaml:"caller_limit"`
+	// Probe checks suspect and ejected backend servers.
+	Probe Probe `yaml:"probe"`
+	// Routes lead to the service.
+	Routes []Route `yaml:"routes"`
+	// Backends serve it.
+	Backends []Backend `yaml:"backends"`
+}
+
+// Document is the value of one services/<shard> key.
+type Document struct {
+	Services []Service `yaml:"services"`
+}
+
+// ListedHost is one row of the platform's host list.
+type ListedHost struct {
+	Name       string `yaml:"name"`
+	Address    string `yaml:"address"` // IP:port of the peer listener
+	DataCentre string `yaml:"data_centre"`
+	Leaving    bool   `yaml:"leaving"`
+}
+
+// HostList is the value of the hosts key. The list lags: a host that failed
+// may still be in it.
+type HostList struct {
+	Hosts []ListedHost `yaml:"hosts"`
+}
+
+// Index is the value of the services/index key.
+type Index struct {
+	// Shards maps a shard to its revision.
+	Shards map[string]uint64 `yaml:"shards"`
+}
+
+// ParseDocument reads and checks a shard and fills in defaults.
+func ParseDocument(raw []byte) (*Document, error) {
+	doc := &Document{}
+	if err := decode(raw, doc); err != nil {
+		return nil, err
+	}
+	check := &checker{}
+	check.document(doc)
+	if err := check.err(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// ParseHostList reads and checks the host list.
+func ParseHostList(raw []byte) (*HostList, error) {
+	list := &HostList{}
+	if err := decode(raw, list); err != nil {
+		return nil, err
+	}
+	check := &checker{}
+	seen := make(map[string]bool)
+	for i, h := range list.Hosts {
+		check.hostEntry(fmt.Sprintf("hosts[%d]", i), h, seen)
+	}
+	if err := check.err(); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+// ParseIndex reads the index.
+func ParseIndex(raw []byte) (*Index, error) {
+	index := &Index{}
+	if err := decode(raw, index); err != nil {
+		return nil, err
+	}
+	return index, nil
+}
+
+func decode(raw []byte, into any) error {
+	if len(raw) > documentLimitBytes {
+		return errs.New(errs.KindConfig, fmt.Sprintf("document has %d bytes, allowed are %d", len(raw), documentLimitBytes), "split it into more shards")
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(raw))
+	decoder.KnownFields(true)
+	err := decoder.Decode(into)
+	if errors.Is(err, io.EOF) {
+		return errs.New(errs.KindConfig, "document is empty", remedyFixAndPublish)
+	}
+	if err != nil {
+		return errs.Wrap(err, errs.KindConfig, "document does not parse", remedyFixAndPublish)
+	}
+	return nil
+}
+
+// checker collects every fault of a document, so that one look mends it.
+type checker struct {
+	faults []string
+}
+
+func (c *checker) addf(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+func (c *checker) err() error {
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return errs.New(errs.KindConfig, strings.Join(c.faults, "; "), remedyFixAndPublish)
+}
+
+func (c *checker) document(doc *Document) {
+	names := make(map[string]bool)
+	backends := 0
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		at := fmt.Sprintf("services[%d]", i)
+		c.name(at+".name", svc.Name, names)
+		svc.setDefaults()
+		c.service(at, svc)
+		backends += len(svc.Backends)
+	}
+	if backends > MaxBackendsPerShard {
+		c.addf("document has %d backend servers, allowed are %d", backends, MaxBackendsPerShard)
+	}
+}
+
+func (c *checker) name(at, name string, seen map[string]bool) {
+	if name == "" || strings.ContainsAny(name, "/ \t\n") {
+		c.addf("%s: %q must be a word without / or space", at, name)
+	}
+	if seen[name] {
+		c.addf("%s: %q stands twice", at, name)
+	}
+	seen[name] = true
+}
+
+func (c *checker) hostEntry(at string, h ListedHost, seen map[string]bool) {
+	c.name(at+".name", h.Name, seen)
+	c.address(at+".address", h.Address)
+	if h.DataCentre == "" {
+		c.addf("%s.data_centre: must be set", at)
+	}
+}
+
+func (c *checker) address(at, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		c.addf("%s: %q must be IP:port", at, address)
+	}
+}
+
+func (c *checker) between(at string, value, low, high int) {
+	if value < low || value > high {
+		c.addf("%s: %d is outside %d to %d", at, value, low, high)
+	}
+}
+
+func (c *checker) service(at string, svc *Service) {
+	c.between(at+".floor", svc.Floor, 0, len(svc.Backends))
+	c.between(at+".slots", svc.Slots, 1, MaxSlots)
+	c.between(at+".queue", svc.Queue, 0, MaxSlots)
+	c.duration(at+".timeout", svc.Timeout)
+	c.duration(at+".queue_wait", svc.QueueWait)
+	if svc.Detection != DetectionFast && svc.Detection != DetectionCareful {
+		c.addf("%s.detection: %q must be %s", at, svc.Detection, allowedDetectionText)
+	}
+	if svc.CallerLimit.PerSecond < 0 || svc.CallerLimit.Burst < 0 {
+		c.addf("%s.caller_limit: must not be negative", at)
+	}
+	if !strings.HasPrefix(svc.Probe.Path, "/") {
+		c.addf("%s.probe.path: %q must start with /", at, svc.Probe.Path)
+	}
+	for i, route := range svc.Routes {
+		if !strings.HasPrefix(route.Path, "/") {
+			c.addf("%s.routes[%d].path: %q must start with /", at, i, route.Path)
+		}
+	}
+	c.backends(at, svc)
+}
+
+func (c *checker) backends(at string, svc *Service) {
+	ids := make(map[string]bool)
+	addresses := make(map[string]bool)
+	for i, b := range svc.Backends {
+		where := fmt.Sprintf("%s.backends[%d]", at, i)
+		c.name(where+".id", b.ID, ids)
+		c.address(where+".address", b.Address)
+		c.between(where+".slots", b.Slots, 1, MaxSlots)
+		if addresses[b.Address] {
+			c.addf("%s.address: %q stands twice", where, b.Address)
+		}
+		addresses[b.Address] = true
+	}
+}
+
+func (c *checker) duration(at string, d Duration) {
+	value := time.Duration(d)
+	if value < minDuration || value > MaxTimeout {
+		c.addf("%s: %s is outside %s to %s", at, value, minDuration, MaxTimeout)
+	}
+}
+
+func (s *Service) setDefaults() {
+	if s.Detection == "" {
+		s.Detection = DefaultDetection
+	}
+	if s.Slots == 0 {
+		s.Slots = DefaultSlots
+	}
+	if s.Timeout == 0 {
+		s.Timeout = Duration(DefaultTimeout)
+	}
+	if s.QueueWait == 0 {
+		s.QueueWait = Duration(DefaultQueueWait)
+	}
+	if s.Probe.Path == "" {
+		s.Probe.Path = DefaultProbePath
+	}
+	if s.CallerLimit.Burst == 0 {
+		s.CallerLimit.Burst = max(1, int(s.CallerLimit.PerSecond))
+	}
+	slots := 0
+	for i := range s.Backends {
+		if s.Backends[i].Slots == 0 {
+			s.Backends[i].Slots = s.Slots
+		}
+		slots += s.Backends[i].Slots
+	}
+	if s.Queue == 0 {
+		s.Queue = DefaultQueuePerSlot * slots
+	}
+}
+
+// TotalSlots is the capacity of all backend servers.
+func (s *Service) TotalSlots() int {
+	total := 0
+	for _, b := range s.Backends {
+		total += b.Slots
+	}
+	return total
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,273 @@
+// Package daemon wires the parts of a host together and runs its listeners.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearshelf/pearshelf/internal/admin"
+	"github.com/pearshelf/pearshelf/internal/bus"
+	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/engine"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/frontend"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/limits"
+	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/peer"
+	"github.com/pearshelf/pearshelf/internal/platform"
+	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// Hooks let tests hold a host at a point of its work.
+type Hooks struct {
+	BeforeWrite func(*dispatch.Request)
+	BeforeTick  func()
+}
+
+// Daemon is one host.
+type Daemon struct {
+	settings *settings.Settings
+	hooks    Hooks
+	registry *prometheus.Registry
+	metrics  *metrics.Metrics
+	clock    *hlc.Clock
+	events   *event.Log
+
+	bus       *bus.Bus
+	engine    *engine.Engine
+	datagrams *peer.Datagrams
+	clients   *peer.Clients
+	platform  *platform.Client
+	claims    *claims.Table
+	observer  *observer
+	watcher   *watcher
+	backends  *upstream.Transport
+	owners    *upstream.Transport
+	probes    *http.Client
+
+	callerServer   *http.Server
+	peerServer     *http.Server
+	operatorServer *http.Server
+	listeners      listeners
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	stopOnce sync.Once
+	stopAsk  chan struct{}
+}
+
+// listeners are the open sockets.
+type listeners struct {
+	caller   net.Listener
+	peer     net.Listener
+	operator net.Listener
+}
+
+// New opens the sockets and makes a host; Start runs it.
+func New(s *settings.Settings, hooks Hooks) (*Daemon, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings: s,
+		hooks:    hooks,
+		registry: prometheus.NewRegistry(),
+		clock:    &hlc.Clock{},
+		ctx:      ctx,
+		cancel:   cancel,
+		stopAsk:  make(chan struct{}),
+	}
+	d.metrics = metrics.New(d.registry)
+	d.events = event.NewLog(s.Host, d.clock, settings.DefaultEventRing)
+	steps := []func() error{d.openSockets, d.makeBus, d.makeClients, d.makeEngine, d.makeServers}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			d.closeSockets()
+			cancel()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) openSockets() error {
+	var err error
+	if d.listeners.caller, err = listen("caller.listen", d.settings.Caller.Listen); err != nil {
+		return err
+	}
+	if d.listeners.peer, err = listen("peer.listen", d.settings.Peer.Listen); err != nil {
+		return err
+	}
+	if d.listeners.operator, err = listen("operator.listen", d.settings.Operator.Listen); err != nil {
+		return err
+	}
+	if d.settings.Peer.Advertise == d.settings.Peer.Listen {
+		d.settings.Peer.Advertise = d.listeners.peer.Addr().String()
+	}
+	var sealer *peer.Sealer
+	if path := d.settings.Peer.DatagramKeyFile; path != "" {
+		if sealer, err = peer.LoadSealer(path); err != nil {
+			return err
+		}
+	}
+	d.datagrams, err = peer.ListenDatagrams(d.listeners.peer.Addr().String(), sealer)
+	return err
+}
+
+func listen(field, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindSettings, "listener cannot be opened", "free the port or change "+field)
+	}
+	return l, nil
+}
+
+func (d *Daemon) closeSockets() {
+	for _, l := range []net.Listener{d.listeners.caller, d.listeners.peer, d.listeners.operator} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	if d.datagrams != nil {
+		d.datagrams.Close()
+	}
+}
+
+func (d *Daemon) makeClients() error {
+	tlsConf, err := peer.MutualTLS(d.settings.Peer.TLS)
+	if err != nil {
+		return err
+	}
+	d.clients = peer.NewClients(tlsConf)
+	d.platform = platform.NewClient(d.settings.Platform.Address)
+	d.backends = upstream.NewTransport(nil)
+	d.owners = upstream.NewTransport(tlsConf)
+	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d.watcher = &watcher{d: d}
+	d.observer = newObserver(d.bus, d.metrics, time.Duration(d.settings.Timing.Tick)/2)
+	return nil
+}
+
+func (d *Daemon) makeEngine() error {
+	t := d.settings.Timing
+	self := world.Identity{Host: d.settings.Host, Address: d.settings.Peer.Advertise, DataCentre: d.settings.DataCentre}
+	seed := xxhash.Sum64String(self.Host + self.Address)
+	now := time.Now()
+	d.engine = engine.New(engine.Config{
+		Self:      self,
+		Tick:      time.Duration(t.Tick),
+		Freshness: time.Duration(t.Freshness),
+		Seeds:     d.settings.Peer.Seeds,
+		Seed:      seed,
+		Membership: membership.Config{
+			Host:           self.Host,
+			Address:        self.Address,
+			DataCentre:     self.DataCentre,
+			ProbeInterval:  time.Duration(t.ProbeInterval),
+			ProbeTimeout:   time.Duration(t.ProbeTimeout),
+			GossipInterval: time.Duration(t.GossipInterval),
+			Seed:           seed,
+		},
+		BeforeTick: d.hooks.BeforeTick,
+	}, d.clock, &effects{d: d}, now)
+	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
+	return nil
+}
+
+func (d *Daemon) dispatcher() *dispatch.Dispatcher {
+	scheme := "http"
+	if d.settings.Peer.TLS.Enabled() {
+		scheme = "https"
+	}
+	return dispatch.New(dispatch.Config{
+		Forwarding:  *d.settings.Forwarding,
+		PeerScheme:  scheme,
+		BeforeWrite: d.hooks.BeforeWrite,
+	}, dispatch.Parts{
+		Snapshot: d.engine.Snapshot,
+		Backends: d.backends,
+		Owners:   d.owners,
+		Claims:   claims.NewCoordinator(d.settings.Host, d.claims, d.clients, time.Duration(d.settings.Timing.ClaimTimeout)),
+		Limits:   limits.NewCallers(),
+		Observer: d.observer,
+		Events:   d.events,
+		Metrics:  d.metrics,
+	})
+}
+
+// Start runs the host until Stop or Kill.
+func (d *Daemon) Start() error {
+	d.wg.Go(func() { _ = d.bus.Run(d.ctx) }) // ends with the context
+	<-d.bus.Running()
+	d.events.Record(event.HostStarted, "", "", d.settings.DataCentre)
+	if d.settings.Peer.Insecure {
+		d.events.Record(event.InsecureListener, "", "", "peer: plaintext by peer.insecure")
+	}
+	if d.settings.Operator.Insecure {
+		d.events.Record(event.InsecureListener, "", "", "operator: plaintext by operator.insecure")
+	}
+	d.wg.Go(func() { d.datagrams.Receive(d.receive) })
+	d.wg.Go(func() { d.observer.run(d.ctx) })
+	d.wg.Go(func() { d.engine.Run(d.ctx) })
+	d.serve(d.callerServer, d.listeners.caller)
+	d.serve(d.peerServer, d.listeners.peer)
+	d.serve(d.operatorServer, d.listeners.operator)
+	return nil
+}
+
+func (d *Daemon) serve(server *http.Server, l net.Listener) {
+	d.wg.Go(func() {
+		var err error
+		if server.TLSConfig != nil {
+			err = server.ServeTLS(l, "", "")
+		} else {
+			err = server.Serve(l)
+		}
+		if err != nil && !errors.Is(err, http.ErrServerClosed) && d.ctx.Err() == nil {
+			d.events.Record(event.HostStopped, "", "", "listener failed: "+err.Error())
+		}
+	})
+}
+
+// Ready reports whether a configuration is in force.
+func (d *Daemon) Ready() bool { return d.engine.Ready() }
+
+// Snapshot returns the newest view, for tests and the load tool.
+func (d *Daemon) Snapshot() *world.Snapshot { return d.engine.Snapshot() }
+
+// Engine returns the control loop, for tests and the load tool.
+func (d *Daemon) Engine() *engine.Engine { return d.engine }
+
+// Events returns the host's ring of events.
+func (d *Daemon) Events() *event.Log { return d.events }
+
+// DatagramBytes returns the control datagram bytes sent and received.
+func (d *Daemon) DatagramBytes() (sent, received uint64) { return d.datagrams.Bytes() }
+
+// CallerAddress, PeerAddress and OperatorAddress are the listeners' IP:port.
+func (d *Daemon) CallerAddress() string { return d.listeners.caller.Addr().String() }
+
+// PeerAddress is the peer listener's IP:port.
+func (d *Daemon) PeerAddress() string { return d.listeners.peer.Addr().String() }
+
+// OperatorAddress is the operators' listener's IP:port.
+func (d *Daemon) OperatorAddress() string { return d.listeners.operator.Addr().String() }
+
+// Interface guards.
+var (
+	_ admin.Engine        = (*engine.Engine)(nil)
+	_ frontend.Dispatcher = (*dispatch.Dispatcher)(nil)
+	_ claims.PeerClient   = (*peer.Clients)(nil)
+)
--- /dev/null
+++ b/internal/daemon/effects.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/bus"
+	"github.com/pearshelf/pearshelf/internal/engine"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	callTimeout       = 2 * time.Second
+	probeIDPrefix     = "probe-"
+	maxProbeBodyBytes = 1 << 20
+)
+
+// makeBus sets up the topics that lead into the control loop.
+func (d *Daemon) makeBus() error {
+	b, err := bus.New()
+	if err != nil {
+		return err
+	}
+	d.bus = b
+	b.Handle(bus.TopicObservations, d.handleObservations)
+	b.Handle(bus.TopicDatagrams, d.handleDatagram)
+	b.Handle(bus.TopicDocuments, d.handleDocument)
+	b.Handle(bus.TopicEvents, d.handleEvent)
+	return nil
+}
+
+func (d *Daemon) handleObservations(msg *message.Message) error {
+	batch := &peerpb.Observations{}
+	if err := proto.Unmarshal(msg.Payload, batch); err != nil {
+		return err
+	}
+	d.engine.Post(func(now time.Time) { d.engine.Observe(now, batch.Observations) })
+	return nil
+}
+
+func (d *Daemon) receive(from string, payload []byte) {
+	d.bus.Publish(bus.TopicDatagrams, payload, bus.MetaAddress, from)
+}
+
+func (d *Daemon) handleDatagram(msg *message.Message) error {
+	datagram := &peerpb.Datagram{}
+	if err := proto.Unmarshal(msg.Payload, datagram); err != nil {
+		return err
+	}
+	from := msg.Metadata.Get(bus.MetaAddress)
+	d.engine.Post(func(now time.Time) { d.engine.Datagram(now, from, datagram) })
+	return nil
+}
+
+func (d *Daemon) publishDocument(key string, revision uint64, raw []byte) {
+	d.bus.Publish(bus.TopicDocuments, raw, bus.MetaKey, key, bus.MetaRevision, strconv.FormatUint(revision, 10))
+}
+
+func (d *Daemon) handleDocument(msg *message.Message) error {
+	revision, err := strconv.ParseUint(msg.Metadata.Get(bus.MetaRevision), 10, 64)
+	if err != nil {
+		return err
+	}
+	key := msg.Metadata.Get(bus.MetaKey)
+	raw := msg.Payload
+	d.engine.Post(func(now time.Time) { d.engine.Document(now, key, revision, raw) })
+	return nil
+}
+
+func (d *Daemon) handleEvent(msg *message.Message) error {
+	e := &adminpb.Event{}
+	if err := proto.Unmarshal(msg.Payload, e); err != nil {
+		return err
+	}
+	d.events.Add(event.Event{
+		Number:  event.Number(e.Number),
+		Clock:   hlc.Timestamp(e.Clock),
+		Host:    e.Host,
+		Service: e.Service,
+		Backend: e.Backend,
+		Detail:  e.Detail,
+	})
+	return nil
+}
+
+// effects does what a tick wants done, each in the background.
+type effects struct{ d *Daemon }
+
+// Send sends datagrams.
+func (f *effects) Send(packets []membership.Packet) {
+	for _, p := range packets {
+		f.d.datagrams.Send(p.To, p.Datagram)
+	}
+}
+
+// Event puts an event on the bus.
+func (f *effects) Event(e event.Event) {
+	raw, err := proto.Marshal(&adminpb.Event{
+		Number:  uint32(e.Number),
+		Clock:   uint64(e.Clock),
+		Host:    e.Host,
+		Service: e.Service,
+		Backend: e.Backend,
+		Detail:  e.Detail,
+	})
+	if err == nil {
+		f.d.bus.Publish(bus.TopicEvents, raw)
+	}
+}
+
+// Fetch gets a document from peers, or from the platform.
+func (f *effects) Fetch(fetch world.Fetch) {
+	f.d.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(f.d.ctx, callTimeout)
+		defer cancel()
+		if f.fetchFromPeers(ctx, fetch) || !fetch.Platform {
+			return
+		}
+		value, err := f.d.platform.Get(ctx, fetch.Key, fetch.After, 0)
+		f.d.metrics.PlatformCall(err)
+		if err == nil && value != nil {
+			f.d.publishDocument(value.Key, value.Revision, value.Raw)
+		}
+	})
+}
+
+func (f *effects) fetchFromPeers(ctx context.Context, fetch world.Fetch) bool {
+	for _, address := range fetch.Peers {
+		resp, err := f.d.clients.Peer(address).Document(ctx, &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After})
+		if err != nil {
+			klog.V(3).InfoS("document not had from peer", "key", fetch.Key, "peer", address, "err", err)
+			continue
+		}
+		if resp.Revision > fetch.After {
+			f.d.publishDocument(fetch.Key, resp.Revision, resp.Document)
+			return true
+		}
+	}
+	return false
+}
+
+// Probe checks a backend server.
+func (f *effects) Probe(p world.Probe) {
+	f.d.wg.Go(func() {
+		kind := peerpb.Observation_KIND_PROBE_GOOD
+		if err := f.probe(p); err != nil {
+			kind = peerpb.Observation_KIND_PROBE_FAILED
+			klog.V(3).InfoS("probe failed", "service", p.Service, "backend", p.Backend, "err", err)
+		}
+		f.d.observer.Observe(&peerpb.Observation{Service: p.Service, Backend: p.Backend, Kind: kind})
+	})
+}
+
+func (f *effects) probe(p world.Probe) error {
+	ctx, cancel := context.WithTimeout(f.d.ctx, p.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address+p.Path, nil)
+	if err != nil {
+		return err
+	}
+	id := probeIDPrefix + strconv.FormatInt(time.Now().UnixNano(), 36)
+	req.Header.Set(upstream.HeaderRequestID, id)
+	resp, err := f.d.probes.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBodyBytes)); err != nil {
+		return err
+	}
+	echo := resp.Header.Get(upstream.HeaderRequestID)
+	if resp.StatusCode >= http.StatusInternalServerError || echo != "" && echo != id {
+		return fmt.Errorf("status %d, echo %q", resp.StatusCode, echo)
+	}
+	return nil
+}
+
+// SyncWith compares full states with the host at an address.
+func (f *effects) SyncWith(address string) {
+	f.d.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(f.d.ctx, callTimeout)
+		defer cancel()
+		if err := f.sync(ctx, address); err != nil {
+			klog.V(3).InfoS("sync failed", "peer", address, "err", err)
+		}
+	})
+}
+
+func (f *effects) sync(ctx context.Context, address string) error {
+	e := f.d.engine
+	var state *peerpb.SyncRequest
+	if err := e.Do(ctx, func(_ *world.World, now time.Time) { state = e.State(now) }); err != nil {
+		return err
+	}
+	client := f.d.clients.Peer(address)
+	resp, err := client.Sync(ctx, &peerpb.SyncRequest{From: state.From, Digest: state.Digest, Clock: state.Clock})
+	if err != nil {
+		return err
+	}
+	if !resp.Same {
+		if _, err := client.Sync(ctx, state); err != nil {
+			return err
+		}
+	}
+	return e.Do(ctx, func(_ *world.World, now time.Time) {
+		e.Merge(now, resp.Members, resp.Registers, resp.Clock)
+		e.Synced()
+	})
+}
+
+// Reading starts or ends the watches of the platform.
+func (f *effects) Reading(reader bool) { f.d.watcher.set(reader) }
+
+// StopRequested asks the program to stop this host.
+func (f *effects) StopRequested() {
+	f.d.stopOnce.Do(func() { close(f.d.stopAsk) })
+}
+
+// Ticked publishes what operators see of the control loop.
+func (f *effects) Ticked(d time.Duration, w *world.World) {
+	f.d.metrics.Tick(d)
+	live := 0
+	for _, h := range w.Hosts {
+		if h.Live() {
+			live++
+		}
+	}
+	f.d.metrics.MembersLive(live)
+}
+
+// Interface guard.
+var _ engine.Effects = (*effects)(nil)
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/bus"
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+)
+
+// observationQueue bounds the outcomes on their way to the control loop.
+const observationQueue = 16384
+
+// observer passes outcomes from the request path to the control loop in
+// batches. Observe never blocks; what does not fit is counted and dropped.
+type observer struct {
+	queue   chan *peerpb.Observation
+	bus     *bus.Bus
+	metrics *metrics.Metrics
+	every   time.Duration
+}
+
+func newObserver(b *bus.Bus, m *metrics.Metrics, every time.Duration) *observer {
+	return &observer{queue: make(chan *peerpb.Observation, observationQueue), bus: b, metrics: m, every: every}
+}
+
+// Observe takes one outcome.
+func (o *observer) Observe(observation *peerpb.Observation) {
+	select {
+	case o.queue <- observation:
+	default:
+		o.metrics.ObservationLost()
+	}
+}
+
+func (o *observer) run(ctx context.Context) {
+	ticker := time.NewTicker(o.every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			o.flush()
+		}
+	}
+}
+
+func (o *observer) flush() {
+	batch := &peerpb.Observations{}
+	for range len(o.queue) {
+		batch.Observations = append(batch.Observations, <-o.queue)
+	}
+	if len(batch.Observations) == 0 {
+		return
+	}
+	raw, err := proto.Marshal(batch)
+	if err != nil {
+		return
+	}
+	o.bus.Publish(bus.TopicObservations, raw)
+}
+
+// Interface guard.
+var _ dispatch.Observer = (*observer)(nil)
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/pearshelf/pearshelf/internal/admin"
+	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/frontend"
+	"github.com/pearshelf/pearshelf/internal/peer"
+)
+
+const (
+	gzipLevel     = 5
+	protobufMedia = "application/protobuf"
+)
+
+func (d *Daemon) makeServers() error {
+	front := frontend.New(frontend.Config{
+		IdentityHeader:  d.settings.Caller.IdentityHeader,
+		BodyIdleTimeout: time.Duration(d.settings.Caller.BodyIdleTimeout),
+	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
+	service := admin.NewServer(d.settings.Host, d.engine, d.events, d.clients)
+	if err := d.makeCallerServer(front); err != nil {
+		return err
+	}
+	if err := d.makePeerServer(front, service); err != nil {
+		return err
+	}
+	return d.makeOperatorServer(service)
+}
+
+func (d *Daemon) makeCallerServer(front *frontend.Frontend) error {
+	conf, err := peer.ServerTLS(d.settings.Caller.TLS)
+	if err != nil {
+		return err
+	}
+	d.callerServer = d.server(front.CallerHandler())
+	d.callerServer.TLSConfig = conf
+	return nil
+}
+
+// makePeerServer serves requests handed over by other hosts beside the calls
+// of the peer protocol; the former are told by their header, because their
+// paths are the callers'.
+func (d *Daemon) makePeerServer(front *frontend.Frontend, service adminpb.Admin) error {
+	conf, err := peer.MutualTLS(d.settings.Peer.TLS)
+	if err != nil {
+		return err
+	}
+	router := chi.NewRouter()
+	router.Use(middleware.Compress(gzipLevel, protobufMedia))
+	router.Mount(peerpb.PeerPathPrefix, peerpb.NewPeerServer(&peerService{d: d}))
+	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
+	forwarded := front.ForwardHandler()
+	d.peerServer = d.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if frontend.IsForwarded(r) {
+			forwarded.ServeHTTP(w, r)
+			return
+		}
+		router.ServeHTTP(w, r)
+	}))
+	d.peerServer.TLSConfig = conf
+	return nil
+}
+
+func (d *Daemon) makeOperatorServer(service adminpb.Admin) error {
+	conf, err := peer.MutualTLS(d.settings.Operator.TLS)
+	if err != nil {
+		return err
+	}
+	router := chi.NewRouter()
+	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
+	router.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	d.operatorServer = d.server(router)
+	d.operatorServer.TLSConfig = conf
+	return nil
+}
+
+func (d *Daemon) server(handler http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		ReadHeaderTimeout: time.Duration(d.settings.Caller.ReadHeaderTimeout),
+		IdleTimeout:       time.Duration(d.settings.Caller.IdleTimeout),
+		MaxHeaderBytes:    d.settings.Caller.MaxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/daemon/watcher.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/platform"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// watcher watches the platform while this host is a reader.
+type watcher struct {
+	d *Daemon
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	lost   bool
+	seen   map[string]uint64
+}
+
+func (w *watcher) set(reader bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case reader && w.cancel == nil:
+		w.start()
+	case !reader && w.cancel != nil:
+		w.cancel()
+		w.cancel = nil
+	}
+}
+
+func (w *watcher) start() {
+	ctx, cancel := context.WithCancel(w.d.ctx)
+	w.cancel = cancel
+	w.seen = make(map[string]uint64)
+	for _, key := range []string{world.KeyIndex, world.KeyHosts} {
+		w.d.wg.Go(func() {
+			w.d.platform.Watch(ctx, key, func() uint64 { return w.after(key) }, w.deliver, w.health)
+		})
+	}
+}
+
+func (w *watcher) after(key string) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seen[key]
+}
+
+func (w *watcher) deliver(v *platform.Value) {
+	w.mu.Lock()
+	w.seen[v.Key] = max(w.seen[v.Key], v.Revision)
+	w.mu.Unlock()
+	w.d.publishDocument(v.Key, v.Revision, v.Raw)
+}
+
+// health records when the platform goes away and comes back.
+func (w *watcher) health(err error) {
+	w.d.metrics.PlatformCall(err)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if lost := err != nil; lost != w.lost {
+		w.lost = lost
+		w.record(err)
+	}
+}
+
+func (w *watcher) record(err error) {
+	if err != nil {
+		w.d.events.Record(event.PlatformLost, "", "", err.Error())
+		return
+	}
+	w.d.events.Record(event.PlatformBack, "", "", "")
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,155 @@
+// Package dispatch is the request path. An entry host forwards a request to an
+// owner host of its service; the owner limits, claims, queues, picks a backend
+// server, sends, and judges the answer. Every request ends in its own whole
+// answer or in a truthful Refusal.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/limits"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/slots"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// Config of a Dispatcher.
+type Config struct {
+	// Forwarding sends requests to owner hosts. Off, every host picks alone.
+	Forwarding bool
+	// PeerScheme is http or https, for owner hosts.
+	PeerScheme string
+	// BeforeWrite, if set, is called after the decision to send and before the
+	// last check. Tests hold it to freeze a host.
+	BeforeWrite func(*Request)
+}
+
+// Observer takes outcomes without blocking.
+type Observer interface {
+	Observe(o *peerpb.Observation)
+}
+
+// Dispatcher serves requests. It is safe for concurrent use.
+type Dispatcher struct {
+	conf     Config
+	snapshot func() *world.Snapshot
+	backends *upstream.Transport
+	owners   *upstream.Transport
+	claims   *claims.Coordinator
+	limits   *limits.Callers
+	observer Observer
+	events   event.Recorder
+	metrics  *metrics.Metrics
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+}
+
+type serviceState struct {
+	pool   *slots.Pool
+	budget *budget
+}
+
+// Parts are what a Dispatcher works with.
+type Parts struct {
+	Snapshot func() *world.Snapshot
+	Backends *upstream.Transport
+	Owners   *upstream.Transport
+	Claims   *claims.Coordinator
+	Limits   *limits.Callers
+	Observer Observer
+	Events   event.Recorder
+	Metrics  *metrics.Metrics
+}
+
+// New returns a dispatcher.
+func New(conf Config, parts Parts) *Dispatcher {
+	return &Dispatcher{
+		conf:     conf,
+		snapshot: parts.Snapshot,
+		backends: parts.Backends,
+		owners:   parts.Owners,
+		claims:   parts.Claims,
+		limits:   parts.Limits,
+		observer: parts.Observer,
+		events:   parts.Events,
+		metrics:  parts.Metrics,
+		services: make(map[string]*serviceState),
+	}
+}
+
+func (d *Dispatcher) service(name string) *serviceState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.services[name]
+	if !ok {
+		s = &serviceState{pool: slots.NewPool(), budget: newBudget()}
+		d.services[name] = s
+	}
+	return s
+}
+
+// Serve answers a request or returns a *Refusal before anything was written to
+// the caller. It panics with http.ErrAbortHandler to cut an answer short.
+func (d *Dispatcher) Serve(w http.ResponseWriter, req *Request) error {
+	snap := d.snapshot()
+	view, ok := snap.Services[req.Service]
+	if !ok {
+		return notRun(errs.New(errs.KindNoRoute, "service "+req.Service+" is not configured here", "repeat the request; see config diff if it persists"), 0)
+	}
+	if err := req.body.keep(); err != nil {
+		return &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: asTyped(err)}
+	}
+	x := &exchange{
+		d:     d,
+		w:     w,
+		req:   req,
+		snap:  snap,
+		view:  view,
+		state: d.service(req.Service),
+		start: time.Now(),
+	}
+	ctx, stop := x.headerDeadline(req.in.Context())
+	defer stop()
+	if d.forwards(req, view, snap) {
+		if done, err := x.forward(ctx); done {
+			return err
+		}
+	}
+	return x.serveOwned(ctx)
+}
+
+// forwards reports whether an owner host should take the request. An owner
+// whose own network looks faulty lets the other owners work.
+func (d *Dispatcher) forwards(req *Request, view *world.ServiceView, snap *world.Snapshot) bool {
+	if !d.conf.Forwarding || req.ForwardedBy != "" || len(view.Owners) == 0 {
+		return false
+	}
+	return !view.SelfOwner || snap.Distrust
+}
+
+func asTyped(err error) *errs.Error {
+	if typed, ok := err.(*errs.Error); ok {
+		return typed
+	}
+	return errs.Wrap(err, errs.KindBroken, "request failed", "see the cause")
+}
+
+// ownersInOrder starts at a random owner, so that entry hosts spread their
+// requests evenly.
+func ownersInOrder(view *world.ServiceView) []world.OwnerView {
+	start := rand.IntN(len(view.Owners))
+	order := make([]world.OwnerView, 0, len(view.Owners))
+	for i := range view.Owners {
+		order = append(order, view.Owners[(start+i)%len(view.Owners)])
+	}
+	return order
+}
--- /dev/null
+++ b/internal/dispatch/exchange.go
@@ -0,0 +1,340 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/slots"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// maxTries bounds the servers that one request is sent to.
+const maxTries = 3
+
+// exchange is the work on one request on one host.
+type exchange struct {
+	d     *Dispatcher
+	w     http.ResponseWriter
+	req   *Request
+	snap  *world.Snapshot
+	view  *world.ServiceView
+	state *serviceState
+	start time.Time
+
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	tried  []string
+	// written is whether a byte of the request may have reached a server that
+	// did not say it did not run it.
+	written bool
+	// free and paid say how the next try is allowed; see mayRetry.
+	free, paid bool
+}
+
+// headerDeadline ends the context at the request's deadline. headerArrived
+// lifts it where the deadline is for the header only.
+func (x *exchange) headerDeadline(parent context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	x.cancel = cancel
+	x.timer = time.AfterFunc(time.Until(x.req.Deadline), func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		x.timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+func (x *exchange) headerArrived() {
+	if !x.req.Explicit {
+		x.timer.Stop()
+	}
+}
+
+// serveOwned serves the request from this host's own slots.
+func (x *exchange) serveOwned(ctx context.Context) error {
+	if err := x.admit(); err != nil {
+		return err
+	}
+	claim, err := x.claim(ctx)
+	if err != nil {
+		return err
+	}
+	if claim != nil {
+		defer func() { claim.Release(x.written) }()
+	}
+	x.state.budget.first()
+	return x.tryServers(ctx)
+}
+
+// admit refuses at once what cannot be served.
+func (x *exchange) admit() error {
+	limit := x.view.Config.CallerLimit
+	ok, retryAfter := x.d.limits.Allow(x.start, x.req.Service, x.req.Caller, limit, x.view.OwnerCount)
+	if !ok {
+		return notRun(errs.New(errs.KindCallerLimit, "the caller's rate limit is reached", "repeat the request after the time in Retry-After"), retryAfter)
+	}
+	if x.state.pool.Full(x.view) {
+		return notRun(errs.New(errs.KindQueueFull, "all slots of "+x.req.Service+" are busy and its queue is full", "repeat the request after the time in Retry-After"), x.retryAfter())
+	}
+	return nil
+}
+
+func (x *exchange) retryAfter() time.Duration {
+	return x.state.pool.RetryAfter(x.view, time.Duration(x.view.Config.QueueWait))
+}
+
+// claim secures the idempotency key of a non-idempotent request.
+func (x *exchange) claim(ctx context.Context) (*claims.Claim, error) {
+	if x.req.Idempotent || x.req.Key == "" {
+		return nil, nil
+	}
+	key := claims.Key{Service: x.req.Service, Key: x.req.Key}
+	claim, err := x.d.claims.Claim(ctx, x.snap, key, x.req.ID, time.Until(x.req.Deadline))
+	if err == nil {
+		return claim, nil
+	}
+	typed := asTyped(err)
+	if typed.Kind == errs.KindClaimHeld {
+		x.d.events.Record(event.RequestDuplicate, x.req.Service, "", x.req.ID)
+		return nil, unknown(typed)
+	}
+	return nil, notRun(typed, 0)
+}
+
+// tryServers sends the request to one server after another until one answers.
+func (x *exchange) tryServers(ctx context.Context) error {
+	var last *Refusal
+	for range maxTries {
+		lease, err := x.acquire(ctx)
+		if err != nil {
+			return x.final(last, err)
+		}
+		done, refusal := x.try(ctx, lease)
+		if done {
+			return nil
+		}
+		last = refusal
+		if x.written && !x.req.Idempotent {
+			return last
+		}
+		if !x.mayRetry() {
+			return last
+		}
+	}
+	return last
+}
+
+// final chooses between the last try's refusal and having no server left.
+func (x *exchange) final(last *Refusal, err error) error {
+	if last != nil {
+		return last
+	}
+	return notRun(asTyped(err), x.retryAfter())
+}
+
+// acquire takes a slot of a server that is still in rotation by the newest
+// view: the request may have waited while a server was drained.
+func (x *exchange) acquire(ctx context.Context) (*slots.Lease, error) {
+	for {
+		x.refresh()
+		lease, err := x.state.pool.Acquire(ctx, x.view, slots.Request{
+			Idempotent: x.req.Idempotent,
+			Session:    x.req.Session,
+			Deadline:   x.req.Deadline,
+			Exclude:    x.tried,
+		})
+		if err != nil || x.inRotation(lease.Server) {
+			return lease, err
+		}
+		lease.Release()
+	}
+}
+
+func (x *exchange) refresh() {
+	x.snap = x.d.snapshot()
+	if view, ok := x.snap.Services[x.req.Service]; ok {
+		x.view = view
+	}
+}
+
+func (x *exchange) inRotation(server world.BackendView) bool {
+	view, ok := x.d.snapshot().Services[x.req.Service]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(view.Backends, func(b world.BackendView) bool {
+		return b.ID == server.ID && (x.req.Idempotent || !b.IdempotentOnly)
+	})
+}
+
+// mayRetry reports whether another try is allowed. Tries that put no load on
+// any server are free; others come out of the budget, once each.
+func (x *exchange) mayRetry() bool {
+	if x.free || x.paid {
+		x.free = false
+		return true
+	}
+	x.paid = x.state.budget.retry()
+	return x.paid
+}
+
+// try sends the request to one server. done is whether the caller has been
+// answered; otherwise refusal says what this try came to.
+func (x *exchange) try(ctx context.Context, lease *slots.Lease) (done bool, refusal *Refusal) {
+	defer lease.Release()
+	x.free = false
+	x.paid = false
+	answer, failure := x.send(ctx, x.d.backends, "http", lease.Server.Address, nil)
+	if failure != nil {
+		return false, x.failed(ctx, lease, failure)
+	}
+	return x.judge(ctx, lease, answer)
+}
+
+func notRunOrUnknown(written bool, err *errs.Error) *Refusal {
+	if written {
+		return unknown(err)
+	}
+	return notRun(err, 0)
+}
+
+// send sends the request once; adjust may change the outgoing headers.
+func (x *exchange) send(ctx context.Context, via *upstream.Transport, scheme, address string, adjust func(http.Header)) (*upstream.Answer, *upstream.Failure) {
+	out, err := x.req.outgoing(ctx, scheme, address)
+	if err != nil {
+		return nil, upstream.NotSent(asTyped(err))
+	}
+	if adjust != nil {
+		adjust(out.Header)
+	}
+	if x.d.conf.BeforeWrite != nil {
+		x.d.conf.BeforeWrite(x.req)
+	}
+	return via.Do(ctx, out, x.lastLook)
+}
+
+// lastLook is asked right before the first byte leaves: a host that was paused
+// must not act on what it decided before.
+func (x *exchange) lastLook() error {
+	now := time.Now()
+	if world.Passed(now, x.req.Deadline) {
+		return errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
+	}
+	if x.req.Idempotent {
+		return nil
+	}
+	if world.Passed(now, x.d.snapshot().FreshUntil) {
+		return errs.New(errs.KindStaleHost, "this host paused and its view is not fresh yet", "repeat the request after the time in Retry-After")
+	}
+	return nil
+}
+
+// failed notes an exchange that brought no answer.
+func (x *exchange) failed(ctx context.Context, lease *slots.Lease, failure *upstream.Failure) *Refusal {
+	typed := asTyped(failure.Unwrap())
+	if isCallerGone(ctx) {
+		x.written = x.written || failure.Written
+		return notRunOrUnknown(x.written, typed)
+	}
+	if !failure.Written {
+		x.free = true
+		// An idle connection that the server closed says nothing against it.
+		if !failure.Dialled && typed.Kind == errs.KindDialFailed {
+			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
+			x.tried = append(x.tried, lease.Server.ID)
+		}
+		return notRunOrUnknown(x.written, typed)
+	}
+	x.written = true
+	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
+	x.tried = append(x.tried, lease.Server.ID)
+	return unknown(typed)
+}
+
+// judge decides what an answer is worth.
+func (x *exchange) judge(ctx context.Context, lease *slots.Lease, answer *upstream.Answer) (done bool, refusal *Refusal) {
+	x.noteHints(lease, answer)
+	if isShed(answer) {
+		answer.Discard()
+		x.tried = append(x.tried, lease.Server.ID)
+		return false, notRunOrUnknown(x.written, errs.New(errs.KindShed, "backend server "+lease.Server.ID+" shed the request", "repeat the request after the time in Retry-After"))
+	}
+	x.written = true
+	if !x.isOwn(answer) {
+		answer.Discard()
+		x.tried = append(x.tried, lease.Server.ID)
+		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
+		x.d.events.Record(event.RequestWrong, x.req.Service, lease.Server.ID, "answer carries another request's ID")
+		return false, unknown(errs.New(errs.KindWrongAnswer, "backend server "+lease.Server.ID+" sent another request's answer", "ask for the outcome before repeating a non-idempotent request"))
+	}
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return x.serverError(ctx, lease, answer)
+	}
+	x.pass(ctx, lease, answer)
+	return true, nil
+}
+
+// serverError tries an idempotent request elsewhere, and passes the server's
+// own error on where that is not possible.
+func (x *exchange) serverError(ctx context.Context, lease *slots.Lease, answer *upstream.Answer) (done bool, refusal *Refusal) {
+	x.tried = append(x.tried, lease.Server.ID)
+	elsewhere := x.req.Idempotent && len(x.tried) < min(maxTries, len(x.view.Backends))
+	if !elsewhere || !x.mayRetry() {
+		x.pass(ctx, lease, answer)
+		return true, nil
+	}
+	answer.Discard()
+	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
+	return false, unknown(errs.New(errs.KindBroken, "backend server "+lease.Server.ID+" answered with an error", "repeat the request"))
+}
+
+// noteHints takes what a server says about itself.
+func (x *exchange) noteHints(lease *slots.Lease, answer *upstream.Answer) {
+	if inUse, ok := parseLoad(answer.Header.Get(upstream.HeaderLoad)); ok {
+		lease.Report(inUse)
+	}
+	if answer.Header.Get(upstream.HeaderDraining) == "true" || answer.Close {
+		x.observe(lease, peerpb.Observation_KIND_DRAINING, 0)
+	}
+}
+
+// parseLoad reads "<in use>/<slots>".
+func parseLoad(value string) (inUse int, ok bool) {
+	first, _, found := strings.Cut(value, "/")
+	if !found {
+		return 0, false
+	}
+	inUse, err := strconv.Atoi(first)
+	return inUse, err == nil && inUse >= 0
+}
+
+func isShed(answer *upstream.Answer) bool {
+	return answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(upstream.HeaderNotRun) == "true"
+}
+
+// isOwn checks that an answer belongs to this request.
+func (x *exchange) isOwn(answer *upstream.Answer) bool {
+	echo := answer.Header.Get(upstream.HeaderRequestID)
+	if echo == "" {
+		return x.view.Config.AllowMissingEcho
+	}
+	return echo == x.req.ID
+}
+
+func (x *exchange) observe(lease *slots.Lease, kind peerpb.Observation_Kind, firstByte time.Duration) {
+	x.d.observer.Observe(&peerpb.Observation{
+		Service:     x.req.Service,
+		Backend:     lease.Server.ID,
+		Kind:        kind,
+		FirstByteUs: uint64(firstByte.Microseconds()),
+		Idempotent:  x.req.Idempotent,
+	})
+}
--- /dev/null
+++ b/internal/dispatch/forward.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// forward sends the request to an owner host. done is false if no owner took
+// it, nothing can have run, and this host should serve it itself.
+func (x *exchange) forward(ctx context.Context) (done bool, err error) {
+	for _, owner := range ownersInOrder(x.view) {
+		answer, failure := x.send(ctx, x.d.owners, x.d.conf.PeerScheme, owner.Address, x.forwardHeaders)
+		switch {
+		case failure != nil && isCallerGone(ctx):
+			return true, notRunOrUnknown(failure.Written, asTyped(failure.Unwrap()))
+		case failure != nil && failure.Written && !x.req.Idempotent:
+			return true, unknown(asTyped(failure.Unwrap()))
+		case failure != nil:
+			continue
+		case x.ownerDeclined(answer):
+			answer.Discard()
+			continue
+		}
+		return x.relay(ctx, owner, answer)
+	}
+	return false, nil
+}
+
+func (x *exchange) forwardHeaders(h http.Header) {
+	h.Set(HeaderForwardedBy, x.snap.Self.Host)
+	h.Set(HeaderService, x.req.Service)
+	h.Set(HeaderIdempotent, strconv.FormatBool(x.req.Idempotent))
+	if x.req.Caller != "" {
+		h.Set(HeaderCaller, x.req.Caller)
+	}
+	if x.req.Explicit {
+		h.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(x.req.Deadline).Milliseconds(), 1), 10))
+	}
+}
+
+// ownerDeclined reports whether the owner did not run the request for a reason
+// of its own, so that another host may.
+func (x *exchange) ownerDeclined(answer *upstream.Answer) bool {
+	if Outcome(answer.Header.Get(HeaderOutcome)) != OutcomeNotRun {
+		return false
+	}
+	switch errs.Kind(answer.Header.Get(HeaderKind)) {
+	case errs.KindStaleHost, errs.KindNoRoute, errs.KindDialFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// relay passes an owner's answer to the caller.
+func (x *exchange) relay(ctx context.Context, owner world.OwnerView, answer *upstream.Answer) (done bool, err error) {
+	if answer.Header.Get(upstream.HeaderRequestID) != x.req.ID || answer.Header.Get(HeaderOutcome) == "" {
+		answer.Discard()
+		return true, unknown(errs.New(errs.KindWrongAnswer, "owner host "+owner.Host+" sent another request's answer", "ask for the outcome before repeating a non-idempotent request"))
+	}
+	x.headerArrived()
+	tried := []string{owner.Host}
+	copying := &copier{
+		w:       x.w,
+		answer:  answer,
+		outcome: Outcome(answer.Header.Get(HeaderOutcome)),
+		id:      x.req.ID,
+		session: x.req.Session,
+		reopen:  func(rangeHeaders rangeRequest) *upstream.Answer { return x.reopenAtOwner(ctx, rangeHeaders, &tried) },
+		resumed: x.resumed,
+	}
+	copying.setResumable(x.req)
+	if err := copying.run(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return true, nil
+}
+
+// reopenAtOwner continues a download at another owner.
+func (x *exchange) reopenAtOwner(ctx context.Context, at rangeRequest, tried *[]string) *upstream.Answer {
+	for _, owner := range ownersInOrder(x.view) {
+		if contains(*tried, owner.Host) {
+			continue
+		}
+		*tried = append(*tried, owner.Host)
+		answer, failure := x.send(ctx, x.d.owners, x.d.conf.PeerScheme, owner.Address, func(h http.Header) {
+			x.forwardHeaders(h)
+			at.set(h)
+		})
+		if failure == nil {
+			return answer
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/refusal.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+// Outcome is what a caller is told about its request.
+type Outcome string
+
+// Outcomes.
+const (
+	// OutcomeComplete: the answer is a backend server's own, whole.
+	OutcomeComplete Outcome = "complete"
+	// OutcomeNotRun: no backend server ran the request; repeating it is safe.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown: the request may have run.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Refusal is the final answer to a request that got none from a backend
+// server. It is sent at once.
+type Refusal struct {
+	Outcome Outcome
+	// Status is the HTTP status code.
+	Status int
+	// RetryAfter tells the caller when to come back; zero where it should not.
+	RetryAfter time.Duration
+	Err        *errs.Error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Outcome) + ": " + r.Err.Error() }
+
+// Unwrap returns the typed cause.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+const defaultRetryAfter = time.Second
+
+func notRun(err *errs.Error, retryAfter time.Duration) *Refusal {
+	status := http.StatusServiceUnavailable
+	if err.Kind == errs.KindCallerLimit {
+		status = http.StatusTooManyRequests
+	}
+	return &Refusal{Outcome: OutcomeNotRun, Status: status, RetryAfter: max(retryAfter, defaultRetryAfter), Err: err}
+}
+
+func unknown(err *errs.Error) *Refusal {
+	status := http.StatusBadGateway
+	switch err.Kind {
+	case errs.KindDeadline:
+		status = http.StatusGatewayTimeout
+	case errs.KindClaimHeld:
+		status = http.StatusConflict
+	}
+	return &Refusal{Outcome: OutcomeUnknown, Status: status, Err: err}
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// Headers of the contract with callers.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderSession        = "Pearshelf-Session"
+	HeaderTimeout        = "Pearshelf-Timeout-Ms"
+	HeaderOutcome        = "Pearshelf-Outcome"
+)
+
+// Headers between an entry host and an owner host.
+const (
+	HeaderForwardedBy = "Pearshelf-Forwarded-By"
+	HeaderService     = "Pearshelf-Service"
+	HeaderIdempotent  = "Pearshelf-Idempotent"
+	HeaderCaller      = "Pearshelf-Caller"
+	HeaderKind        = "Pearshelf-Kind" // errs.Kind of a refusal
+)
+
+const (
+	headerPrefix = "Pearshelf-"
+
+	// replayLimitBytes is the largest body kept for another try.
+	replayLimitBytes = 64 << 10
+)
+
+// hopByHop are the headers that concern one connection (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// Request is one caller's request on its way.
+type Request struct {
+	// ID is unique for each call.
+	ID string
+	// Service is the route's.
+	Service string
+	// Idempotent is the route's declaration.
+	Idempotent bool
+	// Key is the caller's own identity of the request, may be empty.
+	Key string
+	// Session and Caller may be empty.
+	Session string
+	Caller  string
+	// Deadline is for the answer's header, and for the whole answer if the
+	// caller set it (Explicit).
+	Deadline time.Time
+	Explicit bool
+	// ForwardedBy is the entry host, on an owner.
+	ForwardedBy string
+
+	in   *http.Request
+	body *replayBody
+}
+
+// NewRequest returns a request whose content comes from in.
+func NewRequest(in *http.Request) *Request {
+	return &Request{in: in, body: &replayBody{source: in.Body, length: in.ContentLength}}
+}
+
+// replayBody hands out a request's body for one or more tries.
+type replayBody struct {
+	source   io.ReadCloser
+	length   int64 // -1 if unknown
+	kept     []byte
+	isKept   bool
+	consumed bool
+}
+
+// keep reads a small body into memory, so that it can be sent again.
+func (b *replayBody) keep() error {
+	if b.length < 0 || b.length > replayLimitBytes || b.isKept {
+		return nil
+	}
+	kept, err := io.ReadAll(b.source)
+	if err != nil {
+		return errs.Wrap(err, errs.KindBadRequest, "request body broke off", "send the whole body that Content-Length announces")
+	}
+	b.kept = kept
+	b.isKept = true
+	return nil
+}
+
+// open returns the body for a try, or false if it cannot be had again.
+func (b *replayBody) open() (io.ReadCloser, bool) {
+	switch {
+	case b.isKept && len(b.kept) == 0:
+		return upstream.Body(nil), true
+	case b.isKept:
+		return io.NopCloser(bytes.NewReader(b.kept)), true
+	case b.consumed:
+		return nil, false
+	default:
+		return &consumingReader{body: b}, true
+	}
+}
+
+// consumingReader notes that the caller's own stream has been read from. It
+// does not close the stream, which is the server's to close.
+type consumingReader struct{ body *replayBody }
+
+func (r *consumingReader) Read(p []byte) (int, error) {
+	r.body.consumed = true
+	return r.body.source.Read(p)
+}
+
+func (r *consumingReader) Close() error { return nil }
+
+// outgoing makes the request for a backend server or owner host.
+func (r *Request) outgoing(ctx context.Context, scheme, address string) (*http.Request, error) {
+	body, ok := r.body.open()
+	if !ok {
+		return nil, errs.New(errs.KindBodyConsumed, "the request body has been passed on already", "repeat the request")
+	}
+	url := *r.in.URL
+	url.Scheme = scheme
+	url.Host = address
+	out := &http.Request{
+		Method:        r.in.Method,
+		URL:           &url,
+		Host:          r.in.Host,
+		Header:        r.in.Header.Clone(),
+		Body:          body,
+		ContentLength: r.body.length,
+		Trailer:       r.in.Trailer,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	stripHopByHop(out.Header)
+	stripOwn(out.Header)
+	if r.Session != "" {
+		out.Header.Set(HeaderSession, r.Session)
+	}
+	out.Header.Set(upstream.HeaderRequestID, r.ID)
+	out.Header.Set(upstream.HeaderDeadline, strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10))
+	if _, given := out.Header["User-Agent"]; !given {
+		out.Header.Set("User-Agent", "") // keeps the Transport from adding its own
+	}
+	return out.WithContext(ctx), nil
+}
+
+func stripHopByHop(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			name = strings.TrimSpace(name)
+			if httpguts.ValidHeaderFieldName(name) {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// stripOwn removes the fleet's headers, which no other party may set.
+func stripOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// isCallerGone reports whether the caller itself ended the request.
+func isCallerGone(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled)
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,303 @@
+// Package engine runs the control loop of a host: it owns the world, takes
+// inputs, runs the systems each tick, publishes the snapshot for the request
+// path and hands what the tick wants done to its effects. Step is pure but for
+// the effects, so tests drive it with a clock of their own.
+package engine
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/directive"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/gossip"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
+	"github.com/pearshelf/pearshelf/internal/system/detection"
+	"github.com/pearshelf/pearshelf/internal/system/placement"
+	"github.com/pearshelf/pearshelf/internal/system/rotation"
+	"github.com/pearshelf/pearshelf/internal/verdict"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// RetransmitMult of gossip; see gossip.Queue.
+	RetransmitMult = 3
+	// ReadyAfter is how long a new host waits for an answer from peers before
+	// it goes by what the platform says alone.
+	ReadyAfter = 3 * time.Second
+
+	inboxSize = 4096
+)
+
+// Effects does what a tick wants done. Calls must not block.
+type Effects interface {
+	Send(packets []membership.Packet)
+	Fetch(f world.Fetch)
+	Probe(p world.Probe)
+	SyncWith(address string)
+	Event(e event.Event)
+	// Reading says whether this host should watch the platform.
+	Reading(reader bool)
+	// StopRequested is called each tick while an operator's stop of this host
+	// is in force.
+	StopRequested()
+	// Ticked reports the duration of a tick.
+	Ticked(d time.Duration, w *world.World)
+}
+
+// Config of an Engine.
+type Config struct {
+	Self world.Identity
+	// Tick is the interval of the systems.
+	Tick time.Duration
+	// Freshness is the pause after which the view is no longer trusted.
+	Freshness  time.Duration
+	Membership membership.Config
+	// Seeds are addresses of other hosts.
+	Seeds []string
+	// Seed of all random choices.
+	Seed uint64
+	// BeforeTick, if set, is called before each tick. Tests hold it to freeze a
+	// host.
+	BeforeTick func()
+}
+
+// Engine is one host's control loop.
+type Engine struct {
+	conf    Config
+	clock   *hlc.Clock
+	effects Effects
+
+	world     *world.World
+	queue     *gossip.Queue
+	members   *membership.List
+	detection *detection.System
+	systems   []world.System
+	views     *viewBuilder
+
+	inbox    chan func(now time.Time)
+	snapshot atomic.Pointer[world.Snapshot]
+
+	lastTick time.Time
+	wokeAt   time.Time // end of the last pause, zero if the view is fresh
+	synced   bool      // a peer has answered a full comparison
+	ready    bool
+}
+
+// New returns an engine that starts at now.
+func New(conf Config, clock *hlc.Clock, effects Effects, now time.Time) *Engine {
+	e := &Engine{
+		conf:      conf,
+		clock:     clock,
+		effects:   effects,
+		world:     world.New(conf.Self, clock, now),
+		queue:     gossip.NewQueue(RetransmitMult),
+		detection: detection.New(),
+		views:     newViewBuilder(),
+		inbox:     make(chan func(time.Time), inboxSize),
+		lastTick:  now,
+	}
+	e.members = membership.New(conf.Membership, e, e.queue, now)
+	e.systems = []world.System{
+		placement.System{},
+		configsync.New(now, conf.Seed),
+		e.detection,
+		rotation.System{},
+	}
+	self := e.members.Member(conf.Self.Host)
+	e.world.Hosts[self.Host] = hostRow(self)
+	e.world.HostsChanged = true
+	e.publish(now)
+	return e
+}
+
+// Snapshot returns the newest view.
+func (e *Engine) Snapshot() *world.Snapshot { return e.snapshot.Load() }
+
+// Run ticks until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.conf.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case input := <-e.inbox:
+			input(time.Now())
+		case <-ticker.C:
+			if e.conf.BeforeTick != nil {
+				e.conf.BeforeTick()
+			}
+			start := time.Now()
+			e.Step(start)
+			e.effects.Ticked(time.Since(start), e.world)
+		}
+	}
+}
+
+// Post queues an input; it reports false if the inbox is full.
+func (e *Engine) Post(input func(now time.Time)) bool {
+	select {
+	case e.inbox <- input:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do runs read on the loop's goroutine and waits for it.
+func (e *Engine) Do(ctx context.Context, read func(w *world.World, now time.Time)) error {
+	done := make(chan struct{})
+	input := func(now time.Time) {
+		defer close(done)
+		read(e.world, now)
+	}
+	select {
+	case e.inbox <- input:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Step runs one tick.
+func (e *Engine) Step(now time.Time) {
+	e.noticePause(now)
+	e.expireRegisters(now)
+	for _, system := range e.systems {
+		system.Run(e.world, now)
+	}
+	e.dispatchOutbox(now)
+	e.effects.Send(e.members.Tick(now))
+	for _, address := range e.members.SyncTargets(now, e.knownAddresses()) {
+		e.effects.SyncWith(address)
+	}
+	e.effects.Reading(configsync.IsReader(e.world))
+	if e.stopRequested() {
+		e.effects.StopRequested()
+	}
+	e.publish(now)
+}
+
+// noticePause marks the view stale when this process did not run for long, and
+// fresh again once another host has been heard since.
+func (e *Engine) noticePause(now time.Time) {
+	pause := world.Elapsed(e.lastTick, now)
+	e.lastTick = now
+	if pause > e.conf.Freshness {
+		e.wokeAt = now
+		e.world.Record(now, event.HostPaused, "", "", pause.Round(time.Millisecond).String())
+	}
+	if e.wokeAt.IsZero() {
+		return
+	}
+	alone := e.members.Live() <= 1
+	if alone || e.members.LastHeard().After(e.wokeAt) {
+		e.wokeAt = time.Time{}
+		e.world.Record(now, event.HostFresh, "", "", "")
+	}
+}
+
+// stopRequested reports whether an operator has asked this process, not a
+// predecessor of the same name, to stop.
+func (e *Engine) stopRequested() bool {
+	r, ok := e.world.Registers.Get(directive.Key(directive.KindStop, e.conf.Self.Host))
+	return ok && r.Stamp.Clock > uint64(hlc.FromTime(e.world.StartedAt))
+}
+
+func (e *Engine) expireRegisters(now time.Time) {
+	for _, r := range e.world.Registers.Expire(now) {
+		e.touched(r)
+	}
+}
+
+// touched marks the rows that a changed register concerns.
+func (e *Engine) touched(r *peerpb.Register) {
+	if service, ok := verdict.ServiceOf(r); ok {
+		e.markDirty(service)
+		return
+	}
+	if directive.Is(r) {
+		_, target := directive.Target(r)
+		e.markDirty(serviceOfTarget(target))
+	}
+}
+
+func (e *Engine) markDirty(service string) {
+	if svc, ok := e.world.Services[service]; ok {
+		svc.Dirty = true
+	}
+}
+
+func (e *Engine) knownAddresses() []string {
+	known := append([]string(nil), e.conf.Seeds...)
+	for _, h := range e.world.HostList.Hosts {
+		known = append(known, h.Address)
+	}
+	return slices.DeleteFunc(known, func(address string) bool { return address == e.conf.Self.Address })
+}
+
+func (e *Engine) dispatchOutbox(now time.Time) {
+	out := e.world.Out.Take()
+	for _, ev := range out.Events {
+		e.effects.Event(ev)
+	}
+	for _, r := range out.Registers {
+		e.queue.AddRegister(r)
+	}
+	for _, u := range out.Urgent {
+		e.sendAll(u.To, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_GOSSIP, Registers: []*peerpb.Register{u.Register}})
+	}
+	for _, report := range out.Evidence {
+		e.sendAll(report.To, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_EVIDENCE, Evidence: report.Evidence})
+	}
+	for _, f := range out.Fetches {
+		e.effects.Fetch(f)
+	}
+	for _, p := range out.Probes {
+		e.effects.Probe(p)
+	}
+}
+
+func (e *Engine) sendAll(hosts []string, d *peerpb.Datagram) {
+	d.From = e.conf.Self.Host
+	d.Clock = uint64(e.clock.Now(e.lastTick))
+	packets := make([]membership.Packet, 0, len(hosts))
+	for _, host := range hosts {
+		h, ok := e.world.Hosts[host]
+		if ok && host != e.conf.Self.Host {
+			packets = append(packets, membership.Packet{To: h.Address, Datagram: d})
+		}
+	}
+	e.effects.Send(packets)
+}
+
+func (e *Engine) publish(now time.Time) {
+	w := e.world
+	e.ready = e.ready || e.isReady(now)
+	if e.wokeAt.IsZero() {
+		w.FreshUntil = now.Add(e.conf.Freshness)
+	}
+	e.snapshot.Store(e.views.build(w, e.ready))
+}
+
+func (e *Engine) isReady(now time.Time) bool {
+	asked := e.synced || len(e.knownAddresses()) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
+	return asked && configsync.Current(e.world)
+}
+
+// Ready reports whether a configuration is in force.
+func (e *Engine) Ready() bool { return e.Snapshot().Ready }
+
+// Interface guard.
+var _ membership.Delegate = (*Engine)(nil)
--- /dev/null
+++ b/internal/engine/inputs.go
@@ -0,0 +1,181 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/directive"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// The methods of this file run on the loop's goroutine: call them from an
+// input given to Post, or before Run.
+
+// Observe takes outcomes of this host's own requests.
+func (e *Engine) Observe(now time.Time, batch []*peerpb.Observation) {
+	e.detection.Observe(e.world, now, batch)
+}
+
+// Datagram takes a datagram that came from an address.
+func (e *Engine) Datagram(now time.Time, address string, d *peerpb.Datagram) {
+	e.clock.Observe(now, hlc.Timestamp(d.Clock))
+	e.mergeRegisters(now, d.Registers)
+	if d.Evidence != nil {
+		e.detection.Report(e.world, now, d.Evidence)
+	}
+	e.effects.Send(e.members.Receive(now, address, d))
+}
+
+// Document takes a document from the platform or a peer.
+func (e *Engine) Document(now time.Time, key string, revision uint64, raw []byte) {
+	configsync.Accept(e.world, now, key, revision, raw)
+	if e.world.ServicesChanged {
+		e.detection.Forget(e.world)
+	}
+}
+
+// Write stores a register of this host's and passes it on.
+func (e *Engine) Write(now time.Time, r *peerpb.Register) {
+	e.world.Write(now, r)
+	e.touched(r)
+}
+
+// mergeRegisters takes registers from another host and passes on the new ones.
+func (e *Engine) mergeRegisters(now time.Time, registers []*peerpb.Register) {
+	for _, r := range registers {
+		if !e.clock.Observe(now, hlc.Timestamp(r.GetStamp().GetClock())) {
+			e.world.Record(now, event.RegisterFuture, "", "", fmt.Sprintf("%s from %s is ahead of this host's clock", r.Key, r.Stamp.Host))
+			continue
+		}
+		if !e.world.Registers.Merge(now, r) {
+			continue
+		}
+		e.queue.AddRegister(r)
+		e.touched(r)
+		e.noteDirective(now, r)
+	}
+}
+
+func (e *Engine) noteDirective(now time.Time, r *peerpb.Register) {
+	if !directive.Is(r) {
+		return
+	}
+	kind, target := directive.Target(r)
+	verb := "set"
+	if r.Deleted {
+		verb = "cleared"
+	}
+	e.world.Record(now, event.DirectiveMerged, serviceOfTarget(target), "", fmt.Sprintf("%s %s %s, from %s", kind, target, verb, r.Stamp.Host))
+}
+
+func serviceOfTarget(target string) string {
+	service, _, _ := strings.Cut(target, "/")
+	return service
+}
+
+// State returns what a full comparison sends.
+func (e *Engine) State(now time.Time) *peerpb.SyncRequest {
+	return &peerpb.SyncRequest{
+		From:      e.conf.Self.Host,
+		Digest:    e.Digest(),
+		Members:   e.members.Members(),
+		Registers: e.world.Registers.All(now),
+		Clock:     uint64(e.clock.Now(now)),
+	}
+}
+
+// Digest identifies members and registers: equal states have equal digests.
+func (e *Engine) Digest() uint64 {
+	digest := e.world.Registers.Digest()
+	for _, m := range e.members.Members() {
+		digest ^= xxhash.Sum64String(fmt.Sprint(m.Host, m.Incarnation, m.Liveness, m.Leaving))
+	}
+	return digest
+}
+
+// Merge takes the full state of another host.
+func (e *Engine) Merge(now time.Time, members []*peerpb.Member, registers []*peerpb.Register, clock uint64) {
+	e.clock.Observe(now, hlc.Timestamp(clock))
+	e.members.Merge(now, members)
+	e.mergeRegisters(now, registers)
+	e.members.Heard(now)
+}
+
+// Synced notes that a peer has answered a full comparison.
+func (e *Engine) Synced() { e.synced = true }
+
+// SetLeaving starts a planned stop, Leave ends it.
+func (e *Engine) SetLeaving(now time.Time) {
+	e.world.Leaving = true
+	e.members.SetLeaving(now)
+}
+
+// Leave announces that this host is gone and returns once it is sent.
+func (e *Engine) Leave(now time.Time) {
+	e.members.Leave(now)
+	for range leaveDatagrams {
+		e.effects.Send(e.members.Tick(now))
+		now = now.Add(e.conf.Membership.GossipInterval)
+	}
+}
+
+const leaveDatagrams = 3
+
+// MemberChanged mirrors a membership row into the host table.
+func (e *Engine) MemberChanged(now time.Time, m, was *peerpb.Member) {
+	if e.world == nil {
+		return
+	}
+	e.world.Hosts[m.Host] = hostRow(m)
+	e.world.HostsChanged = true
+	if was != nil && was.Address != m.Address {
+		e.markAllDirty()
+	}
+	e.recordMember(now, m, was)
+}
+
+// markAllDirty rebuilds every view, as when an owner's address changed.
+func (e *Engine) markAllDirty() {
+	for _, svc := range e.world.Services {
+		svc.Dirty = true
+	}
+}
+
+func (e *Engine) recordMember(now time.Time, m, was *peerpb.Member) {
+	if was == nil {
+		e.world.Record(now, event.MemberJoined, "", "", m.Host)
+		return
+	}
+	if m.Liveness == was.Liveness {
+		return
+	}
+	numbers := map[peerpb.Liveness]event.Number{
+		peerpb.Liveness_LIVENESS_ALIVE:   event.MemberAlive,
+		peerpb.Liveness_LIVENESS_SUSPECT: event.MemberSuspect,
+		peerpb.Liveness_LIVENESS_DEAD:    event.MemberDead,
+		peerpb.Liveness_LIVENESS_LEFT:    event.MemberLeft,
+	}
+	e.world.Record(now, numbers[m.Liveness], "", "", m.Host)
+}
+
+// Refuted records that this host denied a report of its own death.
+func (e *Engine) Refuted(now time.Time) {
+	e.world.Record(now, event.MemberRefuted, "", "", "another host held this one for dead")
+}
+
+func hostRow(m *peerpb.Member) *world.Host {
+	return &world.Host{
+		Name:       m.Host,
+		Address:    m.Address,
+		DataCentre: m.DataCentre,
+		Liveness:   m.Liveness,
+		Leaving:    m.Leaving,
+	}
+}
--- /dev/null
+++ b/internal/engine/views.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"maps"
+
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/route"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// viewBuilder makes snapshots and rebuilds only what changed.
+type viewBuilder struct {
+	routes            *route.Table
+	services          map[string]*world.ServiceView
+	claimants         []rendezvous.Node
+	claimantAddresses map[string]string
+	hostListRevision  uint64
+	hosts             int
+}
+
+func newViewBuilder() *viewBuilder {
+	return &viewBuilder{
+		routes:   route.Build(nil),
+		services: make(map[string]*world.ServiceView),
+	}
+}
+
+func (v *viewBuilder) build(w *world.World, ready bool) *world.Snapshot {
+	v.buildServices(w)
+	v.buildClaimants(w)
+	return &world.Snapshot{
+		Self:            w.Self,
+		FreshUntil:      w.FreshUntil,
+		Ready:           ready,
+		Leaving:         w.Leaving,
+		Distrust:        w.Distrust,
+		Routes:          v.routes,
+		Services:        v.services,
+		Claimants:       v.claimants,
+		ClaimantAddress: v.claimantAddresses,
+	}
+}
+
+func (v *viewBuilder) buildServices(w *world.World) {
+	changed := make(map[string]*world.ServiceView)
+	for name, svc := range w.Services {
+		if svc.Dirty {
+			changed[name] = serviceView(w, svc)
+			svc.Dirty = false
+		}
+	}
+	if len(changed) == 0 && !w.ServicesChanged {
+		return
+	}
+	next := make(map[string]*world.ServiceView, len(w.Services))
+	for name := range w.Services {
+		next[name] = v.services[name]
+	}
+	maps.Copy(next, changed)
+	v.services = next
+	if w.ServicesChanged {
+		v.buildRoutes(w)
+	}
+	w.ServicesChanged = false
+}
+
+func (v *viewBuilder) buildRoutes(w *world.World) {
+	configs := make([]*config.Service, 0, len(w.Services))
+	for _, name := range w.ServiceNames() {
+		configs = append(configs, w.Services[name].Config)
+	}
+	v.routes = route.Build(configs)
+}
+
+func serviceView(w *world.World, svc *world.Service) *world.ServiceView {
+	view := &world.ServiceView{Config: svc.Config, OwnerCount: max(svc.OwnerCount(), 1)}
+	for _, b := range svc.Backends {
+		if !b.Rotation.In {
+			continue
+		}
+		view.Backends = append(view.Backends, world.BackendView{
+			ID:             b.Config.ID,
+			Address:        b.Config.Address,
+			Slots:          b.Config.Slots,
+			IdempotentOnly: b.Rotation.IdempotentOnly,
+			Weight:         b.Rotation.Weight,
+			Node:           rendezvous.NewNode(b.Config.ID, ""),
+		})
+	}
+	for _, host := range svc.Owners[w.Self.DataCentre] {
+		if host == w.Self.Host {
+			view.SelfOwner = true
+			continue
+		}
+		if h, ok := w.Hosts[host]; ok {
+			view.Owners = append(view.Owners, world.OwnerView{Host: host, Address: h.Address})
+		}
+	}
+	return view
+}
+
+// buildClaimants lists the hosts that keep idempotency keys: the platform's
+// list, or without one every host ever heard of.
+func (v *viewBuilder) buildClaimants(w *world.World) {
+	revision := w.Document(world.KeyHosts).Revision
+	if v.claimants != nil && revision == v.hostListRevision && (revision > 0 || len(w.Hosts) == v.hosts) {
+		return
+	}
+	v.hostListRevision = revision
+	v.hosts = len(w.Hosts)
+	v.claimants = nil
+	v.claimantAddresses = make(map[string]string)
+	for _, h := range w.HostList.Hosts {
+		v.addClaimant(h.Name, h.DataCentre, h.Address)
+	}
+	if revision > 0 {
+		return
+	}
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		v.addClaimant(h.Name, h.DataCentre, h.Address)
+	}
+}
+
+func (v *viewBuilder) addClaimant(name, dataCentre, address string) {
+	v.claimants = append(v.claimants, rendezvous.NewNode(name, dataCentre))
+	v.claimantAddresses[name] = address
+}
--- /dev/null
+++ b/internal/errs/errs.go
@@ -0,0 +1,84 @@
+// Package errs defines the typed errors of the fleet. Every error has a kind
+// that callers can test and a remedy that a person can follow.
+package errs
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an error. It is stable and appears in answers and events.
+type Kind string
+
+// Kinds of error.
+const (
+	KindSettings      Kind = "settings-invalid"
+	KindConfig        Kind = "config-invalid"
+	KindStatement     Kind = "statement-invalid"
+	KindNotFound      Kind = "not-found"
+	KindConflict      Kind = "conflict"
+	KindFloor         Kind = "floor"
+	KindPlatform      Kind = "platform-unavailable"
+	KindPeer          Kind = "peer-unreachable"
+	KindNoRoute       Kind = "no-route"
+	KindBadRequest    Kind = "bad-request"
+	KindQueueFull     Kind = "queue-full"
+	KindQueueTimeout  Kind = "queue-timeout"
+	KindNoBackend     Kind = "no-backend-server"
+	KindCallerLimit   Kind = "caller-limit"
+	KindClaimRefused  Kind = "claim-unavailable"
+	KindClaimHeld     Kind = "duplicate-request"
+	KindStaleHost     Kind = "stale-host"
+	KindDialFailed    Kind = "dial-failed"
+	KindShed          Kind = "backend-server-shed"
+	KindBroken        Kind = "answer-broken"
+	KindWrongAnswer   Kind = "wrong-answer"
+	KindDeadline      Kind = "deadline-exceeded"
+	KindCanceled      Kind = "canceled"
+	KindBodyConsumed  Kind = "body-consumed"
+	KindNotConfigured Kind = "not-configured"
+)
+
+// Error is an error with a kind and a remedy.
+type Error struct {
+	// Kind classifies the error.
+	Kind Kind
+	// Message says what went wrong.
+	Message string
+	// Remedy says what the reader can do about it.
+	Remedy string
+
+	cause error
+}
+
+// New returns an error of a kind. The remedy must name an action.
+func New(kind Kind, message, remedy string) *Error {
+	return &Error{Kind: kind, Message: message, Remedy: remedy}
+}
+
+// Wrap returns an error of a kind with a cause, which keeps its stack trace.
+func Wrap(cause error, kind Kind, message, remedy string) *Error {
+	return &Error{Kind: kind, Message: message, Remedy: remedy, cause: eris.Wrap(cause, message)}
+}
+
+// Error returns message, cause and remedy on one line.
+func (e *Error) Error() string {
+	text := e.Message
+	if e.cause != nil {
+		text = e.cause.Error()
+	}
+	return text + " (" + e.Remedy + ")"
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of the first typed error in err's chain, or "".
+func KindOf(err error) Kind {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed.Kind
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,192 @@
+// Package event defines the numbered events of the fleet and keeps the newest
+// ones of a host in a ring, from which the time line over all hosts is merged.
+package event
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/hlc"
+)
+
+// Number identifies a kind of event. Numbers are never reused.
+type Number uint32
+
+// Numbers of events. docs/EVENTS.md describes each; a test compares the two.
+const (
+	HostStarted       Number = 101
+	HostReady         Number = 102
+	HostStopping      Number = 103
+	HostStopped       Number = 104
+	HostPaused        Number = 105
+	HostFresh         Number = 106
+	InsecureListener  Number = 107
+	MemberJoined      Number = 201
+	MemberSuspect     Number = 202
+	MemberDead        Number = 203
+	MemberLeft        Number = 204
+	MemberAlive       Number = 205
+	MemberRefuted     Number = 206
+	ConfigApplied     Number = 301
+	ConfigRefused     Number = 302
+	ConfigOlder       Number = 303
+	PlatformLost      Number = 304
+	PlatformBack      Number = 305
+	BackendSuspect    Number = 401
+	BackendCleared    Number = 402
+	BackendVoted      Number = 403
+	BackendVoteEnded  Number = 404
+	BackendEjected    Number = 405
+	BackendReturned   Number = 406
+	BackendKeptFloor  Number = 407
+	BackendLeaving    Number = 408
+	BackendPathFault  Number = 409
+	HostDistrustsSelf Number = 410
+	DirectiveAccepted Number = 501
+	DirectiveRefused  Number = 502
+	DirectiveMerged   Number = 503
+	RegisterFuture    Number = 504
+	RequestWrong      Number = 601
+	RequestDuplicate  Number = 602
+	DownloadResumed   Number = 603
+	ObservationsLost  Number = 604
+)
+
+var names = map[Number]string{
+	HostStarted:       "host-started",
+	HostReady:         "host-ready",
+	HostStopping:      "host-stopping",
+	HostStopped:       "host-stopped",
+	HostPaused:        "host-paused",
+	HostFresh:         "host-fresh",
+	InsecureListener:  "insecure-listener",
+	MemberJoined:      "member-joined",
+	MemberSuspect:     "member-suspect",
+	MemberDead:        "member-dead",
+	MemberLeft:        "member-left",
+	MemberAlive:       "member-alive",
+	MemberRefuted:     "member-refuted",
+	ConfigApplied:     "config-applied",
+	ConfigRefused:     "config-refused",
+	ConfigOlder:       "config-older-ignored",
+	PlatformLost:      "platform-lost",
+	PlatformBack:      "platform-back",
+	BackendSuspect:    "backend-suspect",
+	BackendCleared:    "backend-cleared",
+	BackendVoted:      "backend-voted",
+	BackendVoteEnded:  "backend-vote-ended",
+	BackendEjected:    "backend-ejected",
+	BackendReturned:   "backend-returned",
+	BackendKeptFloor:  "backend-kept-for-floor",
+	BackendLeaving:    "backend-leaving",
+	BackendPathFault:  "backend-path-fault",
+	HostDistrustsSelf: "host-distrusts-itself",
+	DirectiveAccepted: "directive-accepted",
+	DirectiveRefused:  "directive-refused",
+	DirectiveMerged:   "directive-merged",
+	RegisterFuture:    "register-from-future",
+	RequestWrong:      "answer-wrong",
+	RequestDuplicate:  "request-duplicate",
+	DownloadResumed:   "download-resumed",
+	ObservationsLost:  "observations-lost",
+}
+
+// String returns the name of the event kind.
+func (n Number) String() string { return names[n] }
+
+// Numbers returns every number of the catalogue in order.
+func Numbers() []Number {
+	numbers := make([]Number, 0, len(names))
+	for n := range names {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// Event is one entry of the time line.
+type Event struct {
+	// Number is the kind of event.
+	Number Number
+	// Clock orders events over all hosts, causes before effects.
+	Clock hlc.Timestamp
+	// Host is where the event happened.
+	Host string
+	// Service and Backend are empty where the event concerns neither.
+	Service string
+	Backend string
+	// Detail is one line for people.
+	Detail string
+}
+
+// Compare orders events by clock, then host.
+func Compare(a, b Event) int {
+	return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Number, b.Number))
+}
+
+// Recorder takes events.
+type Recorder interface {
+	Record(n Number, service, backend, detail string)
+}
+
+// Log is a bounded ring of events that also writes each to the log.
+type Log struct {
+	host  string
+	clock *hlc.Clock
+
+	mu   sync.Mutex
+	ring []Event
+	next int
+}
+
+// NewLog returns a ring for size events of one host.
+func NewLog(host string, clock *hlc.Clock, size int) *Log {
+	return &Log{host: host, clock: clock, ring: make([]Event, 0, size)}
+}
+
+// Record adds an event stamped now.
+func (l *Log) Record(n Number, service, backend, detail string) {
+	l.Add(Event{
+		Number:  n,
+		Clock:   l.clock.Now(time.Now()),
+		Host:    l.host,
+		Service: service,
+		Backend: backend,
+		Detail:  detail,
+	})
+}
+
+// Add stores a stamped event, dropping the oldest one when the ring is full.
+func (l *Log) Add(e Event) {
+	klog.InfoS(e.Number.String(), "event", uint32(e.Number), "host", e.Host, "service", e.Service, "backend", e.Backend, "detail", e.Detail)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ring) < cap(l.ring) {
+		l.ring = append(l.ring, e)
+		return
+	}
+	l.ring[l.next] = e
+	l.next = (l.next + 1) % len(l.ring)
+}
+
+// Since returns the events not older than start, in order.
+func (l *Log) Since(start time.Time) []Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	oldest := hlc.FromTime(start)
+	var events []Event
+	for _, e := range l.ring {
+		if e.Clock >= oldest {
+			events = append(events, e)
+		}
+	}
+	slices.SortFunc(events, Compare)
+	return events
+}
+
+// Interface guard.
+var _ Recorder = (*Log)(nil)
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,228 @@
+// Package frontend is the callers' side of a host, and the side on which other
+// hosts hand over requests. It checks a request, finds its route and turns
+// every refusal into a problem document (RFC 9457) with an outcome.
+package frontend
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/oklog/ulid/v2"
+
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// ReadyPath answers 200 while the balancer should send callers here.
+	ReadyPath = "/.well-known/pearshelf/ready"
+
+	maxIdempotencyKey = 256
+	maxSession        = 256
+	maxTimeout        = 2 * time.Hour
+)
+
+// Dispatcher serves requests.
+type Dispatcher interface {
+	Serve(w http.ResponseWriter, req *dispatch.Request) error
+}
+
+// Config of a Frontend.
+type Config struct {
+	// IdentityHeader names the header that identifies a caller.
+	IdentityHeader string
+	// BodyIdleTimeout ends a request whose body stands still, either way.
+	BodyIdleTimeout time.Duration
+}
+
+// Frontend makes the handlers.
+type Frontend struct {
+	conf       Config
+	snapshot   func() *world.Snapshot
+	dispatcher Dispatcher
+	metrics    *metrics.Metrics
+}
+
+// New returns a frontend.
+func New(conf Config, snapshot func() *world.Snapshot, dispatcher Dispatcher, m *metrics.Metrics) *Frontend {
+	return &Frontend{conf: conf, snapshot: snapshot, dispatcher: dispatcher, metrics: m}
+}
+
+// handler is an http.HandlerFunc that may return a refusal.
+type handler func(w http.ResponseWriter, r *http.Request, id string) error
+
+// CallerHandler serves callers.
+func (f *Frontend) CallerHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Get(ReadyPath, f.ready)
+	serve := f.wrap(f.serveCaller)
+	router.NotFound(serve)
+	router.MethodNotAllowed(serve)
+	return router
+}
+
+// ForwardHandler serves requests that other hosts hand over.
+func (f *Frontend) ForwardHandler() http.Handler { return f.wrap(f.serveForwarded) }
+
+// IsForwarded reports whether a request on the peer listener was handed over.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(dispatch.HeaderForwardedBy) != "" }
+
+func (f *Frontend) ready(w http.ResponseWriter, _ *http.Request) {
+	snap := f.snapshot()
+	if !snap.Ready || snap.Leaving {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n") // the balancer asks again
+}
+
+func (f *Frontend) wrap(serve handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex() // HTTP/2 always is
+		guarded := &idleWriter{ResponseWriter: w, control: control, idle: f.conf.BodyIdleTimeout}
+		r.Body = &idleReader{ReadCloser: r.Body, control: control, idle: f.conf.BodyIdleTimeout}
+		if f.snapshot().Leaving && r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
+		id := requestID(r)
+		if err := serve(guarded, r, id); err != nil {
+			writeRefusal(w, r, id, err)
+		}
+	}
+}
+
+// requestID keeps the ID that the entry host gave, and gives one on it.
+func requestID(r *http.Request) string {
+	if IsForwarded(r) {
+		return r.Header.Get(upstream.HeaderRequestID)
+	}
+	return ulid.Make().String()
+}
+
+func (f *Frontend) serveCaller(w http.ResponseWriter, r *http.Request, id string) error {
+	// A caller must not pass for another host.
+	r.Header.Del(dispatch.HeaderForwardedBy)
+	snap := f.snapshot()
+	if !snap.Ready {
+		return refuse(http.StatusServiceUnavailable, errs.KindNotConfigured, "this host has no configuration yet", "repeat the request; the balancer should ask "+ReadyPath)
+	}
+	if err := checkPath(r); err != nil {
+		return err
+	}
+	match, ok := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	if !ok {
+		return refuse(http.StatusNotFound, errs.KindNoRoute, "no route for "+r.Method+" "+r.URL.Path, "check the path; show routes lists what is served")
+	}
+	req := dispatch.NewRequest(r)
+	req.ID = id
+	req.Service = match.Service
+	req.Idempotent = match.Idempotent
+	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
+	req.Session = r.Header.Get(dispatch.HeaderSession)
+	req.Caller = r.Header.Get(f.conf.IdentityHeader)
+	if req.Session == "" {
+		req.Session = ulid.Make().String()
+	}
+	if len(req.Key) > maxIdempotencyKey || len(req.Session) > maxSession {
+		return refuse(http.StatusBadRequest, errs.KindBadRequest, "Idempotency-Key or Pearshelf-Session is longer than 256 bytes", "send a shorter value")
+	}
+	if err := setDeadline(req, r, snap); err != nil {
+		return err
+	}
+	return f.dispatch(w, req)
+}
+
+func (f *Frontend) serveForwarded(w http.ResponseWriter, r *http.Request, id string) error {
+	snap := f.snapshot()
+	req := dispatch.NewRequest(r)
+	req.ID = id
+	req.Service = r.Header.Get(dispatch.HeaderService)
+	req.Idempotent = r.Header.Get(dispatch.HeaderIdempotent) == "true" && f.idempotentHere(snap, r, req.Service)
+	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
+	req.Session = r.Header.Get(dispatch.HeaderSession)
+	req.Caller = r.Header.Get(dispatch.HeaderCaller)
+	req.ForwardedBy = r.Header.Get(dispatch.HeaderForwardedBy)
+	left, err := strconv.ParseInt(r.Header.Get(upstream.HeaderDeadline), 10, 64)
+	if err != nil || req.Service == "" || id == "" {
+		return refuse(http.StatusBadRequest, errs.KindBadRequest, "forwarded request lacks a header", "run one version of the daemon on all hosts")
+	}
+	req.Deadline = time.Now().Add(time.Duration(left) * time.Millisecond)
+	req.Explicit = r.Header.Get(dispatch.HeaderTimeout) != ""
+	return f.dispatch(w, req)
+}
+
+// idempotentHere holds a request for non-idempotent if this host's own
+// configuration says so: of two opinions the careful one counts.
+func (f *Frontend) idempotentHere(snap *world.Snapshot, r *http.Request, service string) bool {
+	match, ok := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	return !ok || match.Service != service || match.Idempotent
+}
+
+func (f *Frontend) dispatch(w http.ResponseWriter, req *dispatch.Request) error {
+	err := f.dispatcher.Serve(w, req)
+	outcome := dispatch.OutcomeComplete
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) {
+		outcome = refusal.Outcome
+	}
+	if req.ForwardedBy == "" {
+		f.metrics.Request(req.Service, string(outcome))
+	}
+	return err
+}
+
+// checkPath refuses paths that a backend server could read differently from
+// the route table.
+func checkPath(r *http.Request) error {
+	p := r.URL.Path
+	clean := path.Clean(p)
+	if strings.HasSuffix(p, "/") && clean != "/" {
+		clean += "/"
+	}
+	escaped := strings.ToLower(r.URL.RawPath)
+	if p != clean || strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%5c") {
+		return refuse(http.StatusBadRequest, errs.KindBadRequest, "the path is ambiguous", "send it without empty, dot or escaped-slash segments")
+	}
+	return nil
+}
+
+func setDeadline(req *dispatch.Request, r *http.Request, snap *world.Snapshot) error {
+	value := r.Header.Get(dispatch.HeaderTimeout)
+	if value == "" {
+		timeout := maxTimeout
+		if view, ok := snap.Services[req.Service]; ok {
+			timeout = time.Duration(view.Config.Timeout)
+		}
+		req.Deadline = time.Now().Add(timeout)
+		return nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
+		return refuse(http.StatusBadRequest, errs.KindBadRequest, "Pearshelf-Timeout-Ms is not a number from 1 to 7200000", "send milliseconds in that range")
+	}
+	req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	req.Explicit = true
+	return nil
+}
+
+func hostName(r *http.Request) string {
+	host, _, found := strings.Cut(r.Host, ":")
+	if found && strings.HasPrefix(r.Host, "[") {
+		return r.Host
+	}
+	return host
+}
+
+func refuse(status int, kind errs.Kind, message, remedy string) error {
+	return &dispatch.Refusal{Outcome: dispatch.OutcomeNotRun, Status: status, Err: errs.New(kind, message, remedy)}
+}
--- /dev/null
+++ b/internal/frontend/problem.go
@@ -0,0 +1,94 @@
+package frontend
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// problem is the body of a refusal (RFC 9457).
+type problem struct {
+	Type      string           `json:"type"`
+	Title     string           `json:"title"`
+	Status    int              `json:"status"`
+	Detail    string           `json:"detail"`
+	Outcome   dispatch.Outcome `json:"outcome"`
+	Remedy    string           `json:"remedy"`
+	RequestID string           `json:"request_id"`
+}
+
+const problemTypePrefix = "urn:pearshelf:problem:"
+
+// proxyErrors are the error types of Proxy-Status (RFC 9209, 2.3).
+var proxyErrors = map[errs.Kind]string{
+	errs.KindDialFailed:   "connection_refused",
+	errs.KindDeadline:     "http_response_timeout",
+	errs.KindBroken:       "connection_terminated",
+	errs.KindNoBackend:    "destination_unavailable",
+	errs.KindNoRoute:      "destination_not_found",
+	errs.KindQueueFull:    "connection_limit_reached",
+	errs.KindQueueTimeout: "connection_limit_reached",
+	errs.KindShed:         "destination_unavailable",
+	errs.KindWrongAnswer:  "http_protocol_error",
+	errs.KindBadRequest:   "http_request_error",
+	errs.KindCallerLimit:  "http_request_denied",
+}
+
+const proxyErrorDefault = "proxy_internal_response"
+
+func writeRefusal(w http.ResponseWriter, r *http.Request, id string, err error) {
+	var refusal *dispatch.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &dispatch.Refusal{
+			Outcome: dispatch.OutcomeUnknown,
+			Status:  http.StatusInternalServerError,
+			Err:     errs.Wrap(err, errs.KindBroken, "request failed", "see the host's log"),
+		}
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(dispatch.HeaderOutcome, string(refusal.Outcome))
+	h.Set(upstream.HeaderRequestID, id)
+	h.Set("Proxy-Status", proxyStatus(refusal.Err.Kind))
+	if IsForwarded(r) {
+		h.Set(dispatch.HeaderKind, string(refusal.Err.Kind))
+	}
+	if refusal.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfterSeconds(refusal.RetryAfter))
+	}
+	w.WriteHeader(refusal.Status)
+	body := problem{
+		Type:      problemTypePrefix + string(refusal.Err.Kind),
+		Title:     http.StatusText(refusal.Status),
+		Status:    refusal.Status,
+		Detail:    refusal.Err.Message,
+		Outcome:   refusal.Outcome,
+		Remedy:    refusal.Err.Remedy,
+		RequestID: id,
+	}
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		klog.V(3).InfoS("refusal not delivered", "request", id, "err", err)
+	}
+}
+
+func proxyStatus(kind errs.Kind) string {
+	name, ok := proxyErrors[kind]
+	if !ok {
+		name = proxyErrorDefault
+	}
+	return `pearshelf; error=` + name + `; details="` + string(kind) + `"`
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,77 @@
+// Package membership keeps the list of live hosts with SWIM (Das et al., 2002)
+// and Lifeguard's local health awareness (Dadgar et al., 2018). The list is a
+// pure state machine: it takes times and datagrams and returns datagrams.
+package membership
+
+import "time"
+
+// Defaults.
+const (
+	DefaultIndirectChecks     = 3
+	DefaultSuspicionMult      = 4
+	DefaultGossipFanout       = 3
+	DefaultSyncInterval       = 30 * time.Second
+	DefaultReconnectInterval  = 3 * time.Second
+	DefaultReapAfter          = 30 * time.Minute
+	DefaultAwarenessMax       = 8
+	pauseFactor               = 3
+	relayLifetimeProbePeriods = 2
+)
+
+// Config of a List.
+type Config struct {
+	// Host, Address (IP:port) and DataCentre describe this host.
+	Host       string
+	Address    string
+	DataCentre string
+	// ProbeInterval is the period in which one member is probed. Shorter finds
+	// dead hosts sooner and costs more datagrams.
+	ProbeInterval time.Duration
+	// ProbeTimeout is the wait for a direct answer before others are asked.
+	ProbeTimeout time.Duration
+	// GossipInterval is the period of datagrams that carry only changes.
+	GossipInterval time.Duration
+	// IndirectChecks is how many others are asked to probe a silent member.
+	// More survive more one-way cuts and cost more datagrams.
+	IndirectChecks int
+	// SuspicionMult scales how long a suspect may refute. Longer makes fewer
+	// false deaths and later true ones.
+	SuspicionMult int
+	// GossipFanout is how many members get each change datagram.
+	GossipFanout int
+	// SyncInterval is the period of full-state comparison with one member.
+	SyncInterval time.Duration
+	// ReconnectInterval is the period of attempts to reach one dead or unknown
+	// host, which heals partitions.
+	ReconnectInterval time.Duration
+	// ReapAfter is how long dead rows are kept.
+	ReapAfter time.Duration
+	// AwarenessMax bounds the local health score.
+	AwarenessMax int
+	// Seed of the random choices.
+	Seed uint64
+}
+
+// SetDefaults fills in unset fields; the three intervals of the probe have no
+// default here.
+func (c *Config) SetDefaults() {
+	setInt(&c.IndirectChecks, DefaultIndirectChecks)
+	setInt(&c.SuspicionMult, DefaultSuspicionMult)
+	setInt(&c.GossipFanout, DefaultGossipFanout)
+	setInt(&c.AwarenessMax, DefaultAwarenessMax)
+	setDuration(&c.SyncInterval, DefaultSyncInterval)
+	setDuration(&c.ReconnectInterval, DefaultReconnectInterval)
+	setDuration(&c.ReapAfter, DefaultReapAfter)
+}
+
+func setInt(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,247 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
+
+// probe is the one outstanding check of a member.
+type probe struct {
+	target   string
+	sequence uint64
+	indirect time.Time // when others are asked
+	deadline time.Time // when the member becomes suspect
+	asked    bool
+}
+
+// relay is a check made for another host.
+type relay struct {
+	to       string
+	sequence uint64
+	expires  time.Time
+}
+
+// Tick advances timers and returns the datagrams to send.
+func (l *List) Tick(now time.Time) []Packet {
+	if gap := now.Sub(l.lastTick); gap > pauseFactor*l.conf.ProbeInterval {
+		l.forgivePause(gap)
+	}
+	l.lastTick = now
+	l.expireSuspicions(now)
+	var out []Packet
+	out = l.runProbe(now, out)
+	out = l.runGossip(now, out)
+	return out
+}
+
+func (l *List) runProbe(now time.Time, out []Packet) []Packet {
+	if l.probe != nil {
+		out = l.checkProbe(now, out)
+	}
+	if l.probe != nil || now.Before(l.nextProbe) {
+		return out
+	}
+	l.nextProbe = now.Add(l.conf.ProbeInterval)
+	l.reap(now)
+	l.dropRelays(now)
+	target := l.nextTarget()
+	if target == nil {
+		return out
+	}
+	l.sequence++
+	l.probe = &probe{
+		target:   target.Host,
+		sequence: l.sequence,
+		indirect: now.Add(l.awareness.scale(l.conf.ProbeTimeout)),
+		deadline: now.Add(l.awareness.scale(l.conf.ProbeInterval)),
+	}
+	ping := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PING, Sequence: l.sequence}
+	if target.Liveness == peerpb.Liveness_LIVENESS_SUSPECT {
+		ping.Members = append(ping.Members, target) // lets it refute at once
+	}
+	return append(out, l.packet(target.Address, ping))
+}
+
+func (l *List) checkProbe(now time.Time, out []Packet) []Packet {
+	p := l.probe
+	target, ok := l.rows[p.target]
+	if !ok {
+		l.probe = nil
+		return out
+	}
+	if !p.asked && !now.Before(p.indirect) {
+		p.asked = true
+		out = l.askOthers(p, out)
+	}
+	if now.Before(p.deadline) {
+		return out
+	}
+	l.probe = nil
+	l.awareness.add(1)
+	if target.member.Liveness == peerpb.Liveness_LIVENESS_ALIVE {
+		l.mark(now, target, peerpb.Liveness_LIVENESS_SUSPECT)
+	}
+	return out
+}
+
+func (l *List) askOthers(p *probe, out []Packet) []Packet {
+	for _, m := range l.randomLive(l.conf.IndirectChecks, p.target) {
+		request := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PING_REQUEST, Sequence: p.sequence, Target: p.target}
+		out = append(out, l.packet(m.Address, request))
+	}
+	return out
+}
+
+// nextTarget goes round all live members in random order.
+func (l *List) nextTarget() *peerpb.Member {
+	for range 2 {
+		for len(l.probeOrder) > 0 {
+			host := l.probeOrder[len(l.probeOrder)-1]
+			l.probeOrder = l.probeOrder[:len(l.probeOrder)-1]
+			if r, ok := l.rows[host]; ok && isLive(r.member) && host != l.conf.Host {
+				return r.member
+			}
+		}
+		for _, m := range l.Members() {
+			l.probeOrder = append(l.probeOrder, m.Host)
+		}
+		l.rng.Shuffle(len(l.probeOrder), func(i, j int) {
+			l.probeOrder[i], l.probeOrder[j] = l.probeOrder[j], l.probeOrder[i]
+		})
+	}
+	return nil
+}
+
+func (l *List) runGossip(now time.Time, out []Packet) []Packet {
+	if l.queue.Len() == 0 || now.Before(l.nextGossip) {
+		return out
+	}
+	l.nextGossip = now.Add(l.conf.GossipInterval)
+	for _, m := range l.randomLive(l.conf.GossipFanout, "") {
+		out = append(out, l.packet(m.Address, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_GOSSIP}))
+	}
+	return out
+}
+
+// randomLive picks up to n live members other than this host and except.
+func (l *List) randomLive(n int, except string) []*peerpb.Member {
+	var live []*peerpb.Member
+	for _, m := range l.Members() {
+		if isLive(m) && m.Host != l.conf.Host && m.Host != except {
+			live = append(live, m)
+		}
+	}
+	l.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(n, len(live))]
+}
+
+// packet completes a datagram with the sender and queued changes.
+func (l *List) packet(to string, d *peerpb.Datagram) Packet {
+	d.From = l.conf.Host
+	l.queue.Fill(d, l.Live())
+	return Packet{To: to, Datagram: d}
+}
+
+// Receive takes a datagram that came from an address and returns replies.
+// Registers and evidence in it are the caller's to handle.
+func (l *List) Receive(now time.Time, address string, d *peerpb.Datagram) []Packet {
+	l.lastHeard = now
+	l.Merge(now, d.Members)
+	switch d.Kind {
+	case peerpb.Datagram_KIND_PING:
+		return []Packet{l.ack(address, d)}
+	case peerpb.Datagram_KIND_PING_REQUEST:
+		return l.relayProbe(now, address, d)
+	case peerpb.Datagram_KIND_ACK:
+		return l.acked(now, d)
+	}
+	return nil
+}
+
+// ack answers a ping. A sender that this host holds for dead is told so, and
+// can refute.
+func (l *List) ack(address string, d *peerpb.Datagram) Packet {
+	reply := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_ACK, Sequence: d.Sequence}
+	if r, ok := l.rows[d.From]; ok && r.member.Liveness != peerpb.Liveness_LIVENESS_ALIVE {
+		reply.Members = append(reply.Members, r.member)
+	}
+	return l.packet(address, reply)
+}
+
+func (l *List) relayProbe(now time.Time, address string, d *peerpb.Datagram) []Packet {
+	target, ok := l.rows[d.Target]
+	if !ok {
+		return nil
+	}
+	l.sequence++
+	l.relays[l.sequence] = relay{
+		to:       address,
+		sequence: d.Sequence,
+		expires:  now.Add(relayLifetimeProbePeriods * l.conf.ProbeInterval),
+	}
+	ping := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PING, Sequence: l.sequence}
+	return []Packet{l.packet(target.member.Address, ping)}
+}
+
+func (l *List) acked(now time.Time, d *peerpb.Datagram) []Packet {
+	if r, ok := l.relays[d.Sequence]; ok {
+		delete(l.relays, d.Sequence)
+		return []Packet{l.packet(r.to, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_ACK, Sequence: r.sequence})}
+	}
+	if l.probe == nil || d.Sequence != l.probe.sequence {
+		return nil
+	}
+	l.awareness.add(-1)
+	l.probe = nil
+	return nil
+}
+
+func (l *List) dropRelays(now time.Time) {
+	for sequence, r := range l.relays {
+		if now.After(r.expires) {
+			delete(l.relays, sequence)
+		}
+	}
+}
+
+// SyncTargets returns the addresses with which full state should be compared
+// now: one live member each SyncInterval and one that is dead, or known only
+// to the platform or the settings, each ReconnectInterval.
+func (l *List) SyncTargets(now time.Time, known []string) []string {
+	var targets []string
+	if !now.Before(l.nextSync) {
+		l.nextSync = now.Add(l.conf.SyncInterval)
+		for _, m := range l.randomLive(1, "") {
+			targets = append(targets, m.Address)
+		}
+	}
+	if now.Before(l.nextConnect) {
+		return targets
+	}
+	l.nextConnect = now.Add(l.conf.ReconnectInterval)
+	absent := l.absent(known)
+	if len(absent) == 0 {
+		return targets
+	}
+	return append(targets, absent[l.rng.IntN(len(absent))])
+}
+
+func (l *List) absent(known []string) []string {
+	live := map[string]bool{l.conf.Address: true}
+	var absent []string
+	for _, m := range l.Members() {
+		if isLive(m) {
+			live[m.Address] = true
+		} else if m.Liveness == peerpb.Liveness_LIVENESS_DEAD {
+			absent = append(absent, m.Address)
+		}
+	}
+	for _, address := range known {
+		if !live[address] && !slices.Contains(absent, address) {
+			absent = append(absent, address)
+		}
+	}
+	return absent
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,105 @@
+// Package metrics holds the measurements that a host publishes in the
+// Prometheus format on its operators' listener.
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics is all measurements of a host.
+type Metrics struct {
+	requests          *prometheus.CounterVec
+	added             *prometheus.HistogramVec
+	observationsLost  prometheus.Counter
+	ticks             prometheus.Histogram
+	membersLive       prometheus.Gauge
+	backendsOut       *prometheus.GaugeVec
+	platformCalls     *prometheus.CounterVec
+	peerDatagramBytes *prometheus.CounterVec
+}
+
+// addedBuckets are in seconds, around the target of 1.2 ms.
+var addedBuckets = []float64{0.0001, 0.0002, 0.0004, 0.0008, 0.0012, 0.002, 0.004, 0.008, 0.016, 0.064, 0.256, 1, 4}
+
+// New registers the measurements with a registerer.
+func New(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_requests_total",
+			Help: "Requests from callers by service and outcome.",
+		}, []string{"service", "outcome"}),
+		added: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "pearshelf_added_seconds",
+			Help:    "Time to the first byte less the backend server's own, by service.",
+			Buckets: addedBuckets,
+		}, []string{"service"}),
+		observationsLost: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearshelf_observations_lost_total",
+			Help: "Outcomes that the control loop was too slow to take.",
+		}),
+		ticks: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "pearshelf_tick_seconds",
+			Help:    "Duration of one tick of the control loop.",
+			Buckets: prometheus.ExponentialBuckets(0.00001, 4, 8),
+		}),
+		membersLive: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pearshelf_hosts_live",
+			Help: "Hosts held for alive.",
+		}),
+		backendsOut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "pearshelf_backend_servers_out",
+			Help: "Backend servers out of rotation on this host, by service.",
+		}, []string{"service"}),
+		platformCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_platform_calls_total",
+			Help: "Calls to the platform by result.",
+		}, []string{"result"}),
+		peerDatagramBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_peer_datagram_bytes_total",
+			Help: "Datagram bytes between hosts by direction.",
+		}, []string{"direction"}),
+	}
+	reg.MustRegister(m.requests, m.added, m.observationsLost, m.ticks, m.membersLive, m.backendsOut, m.platformCalls, m.peerDatagramBytes)
+	return m
+}
+
+// Request counts one answered request.
+func (m *Metrics) Request(service, outcome string) {
+	m.requests.WithLabelValues(service, outcome).Inc()
+}
+
+// Added takes the time that the fleet added to a request on this host.
+func (m *Metrics) Added(service string, d time.Duration) {
+	m.added.WithLabelValues(service).Observe(d.Seconds())
+}
+
+// ObservationLost counts an outcome that was dropped.
+func (m *Metrics) ObservationLost() { m.observationsLost.Inc() }
+
+// Tick takes the duration of a tick.
+func (m *Metrics) Tick(d time.Duration) { m.ticks.Observe(d.Seconds()) }
+
+// MembersLive sets the number of live hosts.
+func (m *Metrics) MembersLive(n int) { m.membersLive.Set(float64(n)) }
+
+// BackendsOut sets how many backend servers of a service are out of rotation.
+func (m *Metrics) BackendsOut(service string, n int) {
+	m.backendsOut.WithLabelValues(service).Set(float64(n))
+}
+
+// PlatformCall counts a call to the platform.
+func (m *Metrics) PlatformCall(err error) {
+	result := "ok"
+	if err != nil {
+		result = "error"
+	}
+	m.platformCalls.WithLabelValues(result).Inc()
+}
+
+// DatagramBytes adds bytes sent and received.
+func (m *Metrics) DatagramBytes(sent, received uint64) {
+	m.peerDatagramBytes.WithLabelValues("sent").Add(float64(sent))
+	m.peerDatagramBytes.WithLabelValues("received").Add(float64(received))
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,73 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
+
+const (
+	idlePerHost = 8
+	idleTimeout = 90 * time.Second
+)
+
+// Clients makes and keeps the clients of other hosts.
+type Clients struct {
+	scheme string
+	http   *http.Client
+
+	mu    sync.Mutex
+	peers map[string]peerpb.Peer
+	admin map[string]adminpb.Admin
+}
+
+// NewClients returns clients that use mutual TLS, or plaintext if conf is nil.
+func NewClients(conf *tls.Config) *Clients {
+	scheme := "http"
+	if conf != nil {
+		scheme = "https"
+	}
+	transport := &http.Transport{
+		TLSClientConfig:     conf,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DialContext:         dialer.DialContext,
+	}
+	return &Clients{
+		scheme: scheme,
+		http:   &http.Client{Transport: transport},
+		peers:  make(map[string]peerpb.Peer),
+		admin:  make(map[string]adminpb.Admin),
+	}
+}
+
+// Peer returns the peer client of an address.
+func (c *Clients) Peer(address string) peerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.peers[address]
+	if !ok {
+		client = peerpb.NewPeerProtobufClient(c.scheme+"://"+address, c.http)
+		c.peers[address] = client
+	}
+	return client
+}
+
+// Admin returns the operators' client of an address.
+func (c *Clients) Admin(address string) adminpb.Admin {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.admin[address]
+	if !ok {
+		client = adminpb.NewAdminProtobufClient(c.scheme+"://"+address, c.http)
+		c.admin[address] = client
+	}
+	return client
+}
+
+// Close drops idle connections.
+func (c *Clients) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/internal/peer/datagram.go
@@ -0,0 +1,139 @@
+// Package peer is the transport between hosts: encrypted datagrams for
+// membership and changes, twirp over HTTP for synchronous calls.
+package peer
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+const (
+	readBufferBytes  = 64 << 10
+	datagramKeyBytes = 32
+)
+
+// Sealer encrypts datagrams; a nil Sealer passes them in plaintext.
+type Sealer struct {
+	aead cipher.AEAD
+}
+
+// LoadSealer reads a key file with 64 hex digits.
+func LoadSealer(path string) (*Sealer, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindSettings, "datagram key cannot be read", "name a readable file in peer.datagram_key_file")
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(raw)))
+	if err != nil || len(key) != datagramKeyBytes {
+		return nil, errs.New(errs.KindSettings, "datagram key is not 64 hex digits", "make one with: openssl rand -hex 32")
+	}
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, err
+	}
+	aead, err := cipher.NewGCM(block)
+	if err != nil {
+		return nil, err
+	}
+	return &Sealer{aead: aead}, nil
+}
+
+func (s *Sealer) seal(plain []byte) []byte {
+	if s == nil {
+		return plain
+	}
+	nonce := make([]byte, s.aead.NonceSize())
+	rand.Read(nonce) //nolint:errcheck // never fails
+	return s.aead.Seal(nonce, nonce, plain, nil)
+}
+
+func (s *Sealer) open(sealed []byte) ([]byte, error) {
+	if s == nil {
+		return sealed, nil
+	}
+	size := s.aead.NonceSize()
+	if len(sealed) < size {
+		return nil, errors.New("datagram too short")
+	}
+	return s.aead.Open(nil, sealed[:size], sealed[size:], nil)
+}
+
+// Datagrams sends and receives datagrams on one socket.
+type Datagrams struct {
+	conn   *net.UDPConn
+	sealer *Sealer
+
+	sentBytes     atomic.Uint64
+	receivedBytes atomic.Uint64
+}
+
+// ListenDatagrams opens the socket.
+func ListenDatagrams(address string, sealer *Sealer) (*Datagrams, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindSettings, "datagram listener cannot be opened", "free the port or change peer.listen")
+	}
+	return &Datagrams{conn: conn, sealer: sealer}, nil
+}
+
+// Send sends one datagram; a lost one is like any lost datagram.
+func (d *Datagrams) Send(to string, datagram *peerpb.Datagram) {
+	at, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return
+	}
+	raw, err := proto.Marshal(datagram)
+	if err != nil {
+		return
+	}
+	sealed := d.sealer.seal(raw)
+	if _, err := d.conn.WriteToUDPAddrPort(sealed, at); err == nil {
+		d.sentBytes.Add(uint64(len(sealed)))
+	}
+}
+
+// Receive calls handle with each datagram's payload until the socket closes.
+func (d *Datagrams) Receive(handle func(from string, payload []byte)) {
+	buffer := make([]byte, readBufferBytes)
+	for {
+		n, from, err := d.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // such as a port-unreachable notice for an earlier send
+		}
+		d.receivedBytes.Add(uint64(n))
+		plain, err := d.sealer.open(buffer[:n])
+		if err != nil {
+			continue
+		}
+		unmapped := netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		handle(unmapped.String(), append([]byte(nil), plain...))
+	}
+}
+
+// Bytes returns the bytes sent and received so far.
+func (d *Datagrams) Bytes() (sent, received uint64) {
+	return d.sentBytes.Load(), d.receivedBytes.Load()
+}
+
+// Close closes the socket.
+func (d *Datagrams) Close() error { return d.conn.Close() }
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,129 @@
+// Package platform reads the platform's configuration service. It only reads
+// and watches; nothing can be written there.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+const (
+	// MaxValueBytes is the platform's own limit of a value.
+	MaxValueBytes = 1 << 20
+	// WatchWait is how long one watch call waits.
+	WatchWait = 30 * time.Second
+	// CallTimeout bounds a call beyond its wait.
+	CallTimeout = 5 * time.Second
+	// MinBackoff and MaxBackoff bound the wait between failed watch calls.
+	MinBackoff = 250 * time.Millisecond
+	MaxBackoff = 15 * time.Second
+
+	remedyWait = "nothing to do: the last good configuration stays in force; see that the platform comes back"
+)
+
+// Value is one document of the platform.
+type Value struct {
+	Key      string
+	Revision uint64
+	Raw      []byte
+}
+
+// Client reads one platform.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the platform at a base URL.
+func NewClient(base string) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{}}
+}
+
+// Get returns a value newer than after, waiting up to wait for one. The result
+// is nil if there is none.
+func (c *Client) Get(ctx context.Context, key string, after uint64, wait time.Duration) (*Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
+	defer cancel()
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
+	if wait > 0 {
+		query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/keys/"+key+"?"+query.Encode(), nil)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindPlatform, "bad platform address", "correct platform.address in the settings")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindPlatform, "platform cannot be reached", remedyWait)
+	}
+	defer resp.Body.Close()
+	return read(key, resp)
+}
+
+func read(key string, resp *http.Response) (*Value, error) {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return nil, nil
+	default:
+		return nil, errs.New(errs.KindPlatform, fmt.Sprintf("platform answered %d for %s", resp.StatusCode, key), remedyWait)
+	}
+	revision, err := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindPlatform, "platform sent no revision in ETag", remedyWait)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindPlatform, "platform's answer broke off", remedyWait)
+	}
+	if len(raw) > MaxValueBytes {
+		return nil, errs.New(errs.KindPlatform, "platform sent more than a megabyte", "split the document into more shards")
+	}
+	return &Value{Key: key, Revision: revision, Raw: raw}, nil
+}
+
+// Watch delivers each newer value of a key until ctx ends. health is told
+// whether the last call succeeded.
+func (c *Client) Watch(ctx context.Context, key string, after func() uint64, deliver func(*Value), health func(error)) {
+	backoff := MinBackoff
+	for ctx.Err() == nil {
+		value, err := c.Get(ctx, key, after(), WatchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		health(err)
+		if err != nil {
+			backoff = sleep(ctx, backoff)
+			continue
+		}
+		backoff = MinBackoff
+		if value == nil {
+			continue
+		}
+		deliver(value)
+		if value.Revision <= after() {
+			// A stale platform answers at once with what it has: do not spin.
+			sleep(ctx, MinBackoff)
+		}
+	}
+}
+
+// sleep waits with full jitter and returns the next backoff.
+func sleep(ctx context.Context, backoff time.Duration) time.Duration {
+	timer := time.NewTimer(backoff/2 + rand.N(backoff))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return min(2*backoff, MaxBackoff)
+}
--- /dev/null
+++ b/internal/query/query.go
@@ -0,0 +1,99 @@
+// Package query parses the operators' language:
+//
+//	show hosts|services|backends|routes|directives|documents [where f=v and g!=w]
+//	drain backend SERVICE/ID [expect VERSION]
+//	undrain backend SERVICE/ID [expect VERSION]
+//	stop host NAME
+//	set service NAME floor N [expect VERSION]
+package query
+
+import (
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+// Statement is one statement; exactly one field is set.
+type Statement struct {
+	Show    *Show   `parser:"  'show' @@"`
+	Drain   *Target `parser:"| 'drain' 'backend' @@"`
+	Undrain *Target `parser:"| 'undrain' 'backend' @@"`
+	Stop    *Host   `parser:"| 'stop' 'host' @@"`
+	Set     *Set    `parser:"| 'set' 'service' @@"`
+}
+
+// Show lists rows of a table.
+type Show struct {
+	Table string      `parser:"@( 'hosts' | 'services' | 'backends' | 'routes' | 'directives' | 'documents' )"`
+	Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+}
+
+// Condition compares a column.
+type Condition struct {
+	Field string `parser:"@Word"`
+	Op    string `parser:"@( '=' | '!=' )"`
+	Value string `parser:"@Word"`
+}
+
+// Target names a backend server.
+type Target struct {
+	Service string `parser:"@Word '/'"`
+	Backend string `parser:"@Word"`
+	Expect  string `parser:"( 'expect' @Word )?"`
+}
+
+// Host names a host.
+type Host struct {
+	Name string `parser:"@Word"`
+}
+
+// Set changes a field of a service.
+type Set struct {
+	Service string `parser:"@Word"`
+	Floor   int    `parser:"'floor' @Word"`
+	Expect  string `parser:"( 'expect' @Word )?"`
+}
+
+var parser = participle.MustBuild[Statement](
+	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
+		{Name: "Word", Pattern: `[A-Za-z0-9_.:*-]+`},
+		{Name: "Punct", Pattern: `!=|=|/`},
+		{Name: "space", Pattern: `\s+`},
+	})),
+)
+
+// Parse reads a statement.
+func Parse(text string) (*Statement, error) {
+	statement, err := parser.ParseString("", strings.TrimSpace(text))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindStatement, "statement is not understood", "see pearshelf --help, for example: show backends where service=checkout")
+	}
+	return statement, nil
+}
+
+// Matches reports whether a row meets all conditions; unknown names a column
+// that the table lacks.
+func Matches(where []Condition, columns, cells []string) (ok bool, unknown string) {
+	for _, c := range where {
+		at := indexOf(columns, c.Field)
+		if at < 0 {
+			return false, c.Field
+		}
+		if (cells[at] == c.Value) != (c.Op == "=") {
+			return false, ""
+		}
+	}
+	return true, ""
+}
+
+func indexOf(columns []string, field string) int {
+	for i, column := range columns {
+		if column == field {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/slots/pool.go
@@ -0,0 +1,329 @@
+// Package slots shares the slots of a service's backend servers among the
+// requests that one owner host dispatches. It counts its own requests exactly,
+// adds the load that servers report for the other owners, and queues what does
+// not fit, ordered by deadline.
+package slots
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// reportHalfLife is how fast a reported load of others loses its weight.
+	reportHalfLife = 50 * time.Millisecond
+	// recheckEvery is how often waiting requests look for decayed reports.
+	recheckEvery = 5 * time.Millisecond
+	// minRetryAfter is the least time a refused caller is told to wait.
+	minRetryAfter = time.Second
+)
+
+// Request is what the pool needs to know of a request.
+type Request struct {
+	Idempotent bool
+	// Session prefers the same server for the same session, if not empty.
+	Session string
+	// Deadline orders the queue.
+	Deadline time.Time
+	// Exclude are servers already tried.
+	Exclude []string
+}
+
+type server struct {
+	view     world.BackendView
+	inFlight int
+	others   float64 // load reported for other hosts
+	othersAt time.Time
+}
+
+// load estimates how many requests the server serves now.
+func (s *server) load(now time.Time) float64 {
+	age := now.Sub(s.othersAt)
+	decay := 1.0
+	for age > 0 && s.others > 0 {
+		if age < reportHalfLife {
+			decay *= 1 - float64(age)/float64(2*reportHalfLife)
+			break
+		}
+		decay /= 2
+		age -= reportHalfLife
+		if decay < 0.01 {
+			decay = 0
+			break
+		}
+	}
+	return float64(s.inFlight) + s.others*decay
+}
+
+type waiter struct {
+	request Request
+	ready   chan *Lease
+}
+
+// Pool is the slots of one service on one host. It is safe for concurrent use.
+type Pool struct {
+	mu      sync.Mutex
+	view    *world.ServiceView
+	servers map[string]*server
+	waiting []*waiter
+	timer   bool
+}
+
+// NewPool returns an empty pool; Acquire brings it up to date.
+func NewPool() *Pool {
+	return &Pool{servers: make(map[string]*server)}
+}
+
+// Lease is the right to one slot of a server until Release.
+type Lease struct {
+	// Server is where to send.
+	Server world.BackendView
+
+	pool *Pool
+	once sync.Once
+}
+
+// Release gives the slot back. Further calls do nothing.
+func (l *Lease) Release() {
+	l.once.Do(func() { l.pool.release(l.Server.ID) })
+}
+
+// Report notes the load that the server told in an answer, its own request
+// still counted.
+func (l *Lease) Report(inUse int) {
+	l.pool.report(l.Server.ID, inUse)
+}
+
+// Acquire returns a slot, waiting in the queue if none is free. It returns a
+// typed error at once if the queue is full or no server may be used.
+func (p *Pool) Acquire(ctx context.Context, view *world.ServiceView, req Request) (*Lease, error) {
+	p.mu.Lock()
+	p.update(view)
+	if !p.anyEligible(req) {
+		p.mu.Unlock()
+		return nil, errs.New(errs.KindNoBackend, "no backend server of "+view.Config.Name+" may take this request", "repeat it after the time in Retry-After")
+	}
+	if len(p.waiting) == 0 {
+		if lease := p.take(req); lease != nil {
+			p.mu.Unlock()
+			return lease, nil
+		}
+	}
+	if len(p.waiting) >= view.Config.Queue {
+		depth := len(p.waiting)
+		p.mu.Unlock()
+		return nil, errs.New(errs.KindQueueFull, fmt.Sprintf("all slots of %s are busy and %d requests wait", view.Config.Name, depth), "repeat the request after the time in Retry-After")
+	}
+	w := &waiter{request: req, ready: make(chan *Lease, 1)}
+	p.enqueue(w)
+	p.mu.Unlock()
+	return p.wait(ctx, w, time.Duration(view.Config.QueueWait))
+}
+
+func (p *Pool) wait(ctx context.Context, w *waiter, limit time.Duration) (*Lease, error) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case lease := <-w.ready:
+		return lease, nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	p.mu.Lock()
+	p.waiting = slices.DeleteFunc(p.waiting, func(held *waiter) bool { return held == w })
+	p.mu.Unlock()
+	select {
+	case lease := <-w.ready: // granted while giving up
+		lease.Release()
+	default:
+	}
+	return nil, errs.New(errs.KindQueueTimeout, "no slot became free in time", "repeat the request after the time in Retry-After")
+}
+
+// Full reports whether a request would be refused at once.
+func (p *Pool) Full(view *world.ServiceView) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiting) >= view.Config.Queue && len(p.waiting) > 0
+}
+
+// RetryAfter estimates when the present queue will have drained.
+func (p *Pool) RetryAfter(view *world.ServiceView, perRequest time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	slotCount := max(view.Config.TotalSlots(), 1)
+	drain := time.Duration(len(p.waiting)/slotCount+1) * perRequest
+	return max(drain, minRetryAfter)
+}
+
+// update follows a new view; counts of servers that left end with their leases.
+func (p *Pool) update(view *world.ServiceView) {
+	if view == p.view {
+		return
+	}
+	p.view = view
+	seen := make(map[string]bool, len(view.Backends))
+	for _, b := range view.Backends {
+		seen[b.ID] = true
+		s, ok := p.servers[b.ID]
+		if !ok {
+			s = &server{}
+			p.servers[b.ID] = s
+		}
+		s.view = b
+	}
+	for id, s := range p.servers {
+		if !seen[id] && s.inFlight == 0 {
+			delete(p.servers, id)
+		}
+	}
+}
+
+func eligible(b *world.BackendView, req Request) bool {
+	if b.IdempotentOnly && !req.Idempotent {
+		return false
+	}
+	return !slices.Contains(req.Exclude, b.ID)
+}
+
+func (p *Pool) anyEligible(req Request) bool {
+	for i := range p.view.Backends {
+		if eligible(&p.view.Backends[i], req) {
+			return true
+		}
+	}
+	return false
+}
+
+// take picks a server with a free slot, or returns nil.
+func (p *Pool) take(req Request) *Lease {
+	now := time.Now()
+	best := p.pick(now, req, true)
+	if best == nil {
+		best = p.pick(now, req, false)
+	}
+	if best == nil {
+		return nil
+	}
+	best.inFlight++
+	return &Lease{Server: best.view, pool: p}
+}
+
+// pick returns the least loaded eligible server. Servers of less than full
+// weight are passed over at random in proportion, unless they are the last.
+func (p *Pool) pick(now time.Time, req Request, weighted bool) *server {
+	if req.Session != "" && p.view.Config.SessionAffinity {
+		return p.pickSession(now, req)
+	}
+	if len(p.view.Backends) == 0 {
+		return nil
+	}
+	var best *server
+	bestLoad := 0.0
+	start := rand.IntN(len(p.view.Backends))
+	for i := range p.view.Backends {
+		b := &p.view.Backends[(start+i)%len(p.view.Backends)]
+		if !eligible(b, req) || weighted && b.Weight < 1 && rand.Float64() >= b.Weight {
+			continue
+		}
+		s := p.servers[b.ID]
+		load := s.load(now)
+		if !s.hasRoom(load) {
+			continue
+		}
+		relative := load / float64(b.Slots)
+		if best == nil || relative < bestLoad {
+			best, bestLoad = s, relative
+		}
+	}
+	return best
+}
+
+func (s *server) hasRoom(load float64) bool {
+	return s.inFlight < s.view.Slots && load < float64(s.view.Slots)
+}
+
+// pickSession returns the first server in the session's ranking with room.
+func (p *Pool) pickSession(now time.Time, req Request) *server {
+	nodes := make([]rendezvous.Node, 0, len(p.view.Backends))
+	for i := range p.view.Backends {
+		if eligible(&p.view.Backends[i], req) {
+			nodes = append(nodes, p.view.Backends[i].Node)
+		}
+	}
+	for _, id := range rendezvous.Top(req.Session, nodes, len(nodes)) {
+		s := p.servers[id]
+		if s.hasRoom(s.load(now)) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *Pool) enqueue(w *waiter) {
+	at, _ := slices.BinarySearchFunc(p.waiting, w, func(held, added *waiter) int {
+		if held.request.Deadline.After(added.request.Deadline) {
+			return 1
+		}
+		return -1 // after all with the same deadline
+	})
+	p.waiting = slices.Insert(p.waiting, at, w)
+	p.schedule()
+}
+
+// schedule looks again later, because reported loads decay without a release.
+func (p *Pool) schedule() {
+	if p.timer || len(p.waiting) == 0 {
+		return
+	}
+	p.timer = true
+	time.AfterFunc(recheckEvery, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.timer = false
+		p.serveWaiting()
+		p.schedule()
+	})
+}
+
+// serveWaiting gives free slots to waiting requests in order.
+func (p *Pool) serveWaiting() {
+	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
+		lease := p.take(w.request)
+		if lease == nil {
+			return false
+		}
+		w.ready <- lease
+		return true
+	})
+}
+
+func (p *Pool) release(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	if !ok {
+		return
+	}
+	s.inFlight--
+	p.serveWaiting()
+}
+
+func (p *Pool) report(id string, inUse int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.servers[id]
+	if !ok {
+		return
+	}
+	s.others = float64(max(inUse-s.inFlight, 0))
+	s.othersAt = time.Now()
+}
--- /dev/null
+++ b/internal/system/configsync/apply.go
@@ -0,0 +1,171 @@
+package configsync
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// Accept takes a document that arrived from the platform or a peer. A revision
+// not above the one in force is ignored, a bad document is refused whole.
+func Accept(w *world.World, now time.Time, key string, revision uint64, raw []byte) {
+	doc := w.Document(key)
+	doc.Fetching = time.Time{}
+	if revision <= doc.Revision {
+		noteOlder(w, now, doc, revision)
+		return
+	}
+	doc.Attempts = 0
+	if revision == doc.Refused {
+		return
+	}
+	if err := apply(w, now, key, raw); err != nil {
+		doc.Refused = revision
+		doc.RefusedReason = err.Error()
+		w.Record(now, event.ConfigRefused, "", "", fmt.Sprintf("%s revision %d: %v", key, revision, err))
+		return
+	}
+	doc.Revision = revision
+	doc.Raw = raw
+	doc.RefusedReason = ""
+	w.Record(now, event.ConfigApplied, "", "", fmt.Sprintf("%s revision %d", key, revision))
+	announce(w, now, key, revision)
+}
+
+func noteOlder(w *world.World, now time.Time, doc *world.Document, revision uint64) {
+	if revision < doc.Revision {
+		w.Record(now, event.ConfigOlder, "", "", fmt.Sprintf("%s revision %d ignored, %d is in force", doc.Key, revision, doc.Revision))
+	}
+}
+
+const headPrefix = "head/"
+
+// HeadKey returns the register key that announces a document's revision.
+func HeadKey(key string) string { return headPrefix + key }
+
+// announce tells the fleet of a revision unless it is already known.
+func announce(w *world.World, now time.Time, key string, revision uint64) {
+	if w.Registers.Stamp(HeadKey(key)).GetRevision() >= revision {
+		return
+	}
+	value, err := proto.Marshal(&peerpb.Head{Key: key, Revision: revision, Holder: w.Self.Host})
+	if err != nil {
+		return
+	}
+	w.Write(now, &peerpb.Register{
+		Key:   HeadKey(key),
+		Stamp: &peerpb.Stamp{Revision: revision},
+		Value: value,
+	})
+}
+
+func apply(w *world.World, now time.Time, key string, raw []byte) error {
+	switch key {
+	case world.KeyIndex:
+		return applyIndex(w, now, raw)
+	case world.KeyHosts:
+		return applyHosts(w, raw)
+	default:
+		return applyShard(w, now, key, raw)
+	}
+}
+
+func applyIndex(w *world.World, now time.Time, raw []byte) error {
+	index, err := config.ParseIndex(raw)
+	if err != nil {
+		return err
+	}
+	for name, svc := range w.Services {
+		if _, listed := index.Shards[shardOf(svc.Document)]; !listed {
+			delete(w.Services, name)
+			w.ServicesChanged = true
+		}
+	}
+	w.Index = index
+	for shard := range index.Shards {
+		w.Document(world.KeyShardPrefix + shard)
+	}
+	return nil
+}
+
+func shardOf(key string) string { return key[len(world.KeyShardPrefix):] }
+
+func applyHosts(w *world.World, raw []byte) error {
+	list, err := config.ParseHostList(raw)
+	if err != nil {
+		return err
+	}
+	w.HostList = *list
+	w.HostsChanged = true
+	return nil
+}
+
+func applyShard(w *world.World, now time.Time, key string, raw []byte) error {
+	doc, err := config.ParseDocument(raw)
+	if err != nil {
+		return err
+	}
+	listed := make(map[string]bool, len(doc.Services))
+	for i := range doc.Services {
+		name := doc.Services[i].Name
+		listed[name] = true
+		if held, ok := w.Services[name]; ok && held.Document != key {
+			return errs.New(errs.KindConfig, fmt.Sprintf("service %q is already declared in %s", name, held.Document), "declare each service in one shard")
+		}
+	}
+	for name, svc := range w.Services {
+		if svc.Document == key && !listed[name] {
+			delete(w.Services, name)
+		}
+	}
+	for i := range doc.Services {
+		applyService(w, now, key, &doc.Services[i])
+	}
+	w.ServicesChanged = true
+	return nil
+}
+
+// applyService replaces a service's configuration and keeps what is known of
+// the backend servers that stay.
+func applyService(w *world.World, now time.Time, key string, conf *config.Service) {
+	held, known := w.Services[conf.Name]
+	svc := &world.Service{Document: key}
+	if known {
+		*svc = *held
+	}
+	svc.Config = conf
+	svc.Dirty = true
+	svc.Backends = make([]*world.BackendServer, 0, len(conf.Backends))
+	for _, b := range conf.Backends {
+		svc.Backends = append(svc.Backends, mergeBackend(w, now, held, b))
+	}
+	slices.SortFunc(svc.Backends, func(a, b *world.BackendServer) int { return cmp.Compare(a.Config.ID, b.Config.ID) })
+	svc.Active = svc.Active || known
+	w.Services[conf.Name] = svc
+}
+
+func mergeBackend(w *world.World, now time.Time, svc *world.Service, conf config.Backend) *world.BackendServer {
+	if svc == nil {
+		return &world.BackendServer{Config: conf, Since: now}
+	}
+	held := svc.Backend(conf.ID)
+	if held == nil || held.Config.Address != conf.Address {
+		// A server that joins a running service is cold: it gets a slow start.
+		return &world.BackendServer{Config: conf, State: world.BackendTrial, Since: now}
+	}
+	kept := *held
+	kept.Config = conf
+	if conf.Leaving && !held.Config.Leaving {
+		w.Record(now, event.BackendLeaving, svc.Config.Name, conf.ID, "marked by the platform")
+	}
+	return &kept
+}
--- /dev/null
+++ b/internal/system/configsync/configsync.go
@@ -0,0 +1,189 @@
+// Package configsync brings the platform's documents to every host and never
+// goes back to an older revision. A few readers in each data centre watch the
+// platform; the others hear of a new revision by gossip and fetch the document
+// from their parent in a tree over the hosts of their data centre.
+package configsync
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// FetchRetry is how long one fetch may take before another is started.
+	FetchRetry = 400 * time.Millisecond
+	// PlatformAfter failed fetches from peers, the platform is asked.
+	PlatformAfter = 3
+	// DirectAfter is when a new host without an index asks the platform
+	// itself, spread over DirectSpread so that a restarted fleet does not ask
+	// all at once.
+	DirectAfter  = 2 * time.Second
+	DirectSpread = 3 * time.Second
+	// PollEvery is how often every host asks the platform for its index, in
+	// case all readers are cut off from it.
+	PollEvery = 60 * time.Second
+
+	treeFanout  = 4
+	planHistory = 64
+)
+
+// System is the document step.
+type System struct {
+	rng      *rand.Rand
+	directAt time.Time
+	nextPoll time.Time
+}
+
+// New returns a system whose jitter comes from seed.
+func New(now time.Time, seed uint64) *System {
+	rng := rand.New(rand.NewPCG(seed, planHistory))
+	s := &System{rng: rng}
+	s.directAt = now.Add(DirectAfter + jitter(rng, DirectSpread))
+	s.nextPoll = now.Add(jitter(rng, PollEvery))
+	return s
+}
+
+func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(d)))
+}
+
+// IsReader reports whether this host watches the platform.
+func IsReader(w *world.World) bool { return slices.Contains(w.Readers, w.Self.Host) }
+
+// Run starts the fetches that are due.
+func (s *System) Run(w *world.World, now time.Time) {
+	s.followHeads(w, now)
+	s.followIndex(w, now)
+	s.poll(w, now)
+}
+
+// followHeads fetches what peers have announced.
+func (s *System) followHeads(w *world.World, now time.Time) {
+	for _, r := range w.Registers.Prefix(headPrefix) {
+		head := &peerpb.Head{}
+		if proto.Unmarshal(r.Value, head) != nil {
+			continue
+		}
+		doc := w.Document(head.Key)
+		if head.Revision > doc.Revision && head.Revision > doc.Refused {
+			s.fetch(w, now, doc, head.Holder)
+		}
+	}
+}
+
+// followIndex fetches the shards whose listed revision is newer, on readers,
+// and on hosts that hear nothing from readers.
+func (s *System) followIndex(w *world.World, now time.Time) {
+	if !IsReader(w) && now.Before(s.directAt) {
+		return
+	}
+	for _, doc := range Wanted(w) {
+		s.fetch(w, now, doc, "")
+	}
+}
+
+// Current reports whether this host holds the newest revision of every
+// document that it has heard of, from the index or from peers.
+func Current(w *world.World) bool {
+	if w.Index == nil || len(Wanted(w)) > 0 {
+		return false
+	}
+	for _, r := range w.Registers.Prefix(headPrefix) {
+		doc := w.Document(strings.TrimPrefix(r.Key, headPrefix))
+		if r.Stamp.Revision > max(doc.Revision, doc.Refused) {
+			return false
+		}
+	}
+	return true
+}
+
+// Wanted returns the documents that are older than the index says.
+func Wanted(w *world.World) []*world.Document {
+	if w.Index == nil {
+		return nil
+	}
+	var wanted []*world.Document
+	for shard, revision := range w.Index.Shards {
+		held := w.Document(world.KeyShardPrefix + shard)
+		if held.Revision < revision && held.Refused < revision {
+			wanted = append(wanted, held)
+		}
+	}
+	return wanted
+}
+
+// poll asks the platform directly, rarely, and early only without an index.
+func (s *System) poll(w *world.World, now time.Time) {
+	if w.Index == nil && !now.Before(s.directAt) {
+		s.directAt = now.Add(DirectAfter)
+		s.nextPoll = now
+	}
+	if now.Before(s.nextPoll) {
+		return
+	}
+	s.nextPoll = now.Add(PollEvery/2 + jitter(s.rng, PollEvery))
+	for _, key := range []string{world.KeyIndex, world.KeyHosts} {
+		w.Out.Fetches = append(w.Out.Fetches, world.Fetch{Key: key, After: w.Document(key).Revision, Platform: true})
+	}
+}
+
+func (s *System) fetch(w *world.World, now time.Time, doc *world.Document, holder string) {
+	if now.Before(doc.Fetching) {
+		return
+	}
+	doc.Fetching = now.Add(FetchRetry)
+	doc.Attempts++
+	peers := sources(w, doc, holder)
+	w.Out.Fetches = append(w.Out.Fetches, world.Fetch{
+		Key:      doc.Key,
+		After:    doc.Revision,
+		Peers:    peers,
+		Platform: len(peers) == 0 || doc.Attempts > PlatformAfter,
+	})
+}
+
+// sources returns the parent in the tree first, then the holder.
+func sources(w *world.World, doc *world.Document, holder string) []string {
+	var addresses []string
+	if h := parent(w, doc.Key); h != nil && doc.Attempts <= PlatformAfter {
+		addresses = append(addresses, h.Address)
+	}
+	if h, ok := w.Hosts[holder]; ok && holder != w.Self.Host && h.Live() {
+		addresses = append(addresses, h.Address)
+	}
+	return slices.Compact(addresses)
+}
+
+// parent returns the host above this one in the key's tree: the readers of the
+// data centre at the root, then the other hosts in rank order.
+func parent(w *world.World, key string) *world.Host {
+	if IsReader(w) {
+		return nil
+	}
+	order := slices.Clone(w.Readers)
+	var rest []rendezvous.Node
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		if h.Eligible() && h.DataCentre == w.Self.DataCentre && !slices.Contains(order, name) {
+			rest = append(rest, rendezvous.NewNode(name, ""))
+		}
+	}
+	order = append(order, rendezvous.Top(key, rest, len(rest))...)
+	position := slices.Index(order, w.Self.Host)
+	if position < len(w.Readers) || len(w.Readers) == 0 {
+		return nil
+	}
+	above := max((position-len(w.Readers))/treeFanout, 0)
+	return w.Hosts[order[above]]
+}
+
+// Interface guard.
+var _ world.System = (*System)(nil)
--- /dev/null
+++ b/internal/system/detection/detection.go
@@ -0,0 +1,454 @@
+// Package detection judges backend servers from the outcomes of requests that
+// all hosts see. Owners report to the watchers of a service by exception; each
+// watcher runs a cumulative sum test per server, relative to its peers, and
+// votes; a majority of votes ejects (package verdict). Without votes a host
+// only prefers other servers, which costs no capacity.
+package detection
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// Thresholds, as log-likelihood ratios.
+const (
+	SuspectScore = 4.0
+	ClearScore   = 1.0
+	// EjectFast is odds of about 10^6, EjectCareful of about 10^9.
+	EjectFast    = 13.8
+	EjectCareful = 20.7
+)
+
+// Timing.
+const (
+	// HoldOff is the least time out of rotation; each relapse doubles it.
+	HoldOff    = 5 * time.Second
+	MaxHoldOff = 5 * time.Minute
+	// RelapseWindow is how soon after a return an ejection is a relapse.
+	RelapseWindow = 10 * time.Minute
+	// SuspectProbeEvery and ReturnProbeEvery are one watcher's probe periods.
+	SuspectProbeEvery = 250 * time.Millisecond
+	ReturnProbeEvery  = 500 * time.Millisecond
+	// ProbesToReturn good probes in a row end a vote.
+	ProbesToReturn = 3
+	// ProbeTimeout bounds a probe where the usual latency is unknown.
+	ProbeTimeout = 1 * time.Second
+	// reporterWindow is how long a host counts as having seen a server fail.
+	reporterWindow = 5 * time.Second
+	// quietAfter ends the work on a service without evidence.
+	quietAfter = 30 * time.Second
+	// trafficWindow is how recent traffic must be to judge this host itself.
+	trafficWindow = 5 * time.Second
+)
+
+// Shares that make a host doubt its own network.
+const (
+	distrustShare = 0.8
+	distrustMin   = 3
+	// reportersToEject is how many hosts must have seen a server fail: one
+	// alone may have a broken path.
+	reportersToEject = 2
+)
+
+type serverKey struct{ service, backend string }
+
+// counts are outcomes that were not reported yet.
+type counts struct{ Good, Failed, Slow, Unreachable uint32 }
+
+func (c counts) bad() uint32 { return c.Failed + c.Unreachable }
+
+// evidence is this host's record of one backend server.
+type evidence struct {
+	fail cusum
+	slow cusum
+	// own counts what this host saw and did not report yet.
+	own counts
+	// ownFail is the failure test on this host's observations alone.
+	ownFail   cusum
+	reporters map[string]time.Time
+	lastBad   time.Time
+	lastSeen  time.Time
+}
+
+func newEvidence() *evidence {
+	return &evidence{reporters: make(map[string]time.Time)}
+}
+
+func (e *evidence) score() float64 { return max(float64(e.fail), float64(e.slow)) }
+
+// System is the detection step.
+type System struct {
+	records   map[serverKey]*evidence
+	slowRates map[string]float64
+}
+
+// New returns a system without evidence.
+func New() *System {
+	return &System{
+		records:   make(map[serverKey]*evidence),
+		slowRates: make(map[string]float64),
+	}
+}
+
+func (s *System) record(service, backend string) *evidence {
+	key := serverKey{service, backend}
+	e, ok := s.records[key]
+	if !ok {
+		e = newEvidence()
+		s.records[key] = e
+	}
+	return e
+}
+
+// Observe takes outcomes of this host's own requests and probes.
+func (s *System) Observe(w *world.World, now time.Time, batch []*peerpb.Observation) {
+	for _, o := range batch {
+		svc, ok := w.Services[o.Service]
+		if !ok {
+			continue
+		}
+		b := svc.Backend(o.Backend)
+		if b == nil {
+			continue
+		}
+		s.observeOne(w, now, svc, b, o)
+	}
+}
+
+func (s *System) observeOne(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, o *peerpb.Observation) {
+	e := s.record(o.Service, o.Backend)
+	e.lastSeen = now
+	switch o.Kind {
+	case peerpb.Observation_KIND_GOOD:
+		s.good(now, svc, b, e, o)
+	case peerpb.Observation_KIND_FAILED:
+		e.own.Failed++
+		bad(now, svc, e)
+	case peerpb.Observation_KIND_UNREACHABLE:
+		b.Detection.Unreachable++
+		e.own.Unreachable++
+		bad(now, svc, e)
+	case peerpb.Observation_KIND_DRAINING:
+		s.draining(w, now, svc, b)
+	case peerpb.Observation_KIND_PROBE_GOOD:
+		s.probeGood(w, now, svc, b, e)
+	case peerpb.Observation_KIND_PROBE_FAILED:
+		s.probeFailed(now, svc, b, e)
+	}
+}
+
+func (s *System) good(now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, o *peerpb.Observation) {
+	b.Detection.Unreachable = 0
+	latency := time.Duration(o.FirstByteUs) * time.Microsecond
+	slowAfter := svc.Latency.SlowAfter()
+	svc.Latency.Add(latency)
+	isSlow := slowAfter > 0 && latency > slowAfter
+	s.noteSlowRate(svc.Config.Name, isSlow)
+	e.own.Good++
+	if isSlow {
+		e.own.Slow++
+		e.reporters[ownReporter] = now
+		e.lastBad = now
+	}
+	if isSlow || e.score() > 0 {
+		svc.Active = true
+	}
+	if b.State == world.BackendTrial && o.Idempotent {
+		b.Detection.TrialGood++
+	}
+}
+
+// ownReporter stands for this host among the reporters.
+const ownReporter = ""
+
+func bad(now time.Time, svc *world.Service, e *evidence) {
+	e.reporters[ownReporter] = now
+	e.lastBad = now
+	svc.Active = true
+}
+
+func (s *System) draining(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer) {
+	if b.DrainSeen.IsZero() {
+		w.Record(now, event.BackendLeaving, svc.Config.Name, b.Config.ID, "the server says that it takes no new work")
+	}
+	b.DrainSeen = now
+	svc.Dirty = true
+	svc.Active = true
+}
+
+func (s *System) noteSlowRate(service string, isSlow bool) {
+	rate := s.slowRate(service)
+	sample := 0.0
+	if isSlow {
+		sample = 1
+	}
+	s.slowRates[service] = rate + slowRateGain*(sample-rate)
+}
+
+func (s *System) slowRate(service string) float64 {
+	rate, ok := s.slowRates[service]
+	if !ok {
+		return initialSlowRate
+	}
+	return rate
+}
+
+// Report takes the evidence of another host.
+func (s *System) Report(w *world.World, now time.Time, report *peerpb.Evidence) {
+	svc, ok := w.Services[report.Service]
+	if !ok || report.Host == w.Self.Host {
+		return
+	}
+	for _, be := range report.Backends {
+		b := svc.Backend(be.Backend)
+		if b == nil {
+			continue
+		}
+		e := s.record(report.Service, be.Backend)
+		seen := counts{Good: be.Good, Failed: be.Failed, Slow: be.Slow, Unreachable: be.Unreachable}
+		s.weigh(svc.Config.Name, e, seen)
+		if seen.bad()+seen.Slow > 0 {
+			e.reporters[report.Host] = now
+			e.lastBad = now
+		}
+		svc.Active = true
+	}
+}
+
+// weigh adds counts to the tests. Good ones go first: they came before the bad
+// ones that made the report due.
+func (s *System) weigh(service string, e *evidence, be counts) {
+	e.fail.add(passLLR, be.Good)
+	e.fail.add(failLLR, be.bad())
+	slow, quick := slowLLR(s.slowRate(service))
+	e.slow.add(quick, be.Good-min(be.Slow, be.Good))
+	e.slow.add(slow, be.Slow)
+}
+
+// Run judges every service that has evidence.
+func (s *System) Run(w *world.World, now time.Time) {
+	s.judgeSelf(w, now)
+	for _, name := range w.ServiceNames() {
+		svc := w.Services[name]
+		if svc.Active {
+			s.judgeService(w, now, svc)
+		}
+	}
+}
+
+func (s *System) judgeService(w *world.World, now time.Time, svc *world.Service) {
+	s.flush(w, svc)
+	scores := s.relate(svc)
+	busy := false
+	for _, b := range svc.Backends {
+		e := s.record(svc.Config.Name, b.Config.ID)
+		s.judge(w, now, svc, b, e, scores)
+		busy = busy || s.isBusy(now, b, e)
+	}
+	svc.Active = busy
+}
+
+func (s *System) isBusy(now time.Time, b *world.BackendServer, e *evidence) bool {
+	if b.State != world.BackendHealthy || b.Detection.Voted || !b.DrainSeen.IsZero() {
+		return true
+	}
+	return e.score() > 0 && now.Sub(e.lastBad) < quietAfter
+}
+
+// flush applies this host's own counts to its tests and reports them to the
+// watchers where they are not all good.
+func (s *System) flush(w *world.World, svc *world.Service) {
+	report := &peerpb.Evidence{Host: w.Self.Host, Service: svc.Config.Name}
+	for _, b := range svc.Backends {
+		e := s.record(svc.Config.Name, b.Config.ID)
+		own := e.own
+		e.own = counts{}
+		if own == (counts{}) {
+			continue
+		}
+		due := own.bad()+own.Slow > 0 || e.score() > 0
+		s.weigh(svc.Config.Name, e, own)
+		e.ownFail.add(passLLR, own.Good)
+		e.ownFail.add(failLLR, own.bad())
+		if due {
+			report.Backends = append(report.Backends, &peerpb.BackendEvidence{
+				Backend:     b.Config.ID,
+				Good:        own.Good,
+				Failed:      own.Failed,
+				Slow:        own.Slow,
+				Unreachable: own.Unreachable,
+			})
+		}
+	}
+	s.send(w, svc, report)
+}
+
+func (s *System) send(w *world.World, svc *world.Service, report *peerpb.Evidence) {
+	if len(report.Backends) == 0 || w.Distrust {
+		return
+	}
+	var others []string
+	for _, host := range svc.Watchers {
+		if host != w.Self.Host {
+			others = append(others, host)
+		}
+	}
+	w.Out.Evidence = append(w.Out.Evidence, world.Evidence{To: others, Evidence: report})
+}
+
+// relate returns the scores of all servers in order. A server's relative score
+// is its own less the median of the others: when a whole service is slow or
+// failing, that is no single server's fault.
+func (s *System) relate(svc *world.Service) []float64 {
+	scores := make([]float64, 0, len(svc.Backends))
+	for _, b := range svc.Backends {
+		scores = append(scores, s.record(svc.Config.Name, b.Config.ID).score())
+	}
+	slices.Sort(scores)
+	return scores
+}
+
+func medianOfOthers(sorted []float64, own float64) float64 {
+	if len(sorted) < 2 {
+		return 0
+	}
+	// Taking one value out of the sorted list shifts the middle by one place.
+	i, _ := slices.BinarySearch(sorted, own)
+	middle := (len(sorted) - 1) / 2
+	if i <= middle {
+		middle++
+	}
+	return sorted[min(middle, len(sorted)-1)]
+}
+
+func (s *System) judge(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, sorted []float64) {
+	own := e.score()
+	b.Detection.Score = own
+	b.Detection.Relative = own - medianOfOthers(sorted, own)
+	s.expireReporters(now, e)
+	s.suspect(w, now, svc, b)
+	s.drainEnds(now, svc, b)
+	if b.Detection.Voted {
+		s.holdVote(w, now, svc, b)
+		return
+	}
+	s.pathFault(w, now, svc, b, e)
+	if !svc.Watches(w.Self.Host) || w.Distrust {
+		return
+	}
+	if b.State == world.BackendSuspect {
+		probe(w, now, svc, b, SuspectProbeEvery, ProbeTimeout)
+	}
+	if b.Detection.Relative >= ejectScore(svc.Config.Detection) && s.witnessed(w, e) {
+		s.vote(w, now, svc, b, e)
+	}
+}
+
+func ejectScore(d config.Detection) float64 {
+	if d == config.DetectionFast {
+		return EjectFast
+	}
+	return EjectCareful
+}
+
+func (s *System) expireReporters(now time.Time, e *evidence) {
+	for host, at := range e.reporters {
+		if now.Sub(at) > reporterWindow {
+			delete(e.reporters, host)
+		}
+	}
+}
+
+// witnessed reports whether enough hosts saw the server fail.
+func (s *System) witnessed(w *world.World, e *evidence) bool {
+	live := 0
+	for _, h := range w.Hosts {
+		if h.Live() {
+			live++
+		}
+	}
+	return len(e.reporters) >= min(reportersToEject, max(live, 1))
+}
+
+func (s *System) suspect(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer) {
+	switch {
+	case b.State == world.BackendHealthy && b.Detection.Relative >= SuspectScore:
+		setState(now, svc, b, world.BackendSuspect)
+		w.Record(now, event.BackendSuspect, svc.Config.Name, b.Config.ID, fmt.Sprintf("score %.1f", b.Detection.Relative))
+	case b.State == world.BackendSuspect && b.Detection.Relative < ClearScore:
+		setState(now, svc, b, world.BackendHealthy)
+		w.Record(now, event.BackendCleared, svc.Config.Name, b.Config.ID, "")
+	}
+}
+
+func setState(now time.Time, svc *world.Service, b *world.BackendServer, state world.BackendState) {
+	b.State = state
+	b.Since = now
+	svc.Dirty = true
+}
+
+// pathFault marks a server that this host cannot use although the fleet does
+// not eject it: the path between the two is broken, not the server.
+func (s *System) pathFault(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence) {
+	broken := float64(e.ownFail) >= EjectCareful && b.State != world.BackendEjected
+	if broken == b.Detection.PathFault {
+		return
+	}
+	if !broken && float64(e.ownFail) > ClearScore && b.State != world.BackendEjected {
+		return
+	}
+	b.Detection.PathFault = broken
+	svc.Dirty = true
+	if broken {
+		w.Record(now, event.BackendPathFault, svc.Config.Name, b.Config.ID, "fails from this host only; it uses others")
+	}
+}
+
+func (s *System) drainEnds(now time.Time, svc *world.Service, b *world.BackendServer) {
+	if b.DrainSeen.IsZero() || now.Sub(b.DrainSeen) < DrainSignTTL {
+		return
+	}
+	b.DrainSeen = time.Time{}
+	svc.Dirty = true
+}
+
+// DrainSignTTL is how long a server's own word that it is leaving counts.
+const DrainSignTTL = 15 * time.Second
+
+// judgeSelf doubts this host when nearly all servers look bad from it.
+func (s *System) judgeSelf(w *world.World, now time.Time) {
+	seen, failing := 0, 0
+	for _, e := range s.records {
+		if now.Sub(e.lastSeen) > trafficWindow {
+			continue
+		}
+		seen++
+		if float64(e.ownFail) >= SuspectScore {
+			failing++
+		}
+	}
+	distrust := seen >= distrustMin && float64(failing) >= distrustShare*float64(seen)
+	if distrust && !w.Distrust {
+		w.Record(now, event.HostDistrustsSelf, "", "", fmt.Sprintf("%d of %d backend servers fail from here", failing, seen))
+	}
+	w.Distrust = distrust
+}
+
+// Forget drops the evidence of backend servers that are gone.
+func (s *System) Forget(w *world.World) {
+	for key := range s.records {
+		svc, ok := w.Services[key.service]
+		if !ok || svc.Backend(key.backend) == nil {
+			delete(s.records, key)
+		}
+	}
+}
+
+// Interface guard.
+var _ world.System = (*System)(nil)
--- /dev/null
+++ b/internal/system/placement/placement.go
@@ -0,0 +1,84 @@
+// Package placement computes, from the live hosts, which hosts own and watch
+// each service and which read the platform. Hosts with the same list compute
+// the same placement; nothing is negotiated.
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// OwnersPerDataCentre is the least number of owners of a service in a data
+	// centre: one may fail or freeze.
+	OwnersPerDataCentre = 2
+	// SlotsPerOwner adds an owner for each so many slots of a service.
+	SlotsPerOwner = 64
+	// WatchersPerService must be odd, so that a majority is clear.
+	WatchersPerService = 3
+	// ReadersPerDataCentre is how many hosts watch the platform.
+	ReadersPerDataCentre = 2
+)
+
+// System is the placement step.
+type System struct{}
+
+// Run recomputes the placement after a change of hosts or services.
+func (System) Run(w *world.World, _ time.Time) {
+	if !w.HostsChanged && !w.ServicesChanged {
+		return
+	}
+	nodes := eligible(w)
+	w.Readers = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], ReadersPerDataCentre)
+	for _, svc := range w.Services {
+		place(svc, nodes)
+	}
+	w.HostsChanged = false
+}
+
+func eligible(w *world.World) map[string][]rendezvous.Node {
+	nodes := make(map[string][]rendezvous.Node)
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		if h.Eligible() {
+			nodes[h.DataCentre] = append(nodes[h.DataCentre], rendezvous.NewNode(h.Name, h.DataCentre))
+		}
+	}
+	return nodes
+}
+
+func place(svc *world.Service, nodes map[string][]rendezvous.Node) {
+	count := OwnersPerDataCentre + svc.Config.TotalSlots()/SlotsPerOwner
+	owners := make(map[string][]string, len(nodes))
+	var candidates []rendezvous.Node
+	for dataCentre, inCentre := range nodes {
+		owners[dataCentre] = rendezvous.Top("owner/"+svc.Config.Name, inCentre, count)
+		for _, host := range owners[dataCentre] {
+			candidates = append(candidates, rendezvous.NewNode(host, dataCentre))
+		}
+	}
+	watchers := rendezvous.Spread("watcher/"+svc.Config.Name, candidates, WatchersPerService)
+	if !slices.Equal(watchers, svc.Watchers) || !sameOwners(owners, svc.Owners) {
+		svc.Dirty = true
+	}
+	svc.Owners = owners
+	svc.Watchers = watchers
+}
+
+func sameOwners(a, b map[string][]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for dataCentre, hosts := range a {
+		if !slices.Equal(hosts, b[dataCentre]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Interface guard.
+var _ world.System = System{}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,182 @@
+// Package upstream sends one request to one backend server or owner host and
+// says truthfully what became of it: not written, answered, or unknown.
+//
+// net/http's Transport resends a request by itself when a reused connection
+// breaks, also a POST that carries Idempotency-Key and has no body. Every
+// request of ours therefore has a body without GetBody, which the Transport
+// does not replay; a test proves it.
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+// Headers of the contract with backend servers and between hosts.
+const (
+	HeaderRequestID = "Pearshelf-Request-Id"
+	HeaderDeadline  = "Pearshelf-Deadline-Ms"
+	HeaderNotRun    = "Pearshelf-Not-Run"
+	HeaderDraining  = "Pearshelf-Draining"
+	HeaderLoad      = "Pearshelf-Load"
+)
+
+const (
+	idleConnsPerAddress = 64
+	idleTimeout         = 60 * time.Second
+)
+
+// Transport keeps the connections to backend servers and owner hosts.
+type Transport struct {
+	http *http.Transport
+}
+
+// NewTransport returns a transport. tlsConf is for https targets, nil for none.
+func NewTransport(tlsConf *tls.Config) *Transport {
+	return &Transport{http: &http.Transport{
+		DialContext:         dial,
+		TLSClientConfig:     tlsConf,
+		MaxIdleConnsPerHost: idleConnsPerAddress,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// Close drops idle connections.
+func (t *Transport) Close() { t.http.CloseIdleConnections() }
+
+// Answer is a response whose header has arrived.
+type Answer struct {
+	*http.Response
+	// FirstByte is the time from sending to the header.
+	FirstByte time.Duration
+	conn      *trackedConn
+}
+
+// Discard closes the answer together with its connection, so that nothing late
+// on it can reach another caller.
+func (a *Answer) Discard() {
+	a.Body.Close()
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// Failure is an exchange without an answer.
+type Failure struct {
+	// Written is false only if no byte of the request can have left this host.
+	Written bool
+	// Dialled is false if no connection could be had.
+	Dialled bool
+	err     *errs.Error
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return f.err.Error() }
+
+// Unwrap returns the typed cause.
+func (f *Failure) Unwrap() error { return f.err }
+
+// attempt follows one request over its connection.
+type attempt struct {
+	guard Guard
+
+	mu   sync.Mutex
+	conn *trackedConn
+	mark uint64
+}
+
+// Guard is asked right before the first byte of a request is written. An error
+// forbids the write; the request then counts as not written.
+type Guard func() error
+
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	conn := underlying(info.Conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = conn
+	if conn != nil {
+		a.mark = conn.arm(a.guard)
+	}
+}
+
+func (a *attempt) connection() (*trackedConn, uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn, a.mark
+}
+
+func underlying(conn net.Conn) *trackedConn {
+	switch c := conn.(type) {
+	case *trackedConn:
+		return c
+	case *tls.Conn:
+		tracked, _ := c.NetConn().(*trackedConn)
+		return tracked
+	default:
+		return nil
+	}
+}
+
+// Do sends a request once. The request's body must not be nil; Body gives one
+// for requests without content. guard may be nil.
+func (t *Transport) Do(ctx context.Context, req *http.Request, guard Guard) (*Answer, *Failure) {
+	a := &attempt{guard: guard}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
+	req.GetBody = nil
+	start := time.Now()
+	resp, err := t.http.RoundTrip(req)
+	conn, mark := a.connection()
+	if err != nil {
+		return nil, failure(ctx, err, conn, mark)
+	}
+	return &Answer{Response: resp, FirstByte: time.Since(start), conn: conn}, nil
+}
+
+func failure(ctx context.Context, err error, conn *trackedConn, mark uint64) *Failure {
+	f := &Failure{Dialled: conn != nil}
+	f.Written = conn != nil && !conn.sealIfUnwritten(mark)
+	switch {
+	case errors.Is(err, errGuard):
+		f.err = errs.Wrap(err, errs.KindStaleHost, "this host paused before the request was sent", "repeat the request; another host or this one will take it")
+	case !f.Written && !f.Dialled && ctx.Err() == nil:
+		f.err = errs.Wrap(err, errs.KindDialFailed, "no connection", "see that the server runs and can be reached from this host")
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		f.err = errs.Wrap(err, errs.KindDeadline, "no answer in time", "allow more time or ask for the outcome")
+	case ctx.Err() != nil:
+		f.err = errs.Wrap(err, errs.KindCanceled, "caller went away", "nothing to do")
+	default:
+		f.err = errs.Wrap(err, errs.KindBroken, "connection broke", "ask for the outcome before repeating a non-idempotent request")
+	}
+	return f
+}
+
+// emptyBody is a body that is neither nil nor http.NoBody, because the
+// Transport would replay a request with those.
+type emptyBody struct{}
+
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (emptyBody) Close() error             { return nil }
+
+// Body returns the body to send: the given one, or one that is empty but keeps
+// the Transport from replaying the request.
+func Body(body io.ReadCloser) io.ReadCloser {
+	if body == nil || body == http.NoBody {
+		return emptyBody{}
+	}
+	return body
+}
+
+// NotSent is the failure of a request that was never handed to a connection.
+func NotSent(err *errs.Error) *Failure {
+	return &Failure{Dialled: true, err: err}
+}
--- /dev/null
+++ b/internal/world/world.go
@@ -0,0 +1,270 @@
+// Package world holds the tables of a host: hosts, services, backend servers,
+// documents and registers. The systems (internal/system/...) run over them
+// each tick on one goroutine; the request path reads immutable snapshots.
+package world
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/register"
+)
+
+// Keys of the platform's documents.
+const (
+	KeyIndex       = "services/index"
+	KeyHosts       = "hosts"
+	KeyShardPrefix = "services/"
+)
+
+// System is one step of a tick. It must be a pure function of the world and
+// the time: no clock, goroutine or I/O of its own.
+type System interface {
+	Run(w *World, now time.Time)
+}
+
+// Identity names this host.
+type Identity struct {
+	Host       string
+	Address    string // peer listener, IP:port
+	DataCentre string
+}
+
+// Host is one row of the host table.
+type Host struct {
+	Name       string
+	Address    string // peer listener, IP:port
+	DataCentre string
+	Liveness   peerpb.Liveness
+	Leaving    bool
+}
+
+// Live reports whether the host may be asked for something.
+func (h *Host) Live() bool {
+	return h.Liveness == peerpb.Liveness_LIVENESS_ALIVE || h.Liveness == peerpb.Liveness_LIVENESS_SUSPECT
+}
+
+// Eligible reports whether the host may own services.
+func (h *Host) Eligible() bool { return h.Live() && !h.Leaving }
+
+// Document is one key of the platform as this host holds it.
+type Document struct {
+	Key      string
+	Revision uint64
+	Raw      []byte
+	// Refused is the highest revision whose content was refused, and why.
+	Refused       uint64
+	RefusedReason string
+	// Fetching is until when a fetch is under way.
+	Fetching time.Time
+	// Attempts counts fetches since the last success.
+	Attempts int
+}
+
+// BackendState is the graded judgement of a backend server.
+type BackendState int
+
+// States of a backend server.
+const (
+	BackendHealthy BackendState = iota
+	BackendSuspect              // idempotent requests only, last choice
+	BackendEjected              // no requests, by a majority of watchers
+	BackendTrial                // returned: idempotent requests first, then slow start
+)
+
+var stateNames = [...]string{"healthy", "suspect", "ejected", "trial"}
+
+// String returns the name that operators use.
+func (s BackendState) String() string { return stateNames[s] }
+
+// Rotation says how a backend server may be used and why.
+type Rotation struct {
+	// In is whether it gets requests at all.
+	In bool
+	// IdempotentOnly keeps non-idempotent requests away.
+	IdempotentOnly bool
+	// Weight from 0 to 1 scales its share of requests.
+	Weight float64
+	// Reason is a word for operators, empty for full rotation.
+	Reason string
+}
+
+// Detection is the evidence about one backend server on this host.
+type Detection struct {
+	// Score is the cumulative log-likelihood ratio of faulty against healthy.
+	Score float64
+	// Relative is Score less the median of the service's other servers.
+	Relative float64
+	// Unreachable counts failed connections in a row on this host.
+	Unreachable int
+	// PathFault is set while the server fails from this host only.
+	PathFault bool
+	// Voted is whether this host, as a watcher, holds it ejected.
+	Voted   bool
+	VotedAt time.Time
+	// RenewAt is when the vote must be renewed.
+	RenewAt time.Time
+	// Relapses counts ejections that followed closely on a return.
+	Relapses   int
+	ReturnedAt time.Time
+	// ProbeAt is when the next probe is due, ProbesGood the run of good ones.
+	ProbeAt    time.Time
+	ProbesGood int
+	// TrialGood counts good requests since the return.
+	TrialGood int
+}
+
+// BackendServer is one row of the backend server table.
+type BackendServer struct {
+	Config    config.Backend
+	State     BackendState
+	Since     time.Time // of State
+	Detection Detection
+	// DrainSeen is when a sign of leaving came from the server itself: an
+	// answer header or a closed connection. Zero if none is in force.
+	DrainSeen time.Time
+	Rotation  Rotation
+}
+
+// Service is one row of the service table.
+type Service struct {
+	Config   *config.Service
+	Document string
+	// Backends is ordered by ID.
+	Backends []*BackendServer
+	// Owners are the hosts that dispatch the service, by data centre.
+	Owners map[string][]string
+	// Watchers are the hosts whose majority ejects.
+	Watchers []string
+	// Latency is the sample of recent times to the first byte.
+	Latency LatencySample
+	// Active is set while detection has something to do.
+	Active bool
+	// Dirty asks for a new rotation and view.
+	Dirty bool
+}
+
+// Backend returns a row by ID or nil.
+func (s *Service) Backend(id string) *BackendServer {
+	i, ok := slices.BinarySearchFunc(s.Backends, id, func(b *BackendServer, id string) int { return cmp.Compare(b.Config.ID, id) })
+	if !ok {
+		return nil
+	}
+	return s.Backends[i]
+}
+
+// Watches reports whether a host is one of the watchers.
+func (s *Service) Watches(host string) bool { return slices.Contains(s.Watchers, host) }
+
+// OwnerCount returns the number of owner hosts over all data centres.
+func (s *Service) OwnerCount() int {
+	count := 0
+	for _, hosts := range s.Owners {
+		count += len(hosts)
+	}
+	return count
+}
+
+// World is all tables of one host.
+type World struct {
+	Self  Identity
+	Clock *hlc.Clock
+
+	// Hosts is the membership list, by name.
+	Hosts map[string]*Host
+	// HostList is the platform's list, with its document revision.
+	HostList config.HostList
+	// Index is the platform's list of shards, nil until known.
+	Index *config.Index
+	// Readers are the hosts of this data centre that watch the platform.
+	Readers []string
+
+	Documents map[string]*Document
+	Services  map[string]*Service
+	Registers *register.Store
+
+	// HostsChanged and ServicesChanged ask for new placement and routes.
+	HostsChanged    bool
+	ServicesChanged bool
+	// Leaving is set during a planned stop of this host.
+	Leaving bool
+	// FreshUntil is until when the view may be trusted for non-idempotent work.
+	FreshUntil time.Time
+	// StartedAt is when this process began.
+	StartedAt time.Time
+	// Distrust is set while this host's own network looks faulty.
+	Distrust bool
+
+	Out Outbox
+}
+
+// New returns an empty world.
+func New(self Identity, clock *hlc.Clock, now time.Time) *World {
+	return &World{
+		Self:      self,
+		Clock:     clock,
+		Hosts:     make(map[string]*Host),
+		Documents: make(map[string]*Document),
+		Services:  make(map[string]*Service),
+		Registers: register.NewStore(),
+		StartedAt: now,
+	}
+}
+
+// Document returns the row of a key, made if absent.
+func (w *World) Document(key string) *Document {
+	doc, ok := w.Documents[key]
+	if !ok {
+		doc = &Document{Key: key}
+		w.Documents[key] = doc
+	}
+	return doc
+}
+
+// HostNames returns the names of all known hosts in order.
+func (w *World) HostNames() []string {
+	names := make([]string, 0, len(w.Hosts))
+	for name := range w.Hosts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// ServiceNames returns the names of all services in order.
+func (w *World) ServiceNames() []string {
+	names := make([]string, 0, len(w.Services))
+	for name := range w.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Record queues an event for the time line.
+func (w *World) Record(now time.Time, n event.Number, service, backend, detail string) {
+	w.Out.Events = append(w.Out.Events, event.Event{
+		Number:  n,
+		Clock:   w.Clock.Now(now),
+		Host:    w.Self.Host,
+		Service: service,
+		Backend: backend,
+		Detail:  detail,
+	})
+}
+
+// Write makes a register of this host's, stores it and queues it for others.
+func (w *World) Write(now time.Time, r *peerpb.Register) {
+	r.Stamp = &peerpb.Stamp{
+		Revision: r.GetStamp().GetRevision(),
+		Clock:    uint64(w.Clock.Now(now)),
+		Host:     w.Self.Host,
+	}
+	w.Registers.Merge(now, r)
+	w.Out.Registers = append(w.Out.Registers, r)
+}
--- /dev/null
+++ b/standin/backend/backend.go
@@ -0,0 +1,283 @@
+// Package backend is a stand-in for a backend server with slots, whose gray
+// failures can be planted and which counts what it really ran.
+package backend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// Faults are planted failures; the zero value is a healthy server.
+type Faults struct {
+	// ErrorRate is the share of requests answered with 500.
+	ErrorRate float64
+	// ResetRate is the share whose connection breaks after the run.
+	ResetRate float64
+	// WrongIDRate is the share answered with another request's ID.
+	WrongIDRate float64
+	// CutRate is the share whose body ends early.
+	CutRate float64
+	// SlowFactor multiplies the service time, 0 for 1.
+	SlowFactor float64
+	// Hang keeps requests until they are cancelled.
+	Hang bool
+	// CloseAfterRun runs the request and closes the connection unanswered.
+	CloseAfterRun bool
+	// Draining says so on every answer.
+	Draining bool
+	// ShedAll refuses every request as not run.
+	ShedAll bool
+	// Unhealthy makes the health endpoint tell the truth.
+	Unhealthy bool
+}
+
+// Config of a Server.
+type Config struct {
+	// ID is told in answers.
+	ID string
+	// Slots is how many requests run at a time; more are shed.
+	Slots int
+	// ServiceTime is the mean of an exponential distribution, 0 for none.
+	ServiceTime time.Duration
+	// Fixed makes every request take just ServiceTime.
+	Fixed bool
+	// Download is what GET /download serves.
+	Download []byte
+	// Seed of the random choices.
+	Seed uint64
+}
+
+// Server is a running stand-in.
+type Server struct {
+	conf     Config
+	listener net.Listener
+	server   *http.Server
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	faults Faults
+	inUse  int
+	served int
+	shed   int
+	runs   map[string]int // by idempotency key, or request ID without one
+}
+
+// Start runs a stand-in on loopback.
+func Start(conf Config) (*Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return Serve(conf, listener), nil
+}
+
+// Serve runs a stand-in on a listener.
+func Serve(conf Config, listener net.Listener) *Server {
+	s := &Server{
+		conf:     conf,
+		listener: listener,
+		rng:      rand.New(rand.NewPCG(conf.Seed, uint64(len(conf.ID)))),
+		runs:     make(map[string]int),
+	}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
+	go func() { _ = s.server.Serve(listener) }() // ends with Close
+	return s
+}
+
+// Address is IP:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the stand-in at once.
+func (s *Server) Close() { _ = s.server.Close() }
+
+// SetFaults plants failures.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Served returns how many requests ran.
+func (s *Server) Served() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served
+}
+
+// Shed returns how many requests were refused as not run.
+func (s *Server) Shed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shed
+}
+
+// InUse returns how many requests run now.
+func (s *Server) InUse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inUse
+}
+
+// Runs returns how often a request ran, by idempotency key or request ID.
+func (s *Server) Runs(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// MaxRuns returns the largest count over all keys.
+func (s *Server) MaxRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, n := range s.runs {
+		most = max(most, n)
+	}
+	return most
+}
+
+// plan is what happens to one request.
+type plan struct {
+	faults  Faults
+	service time.Duration
+	err     bool
+	reset   bool
+	wrong   bool
+	cut     bool
+}
+
+func (s *Server) decide() plan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := plan{faults: s.faults, service: s.conf.ServiceTime}
+	if !s.conf.Fixed {
+		p.service = time.Duration(s.rng.ExpFloat64() * float64(p.service))
+	}
+	if p.faults.SlowFactor > 0 {
+		p.service = time.Duration(float64(p.service) * p.faults.SlowFactor)
+	}
+	p.err = s.rng.Float64() < p.faults.ErrorRate
+	p.reset = s.rng.Float64() < p.faults.ResetRate || p.faults.CloseAfterRun
+	p.wrong = s.rng.Float64() < p.faults.WrongIDRate
+	p.cut = s.rng.Float64() < p.faults.CutRate
+	return p
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	p := s.decide()
+	id := r.Header.Get(upstream.HeaderRequestID)
+	if p.wrong {
+		id = "another-request"
+	}
+	w.Header().Set(upstream.HeaderRequestID, id)
+	if r.URL.Path == "/healthz" {
+		s.health(w, p)
+		return
+	}
+	inUse, ok := s.enter(p)
+	w.Header().Set(upstream.HeaderLoad, fmt.Sprintf("%d/%d", inUse, s.conf.Slots))
+	if p.faults.Draining {
+		w.Header().Set(upstream.HeaderDraining, "true")
+	}
+	if !ok {
+		w.Header().Set(upstream.HeaderNotRun, "true")
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
+	s.run(w, r, p)
+}
+
+func (s *Server) health(w http.ResponseWriter, p plan) {
+	if p.faults.Unhealthy {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) enter(p plan) (inUse int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.faults.ShedAll || s.conf.Slots > 0 && s.inUse >= s.conf.Slots {
+		s.shed++
+		return s.inUse, false
+	}
+	s.inUse++
+	return s.inUse, true
+}
+
+func (s *Server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inUse--
+}
+
+func (s *Server) noteRun(r *http.Request) {
+	key := r.Header.Get(dispatch.HeaderIdempotencyKey)
+	if key == "" {
+		key = r.Header.Get(upstream.HeaderRequestID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served++
+	s.runs[key]++
+}
+
+func (s *Server) run(w http.ResponseWriter, r *http.Request, p plan) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.noteRun(r)
+	if p.faults.Hang {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if p.service > 0 {
+		time.Sleep(p.service)
+	}
+	switch {
+	case p.reset:
+		panic(http.ErrAbortHandler)
+	case p.err:
+		http.Error(w, "internal error", http.StatusInternalServerError)
+	case strings.HasPrefix(r.URL.Path, "/download"):
+		s.download(w, r, p)
+	case p.cut:
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "cut")
+		panic(http.ErrAbortHandler)
+	default:
+		answer(w, s.conf.ID, r, body)
+	}
+}
+
+// answer names server, request and body, so that a test can tell whose it is.
+func answer(w http.ResponseWriter, id string, r *http.Request, body []byte) {
+	w.Header().Set("Content-Type", "text/plain")
+	fmt.Fprintf(w, "server=%s request=%s path=%s body=%s", id, r.Header.Get(upstream.HeaderRequestID), r.URL.Path, body)
+}
+
+// download serves ranges with a strong validator; a cut one ends half-way.
+func (s *Server) download(w http.ResponseWriter, r *http.Request, p plan) {
+	w.Header().Set("ETag", `"v1-`+strconv.Itoa(len(s.conf.Download))+`"`)
+	if !p.cut {
+		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(s.conf.Download))
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(s.conf.Download)))
+	_, _ = w.Write(s.conf.Download[:len(s.conf.Download)/2])
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,180 @@
+// Package link is a stand-in for the network in front of a host: it relays TCP
+// and UDP to the host and can cut either direction.
+package link
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+const datagramBytes = 64 << 10
+
+// Link relays to one target; others reach the target only through it.
+type Link struct {
+	tcp    net.Listener
+	udp    *net.UDPConn
+	target string
+
+	cutIn  atomic.Bool // towards the target
+	cutOut atomic.Bool // from the target
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	flows map[string]*net.UDPConn
+}
+
+// New opens a link on loopback; Connect names the target.
+func New() (*Link, error) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: tcp.Addr().(*net.TCPAddr).Port})
+	if err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	return &Link{tcp: tcp, udp: udp, conns: make(map[net.Conn]bool), flows: make(map[string]*net.UDPConn)}, nil
+}
+
+// Address is the address that others use.
+func (l *Link) Address() string { return l.tcp.Addr().String() }
+
+// Connect starts relaying to a target.
+func (l *Link) Connect(target string) {
+	l.target = target
+	go l.acceptTCP()
+	go l.relayUDP()
+}
+
+// Cut drops datagrams towards the target (in) and from it (out). TCP needs both
+// ways: a cut of either breaks open connections and lets new ones stand still.
+func (l *Link) Cut(in, out bool) {
+	l.cutIn.Store(in)
+	l.cutOut.Store(out)
+	if in || out {
+		l.breakConns()
+	}
+}
+
+func (l *Link) breakConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		conn.Close()
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.tcp.Close()
+	l.udp.Close()
+	l.breakConns()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, flow := range l.flows {
+		flow.Close()
+	}
+}
+
+func (l *Link) acceptTCP() {
+	for {
+		conn, err := l.tcp.Accept()
+		if err != nil {
+			return
+		}
+		go l.relayTCP(conn)
+	}
+}
+
+func (l *Link) keep(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[conn] = true
+}
+
+func (l *Link) drop(conn net.Conn) {
+	conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, conn)
+}
+
+func (l *Link) relayTCP(in net.Conn) {
+	l.keep(in)
+	defer l.drop(in)
+	if l.cutIn.Load() || l.cutOut.Load() {
+		_, _ = io.Copy(io.Discard, in) // stands still until the other side gives up
+		return
+	}
+	out, err := net.Dial("tcp", l.target)
+	if err != nil {
+		return
+	}
+	l.keep(out)
+	defer l.drop(out)
+	go func() {
+		_, _ = io.Copy(out, in)
+		closeWrite(out)
+	}()
+	_, _ = io.Copy(in, out)
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (l *Link) relayUDP() {
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, from, err := l.udp.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || l.cutIn.Load() {
+			continue
+		}
+		if flow := l.flow(from); flow != nil {
+			_, _ = flow.Write(buffer[:n])
+		}
+	}
+}
+
+// flow returns the socket that stands for one sender towards the target.
+func (l *Link) flow(from *net.UDPAddr) *net.UDPConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if flow, ok := l.flows[from.String()]; ok {
+		return flow
+	}
+	target, err := net.ResolveUDPAddr("udp", l.target)
+	if err != nil {
+		return nil
+	}
+	flow, err := net.DialUDP("udp", nil, target)
+	if err != nil {
+		return nil
+	}
+	l.flows[from.String()] = flow
+	go l.relayBack(flow, from)
+	return flow
+}
+
+func (l *Link) relayBack(flow *net.UDPConn, to *net.UDPAddr) {
+	buffer := make([]byte, datagramBytes)
+	for {
+		n, err := flow.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || l.cutOut.Load() {
+			continue
+		}
+		_, _ = l.udp.WriteToUDP(buffer[:n], to)
+	}
+}
