Claims: one identity per call, lowest identity keeps what it has

Ruled out: the transport's resend (tested apart), the horizon (2 s). Mended by an identity per call.

--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -15,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/daemon"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/standin/backend"
 	"github.com/pearshelf/pearshelf/standin/fleet"
@@ -90,6 +92,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	Expect(f.WaitReady(ctx)).To(Succeed())
+	for i, d := range f.Hosts { // until all hosts are old enough to grant claims
+		Eventually(func() string {
+			return mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "", "Idempotency-Key", fmt.Sprint("warm-", i)).outcome()
+		}, patience).Should(Equal("complete"))
+	}
 	return f
 }
 
@@ -128,3 +135,32 @@
 	Expect(err).NotTo(HaveOccurred())
 	return r
 }
+
+// longHorizon remembers finished keys for as long as a test may need.
+func longHorizon(c *fleet.Config) {
+	before := c.Settings
+	c.Settings = func(i int, s *settings.Settings) {
+		before(i, s)
+		s.Timing.ClaimHorizon = config.Duration(2 * time.Second)
+		s.Timing.ClaimTimeout = config.Duration(5 * time.Second) // the race detector is slow
+	}
+}
+
+// serviceTime makes servers take a while.
+func serviceTime(c *fleet.Config) {
+	before := c.Backend
+	c.Backend = func(service string, b config.Backend) backend.Config {
+		conf := before(service, b)
+		conf.ServiceTime = 10 * time.Millisecond
+		return conf
+	}
+}
+
+// withLinks puts a relay in front of every host.
+func withLinks(c *fleet.Config) { c.Links = true }
+
+// waitStale waits until a frozen host's view has outlived its freshness.
+func waitStale(d *daemon.Daemon) {
+	GinkgoHelper()
+	Eventually(func() bool { return time.Now().After(d.Snapshot().FreshUntil) }, patience).Should(BeTrue())
+}
--- a/internal/claims/coordinator.go
+++ b/internal/claims/coordinator.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -26,10 +28,8 @@
 
 	releaseTimeout = 2 * time.Second
 
-	// splitTries and splitBackoff bound the tries of requests with the same
-	// key that come at the same moment.
-	splitTries   = 4
-	splitBackoff = 20 * time.Millisecond
+	// splitBackoff is the wait for other requests with the key to give way.
+	splitBackoff = 5 * time.Millisecond
 )
 
 // Quorum returns how many of n claimants must grant: any two quorums meet,
@@ -72,12 +72,13 @@
 type Claim struct {
 	coordinator *Coordinator
 	key         Key
-	requestID   string
+	id          string
 	addresses   map[string]string
 	asked       sync.WaitGroup
 }
 
 type vote struct {
+	host     string
 	decision peerpb.ClaimResponse_Decision
 	holder   string
 	err      error
@@ -85,99 +86,132 @@
 
 // Claim asks the claimants of a key. It returns a typed error if another
 // request holds it (KindClaimHeld) or no quorum answered (KindClaimRefused); in
-// both cases nothing stays claimed for the request. Where two requests split
-// the claimants between them, each gives way and tries again after a random
-// time.
+// both cases nothing stays claimed for the request.
+//
+// Requests that come at the same moment may split the claimants. The one with
+// the lowest identity then keeps what it has and asks again, the others give
+// way, so that one of them gets the quorum.
 func (c *Coordinator) Claim(ctx context.Context, snap *world.Snapshot, key Key, requestID string, hold time.Duration) (*Claim, error) {
-	var err error
-	for range splitTries {
-		var held *Claim
-		var split bool
-		held, split, err = c.claimOnce(ctx, snap, key, requestID, hold)
-		if err == nil {
-			return held, nil
-		}
-		held.Release(false)
-		if !split {
-			return nil, err
-		}
+	held, hosts := c.newClaim(snap, key, requestID)
+	// Answers that come after the quorum are still waited for, so that a
+	// release never overtakes its claim.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
+	b := &ballot{claim: held, hosts: hosts, quorum: Quorum(len(hosts)), hold: hold}
+	err := b.run(ctx)
+	go func() {
 		held.asked.Wait()
-		time.Sleep(splitBackoff/2 + rand.N(splitBackoff))
+		cancel()
+	}()
+	if err != nil {
+		held.Release(false)
+		return nil, err
 	}
-	return nil, err
+	return held, nil
 }
 
-func (c *Coordinator) claimOnce(ctx context.Context, snap *world.Snapshot, key Key, requestID string, hold time.Duration) (held *Claim, split bool, err error) {
+// newClaim names the claimants. The identity is new for each call, because a
+// late release of one call must not free the next.
+func (c *Coordinator) newClaim(snap *world.Snapshot, key Key, requestID string) (*Claim, []string) {
 	hosts := rendezvous.Spread(key.Service+"/"+key.Key, snap.Claimants, Claimants)
-	held = &Claim{coordinator: c, key: key, requestID: requestID, addresses: make(map[string]string, len(hosts))}
-	for _, host := range hosts {
-		held.addresses[host] = snap.ClaimantAddress[host]
+	cl := &Claim{
+		coordinator: c,
+		key:         key,
+		id:          requestID + "/" + ulid.Make().String(),
+		addresses:   make(map[string]string, len(hosts)),
 	}
-	// Answers that come after the quorum are still waited for, so that a
-	// release never overtakes its claim.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
-	votes := make(chan vote, len(hosts))
 	for _, host := range hosts {
-		held.asked.Go(func() { votes <- c.ask(ctx, host, held, hold) })
+		cl.addresses[host] = snap.ClaimantAddress[host]
+	}
+	return cl, hosts
+}
+
+// ballot collects the claimants' votes on one claim.
+type ballot struct {
+	claim   *Claim
+	hosts   []string // not granted yet
+	granted int
+	quorum  int
+	hold    time.Duration
+}
+
+// run asks until a quorum has granted or the claim is lost: to a request that
+// has the quorum itself, or to one with a lower identity.
+func (b *ballot) run(ctx context.Context) error {
+	for {
+		holders := b.round(ctx)
+		if b.granted >= b.quorum {
+			return nil
+		}
+		if len(holders) == 0 {
+			return errs.New(errs.KindClaimRefused, "the idempotency key could not be secured over the fleet", "repeat the request with the same key after the time in Retry-After")
+		}
+		lowest := slices.Min(slices.Collect(maps.Keys(holders)))
+		if lowest < b.claim.id || ctx.Err() != nil {
+			return heldError(lowest)
+		}
+		for holder, hosts := range holders {
+			if hosts >= b.quorum {
+				return heldError(holder)
+			}
+		}
+		time.Sleep(splitBackoff)
 	}
-	go func() {
-		held.asked.Wait()
-		cancel()
-	}()
-	split, err = tally(votes, len(hosts))
-	return held, split, err
 }
 
-// tally counts votes until the result is sure. split means that other requests
-// hold some claimants but perhaps no quorum.
-func tally(votes <-chan vote, asked int) (split bool, err error) {
-	granted, conflicts := 0, 0
-	holder := ""
-	quorum := Quorum(asked)
-	for range asked {
+// round asks every host that has not granted, and returns the other holders of
+// the key with the number of hosts where they hold it. It returns as soon as
+// the quorum is reached.
+func (b *ballot) round(ctx context.Context) map[string]int {
+	asking := b.hosts
+	b.hosts = nil
+	votes := make(chan vote, len(asking))
+	for _, host := range asking {
+		b.claim.asked.Go(func() { votes <- b.claim.ask(ctx, host, b.hold) })
+	}
+	holders := make(map[string]int)
+	for range asking {
 		v := <-votes
-		switch {
-		case v.err != nil:
-		case v.decision == peerpb.ClaimResponse_DECISION_GRANTED:
-			granted++
-		case v.decision == peerpb.ClaimResponse_DECISION_HELD:
-			conflicts++
-			holder = v.holder
+		if v.err == nil && v.decision == peerpb.ClaimResponse_DECISION_GRANTED {
+			b.granted++
+		} else {
+			b.hosts = append(b.hosts, v.host)
 		}
-		if granted >= quorum {
-			return false, nil
+		if v.err == nil && v.decision == peerpb.ClaimResponse_DECISION_HELD {
+			holders[v.holder]++
 		}
-		if conflicts >= quorum {
+		if b.granted >= b.quorum {
 			break
 		}
 	}
-	if conflicts > 0 {
-		return conflicts < quorum, errs.New(errs.KindClaimHeld, "another request with this idempotency key is running or has run, as "+holder, "ask for the outcome of that request before sending a new key")
-	}
-	return false, errs.New(errs.KindClaimRefused, "the idempotency key could not be secured over the fleet", "repeat the request with the same key after the time in Retry-After")
+	return holders
 }
 
-func (c *Coordinator) ask(ctx context.Context, host string, held *Claim, hold time.Duration) vote {
+func heldError(holder string) error {
+	return errs.New(errs.KindClaimHeld, "another request with this idempotency key is running or has run, as "+holder, "ask for the outcome of that request before sending a new key")
+}
+
+func (cl *Claim) ask(ctx context.Context, host string, hold time.Duration) vote {
+	c := cl.coordinator
 	hold += HoldBeyond
 	if host == c.self {
-		decision, holder := c.table.Claim(held.key, held.requestID, hold)
-		return vote{decision: decision, holder: holder}
+		decision, holder := c.table.Claim(cl.key, cl.id, hold)
+		return vote{host: host, decision: decision, holder: holder}
 	}
-	resp, err := c.peers.Peer(held.addresses[host]).Claim(ctx, &peerpb.ClaimRequest{
-		Service:   held.key.Service,
-		Key:       held.key.Key,
-		RequestId: held.requestID,
+	resp, err := c.peers.Peer(cl.addresses[host]).Claim(ctx, &peerpb.ClaimRequest{
+		Service:   cl.key.Service,
+		Key:       cl.key.Key,
+		RequestId: cl.id,
 		Host:      c.self,
 		HoldMs:    uint64(hold.Milliseconds()),
 	})
-	return vote{decision: resp.GetDecision(), holder: resp.GetHolderRequestId(), err: err}
+	return vote{host: host, decision: resp.GetDecision(), holder: resp.GetHolderRequestId(), err: err}
 }
 
 // Release ends the claim in the background: finished keys are remembered for
 // the horizon, others can be claimed again.
 func (cl *Claim) Release(finished bool) {
 	c := cl.coordinator
-	c.table.Release(cl.key, cl.requestID, finished)
+	c.table.Release(cl.key, cl.id, finished)
 	for host, address := range cl.addresses {
 		if host != c.self {
 			go func() {
@@ -194,7 +228,7 @@
 	_, err := cl.coordinator.peers.Peer(address).Release(ctx, &peerpb.ReleaseRequest{
 		Service:   cl.key.Service,
 		Key:       cl.key.Key,
-		RequestId: cl.requestID,
+		RequestId: cl.id,
 		Finished:  finished,
 	})
 	if err != nil {
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -124,6 +124,7 @@
 	resumed func(offset int64)
 
 	resumable bool
+	resumes   int
 	etag      string
 	written   int64
 	total     int64 // -1 if unknown
@@ -145,7 +146,7 @@
 func (c *copier) run() error {
 	c.header()
 	c.w.WriteHeader(c.answer.StatusCode)
-	for range maxResumes {
+	for {
 		err := c.body()
 		if err == nil {
 			c.trailer()
@@ -155,7 +156,6 @@
 			return err
 		}
 	}
-	return errCutShort
 }
 
 func (c *copier) header() {
@@ -210,22 +210,25 @@
 	}
 }
 
-// resume goes on with the rest from elsewhere.
+// resume goes on with the rest from the first other place that has it.
 func (c *copier) resume() bool {
 	if !c.resumable {
 		return false
 	}
-	next := c.reopen(rangeRequest{offset: c.written, etag: c.etag})
-	if next == nil {
-		return false
-	}
-	if !c.continues(next) {
+	for c.resumes < maxResumes {
+		c.resumes++
+		next := c.reopen(rangeRequest{offset: c.written, etag: c.etag})
+		if next == nil {
+			continue
+		}
+		if c.continues(next) {
+			c.answer = next
+			c.resumed(c.written)
+			return true
+		}
 		next.Discard()
-		return false
 	}
-	c.answer = next
-	c.resumed(c.written)
-	return true
+	return false
 }
 
 // continues checks that an answer is the rest of the same representation.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	idlePerHost = 8
+	idlePerHost = 64
 	idleTimeout = 90 * time.Second
 )
 
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,170 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// closer answers the first request on each connection and closes the
+// connection after it has run any later one.
+type closer struct {
+	listener net.Listener
+	runs     atomic.Int64
+}
+
+func newCloser(t *testing.T) *closer {
+	t.Helper()
+	c := &closer{}
+	var err error
+	if c.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	type connKey struct{}
+	server := &http.Server{
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, new(atomic.Int64))
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c.runs.Add(1)
+			if r.Context().Value(connKey{}).(*atomic.Int64).Add(1) > 1 {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "ok")
+		}),
+	}
+	go func() { _ = server.Serve(c.listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return c
+}
+
+func (c *closer) request(t *testing.T, body io.ReadCloser) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.listener.Addr().String()+"/", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", "k")
+	return req
+}
+
+func drain(t *testing.T, body io.ReadCloser) {
+	t.Helper()
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		t.Fatal(err)
+	}
+	body.Close()
+}
+
+// The standard Transport resends a POST with Idempotency-Key and no body when
+// a reused connection breaks: the reason for this package's body rule.
+func TestStandardTransportResends(t *testing.T) {
+	c := newCloser(t)
+	transport := &http.Transport{}
+	resp, err := transport.RoundTrip(c.request(t, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	drain(t, resp.Body)
+	if resp, err = transport.RoundTrip(c.request(t, nil)); err == nil {
+		drain(t, resp.Body)
+	}
+	if runs := c.runs.Load(); runs != 3 {
+		t.Fatalf("%d runs: the standard Transport no longer resends; the rule may go", runs)
+	}
+}
+
+func TestTransportNeverResends(t *testing.T) {
+	c := newCloser(t)
+	transport := upstream.NewTransport(nil)
+	answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	drain(t, answer.Body)
+	_, failure = transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+	if failure == nil || !failure.Written {
+		t.Fatalf("want a failure after the write, got %+v", failure)
+	}
+	if runs := c.runs.Load(); runs != 2 {
+		t.Fatalf("%d runs of 2 requests", runs)
+	}
+}
+
+func TestDialFailureIsNotWritten(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/", upstream.Body(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, failure := upstream.NewTransport(nil).Do(t.Context(), req, nil)
+	if failure == nil || failure.Written || failure.Dialled || errs.KindOf(failure) != errs.KindDialFailed {
+		t.Fatalf("want a dial failure, got %+v", failure)
+	}
+}
+
+// A guard that objects keeps every byte back, on a new connection and on a
+// reused one.
+func TestGuardForbidsTheWrite(t *testing.T) {
+	c := newCloser(t)
+	transport := upstream.NewTransport(nil)
+	objection := func() error { return errors.New("paused") }
+	for _, reused := range []bool{false, true} {
+		if reused {
+			answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			drain(t, answer.Body)
+		}
+		before := c.runs.Load()
+		body := io.NopCloser(strings.NewReader("payload"))
+		_, failure := transport.Do(t.Context(), c.request(t, body), objection)
+		if failure == nil || failure.Written || errs.KindOf(failure) != errs.KindStaleHost {
+			t.Fatalf("want a forbidden write, got %+v", failure)
+		}
+		if c.runs.Load() != before {
+			t.Fatal("the request ran")
+		}
+	}
+}
+
+// A cancelled request that was written is told as written.
+func TestCancelAfterWriteIsWritten(t *testing.T) {
+	arrived := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	ctx, cancel := context.WithCancelCause(t.Context())
+	go func() {
+		<-arrived
+		cancel(context.DeadlineExceeded)
+	}()
+	req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+"/", upstream.Body(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, failure := upstream.NewTransport(nil).Do(ctx, req, nil)
+	if failure == nil || !failure.Written || errs.KindOf(failure) != errs.KindDeadline {
+		t.Fatalf("want a deadline after the write, got %+v", failure)
+	}
+}
