Keep a connection once its answer has been read to the end

Ruled out: the stop itself (failures came without one, 12 callers at once). Now only a broken or foreign answer closes its connection; unwanted ones are read to the end. The new test on shared connections failed before and passes after.

--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -108,3 +108,21 @@
 		Expect(r.bodyErr).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("connections to healthy servers", func() {
+	It("are kept while many requests share them, and none breaks", func() {
+		f := start(3, []config.Service{shop(3)}, serviceTime)
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for range 60 {
+					r, err := call("POST", "http://"+f.Hosts[i%3].CallerAddress()+"/shop/order", "x")
+					Expect(err).NotTo(HaveOccurred())
+					Expect(r.outcome()).To(Equal("complete"), r.body)
+				}
+			})
+		}
+		wg.Wait()
+	})
+})
--- /dev/null
+++ b/e2e/leaving_test.go
@@ -0,0 +1,217 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/operator"
+	"github.com/pearshelf/pearshelf/standin/backend"
+	"github.com/pearshelf/pearshelf/standin/fleet"
+)
+
+// tool runs one statement with the operators' tool against a host.
+func tool(f *fleet.Fleet, i int, verb string, words ...string) (string, error) {
+	out := &bytes.Buffer{}
+	app, err := operator.New(operator.Config{Host: f.Hosts[i].OperatorAddress(), Output: operator.FormatTable, Actor: "test", Out: out})
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err = app.Statement(ctx, verb, words)
+	return out.String(), err
+}
+
+var _ = Describe("a leaving backend server gets no new work", func() {
+	// expectNoWork sends requests through every host and sees none arrive.
+	expectNoWork := func(f *fleet.Fleet, id string) {
+		GinkgoHelper()
+		for _, d := range f.Hosts {
+			Eventually(func() bool {
+				rotation, _ := fleet.Rotation(d, "shop", id)
+				return rotation.In
+			}, patience).Should(BeFalse())
+		}
+		before := f.Backends["shop"][id].Served()
+		for n := range 60 {
+			r := mustCall("POST", "http://"+f.Hosts[n%len(f.Hosts)].CallerAddress()+"/shop/order", "x")
+			Expect(r.outcome()).To(Equal("complete"))
+		}
+		Expect(f.Backends["shop"][id].Served()).To(Equal(before))
+	}
+
+	It("after an operator's drain at one host, until the undrain", func() {
+		f := start(4, []config.Service{shop(3)})
+		out, err := tool(f, 2, "drain", "backend", "shop/b2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("4 of 4 hosts confirmed"))
+		expectNoWork(f, "b2")
+		_, err = tool(f, 0, "undrain", "backend", "shop/b2")
+		Expect(err).NotTo(HaveOccurred())
+		for _, d := range f.Hosts {
+			Eventually(func() bool {
+				rotation, _ := fleet.Rotation(d, "shop", "b2")
+				return rotation.In
+			}, patience).Should(BeTrue())
+		}
+	})
+
+	It("after the platform marks it", func() {
+		f := start(4, []config.Service{shop(3)})
+		f.Document.Services[0].Backends[0].Leaving = true
+		_, err := f.Publish()
+		Expect(err).NotTo(HaveOccurred())
+		expectNoWork(f, "b1")
+	})
+
+	It("after the server says so itself", func() {
+		f := start(4, []config.Service{shop(3)})
+		f.Backends["shop"]["b3"].SetFaults(backend.Faults{Draining: true})
+		Eventually(func() bool { // each owner learns from an answer of its own
+			_, err := call("POST", "http://"+f.Hosts[0].CallerAddress()+"/shop/order", "x")
+			Expect(err).NotTo(HaveOccurred())
+			for _, d := range f.Hosts {
+				_, err := call("POST", "http://"+d.CallerAddress()+"/shop/order", "x")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			before := f.Backends["shop"]["b3"].Served()
+			for n := range 20 {
+				_, err := call("POST", "http://"+f.Hosts[n%4].CallerAddress()+"/shop/order", "x")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			return f.Backends["shop"]["b3"].Served() == before
+		}, patience).Should(BeTrue())
+	})
+
+	It("but a drain below the floor is refused with the remedy", func() {
+		svc := shop(3)
+		svc.Floor = 3
+		f := start(2, []config.Service{svc})
+		_, err := tool(f, 0, "drain", "backend", "shop/b1")
+		Expect(err).To(MatchError(ContainSubstring("lower the floor first")))
+		_, err = tool(f, 0, "set", "service", "shop", "floor", "2")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tool(f, 0, "drain", "backend", "shop/b1")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("and of two operators racing on one field one wins everywhere and the other is told", func() {
+		f := start(3, []config.Service{shop(3)})
+		var wg sync.WaitGroup
+		errs := make([]error, 2)
+		for i := range errs {
+			wg.Go(func() { _, errs[i] = tool(f, i, "set", "service", "shop", "floor", fmt.Sprint(i+1)) })
+		}
+		wg.Wait()
+		floors := make(map[string]bool)
+		for i := range f.Hosts {
+			out, err := tool(f, i, "show", "directives")
+			Expect(err).NotTo(HaveOccurred())
+			floors[out] = true
+		}
+		Expect(floors).To(HaveLen(1), "all hosts hold the same write")
+		told := 0
+		for _, err := range errs {
+			if err != nil {
+				Expect(operator.ExitCode(err)).To(Equal(operator.ExitSuperseded))
+				told++
+			}
+		}
+		Expect(told).To(BeNumerically("<=", 1))
+		out, err := tool(f, 0, "show", "directives")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("floor"))
+		_, err = tool(f, 0, "set", "service", "shop", "floor", "0", "expect", "1")
+		Expect(operator.ExitCode(err)).To(Equal(operator.ExitSuperseded))
+	})
+})
+
+var _ = Describe("a planned stop cuts off no request", func() {
+	// load sends requests to the hosts of the fleet as a balancer would, until
+	// stopped, and returns what went wrong.
+	type load struct {
+		sent, failed atomic.Int64
+		first        atomic.Value
+		wg           sync.WaitGroup
+		stopped      atomic.Bool
+	}
+	begin := func(f *fleet.Fleet, hosts []int, addresses []string) *load {
+		l := &load{}
+		for _, i := range hosts {
+			for range 3 {
+				l.wg.Go(func() {
+					client := &http.Client{Transport: &http.Transport{}}
+					for n := 0; !l.stopped.Load(); n++ {
+						if ready, err := client.Get("http://" + addresses[i] + "/.well-known/pearshelf/ready"); err != nil || ready.StatusCode != 200 {
+							continue // the balancer sends callers elsewhere
+						}
+						l.sent.Add(1)
+						resp, err := client.Post("http://"+addresses[i]+"/shop/order", "text/plain", bytes.NewBufferString("x"))
+						if err != nil {
+							l.failed.Add(1)
+							l.first.CompareAndSwap(nil, err.Error())
+							continue
+						}
+						raw, err := io.ReadAll(resp.Body)
+						resp.Body.Close()
+						if err != nil || resp.StatusCode != 200 {
+							l.failed.Add(1)
+							l.first.CompareAndSwap(nil, fmt.Sprint(resp.StatusCode, err, string(raw)))
+						}
+					}
+				})
+			}
+		}
+		return l
+	}
+
+	It("of each host in turn under load, a long download included", func() {
+		const size = 200 << 20
+		f := start(3, []config.Service{shop(3)}, serviceTime, download(size))
+		var addresses []string
+		for _, d := range f.Hosts {
+			addresses = append(addresses, d.CallerAddress())
+		}
+		l := begin(f, []int{0, 1, 2}, addresses)
+		for i := range f.Hosts {
+			resp, err := http.Get("http://" + addresses[i] + "/download/list")
+			Expect(err).NotTo(HaveOccurred())
+			half := make([]byte, 1<<19)
+			_, err = io.ReadFull(resp.Body, half)
+			Expect(err).NotTo(HaveOccurred())
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.Hosts[i].Stop(context.Background()) }()
+			Eventually(func() bool { return f.Hosts[i].Snapshot().Leaving }, patience).Should(BeTrue())
+			Consistently(stopped, "500ms").ShouldNot(Receive(), "waits for the download")
+			rest, err := io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(int64(len(half)) + rest).To(Equal(int64(size)))
+			resp.Body.Close()
+			Eventually(stopped, patience).Should(Receive(BeNil()))
+			Expect(f.StartAgain(i)).To(Succeed())
+			Eventually(f.Hosts[i].Ready, patience).Should(BeTrue())
+		}
+		l.stopped.Store(true)
+		l.wg.Wait()
+		Expect(l.sent.Load()).To(BeNumerically(">", 100))
+		Expect(l.failed.Load()).To(BeZero(), fmt.Sprint(l.first.Load()))
+	})
+
+	It("by an operator's command", func() {
+		f := start(3, []config.Service{shop(2)})
+		_, err := tool(f, 0, "stop", "host", "h2")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.Hosts[1].StopRequests(), patience).Should(BeClosed())
+		Expect(f.Hosts[1].Stop(context.Background())).To(Succeed())
+		Eventually(func() int { return fleet.Live(f.Hosts[0]) }, patience).Should(Equal(2))
+	})
+})
--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -164,3 +164,16 @@
 	GinkgoHelper()
 	Eventually(func() bool { return time.Now().After(d.Snapshot().FreshUntil) }, patience).Should(BeTrue())
 }
+
+// download gives all servers one download of a size.
+func download(size int) option {
+	return func(c *fleet.Config) {
+		before := c.Backend
+		content := make([]byte, size)
+		c.Backend = func(service string, b config.Backend) backend.Config {
+			conf := before(service, b)
+			conf.Download = content
+			return conf
+		}
+	}
+}
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -180,7 +180,14 @@
 }
 
 func (c *copier) body() error {
-	defer c.answer.Discard()
+	err := c.copyBody()
+	if err != nil {
+		c.answer.Discard()
+	}
+	return err
+}
+
+func (c *copier) copyBody() error {
 	buffer := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buffer)
 	control := http.NewResponseController(c.w)
@@ -196,7 +203,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return c.answer.Body.Close()
 		}
 		if err != nil {
 			return errors.Join(errCutShort, err)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -263,7 +263,7 @@
 func (x *exchange) judge(ctx context.Context, lease *slots.Lease, answer *upstream.Answer) (done bool, refusal *Refusal) {
 	x.noteHints(lease, answer)
 	if isShed(answer) {
-		answer.Discard()
+		answer.Finish()
 		x.tried = append(x.tried, lease.Server.ID)
 		return false, notRunOrUnknown(x.written, errs.New(errs.KindShed, "backend server "+lease.Server.ID+" shed the request", "repeat the request after the time in Retry-After"))
 	}
@@ -291,7 +291,7 @@
 		x.pass(ctx, lease, answer)
 		return true, nil
 	}
-	answer.Discard()
+	answer.Finish()
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	return false, unknown(errs.New(errs.KindBroken, "backend server "+lease.Server.ID+" answered with an error", "repeat the request"))
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -24,7 +24,7 @@
 		case failure != nil:
 			continue
 		case x.ownerDeclined(answer):
-			answer.Discard()
+			answer.Finish()
 			continue
 		}
 		return x.relay(ctx, owner, answer)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// Finish ends an answer that is not passed on and keeps its connection usable.
+// The connection may carry another request as soon as the body has been read
+// to its end: it must not be closed then.
+func (a *Answer) Finish() {
+	_, _ = io.CopyN(io.Discard, a.Body, finishLimitBytes) // a longer rest closes the connection
+	a.Body.Close()
+}
+
+// finishLimitBytes is how much of an unwanted answer is read to keep its
+// connection.
+const finishLimitBytes = 16 << 10
+
 // Failure is an exchange without an answer.
 type Failure struct {
 	// Written is false only if no byte of the request can have left this host.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,7 +33,7 @@
 	mu       sync.Mutex
 	revision uint64
 	values   map[string]value
-	stale    map[string]value // served instead while set
+	copy     map[string]value
 	changed  chan struct{}
 	down     bool
 	delay    time.Duration
@@ -125,24 +126,19 @@
 	p.changed = make(chan struct{})
 }
 
-// Freeze makes the platform serve what it holds now, whatever is published
-// later, until Thaw.
-func (p *Platform) Freeze() {
+// Snapshot keeps a copy of all values for Rollback.
+func (p *Platform) Snapshot() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stale = make(map[string]value, len(p.values))
-	for key, v := range p.values {
-		p.stale[key] = v
-	}
+	p.copy = maps.Clone(p.values)
 }
 
-// Thaw ends Freeze.
-func (p *Platform) Thaw() {
+// Rollback serves the values of the last Snapshot from now on, as a stale
+// replica of the platform would.
+func (p *Platform) Rollback() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stale = nil
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.values = p.copy
 }
 
 // SetDelay slows every call.
@@ -162,11 +158,7 @@
 func (p *Platform) read(key string) (v value, ok bool, changed <-chan struct{}, down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	values := p.values
-	if p.stale != nil {
-		values = p.stale
-	}
-	v, ok = values[key]
+	v, ok = p.values[key]
 	return v, ok, p.changed, p.down
 }
 
