--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -157,11 +157,12 @@
 func (f *effects) Probe(p world.Probe) {
 	f.d.wg.Go(func() {
 		kind := peerpb.Observation_KIND_PROBE_GOOD
+		start := time.Now()
 		if err := f.probe(p); err != nil {
 			kind = peerpb.Observation_KIND_PROBE_FAILED
 			klog.V(3).InfoS("probe failed", "service", p.Service, "backend", p.Backend, "err", err)
 		}
-		f.d.observer.Observe(&peerpb.Observation{Service: p.Service, Backend: p.Backend, Kind: kind})
+		f.d.observer.Observe(&peerpb.Observation{Service: p.Service, Backend: p.Backend, Kind: kind, FirstByteUs: uint64(time.Since(start).Microseconds())})
 	})
 }
 
--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -39,8 +39,8 @@
 	ProbesToReturn = 3
 	// ProbeTimeout bounds a probe where the usual latency is unknown.
 	ProbeTimeout = 1 * time.Second
-	// reporterWindow is how long a host counts as having seen a server fail.
-	reporterWindow = 5 * time.Second
+	// witnessWindow is how long a host counts as having seen a server fail.
+	witnessWindow = 10 * time.Second
 	// quietAfter ends the work on a service without evidence.
 	quietAfter = 30 * time.Second
 	// trafficWindow is how recent traffic must be to judge this host itself.
@@ -51,48 +51,27 @@
 const (
 	distrustShare = 0.8
 	distrustMin   = 3
-	// reportersToEject is how many hosts must have seen a server fail: one
-	// alone may have a broken path.
-	reportersToEject = 2
+	// witnessScore is the least score without any one host: one alone may have
+	// a broken path.
+	witnessScore = 8.0
 )
 
 type serverKey struct{ service, backend string }
 
-// counts are outcomes that were not reported yet.
-type counts struct{ Good, Failed, Slow, Unreachable uint32 }
-
-func (c counts) bad() uint32 { return c.Failed + c.Unreachable }
-
-// evidence is this host's record of one backend server.
-type evidence struct {
-	fail cusum
-	slow cusum
-	// own counts what this host saw and did not report yet.
-	own counts
-	// ownFail is the failure test on this host's observations alone.
-	ownFail   cusum
-	reporters map[string]time.Time
-	lastBad   time.Time
-	lastSeen  time.Time
-}
-
-func newEvidence() *evidence {
-	return &evidence{reporters: make(map[string]time.Time)}
-}
-
-func (e *evidence) score() float64 { return max(float64(e.fail), float64(e.slow)) }
-
 // System is the detection step.
 type System struct {
-	records   map[serverKey]*evidence
-	slowRates map[string]float64
+	records map[serverKey]*evidence
+	usual   map[string]usualShares
 }
 
+// usualShares are the medians over a service's servers.
+type usualShares struct{ fail, slow float64 }
+
 // New returns a system without evidence.
 func New() *System {
 	return &System{
-		records:   make(map[serverKey]*evidence),
-		slowRates: make(map[string]float64),
+		records: make(map[serverKey]*evidence),
+		usual:   make(map[string]usualShares),
 	}
 }
 
@@ -137,7 +116,7 @@
 	case peerpb.Observation_KIND_DRAINING:
 		s.draining(w, now, svc, b)
 	case peerpb.Observation_KIND_PROBE_GOOD:
-		s.probeGood(w, now, svc, b, e)
+		s.probeGood(w, now, svc, b, e, o)
 	case peerpb.Observation_KIND_PROBE_FAILED:
 		s.probeFailed(now, svc, b, e)
 	}
@@ -145,15 +124,10 @@
 
 func (s *System) good(now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, o *peerpb.Observation) {
 	b.Detection.Unreachable = 0
-	latency := time.Duration(o.FirstByteUs) * time.Microsecond
-	slowAfter := svc.Latency.SlowAfter()
+	latency := latencyOf(o)
+	isSlow := e.countGood(svc, latency)
 	svc.Latency.Add(latency)
-	isSlow := slowAfter > 0 && latency > slowAfter
-	s.noteSlowRate(svc.Config.Name, isSlow)
-	e.own.Good++
 	if isSlow {
-		e.own.Slow++
-		e.reporters[ownReporter] = now
 		e.lastBad = now
 	}
 	if isSlow || e.score() > 0 {
@@ -164,11 +138,11 @@
 	}
 }
 
-// ownReporter stands for this host among the reporters.
-const ownReporter = ""
+func latencyOf(o *peerpb.Observation) time.Duration {
+	return time.Duration(o.FirstByteUs) * time.Microsecond
+}
 
 func bad(now time.Time, svc *world.Service, e *evidence) {
-	e.reporters[ownReporter] = now
 	e.lastBad = now
 	svc.Active = true
 }
@@ -182,23 +156,6 @@
 	svc.Active = true
 }
 
-func (s *System) noteSlowRate(service string, isSlow bool) {
-	rate := s.slowRate(service)
-	sample := 0.0
-	if isSlow {
-		sample = 1
-	}
-	s.slowRates[service] = rate + slowRateGain*(sample-rate)
-}
-
-func (s *System) slowRate(service string) float64 {
-	rate, ok := s.slowRates[service]
-	if !ok {
-		return initialSlowRate
-	}
-	return rate
-}
-
 // Report takes the evidence of another host.
 func (s *System) Report(w *world.World, now time.Time, report *peerpb.Evidence) {
 	svc, ok := w.Services[report.Service]
@@ -212,23 +169,20 @@
 		}
 		e := s.record(report.Service, be.Backend)
 		seen := counts{Good: be.Good, Failed: be.Failed, Slow: be.Slow, Unreachable: be.Unreachable}
-		s.weigh(svc.Config.Name, e, seen)
+		e.weigh(now, report.Host, s.usualOf(report.Service), seen)
 		if seen.bad()+seen.Slow > 0 {
-			e.reporters[report.Host] = now
 			e.lastBad = now
 		}
 		svc.Active = true
 	}
 }
 
-// weigh adds counts to the tests. Good ones go first: they came before the bad
-// ones that made the report due.
-func (s *System) weigh(service string, e *evidence, be counts) {
-	e.fail.add(passLLR, be.Good)
-	e.fail.add(failLLR, be.bad())
-	slow, quick := slowLLR(s.slowRate(service))
-	e.slow.add(quick, be.Good-min(be.Slow, be.Good))
-	e.slow.add(slow, be.Slow)
+func (s *System) usualOf(service string) usualShares {
+	usual, ok := s.usual[service]
+	if !ok {
+		usual.slow = initialSlowRate
+	}
+	return usual
 }
 
 // Run judges every service that has evidence.
@@ -243,7 +197,7 @@
 }
 
 func (s *System) judgeService(w *world.World, now time.Time, svc *world.Service) {
-	s.flush(w, svc)
+	s.flush(w, now, svc)
 	scores := s.relate(svc)
 	busy := false
 	for _, b := range svc.Backends {
@@ -263,7 +217,7 @@
 
 // flush applies this host's own counts to its tests and reports them to the
 // watchers where they are not all good.
-func (s *System) flush(w *world.World, svc *world.Service) {
+func (s *System) flush(w *world.World, now time.Time, svc *world.Service) {
 	report := &peerpb.Evidence{Host: w.Self.Host, Service: svc.Config.Name}
 	for _, b := range svc.Backends {
 		e := s.record(svc.Config.Name, b.Config.ID)
@@ -273,9 +227,7 @@
 			continue
 		}
 		due := own.bad()+own.Slow > 0 || e.score() > 0
-		s.weigh(svc.Config.Name, e, own)
-		e.ownFail.add(passLLR, own.Good)
-		e.ownFail.add(failLLR, own.bad())
+		e.weigh(now, ownHost, s.usualOf(svc.Config.Name), own)
 		if due {
 			report.Backends = append(report.Backends, &peerpb.BackendEvidence{
 				Backend:     b.Config.ID,
@@ -302,18 +254,31 @@
 	w.Out.Evidence = append(w.Out.Evidence, world.Evidence{To: others, Evidence: report})
 }
 
-// relate returns the scores of all servers in order. A server's relative score
-// is its own less the median of the others: when a whole service is slow or
-// failing, that is no single server's fault.
+// relate returns the scores of all servers in order, and notes the usual shares
+// of bad answers. When a whole service is slow or failing, that is no single
+// server's fault.
 func (s *System) relate(svc *world.Service) []float64 {
 	scores := make([]float64, 0, len(svc.Backends))
+	var fails, slows []float64
 	for _, b := range svc.Backends {
-		scores = append(scores, s.record(svc.Config.Name, b.Config.ID).score())
+		e := s.record(svc.Config.Name, b.Config.ID)
+		scores = append(scores, e.score())
+		fails = append(fails, float64(e.failShare))
+		slows = append(slows, float64(e.slowShare))
 	}
 	slices.Sort(scores)
+	s.usual[svc.Config.Name] = usualShares{fail: median(fails), slow: median(slows)}
 	return scores
 }
 
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
 func medianOfOthers(sorted []float64, own float64) float64 {
 	if len(sorted) < 2 {
 		return 0
@@ -330,8 +295,7 @@
 func (s *System) judge(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, sorted []float64) {
 	own := e.score()
 	b.Detection.Score = own
-	b.Detection.Relative = own - medianOfOthers(sorted, own)
-	s.expireReporters(now, e)
+	b.Detection.Relative = own - peerFactor*medianOfOthers(sorted, own)
 	s.suspect(w, now, svc, b)
 	s.drainEnds(now, svc, b)
 	if b.Detection.Voted {
@@ -345,7 +309,7 @@
 	if b.State == world.BackendSuspect {
 		probe(w, now, svc, b, SuspectProbeEvery, ProbeTimeout)
 	}
-	if b.Detection.Relative >= ejectScore(svc.Config.Detection) && s.witnessed(w, e) {
+	if b.Detection.Relative >= ejectScore(svc.Config.Detection) && witnessed(w, now, e) {
 		s.vote(w, now, svc, b, e)
 	}
 }
@@ -357,23 +321,16 @@
 	return EjectCareful
 }
 
-func (s *System) expireReporters(now time.Time, e *evidence) {
-	for host, at := range e.reporters {
-		if now.Sub(at) > reporterWindow {
-			delete(e.reporters, host)
-		}
-	}
-}
-
-// witnessed reports whether enough hosts saw the server fail.
-func (s *System) witnessed(w *world.World, e *evidence) bool {
+// witnessed reports whether more than one host saw the server fail, where there
+// is more than one.
+func witnessed(w *world.World, now time.Time, e *evidence) bool {
 	live := 0
 	for _, h := range w.Hosts {
 		if h.Live() {
 			live++
 		}
 	}
-	return len(e.reporters) >= min(reportersToEject, max(live, 1))
+	return live <= 1 || e.witnessed(now)
 }
 
 func (s *System) suspect(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer) {
@@ -396,11 +353,11 @@
 // pathFault marks a server that this host cannot use although the fleet does
 // not eject it: the path between the two is broken, not the server.
 func (s *System) pathFault(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence) {
-	broken := float64(e.ownFail) >= EjectCareful && b.State != world.BackendEjected
+	broken := e.ownFail() >= EjectCareful && b.State != world.BackendEjected
 	if broken == b.Detection.PathFault {
 		return
 	}
-	if !broken && float64(e.ownFail) > ClearScore && b.State != world.BackendEjected {
+	if !broken && e.ownFail() > ClearScore && b.State != world.BackendEjected {
 		return
 	}
 	b.Detection.PathFault = broken
@@ -429,7 +386,7 @@
 			continue
 		}
 		seen++
-		if float64(e.ownFail) >= SuspectScore {
+		if e.ownFail() >= SuspectScore {
 			failing++
 		}
 	}
--- a/internal/system/detection/vote.go
+++ b/internal/system/detection/vote.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/verdict"
@@ -25,7 +26,7 @@
 	d.ProbesGood = 0
 	d.ProbeAt = now.Add(holdOff(d.Relapses))
 	verdict.Cast(w, now, svc, b)
-	w.Record(now, event.BackendVoted, svc.Config.Name, b.Config.ID, fmt.Sprintf("score %.1f, seen failing by %d hosts, relapses %d", d.Relative, len(e.reporters), d.Relapses))
+	w.Record(now, event.BackendVoted, svc.Config.Name, b.Config.ID, fmt.Sprintf("score %.1f, seen failing by %d hosts, relapses %d", d.Relative, len(e.without), d.Relapses))
 }
 
 func holdOff(relapses int) time.Duration {
@@ -68,11 +69,11 @@
 // probeGood takes a good probe. A gray server answers health checks well, so
 // a probe of the health endpoint is no evidence of health; one of a path that
 // does real work is.
-func (s *System) probeGood(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence) {
+func (s *System) probeGood(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, o *peerpb.Observation) {
 	d := &b.Detection
 	if !d.Voted {
 		if svc.Config.Probe.Path != config.DefaultProbePath {
-			e.own.Good++
+			e.countGood(svc, latencyOf(o))
 		}
 		return
 	}
--- a/internal/world/elapsed.go
+++ b/internal/world/elapsed.go
@@ -13,3 +13,6 @@
 func Passed(now, point time.Time) bool {
 	return Elapsed(point, now) > 0
 }
+
+// Beginning is before all events.
+var Beginning = time.Unix(0, 0)
