--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 TOOL  := go tool -modfile=tools/go.mod
 
-.PHONY: run test check generate bench
+.PHONY: run test check generate bench mutants
 
 run: ## the demonstration: a whole fleet on loopback
 	go run ./cmd/pearshelf-bench
@@ -21,3 +21,6 @@
 
 bench: ## measurements of docs/MEASUREMENTS.md and docs/CAPACITY.md
 	scripts/measure.sh
+
+mutants: ## tests must fail without the mechanism that they prove
+	scripts/mutants.sh
--- a/cmd/pearshelf-bench/main.go
+++ b/cmd/pearshelf-bench/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/pearshelf/pearshelf/experiment/demo"
 	"github.com/pearshelf/pearshelf/experiment/report"
+	"github.com/pearshelf/pearshelf/experiment/scale"
 	"github.com/pearshelf/pearshelf/internal/version"
 	"github.com/pearshelf/pearshelf/standin/backend"
 )
@@ -29,6 +30,7 @@
 	Detection detectionCommand `cmd:"" help:"Detection time and false ejections by a moved clock, against two baselines."`
 	Picking   pickingCommand   `cmd:"" help:"Owner hosts against hosts that pick apart, beside one central queue."`
 	Control   controlCommand   `cmd:"" help:"Bytes and processor time of control at growing fleet sizes."`
+	Scale     scaleCommand     `cmd:"" help:"Cost of each control mechanism up to the target's size, with bounds as ratios."`
 	Latency   latencyCommand   `cmd:"" help:"Added time against a direct call, in the same run."`
 }
 
@@ -95,6 +97,11 @@
 	return report.Control(context.Background(), os.Stdout, c.Sizes, c.Length)
 }
 
+type scaleCommand struct{}
+
+// Run measures slopes.
+func (scaleCommand) Run() error { return report.Scale(os.Stdout, scale.Run()) }
+
 type latencyCommand struct {
 	Requests int `help:"Requests of each kind." default:"5000"`
 }
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/pearshelf/pearshelf/experiment/detection"
 	"github.com/pearshelf/pearshelf/experiment/latency"
 	"github.com/pearshelf/pearshelf/experiment/picking"
+	"github.com/pearshelf/pearshelf/experiment/scale"
 	"github.com/pearshelf/pearshelf/internal/config"
 )
 
@@ -219,3 +221,26 @@
 		}
 	})
 }
+
+// Scale prints the slopes; it returns an error if one breaks its bound.
+func Scale(out io.Writer, slopes []scale.Slope) error {
+	var broken []string
+	err := table(out, func(w io.Writer) {
+		fmt.Fprintln(w, "mechanism\tof\tunit\tsize: value\t\t\tgrowth of size\tof cost\tbound")
+		for _, s := range slopes {
+			fmt.Fprintf(w, "%s\t%s\t%s", s.Name, s.Of, s.Unit)
+			for _, p := range s.Points {
+				fmt.Fprintf(w, "\t%d: %.2f", p.Size, p.Value)
+			}
+			sizes := float64(s.Points[len(s.Points)-1].Size) / float64(s.Points[0].Size)
+			fmt.Fprintf(w, "\t%.0f\t%.1f\t%.0f\n", sizes, s.Growth(), s.Bound)
+			if s.Exceeded() {
+				broken = append(broken, s.Name)
+			}
+		}
+	})
+	if err == nil && len(broken) > 0 {
+		return fmt.Errorf("grew beyond the bound: %s", strings.Join(broken, ", "))
+	}
+	return err
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,7 +156,7 @@
 	d.owners = upstream.NewTransport(tlsConf)
 	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	d.watcher = &watcher{d: d}
-	d.observer = newObserver(d.bus, d.metrics, time.Duration(d.settings.Timing.Tick)/2)
+	d.observer = newObserver(d.bus, d.metrics, d.events, time.Duration(d.settings.Timing.Tick)/2)
 	return nil
 }
 
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,6 +11,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/bus"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 )
 
@@ -21,11 +24,13 @@
 	queue   chan *peerpb.Observation
 	bus     *bus.Bus
 	metrics *metrics.Metrics
+	events  event.Recorder
 	every   time.Duration
+	lost    atomic.Int64
 }
 
-func newObserver(b *bus.Bus, m *metrics.Metrics, every time.Duration) *observer {
-	return &observer{queue: make(chan *peerpb.Observation, observationQueue), bus: b, metrics: m, every: every}
+func newObserver(b *bus.Bus, m *metrics.Metrics, events event.Recorder, every time.Duration) *observer {
+	return &observer{queue: make(chan *peerpb.Observation, observationQueue), bus: b, metrics: m, events: events, every: every}
 }
 
 // Observe takes one outcome.
@@ -34,6 +39,7 @@
 	case o.queue <- observation:
 	default:
 		o.metrics.ObservationLost()
+		o.lost.Add(1)
 	}
 }
 
@@ -51,6 +57,9 @@
 }
 
 func (o *observer) flush() {
+	if lost := o.lost.Swap(0); lost > 0 {
+		o.events.Record(event.ObservationsLost, "", "", strconv.FormatInt(lost, 10))
+	}
 	batch := &peerpb.Observations{}
 	for range len(o.queue) {
 		batch.Observations = append(batch.Observations, <-o.queue)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -284,7 +284,10 @@
 
 func (e *Engine) publish(now time.Time) {
 	w := e.world
-	e.ready = e.ready || e.isReady(now)
+	if !e.ready && e.isReady(now) {
+		e.ready = true
+		w.Record(now, event.HostReady, "", "", "")
+	}
 	if e.wokeAt.IsZero() {
 		w.FreshUntil = now.Add(e.conf.Freshness)
 	}
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -18,10 +18,13 @@
 )
 
 const (
-	// FetchRetry is how long one fetch may take before another is started.
-	FetchRetry = 400 * time.Millisecond
-	// PlatformAfter failed fetches from peers, the platform is asked.
-	PlatformAfter = 3
+	// FetchRetry is how long one fetch may take before another is started. A
+	// parent that does not have the document yet is asked again after it.
+	FetchRetry = 200 * time.Millisecond
+	// HolderAfter fetches from the parent without success, the announced holder
+	// is asked too; PlatformAfter, the platform.
+	HolderAfter   = 5
+	PlatformAfter = 10
 	// DirectAfter is when a new host without an index asks the platform
 	// itself, spread over DirectSpread so that a restarted fleet does not ask
 	// all at once.
@@ -150,11 +153,17 @@
 	})
 }
 
-// sources returns the parent in the tree first, then the holder.
+// sources returns the parent in the tree, and the holder where the tree gives
+// no parent or the parent gives nothing. Readers ask the holder, so that the
+// holder serves the readers only.
 func sources(w *world.World, doc *world.Document, holder string) []string {
 	var addresses []string
-	if h := parent(w, doc.Key); h != nil && doc.Attempts <= PlatformAfter {
-		addresses = append(addresses, h.Address)
+	above := parent(w, doc.Key)
+	if above != nil {
+		addresses = append(addresses, above.Address)
+	}
+	if above != nil && doc.Attempts <= HolderAfter {
+		return addresses
 	}
 	if h, ok := w.Hosts[holder]; ok && holder != w.Self.Host && h.Live() {
 		addresses = append(addresses, h.Address)
