Owners share slots; no full duplex for kept bodies

Slots: each slot belongs to one active owner, one active and one standby owner a data centre; others' slots are borrowed by reported load, after 0.3 of a usual hold, once a request, and paid from the retry budget.

Only streamed bodies use full duplex now, and their connection closes. The new test failed at its second request before.

--- a/e2e/answers_test.go
+++ b/e2e/answers_test.go
@@ -64,10 +64,10 @@
 	It("tells a non-idempotent caller the truth about a wrong answer", func() {
 		f := start(1, []config.Service{shop(1)})
 		f.Backends["shop"]["b1"].SetFaults(backend.Faults{WrongIDRate: 1})
-		r := mustCall("POST", "http://"+f.Hosts[0].CallerAddress()+"/shop/order", "x")
+		r := mustCall("POST", "http://"+f.Hosts[0].CallerAddress()+"/shop/order", "x", "Idempotency-Key", "wrong")
 		Expect(r.outcome()).To(Equal("unknown"))
 		Expect(r.status).To(Equal(502))
-		Expect(f.Backends["shop"]["b1"].Served()).To(Equal(1))
+		Expect(runs(f, "wrong")).To(Equal(1))
 	})
 
 	It("aborts a stream that was cut short", func() {
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -22,6 +25,36 @@
 		}
 	})
 
+	It("refuses requests with bodies one after another on one connection", func() {
+		f := start(1, []config.Service{shop(1)})
+		one := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		for n := range 50 {
+			resp, err := one.Post("http://"+f.Hosts[0].CallerAddress()+"/nowhere", "text/plain", strings.NewReader("body"))
+			Expect(err).NotTo(HaveOccurred(), "request %d", n)
+			_, err = io.Copy(io.Discard, resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			Expect(resp.StatusCode).To(Equal(404))
+		}
+	})
+
+	It("streams a body of unknown length both ways", func() {
+		f := start(3, []config.Service{shop(2)})
+		reader, writer := io.Pipe()
+		go func() {
+			for range 100 {
+				_, _ = io.WriteString(writer, strings.Repeat("z", 1000))
+			}
+			writer.Close()
+		}()
+		resp, err := http.Post("http://"+f.Hosts[0].CallerAddress()+"/shop/order", "text/plain", reader)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		raw, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(strings.Count(string(raw), "z")).To(Equal(100_000))
+	})
+
 	It("answers an unknown route with a problem document", func() {
 		f := start(1, []config.Service{shop(1)})
 		r := mustCall("GET", "http://"+f.Hosts[0].CallerAddress()+"/nowhere", "")
--- a/experiment/detection/detection.go
+++ b/experiment/detection/detection.go
@@ -1,6 +1,6 @@
 // Package detection measures detection time and false ejections of the real
-// detection and rotation systems under a moved clock: six owner hosts of one
-// service exchange evidence and votes in memory, one tick late, and a stream of
+// detection and rotation systems under a moved clock: six hosts, of which three
+// own one service and three stand by, exchange evidence and votes in memory, one tick late, and a stream of
 // random requests meets backend servers with planted faults.
 package detection
 
@@ -94,6 +94,7 @@
 	faulty bool
 	result Result
 	wasOut map[string]bool
+	bad    int // the host with the bad path, an active owner
 }
 
 // Run makes one run.
@@ -130,6 +131,7 @@
 		rotation.System{}.Run(w, epoch)
 		r.owners[name] = &owner{w: w, system: detection.New()}
 	}
+	r.bad = slices.Index(r.names, r.owners[r.names[0]].service().Active()[0])
 }
 
 func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%3) }
@@ -170,8 +172,10 @@
 func (r *run) requests(sinceFault time.Duration) {
 	mean := r.conf.Rate * float64(r.conf.Servers) * tick.Seconds()
 	for range poisson(r.rng, mean) {
-		i := r.rng.IntN(len(r.names))
-		o := r.owners[r.names[i]]
+		active := r.owners[r.names[0]].service().Active()
+		name := active[r.rng.IntN(len(active))]
+		i := slices.Index(r.names, name)
+		o := r.owners[name]
 		b := r.pick(o.service())
 		if b == nil {
 			continue
@@ -204,7 +208,7 @@
 func (r *run) outcome(id string, host int, sinceFault time.Duration) *peerpb.Observation {
 	errorRate, slow := r.faultOf(id, sinceFault)
 	badPath := r.conf.BadHost || r.conf.BadPath && id == serverID(0)
-	if badPath && r.faulty && host == 0 {
+	if badPath && r.faulty && host == r.bad {
 		errorRate = 1
 	}
 	latency := time.Duration(r.rng.ExpFloat64() * float64(serviceTime) * slow)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,11 +166,12 @@
 	seed := xxhash.Sum64String(self.Host + self.Address)
 	now := time.Now()
 	d.engine = engine.New(engine.Config{
-		Self:      self,
-		Tick:      time.Duration(t.Tick),
-		Freshness: time.Duration(t.Freshness),
-		Seeds:     d.settings.Peer.Seeds,
-		Seed:      seed,
+		Self:       self,
+		Tick:       time.Duration(t.Tick),
+		Freshness:  time.Duration(t.Freshness),
+		Seeds:      d.settings.Peer.Seeds,
+		Forwarding: *d.settings.Forwarding,
+		Seed:       seed,
 		Membership: membership.Config{
 			Host:           self.Host,
 			Address:        self.Address,
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -35,3 +35,17 @@
 	b.tokens--
 	return true
 }
+
+// charge takes a token for a try that is already spent.
+func (b *budget) charge() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens--
+}
+
+// ample reports whether there is enough for tries that may well be refused.
+func (b *budget) ample() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= retryReserve/2
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,10 +131,13 @@
 // forwards reports whether an owner host should take the request. An owner
 // whose own network looks faulty lets the other owners work.
 func (d *Dispatcher) forwards(req *Request, view *world.ServiceView, snap *world.Snapshot) bool {
-	if !d.conf.Forwarding || req.ForwardedBy != "" || len(view.Owners) == 0 {
+	if !d.conf.Forwarding || req.ForwardedBy != "" {
 		return false
 	}
-	return !view.SelfOwner || snap.Distrust
+	if view.SelfOwner {
+		return snap.Distrust && len(view.Owners) > 0
+	}
+	return view.ActiveOwners > 0
 }
 
 func asTyped(err error) *errs.Error {
@@ -143,13 +147,11 @@
 	return errs.Wrap(err, errs.KindBroken, "request failed", "see the cause")
 }
 
-// ownersInOrder starts at a random owner, so that entry hosts spread their
-// requests evenly.
+// ownersInOrder starts at a random active owner, so that entry hosts spread
+// their requests evenly; owners that stand by come last.
 func ownersInOrder(view *world.ServiceView) []world.OwnerView {
-	start := rand.IntN(len(view.Owners))
-	order := make([]world.OwnerView, 0, len(view.Owners))
-	for i := range view.Owners {
-		order = append(order, view.Owners[(start+i)%len(view.Owners)])
-	}
+	order := slices.Clone(view.Owners)
+	active := order[:view.ActiveOwners]
+	rand.Shuffle(len(active), func(i, j int) { active[i], active[j] = active[j], active[i] })
 	return order
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -20,6 +20,10 @@
 // maxTries bounds the servers that one request is sent to.
 const maxTries = 3
 
+// maxBroken bounds the connections that break before a byte is written, such
+// as idle ones that a restarted server has closed.
+const maxBroken = 8
+
 // exchange is the work on one request on one host.
 type exchange struct {
 	d     *Dispatcher
@@ -36,8 +40,11 @@
 	// written is whether a byte of the request may have reached a server that
 	// did not say it did not run it.
 	written bool
+	// borrowed is set once a borrowed slot proved taken: never again.
+	borrowed bool
 	// free and paid say how the next try is allowed; see mayRetry.
 	free, paid bool
+	broken     int
 }
 
 // headerDeadline ends the context at the request's deadline. headerArrived
@@ -112,7 +119,7 @@
 // tryServers sends the request to one server after another until one answers.
 func (x *exchange) tryServers(ctx context.Context) error {
 	var last *Refusal
-	for range maxTries {
+	for len(x.tried) < maxTries && !isCallerGone(ctx) {
 		lease, err := x.acquire(ctx)
 		if err != nil {
 			return x.final(last, err)
@@ -150,6 +157,7 @@
 			Session:    x.req.Session,
 			Deadline:   x.req.Deadline,
 			Exclude:    x.tried,
+			Borrow:     !x.borrowed && x.state.budget.ample(),
 		})
 		if err != nil || x.inRotation(lease.Server) {
 			return lease, err
@@ -245,7 +253,8 @@
 		return notRunOrUnknown(x.written, typed)
 	}
 	if !failure.Written {
-		x.free = true
+		x.broken++
+		x.free = x.broken < maxBroken
 		// An idle connection that the server closed says nothing against it.
 		if !failure.Dialled && typed.Kind == errs.KindDialFailed {
 			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
@@ -264,7 +273,7 @@
 	x.noteHints(lease, answer)
 	if isShed(answer) {
 		answer.Finish()
-		x.tried = append(x.tried, lease.Server.ID)
+		x.shed(lease)
 		return false, notRunOrUnknown(x.written, errs.New(errs.KindShed, "backend server "+lease.Server.ID+" shed the request", "repeat the request after the time in Retry-After"))
 	}
 	x.written = true
@@ -282,6 +291,18 @@
 	return true, nil
 }
 
+// shed notes that a server had no slot. A borrowed slot was a guess: it is paid
+// from the budget, and the request may still wait for a slot of this host's own.
+func (x *exchange) shed(lease *slots.Lease) {
+	if lease.Borrowed {
+		x.state.budget.charge()
+		x.borrowed = true
+		x.free = true
+		return
+	}
+	x.tried = append(x.tried, lease.Server.ID)
+}
+
 // serverError tries an idempotent request elsewhere, and passes the server's
 // own error on where that is not possible.
 func (x *exchange) serverError(ctx context.Context, lease *slots.Lease, answer *upstream.Answer) (done bool, refusal *Refusal) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -72,13 +72,14 @@
 
 // NewRequest returns a request whose content comes from in.
 func NewRequest(in *http.Request) *Request {
-	return &Request{in: in, body: &replayBody{source: in.Body, length: in.ContentLength}}
+	return &Request{in: in, body: &replayBody{source: in.Body, length: in.ContentLength, streamed: IsStreamed(in)}}
 }
 
 // replayBody hands out a request's body for one or more tries.
 type replayBody struct {
 	source   io.ReadCloser
 	length   int64 // -1 if unknown
+	streamed bool
 	kept     []byte
 	isKept   bool
 	consumed bool
@@ -86,7 +87,7 @@
 
 // keep reads a small body into memory, so that it can be sent again.
 func (b *replayBody) keep() error {
-	if b.length < 0 || b.length > replayLimitBytes || b.isKept {
+	if b.streamed || b.isKept {
 		return nil
 	}
 	kept, err := io.ReadAll(b.source)
@@ -112,6 +113,12 @@
 	}
 }
 
+// IsStreamed reports whether a request's body is passed on as it comes, because
+// it is too long to keep or of unknown length.
+func IsStreamed(r *http.Request) bool {
+	return r.ContentLength < 0 || r.ContentLength > replayLimitBytes
+}
+
 // consumingReader notes that the caller's own stream has been read from. It
 // does not close the stream, which is the server's to close.
 type consumingReader struct{ body *replayBody }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,6 +60,9 @@
 	Membership membership.Config
 	// Seeds are addresses of other hosts.
 	Seeds []string
+	// Forwarding is whether requests go through owner hosts, which then share
+	// the slots of backend servers among them.
+	Forwarding bool
 	// Seed of all random choices.
 	Seed uint64
 	// BeforeTick, if set, is called before each tick. Tests hold it to freeze a
@@ -98,7 +101,7 @@
 		world:     world.New(conf.Self, clock, now),
 		queue:     gossip.NewQueue(RetransmitMult),
 		detection: detection.New(),
-		views:     newViewBuilder(),
+		views:     newViewBuilder(conf.Forwarding),
 		inbox:     make(chan func(time.Time), inboxSize),
 		lastTick:  now,
 	}
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
@@ -11,6 +12,7 @@
 
 // viewBuilder makes snapshots and rebuilds only what changed.
 type viewBuilder struct {
+	forwarding        bool
 	routes            *route.Table
 	services          map[string]*world.ServiceView
 	claimants         []rendezvous.Node
@@ -19,10 +21,11 @@
 	hosts             int
 }
 
-func newViewBuilder() *viewBuilder {
+func newViewBuilder(forwarding bool) *viewBuilder {
 	return &viewBuilder{
-		routes:   route.Build(nil),
-		services: make(map[string]*world.ServiceView),
+		forwarding: forwarding,
+		routes:     route.Build(nil),
+		services:   make(map[string]*world.ServiceView),
 	}
 }
 
@@ -46,7 +49,7 @@
 	changed := make(map[string]*world.ServiceView)
 	for name, svc := range w.Services {
 		if svc.Dirty {
-			changed[name] = serviceView(w, svc)
+			changed[name] = v.serviceView(w, svc)
 			svc.Dirty = false
 		}
 	}
@@ -73,31 +76,61 @@
 	v.routes = route.Build(configs)
 }
 
-func serviceView(w *world.World, svc *world.Service) *world.ServiceView {
-	view := &world.ServiceView{Config: svc.Config, OwnerCount: max(svc.OwnerCount(), 1)}
-	for _, b := range svc.Backends {
-		if !b.Rotation.In {
-			continue
+func (v *viewBuilder) serviceView(w *world.World, svc *world.Service) *world.ServiceView {
+	active := svc.Active()
+	position := slices.Index(active, w.Self.Host)
+	view := &world.ServiceView{
+		Config:      svc.Config,
+		SelfOwner:   position >= 0,
+		OwnerCount:  max(len(active), 1),
+		SharesSlots: position >= 0 && v.forwarding,
+	}
+	for i, b := range svc.Backends {
+		if b.Rotation.In {
+			view.Backends = append(view.Backends, backendView(b, shareOf(b.Config.Slots, i, position, len(active))))
 		}
-		view.Backends = append(view.Backends, world.BackendView{
-			ID:             b.Config.ID,
-			Address:        b.Config.Address,
-			Slots:          b.Config.Slots,
-			IdempotentOnly: b.Rotation.IdempotentOnly,
-			Weight:         b.Rotation.Weight,
-			Node:           rendezvous.NewNode(b.Config.ID, ""),
-		})
-	}
-	for _, host := range svc.Owners[w.Self.DataCentre] {
-		if host == w.Self.Host {
-			view.SelfOwner = true
+	}
+	v.addOwners(w, svc, view)
+	return view
+}
+
+func backendView(b *world.BackendServer, share int) world.BackendView {
+	return world.BackendView{
+		ID:             b.Config.ID,
+		Address:        b.Config.Address,
+		Slots:          b.Config.Slots,
+		Share:          share,
+		IdempotentOnly: b.Rotation.IdempotentOnly,
+		Weight:         b.Rotation.Weight,
+		Node:           rendezvous.NewNode(b.Config.ID, ""),
+	}
+}
+
+// shareOf divides a server's slots among the active owners. The rest of the
+// division goes to other owners at each server, so that totals are even. All
+// owners compute the same shares from the same list.
+func shareOf(slots, server, owner, owners int) int {
+	if owner < 0 || owners == 0 {
+		return 0
+	}
+	share := slots / owners
+	if (owner+server)%owners < slots%owners {
+		share++
+	}
+	return share
+}
+
+func (v *viewBuilder) addOwners(w *world.World, svc *world.Service, view *world.ServiceView) {
+	for i, host := range svc.Owners[w.Self.DataCentre] {
+		h, ok := w.Hosts[host]
+		if !ok || host == w.Self.Host {
 			continue
 		}
-		if h, ok := w.Hosts[host]; ok {
-			view.Owners = append(view.Owners, world.OwnerView{Host: host, Address: h.Address})
+		view.Owners = append(view.Owners, world.OwnerView{Host: host, Address: h.Address})
+		if i < svc.ActiveOwners {
+			view.ActiveOwners++
 		}
 	}
-	return view
 }
 
 // buildClaimants lists the hosts that keep idempotency keys: the platform's
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -88,7 +88,12 @@
 func (f *Frontend) wrap(serve handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
-		_ = control.EnableFullDuplex() // HTTP/2 always is
+		if r.ProtoMajor == 1 && dispatch.IsStreamed(r) {
+			// The server cannot use the connection again if the body was not read
+			// to its end before the answer.
+			_ = control.EnableFullDuplex() // without it, the body goes first
+			w.Header().Set("Connection", "close")
+		}
 		guarded := &idleWriter{ResponseWriter: w, control: control, idle: f.conf.BodyIdleTimeout}
 		r.Body = &idleReader{ReadCloser: r.Body, control: control, idle: f.conf.BodyIdleTimeout}
 		if f.snapshot().Leaving && r.ProtoMajor == 1 {
--- a/internal/slots/pool.go
+++ b/internal/slots/pool.go
@@ -1,12 +1,16 @@
-// Package slots shares the slots of a service's backend servers among the
-// requests that one owner host dispatches. It counts its own requests exactly,
-// adds the load that servers report for the other owners, and queues what does
-// not fit, ordered by deadline.
+// Package slots gives the slots of a service's backend servers to the requests
+// that one owner host dispatches, and queues what does not fit, ordered by
+// deadline.
+//
+// Each slot belongs to one active owner. An owner uses its own slots first,
+// which needs no knowledge of the others, and borrows others' by the load that
+// servers report. A host that owns none goes by reported load alone.
 package slots
 
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,6 +24,13 @@
 const (
 	// reportHalfLife is how fast a reported load of others loses its weight.
 	reportHalfLife = 50 * time.Millisecond
+	// usualGain is the weight of one report in the usual load.
+	usualGain = 1.0 / 32
+	// borrowMargin is how much room the estimate must show.
+	borrowMargin = 0.75
+	// borrowAfter times the average hold is how long a request waits for one of
+	// its own host's slots before it may borrow.
+	borrowAfter = 0.3
 	// recheckEvery is how often waiting requests look for decayed reports.
 	recheckEvery = 5 * time.Millisecond
 	// minRetryAfter is the least time a refused caller is told to wait.
@@ -35,36 +46,29 @@
 	Deadline time.Time
 	// Exclude are servers already tried.
 	Exclude []string
+	// Borrow allows slots of other owners; the server may then refuse.
+	Borrow bool
 }
 
 type server struct {
 	view     world.BackendView
 	inFlight int
-	others   float64 // load reported for other hosts
+	// others is the load last reported for other hosts, usual its average.
+	others   float64
+	usual    float64
 	othersAt time.Time
 }
 
-// load estimates how many requests the server serves now.
+// load estimates how many requests the server serves now: a report loses its
+// weight with age in favour of the usual load of the other hosts.
 func (s *server) load(now time.Time) float64 {
-	age := now.Sub(s.othersAt)
-	decay := 1.0
-	for age > 0 && s.others > 0 {
-		if age < reportHalfLife {
-			decay *= 1 - float64(age)/float64(2*reportHalfLife)
-			break
-		}
-		decay /= 2
-		age -= reportHalfLife
-		if decay < 0.01 {
-			decay = 0
-			break
-		}
-	}
-	return float64(s.inFlight) + s.others*decay
+	weight := math.Exp2(-float64(now.Sub(s.othersAt)) / float64(reportHalfLife))
+	return float64(s.inFlight) + s.usual + (s.others-s.usual)*weight
 }
 
 type waiter struct {
 	request Request
+	since   time.Time
 	ready   chan *Lease
 }
 
@@ -75,6 +79,7 @@
 	servers map[string]*server
 	waiting []*waiter
 	timer   bool
+	held    time.Duration // average time for which a slot is held
 }
 
 // NewPool returns an empty pool; Acquire brings it up to date.
@@ -86,14 +91,17 @@
 type Lease struct {
 	// Server is where to send.
 	Server world.BackendView
+	// Borrowed is set if the slot belongs to another owner.
+	Borrowed bool
 
-	pool *Pool
-	once sync.Once
+	pool  *Pool
+	since time.Time
+	once  sync.Once
 }
 
 // Release gives the slot back. Further calls do nothing.
 func (l *Lease) Release() {
-	l.once.Do(func() { l.pool.release(l.Server.ID) })
+	l.once.Do(func() { l.pool.release(l.Server.ID, time.Since(l.since)) })
 }
 
 // Report notes the load that the server told in an answer, its own request
@@ -112,7 +120,7 @@
 		return nil, errs.New(errs.KindNoBackend, "no backend server of "+view.Config.Name+" may take this request", "repeat it after the time in Retry-After")
 	}
 	if len(p.waiting) == 0 {
-		if lease := p.take(req); lease != nil {
+		if lease := p.take(req, !p.view.SharesSlots); lease != nil {
 			p.mu.Unlock()
 			return lease, nil
 		}
@@ -122,7 +130,7 @@
 		p.mu.Unlock()
 		return nil, errs.New(errs.KindQueueFull, fmt.Sprintf("all slots of %s are busy and %d requests wait", view.Config.Name, depth), "repeat the request after the time in Retry-After")
 	}
-	w := &waiter{request: req, ready: make(chan *Lease, 1)}
+	w := &waiter{request: req, since: time.Now(), ready: make(chan *Lease, 1)}
 	p.enqueue(w)
 	p.mu.Unlock()
 	return p.wait(ctx, w, time.Duration(view.Config.QueueWait))
@@ -203,29 +211,49 @@
 	return false
 }
 
-// take picks a server with a free slot, or returns nil.
-func (p *Pool) take(req Request) *Lease {
+// take picks a server with a free slot, or returns nil. guess allows slots that
+// are free only by what servers reported.
+func (p *Pool) take(req Request, guess bool) *Lease {
 	now := time.Now()
-	best := p.pick(now, req, true)
-	if best == nil {
-		best = p.pick(now, req, false)
+	best := p.pick(now, req, (*server).hasOwnSlot)
+	borrowed := best == nil && p.view.SharesSlots
+	if best == nil && guess {
+		best = p.pick(now, req, (*server).hasRoom)
 	}
 	if best == nil {
 		return nil
 	}
 	best.inFlight++
-	return &Lease{Server: best.view, pool: p}
+	return &Lease{Server: best.view, Borrowed: borrowed, pool: p, since: now}
 }
 
-// pick returns the least loaded eligible server. Servers of less than full
-// weight are passed over at random in proportion, unless they are the last.
-func (p *Pool) pick(now time.Time, req Request, weighted bool) *server {
-	if req.Session != "" && p.view.Config.SessionAffinity {
-		return p.pickSession(now, req)
-	}
+// room says whether a server may take one more.
+type room func(s *server, load float64) bool
+
+// hasOwnSlot is exact: no other owner uses these slots unless it borrows.
+func (s *server) hasOwnSlot(float64) bool { return s.inFlight < s.view.Share }
+
+// hasRoom goes by the load that was reported.
+func (s *server) hasRoom(load float64) bool {
+	return s.inFlight < s.view.Slots && load <= float64(s.view.Slots)-borrowMargin
+}
+
+func (p *Pool) pick(now time.Time, req Request, has room) *server {
 	if len(p.view.Backends) == 0 {
 		return nil
 	}
+	if req.Session != "" && p.view.Config.SessionAffinity {
+		return p.pickSession(now, req, has)
+	}
+	if best := p.pickLeast(now, req, has, true); best != nil {
+		return best
+	}
+	return p.pickLeast(now, req, has, false)
+}
+
+// pickLeast returns the least loaded eligible server. If weighted, servers of
+// less than full weight are passed over at random in proportion.
+func (p *Pool) pickLeast(now time.Time, req Request, has room, weighted bool) *server {
 	var best *server
 	bestLoad := 0.0
 	start := rand.IntN(len(p.view.Backends))
@@ -236,7 +264,7 @@
 		}
 		s := p.servers[b.ID]
 		load := s.load(now)
-		if !s.hasRoom(load) {
+		if !has(s, load) {
 			continue
 		}
 		relative := load / float64(b.Slots)
@@ -247,12 +275,8 @@
 	return best
 }
 
-func (s *server) hasRoom(load float64) bool {
-	return s.inFlight < s.view.Slots && load < float64(s.view.Slots)
-}
-
 // pickSession returns the first server in the session's ranking with room.
-func (p *Pool) pickSession(now time.Time, req Request) *server {
+func (p *Pool) pickSession(now time.Time, req Request, has room) *server {
 	nodes := make([]rendezvous.Node, 0, len(p.view.Backends))
 	for i := range p.view.Backends {
 		if eligible(&p.view.Backends[i], req) {
@@ -261,7 +285,7 @@
 	}
 	for _, id := range rendezvous.Top(req.Session, nodes, len(nodes)) {
 		s := p.servers[id]
-		if s.hasRoom(s.load(now)) {
+		if has(s, s.load(now)) {
 			return s
 		}
 	}
@@ -297,7 +321,7 @@
 // serveWaiting gives free slots to waiting requests in order.
 func (p *Pool) serveWaiting() {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
-		lease := p.take(w.request)
+		lease := p.take(w.request, p.mayGuess(w))
 		if lease == nil {
 			return false
 		}
@@ -306,9 +330,20 @@
 	})
 }
 
-func (p *Pool) release(id string) {
+// mayGuess reports whether a waiting request may borrow: it has waited for about
+// as long as a slot is usually held, and retries are to be had. Borrowing at
+// once would take slots that their owner is about to use.
+func (p *Pool) mayGuess(w *waiter) bool {
+	if !p.view.SharesSlots {
+		return true
+	}
+	return w.request.Borrow && time.Since(w.since) >= time.Duration(borrowAfter*float64(p.held))
+}
+
+func (p *Pool) release(id string, held time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.held += time.Duration(usualGain * float64(held-p.held))
 	s, ok := p.servers[id]
 	if !ok {
 		return
@@ -325,5 +360,6 @@
 		return
 	}
 	s.others = float64(max(inUse-s.inFlight, 0))
+	s.usual += usualGain * (s.others - s.usual)
 	s.othersAt = time.Now()
 }
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -149,7 +149,7 @@
 		svc.Backends = append(svc.Backends, mergeBackend(w, now, held, b))
 	}
 	slices.SortFunc(svc.Backends, func(a, b *world.BackendServer) int { return cmp.Compare(a.Config.ID, b.Config.ID) })
-	svc.Active = svc.Active || known
+	svc.Busy = svc.Busy || known
 	w.Services[conf.Name] = svc
 }
 
--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -53,7 +53,7 @@
 	distrustMin   = 3
 	// witnessScore is the least score without any one host: one alone may have
 	// a broken path.
-	witnessScore = 8.0
+	witnessScore = 7.0
 )
 
 type serverKey struct{ service, backend string }
@@ -131,7 +131,7 @@
 		e.lastBad = now
 	}
 	if isSlow || e.score() > 0 {
-		svc.Active = true
+		svc.Busy = true
 	}
 	if b.State == world.BackendTrial && o.Idempotent {
 		b.Detection.TrialGood++
@@ -144,7 +144,7 @@
 
 func bad(now time.Time, svc *world.Service, e *evidence) {
 	e.lastBad = now
-	svc.Active = true
+	svc.Busy = true
 }
 
 func (s *System) draining(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer) {
@@ -153,7 +153,7 @@
 	}
 	b.DrainSeen = now
 	svc.Dirty = true
-	svc.Active = true
+	svc.Busy = true
 }
 
 // Report takes the evidence of another host.
@@ -173,7 +173,7 @@
 		if seen.bad()+seen.Slow > 0 {
 			e.lastBad = now
 		}
-		svc.Active = true
+		svc.Busy = true
 	}
 }
 
@@ -190,7 +190,7 @@
 	s.judgeSelf(w, now)
 	for _, name := range w.ServiceNames() {
 		svc := w.Services[name]
-		if svc.Active {
+		if svc.Busy {
 			s.judgeService(w, now, svc)
 		}
 	}
@@ -205,7 +205,7 @@
 		s.judge(w, now, svc, b, e, scores)
 		busy = busy || s.isBusy(now, b, e)
 	}
-	svc.Active = busy
+	svc.Busy = busy
 }
 
 func (s *System) isBusy(now time.Time, b *world.BackendServer, e *evidence) bool {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// OwnersPerDataCentre is the least number of owners of a service in a data
-	// centre: one may fail or freeze.
-	OwnersPerDataCentre = 2
-	// SlotsPerOwner adds an owner for each so many slots of a service.
+	// SlotsPerOwner adds an active owner for each so many slots of a service.
+	// Few owners hold large shares of the slots, which serve a queue better.
 	SlotsPerOwner = 64
+	// StandbyOwners stand behind the active ones in each data centre: one may
+	// fail or freeze.
+	StandbyOwners = 1
 	// WatchersPerService must be odd, so that a majority is clear.
 	WatchersPerService = 3
 	// ReadersPerDataCentre is how many hosts watch the platform.
@@ -51,20 +52,29 @@
 }
 
 func place(svc *world.Service, nodes map[string][]rendezvous.Node) {
-	count := OwnersPerDataCentre + svc.Config.TotalSlots()/SlotsPerOwner
+	active := 1 + svc.Config.TotalSlots()/SlotsPerOwner
 	owners := make(map[string][]string, len(nodes))
-	var candidates []rendezvous.Node
+	var candidates, standby []rendezvous.Node
 	for dataCentre, inCentre := range nodes {
-		owners[dataCentre] = rendezvous.Top("owner/"+svc.Config.Name, inCentre, count)
-		for _, host := range owners[dataCentre] {
-			candidates = append(candidates, rendezvous.NewNode(host, dataCentre))
+		owners[dataCentre] = rendezvous.Top("owner/"+svc.Config.Name, inCentre, active+StandbyOwners)
+		for i, host := range owners[dataCentre] {
+			node := rendezvous.NewNode(host, dataCentre)
+			if i < active {
+				candidates = append(candidates, node)
+			} else {
+				standby = append(standby, node)
+			}
 		}
 	}
+	if len(candidates) < WatchersPerService {
+		candidates = append(candidates, standby...)
+	}
 	watchers := rendezvous.Spread("watcher/"+svc.Config.Name, candidates, WatchersPerService)
 	if !slices.Equal(watchers, svc.Watchers) || !sameOwners(owners, svc.Owners) {
 		svc.Dirty = true
 	}
 	svc.Owners = owners
+	svc.ActiveOwners = active
 	svc.Watchers = watchers
 }
 
--- a/internal/system/rotation/rotation.go
+++ b/internal/system/rotation/rotation.go
@@ -46,7 +46,7 @@
 // Run recomputes the services that changed or change with time.
 func (System) Run(w *world.World, now time.Time) {
 	for _, svc := range w.Services {
-		if svc.Dirty || svc.Active {
+		if svc.Dirty || svc.Busy {
 			rotate(w, now, svc)
 		}
 	}
@@ -116,7 +116,7 @@
 func (p *plan) set(b *world.BackendServer, state world.BackendState) {
 	b.State = state
 	b.Since = p.now
-	p.svc.Active = true
+	p.svc.Busy = true
 }
 
 // admit takes in every server that the platform does not mark as leaving. A
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -61,7 +61,7 @@
 	}
 	w.Out.Urgent = append(w.Out.Urgent, world.Urgent{To: owners, Register: r})
 	svc.Dirty = true
-	svc.Active = true
+	svc.Busy = true
 }
 
 // Tally is the votes against one backend server.
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -10,9 +10,11 @@
 
 // BackendView is a backend server in rotation.
 type BackendView struct {
-	ID             string
-	Address        string
-	Slots          int
+	ID      string
+	Address string
+	Slots   int
+	// Share is how many of the slots are this host's own; see SharesSlots.
+	Share          int
 	IdempotentOnly bool
 	Weight         float64
 	Node           rendezvous.Node
@@ -28,12 +30,17 @@
 type ServiceView struct {
 	Config   *config.Service
 	Backends []BackendView
-	// Owners in this data centre, other than this host, in rank order.
-	Owners []OwnerView
-	// SelfOwner is whether this host is an owner.
+	// Owners in this data centre, other than this host, in rank order; the
+	// first ActiveOwners of them are active.
+	Owners       []OwnerView
+	ActiveOwners int
+	// SelfOwner is whether this host is an active owner.
 	SelfOwner bool
-	// OwnerCount is the number of owners over the fleet, at least 1.
+	// OwnerCount is the number of active owners over the fleet, at least 1.
 	OwnerCount int
+	// SharesSlots is whether each slot belongs to one active owner, of which
+	// this host is one. Otherwise this host goes by reported load alone.
+	SharesSlots bool
 }
 
 // Snapshot is an immutable view for the request path.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -137,14 +137,16 @@
 	Document string
 	// Backends is ordered by ID.
 	Backends []*BackendServer
-	// Owners are the hosts that dispatch the service, by data centre.
-	Owners map[string][]string
+	// Owners are the hosts that dispatch the service, by data centre in rank
+	// order; the first ActiveOwners of each do so, the others stand by.
+	Owners       map[string][]string
+	ActiveOwners int
 	// Watchers are the hosts whose majority ejects.
 	Watchers []string
 	// Latency is the sample of recent times to the first byte.
 	Latency LatencySample
-	// Active is set while detection has something to do.
-	Active bool
+	// Busy is set while detection has something to do.
+	Busy bool
 	// Dirty asks for a new rotation and view.
 	Dirty bool
 }
@@ -161,13 +163,14 @@
 // Watches reports whether a host is one of the watchers.
 func (s *Service) Watches(host string) bool { return slices.Contains(s.Watchers, host) }
 
-// OwnerCount returns the number of owner hosts over all data centres.
-func (s *Service) OwnerCount() int {
-	count := 0
+// Active returns the active owners of all data centres, by name.
+func (s *Service) Active() []string {
+	var active []string
 	for _, hosts := range s.Owners {
-		count += len(hosts)
+		active = append(active, hosts[:min(s.ActiveOwners, len(hosts))]...)
 	}
-	return count
+	slices.Sort(active)
+	return active
 }
 
 // World is all tables of one host.
