--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -87,8 +87,8 @@
 		o(&conf)
 	}
 	f, err := fleet.Start(conf)
-	DeferCleanup(f.Close)
 	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	Expect(f.WaitReady(ctx)).To(Succeed())
--- a/experiment/control/control.go
+++ b/experiment/control/control.go
@@ -38,10 +38,10 @@
 // Run measures a fleet of a size for length, idle and then at a fault.
 func Run(ctx context.Context, hosts int, length time.Duration) (Result, error) {
 	f, err := start(hosts)
-	defer f.Close()
 	if err != nil {
 		return Result{}, err
 	}
+	defer f.Close()
 	startCtx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	if err := f.WaitReady(startCtx); err != nil {
--- a/experiment/demo/demo.go
+++ b/experiment/demo/demo.go
@@ -82,10 +82,10 @@
 	}
 	var err error
 	r.fleet, err = fleet.Start(fleetConf)
-	defer r.fleet.Close()
 	if err != nil {
 		return r.report, err
 	}
+	defer r.fleet.Close()
 	return r.report, r.play(ctx)
 }
 
--- a/experiment/latency/latency.go
+++ b/experiment/latency/latency.go
@@ -51,10 +51,10 @@
 			s.Timing.ClaimHorizon = config.Duration(time.Second)
 		},
 	})
-	defer f.Close()
 	if err != nil {
 		return nil, err
 	}
+	defer f.Close()
 	startCtx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	if err := f.WaitReady(startCtx); err != nil {
--- a/experiment/picking/picking.go
+++ b/experiment/picking/picking.go
@@ -50,10 +50,10 @@
 // Run measures one way of picking under one load.
 func Run(ctx context.Context, conf Config) (Result, error) {
 	f, err := start(conf)
-	defer f.Close()
 	if err != nil {
 		return Result{}, err
 	}
+	defer f.Close()
 	startCtx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
 	if err := f.WaitReady(startCtx); err != nil {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -22,8 +22,10 @@
 	// parent that does not have the document yet is asked again after it.
 	FetchRetry = 200 * time.Millisecond
 	// HolderAfter fetches from the parent without success, the announced holder
-	// is asked too; PlatformAfter, the platform.
+	// is asked instead; AnyAfter fetches from a holder, any host; PlatformAfter,
+	// the platform.
 	HolderAfter   = 5
+	AnyAfter      = 2
 	PlatformAfter = 10
 	// DirectAfter is when a new host without an index asks the platform
 	// itself, spread over DirectSpread so that a restarted fleet does not ask
@@ -77,7 +79,7 @@
 		}
 		doc := w.Document(head.Key)
 		if head.Revision > doc.Revision && head.Revision > doc.Refused {
-			s.fetch(w, now, doc, head.Holder)
+			s.fetch(w, now, doc, fetchPlan{holder: head.Holder})
 		}
 	}
 }
@@ -89,7 +91,8 @@
 		return
 	}
 	for _, doc := range Wanted(w) {
-		s.fetch(w, now, doc, "")
+		// What the index names is on the platform, unless that is stale.
+		s.fetch(w, now, doc, fetchPlan{platform: doc.Attempts%2 == 0})
 	}
 }
 
@@ -138,37 +141,57 @@
 	}
 }
 
-func (s *System) fetch(w *world.World, now time.Time, doc *world.Document, holder string) {
+// fetchPlan says where to look for a document.
+type fetchPlan struct {
+	holder   string // host that announced it, may be empty
+	platform bool   // ask the platform and no peer
+}
+
+func (s *System) fetch(w *world.World, now time.Time, doc *world.Document, plan fetchPlan) {
 	if now.Before(doc.Fetching) {
 		return
 	}
 	doc.Fetching = now.Add(FetchRetry)
 	doc.Attempts++
-	peers := sources(w, doc, holder)
-	w.Out.Fetches = append(w.Out.Fetches, world.Fetch{
-		Key:      doc.Key,
-		After:    doc.Revision,
-		Peers:    peers,
-		Platform: len(peers) == 0 || doc.Attempts > PlatformAfter,
-	})
+	f := world.Fetch{Key: doc.Key, After: doc.Revision, Platform: plan.platform || doc.Attempts > PlatformAfter}
+	if !plan.platform {
+		f.Peers = s.sources(w, doc, plan.holder)
+	}
+	f.Platform = f.Platform || len(f.Peers) == 0
+	w.Out.Fetches = append(w.Out.Fetches, f)
 }
 
 // sources returns the parent in the tree, and the holder where the tree gives
 // no parent or the parent gives nothing. Readers ask the holder, so that the
-// holder serves the readers only.
-func sources(w *world.World, doc *world.Document, holder string) []string {
-	var addresses []string
+// holder serves the readers only. A holder may have been replaced and have
+// forgotten the document: later attempts ask any other host too.
+func (s *System) sources(w *world.World, doc *world.Document, holder string) []string {
 	above := parent(w, doc.Key)
-	if above != nil {
-		addresses = append(addresses, above.Address)
-	}
 	if above != nil && doc.Attempts <= HolderAfter {
-		return addresses
+		return []string{above.Address}
 	}
+	var addresses []string
 	if h, ok := w.Hosts[holder]; ok && holder != w.Self.Host && h.Live() {
 		addresses = append(addresses, h.Address)
 	}
-	return slices.Compact(addresses)
+	if len(addresses) == 0 || doc.Attempts > AnyAfter {
+		addresses = append(addresses, s.anyOther(w)...)
+	}
+	return addresses
+}
+
+// anyOther returns the address of a random live host, if there is another.
+func (s *System) anyOther(w *world.World) []string {
+	var live []string
+	for _, name := range w.HostNames() {
+		if name != w.Self.Host && w.Hosts[name].Live() {
+			live = append(live, w.Hosts[name].Address)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return []string{live[s.rng.IntN(len(live))]}
 }
 
 // parent returns the host above this one in the key's tree: the readers of the
--- a/internal/system/configsync/configsync_test.go
+++ b/internal/system/configsync/configsync_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -44,3 +46,33 @@
 		}
 	})
 }
+
+// A restarted host that is itself named as the holder of a document has
+// forgotten it and must ask others.
+func TestForgottenDocumentIsFetchedFromOthers(t *testing.T) {
+	w := world.New(world.Identity{Host: "h1", DataCentre: "dc1"}, &hlc.Clock{}, epoch)
+	for _, name := range []string{"h1", "h2", "h3"} {
+		w.Hosts[name] = &world.Host{Name: name, Address: name + ":1", DataCentre: "dc1"}
+	}
+	w.Readers = []string{"h1", "h2"}
+	value, err := proto.Marshal(&peerpb.Head{Key: "services/a", Revision: 9, Holder: "h1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Registers.Merge(epoch, &peerpb.Register{
+		Key: configsync.HeadKey("services/a"), Value: value, Stamp: &peerpb.Stamp{Revision: 9, Host: "h1"},
+	})
+	system := configsync.New(epoch, 1)
+	asked := make(map[string]bool)
+	for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(configsync.FetchRetry) {
+		system.Run(w, now)
+		for _, fetch := range w.Out.Take().Fetches {
+			for _, address := range fetch.Peers {
+				asked[address] = true
+			}
+		}
+	}
+	if !asked["h2:1"] || !asked["h3:1"] || asked["h1:1"] {
+		t.Fatalf("asked %v, want both other hosts", asked)
+	}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -60,28 +60,36 @@
 // HostName returns the name of the i-th host.
 func HostName(i int) string { return fmt.Sprintf("h%d", i+1) }
 
-// Start starts everything; call Close in any case.
+// Start starts everything, or nothing if it returns an error.
 func Start(conf Config) (*Fleet, error) {
 	f := &Fleet{conf: conf, Backends: make(map[string]map[string]*backend.Server)}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
 	var err error
 	if f.Platform, err = platform.Start(); err != nil {
-		return f, err
+		return err
 	}
 	if err := f.startBackends(); err != nil {
-		return f, err
+		return err
 	}
 	if _, err := f.Publish(); err != nil {
-		return f, err
+		return err
 	}
-	for i := range conf.Hosts {
+	for i := range f.conf.Hosts {
 		if err := f.startHost(i); err != nil {
-			return f, err
+			return err
 		}
 	}
-	if conf.NoHostList {
-		return f, nil
+	if f.conf.NoHostList {
+		return nil
 	}
-	return f, f.Platform.PutHosts(&f.hostList)
+	return f.Platform.PutHosts(&f.hostList)
 }
 
 func (f *Fleet) startBackends() error {
