Control bytes: evidence by exception, rarer renewals and polls

Counts are now reported at a failure or from a score of 2, and forgotten when the score is zero.

Votes live for 10 min rather than 2, renewed every 200 s: renewals go to every host. A dead watcher's vote lasts longer, two of three would have to die. Platform polls stretch with the fleet: before, 1,100 hosts would have made 37 calls a second; the test holds the fleet's rate, and failed before.

--- a/experiment/control/control.go
+++ b/experiment/control/control.go
@@ -24,9 +24,9 @@
 // Result of one fleet size.
 type Result struct {
 	Hosts int
-	// IdleBytes and FaultBytes are datagram bytes a second a host, sent and
-	// received together.
-	IdleBytes, FaultBytes float64
+	// IdleBytes, BusyBytes (healthy traffic) and FaultBytes are datagram bytes a
+	// second a host, sent and received together; FaultMost is the busiest host's.
+	IdleBytes, BusyBytes, FaultBytes, FaultMost float64
 	// IdleCore is the share of a core that a host uses without requests.
 	IdleCore float64
 	// PlatformCalls a second over the fleet, idle.
@@ -55,7 +55,9 @@
 	result.IdleBytes = float64(total(f)-bytes) / perHostSecond
 	result.IdleCore = (processorTime() - processor).Seconds() / perHostSecond
 	result.PlatformCalls = float64(f.Platform.Calls()-calls) / length.Seconds()
-	result.FaultBytes = atFault(ctx, f, length)
+	result.BusyBytes, _ = traffic(ctx, f, length)
+	f.Backends["s"]["b01"].SetFaults(backend.Faults{ErrorRate: 0.5})
+	result.FaultBytes, result.FaultMost = traffic(ctx, f, length)
 	result.ConfigMs, err = configuration(startCtx, f)
 	return result, err
 }
@@ -91,20 +93,28 @@
 	return sum
 }
 
-// atFault lets one server fail under traffic and returns bytes a second a host.
-func atFault(ctx context.Context, f *fleet.Fleet, length time.Duration) float64 {
-	f.Backends["s"]["b01"].SetFaults(backend.Faults{ErrorRate: 0.5})
+// traffic sends requests for length and returns bytes a second: the mean over
+// the hosts and the most of one host.
+func traffic(ctx context.Context, f *fleet.Fleet, length time.Duration) (mean, most float64) {
 	var targets []string
+	var before []uint64
 	for _, d := range f.Hosts {
 		targets = append(targets, d.CallerAddress())
+		sent, received := d.DatagramBytes()
+		before = append(before, sent+received)
 	}
-	before := total(f)
 	stream := load.Start(ctx, load.Config{
 		Targets: targets, Rate: faultRate, Seed: 1, Limit: length,
 		Mix: []load.Kind{{Service: "s", Method: "GET", Path: "/s/x", Share: 1}},
 	})
 	stream.Wait()
-	return float64(total(f)-before) / (float64(len(f.Hosts)) * length.Seconds())
+	for i, d := range f.Hosts {
+		sent, received := d.DatagramBytes()
+		rate := float64(sent+received-before[i]) / length.Seconds()
+		mean += rate / float64(len(f.Hosts))
+		most = max(most, rate)
+	}
+	return mean, most
 }
 
 func configuration(ctx context.Context, f *fleet.Fleet) (int64, error) {
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -191,14 +191,14 @@
 func Control(ctx context.Context, out io.Writer, sizes []int, length time.Duration) error {
 	var failed error
 	err := table(out, func(w io.Writer) {
-		fmt.Fprintln(w, "hosts\tidle B/s a host\tat a fault B/s a host\tidle share of a core a host\tplatform calls/s\tconfiguration everywhere, ms")
+		fmt.Fprintln(w, "hosts\tidle B/s a host\thealthy traffic\tat a fault\tbusiest host\tidle share of a core a host\tplatform calls/s\tconfiguration everywhere, ms")
 		for _, hosts := range sizes {
 			r, err := control.Run(ctx, hosts, length)
 			if err != nil {
 				failed = err
 				return
 			}
-			fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.4f\t%.2f\t%d\n", hosts, r.IdleBytes, r.FaultBytes, r.IdleCore, r.PlatformCalls, r.ConfigMs)
+			fmt.Fprintf(w, "%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.4f\t%.2f\t%d\n", hosts, r.IdleBytes, r.BusyBytes, r.FaultBytes, r.FaultMost, r.IdleCore, r.PlatformCalls, r.ConfigMs)
 		}
 	})
 	if failed != nil {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -32,9 +32,11 @@
 	// all at once.
 	DirectAfter  = 2 * time.Second
 	DirectSpread = 3 * time.Second
-	// PollEvery is how often every host asks the platform for its index, in
-	// case all readers are cut off from it.
+	// PollEvery is how often every host of a fleet of up to PollHosts asks the
+	// platform for its index, in case all readers are cut off from it. Larger
+	// fleets ask less often, so that the fleet's rate does not grow.
 	PollEvery = 60 * time.Second
+	PollHosts = 40
 
 	treeFanout  = 4
 	planHistory = 64
@@ -135,7 +137,8 @@
 	if now.Before(s.nextPoll) {
 		return
 	}
-	s.nextPoll = now.Add(PollEvery/2 + jitter(s.rng, PollEvery))
+	every := pollEvery(len(w.Hosts))
+	s.nextPoll = now.Add(every/2 + jitter(s.rng, every))
 	for _, key := range []string{world.KeyIndex, world.KeyHosts} {
 		w.Out.Fetches = append(w.Out.Fetches, world.Fetch{Key: key, After: w.Document(key).Revision, Platform: true})
 	}
@@ -147,6 +150,11 @@
 	platform bool   // ask the platform and no peer
 }
 
+// pollEvery stretches the period with the fleet.
+func pollEvery(hosts int) time.Duration {
+	return PollEvery * time.Duration(max(hosts, PollHosts)) / PollHosts
+}
+
 func (s *System) fetch(w *world.World, now time.Time, doc *world.Document, plan fetchPlan) {
 	if now.Before(doc.Fetching) {
 		return
--- a/internal/system/configsync/configsync_test.go
+++ b/internal/system/configsync/configsync_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -76,3 +77,30 @@
 		t.Fatalf("asked %v, want both other hosts", asked)
 	}
 }
+
+// polls counts the calls to the platform of a fleet of n hosts in an hour, by
+// those of one host that is no reader.
+func polls(n int) float64 {
+	w := world.New(world.Identity{Host: "h0", DataCentre: "dc1"}, &hlc.Clock{}, epoch)
+	w.Index = &config.Index{}
+	w.Readers = []string{"h1", "h2"}
+	for i := range n {
+		name := fmt.Sprintf("h%d", i)
+		w.Hosts[name] = &world.Host{Name: name, DataCentre: "dc1"}
+	}
+	system := configsync.New(epoch, 1)
+	calls := 0
+	const hours = 200
+	for now := epoch; now.Before(epoch.Add(hours * time.Hour)); now = now.Add(30 * time.Second) {
+		system.Run(w, now)
+		calls += len(w.Out.Take().Fetches)
+	}
+	return float64(n*calls) / hours
+}
+
+func TestPlatformCallsDoNotGrowWithTheFleet(t *testing.T) {
+	small, large := polls(40), polls(1100)
+	if large > 1.5*small {
+		t.Fatalf("%.0f calls an hour by 1,100 hosts, %.0f by 40", large, small)
+	}
+}
--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -49,6 +49,9 @@
 
 // Shares that make a host doubt its own network.
 const (
+	// reportScore is the score from which every outcome is reported.
+	reportScore = 2.0
+
 	distrustShare = 0.8
 	distrustMin   = 3
 	// witnessScore is the least score without any one host: one alone may have
@@ -216,7 +219,8 @@
 }
 
 // flush applies this host's own counts to its tests and reports them to the
-// watchers where they are not all good.
+// watchers where they matter: at every failure, and while a score is up. A slow
+// answer now and then is usual and not reported.
 func (s *System) flush(w *world.World, now time.Time, svc *world.Service) {
 	report := &peerpb.Evidence{Host: w.Self.Host, Service: svc.Config.Name}
 	for _, b := range svc.Backends {
@@ -226,16 +230,9 @@
 		if own == (counts{}) {
 			continue
 		}
-		due := own.bad()+own.Slow > 0 || e.score() > 0
 		e.weigh(now, ownHost, s.usualOf(svc.Config.Name), own)
-		if due {
-			report.Backends = append(report.Backends, &peerpb.BackendEvidence{
-				Backend:     b.Config.ID,
-				Good:        own.Good,
-				Failed:      own.Failed,
-				Slow:        own.Slow,
-				Unreachable: own.Unreachable,
-			})
+		if unreported, due := e.report(own); due {
+			report.Backends = append(report.Backends, unreported.message(b.Config.ID))
 		}
 	}
 	s.send(w, svc, report)
--- a/internal/system/detection/evidence.go
+++ b/internal/system/detection/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -11,6 +12,25 @@
 
 func (c counts) bad() uint32 { return c.Failed + c.Unreachable }
 
+func (c counts) plus(d counts) counts {
+	return counts{
+		Good:        c.Good + d.Good,
+		Failed:      c.Failed + d.Failed,
+		Slow:        c.Slow + d.Slow,
+		Unreachable: c.Unreachable + d.Unreachable,
+	}
+}
+
+func (c counts) message(backend string) *peerpb.BackendEvidence {
+	return &peerpb.BackendEvidence{
+		Backend:     backend,
+		Good:        c.Good,
+		Failed:      c.Failed,
+		Slow:        c.Slow,
+		Unreachable: c.Unreachable,
+	}
+}
+
 // tests are the two sequential tests of a server: a server that fails often
 // may be quick, and a slow one may never fail, so they stand apart.
 type tests struct {
@@ -42,10 +62,12 @@
 	// failShare and slowShare are the server's shares of bad answers.
 	failShare share
 	slowShare share
-	// own counts what this host saw and did not weigh and report yet.
-	own      counts
-	lastBad  time.Time
-	lastSeen time.Time
+	// own counts what this host saw and did not weigh yet, unreported what it
+	// weighed and did not report yet.
+	own        counts
+	unreported counts
+	lastBad    time.Time
+	lastSeen   time.Time
 }
 
 func newEvidence() *evidence {
@@ -75,6 +97,18 @@
 	e.slowShare.add(min(seen.Slow, seen.Good), seen.Good)
 }
 
+// report adds to what is unreported and returns it once it is due. What came
+// before the score was last zero has no weight any more and is dropped.
+func (e *evidence) report(own counts) (unreported counts, due bool) {
+	e.unreported = e.unreported.plus(own)
+	due = own.bad() > 0 || e.score() >= reportScore
+	unreported = e.unreported
+	if due || e.score() == 0 {
+		e.unreported = counts{}
+	}
+	return unreported, due
+}
+
 // leaveOut keeps tests without a host that saw the server fail. They start from
 // the pooled ones: what came before was not that host's.
 func (e *evidence) leaveOut(now time.Time, host string) {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -16,7 +16,7 @@
 
 	// TTL ends a vote whose watcher is gone. It is long, because every renewal
 	// costs datagrams on every host, and a watcher that changes its mind says so.
-	TTL = 2 * time.Minute
+	TTL = 10 * time.Minute
 	// RenewEvery is the period of renewals.
 	RenewEvery = TTL / 3
 )
