A restarted fleet is read by its readers only

Cause: a new host knows few others, takes itself for a reader and reads every document: 53 to 68 platform calls for 18 hosts restarted at once, growing with the fleet.

--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -98,6 +98,23 @@
 		expectRevision(f, revision)
 	})
 
+	It("is read by the readers only when all hosts restart at once", func() {
+		f := start(18, []config.Service{shop(2)})
+		for _, d := range f.Hosts {
+			d.Kill()
+		}
+		before := f.Platform.Calls()
+		for i := range f.Hosts {
+			Expect(f.StartAgain(i)).To(Succeed())
+		}
+		for _, d := range f.Hosts {
+			Eventually(d.Ready, patience).Should(BeTrue())
+		}
+		// Two readers in each of three data centres: index, hosts, shard, and the
+		// next two watches each; and a few polls.
+		Expect(f.Platform.Calls() - before).To(BeNumerically("<=", 2*3*5+6))
+	})
+
 	It("is shown by config diff and config wait", func() {
 		f := start(3, []config.Service{shop(3)})
 		out := &bytes.Buffer{}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,9 @@
 	// ReadyAfter is how long a new host waits for an answer from peers before
 	// it goes by what the platform says alone.
 	ReadyAfter = 3 * time.Second
+	// SettleAfter is how long a new host that knows of others takes its list of
+	// hosts for incomplete.
+	SettleAfter = 1 * time.Second
 
 	inboxSize = 4096
 )
@@ -176,6 +179,7 @@
 // Step runs one tick.
 func (e *Engine) Step(now time.Time) {
 	e.noticePause(now)
+	e.world.Settled = e.settled(now)
 	e.expireRegisters(now)
 	for _, system := range e.systems {
 		system.Run(e.world, now)
@@ -298,8 +302,17 @@
 }
 
 func (e *Engine) isReady(now time.Time) bool {
-	asked := e.synced || len(e.knownAddresses()) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
-	return asked && configsync.Current(e.world)
+	return e.joined(now) && configsync.Current(e.world)
+}
+
+// settled reports whether the list of hosts may be taken for whole.
+func (e *Engine) settled(now time.Time) bool {
+	return len(e.knownAddresses()) == 0 || e.joined(now) && now.Sub(e.world.StartedAt) >= SettleAfter
+}
+
+// joined reports whether a peer has answered, or none is to be waited for.
+func (e *Engine) joined(now time.Time) bool {
+	return e.synced || len(e.knownAddresses()) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
 }
 
 // Ready reports whether a configuration is in force.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -220,7 +220,7 @@
 	if now.Before(l.nextConnect) {
 		return targets
 	}
-	l.nextConnect = now.Add(l.conf.ReconnectInterval)
+	l.nextConnect = now.Add(l.connectInterval())
 	absent := l.absent(known)
 	if len(absent) == 0 {
 		return targets
@@ -228,6 +228,14 @@
 	return append(targets, absent[l.rng.IntN(len(absent))])
 }
 
+// connectInterval is short while this host is alone.
+func (l *List) connectInterval() time.Duration {
+	if l.Live() > 1 {
+		return l.conf.ReconnectInterval
+	}
+	return min(l.conf.ReconnectInterval, l.conf.ProbeInterval/2)
+}
+
 func (l *List) absent(known []string) []string {
 	live := map[string]bool{l.conf.Address: true}
 	var absent []string
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -62,8 +62,10 @@
 	return time.Duration(rng.Int64N(int64(d)))
 }
 
-// IsReader reports whether this host watches the platform.
-func IsReader(w *world.World) bool { return slices.Contains(w.Readers, w.Self.Host) }
+// IsReader reports whether this host watches the platform. A new host
+// knows few others and would often be one: a restarted fleet would then
+// read everything once a host.
+func IsReader(w *world.World) bool { return w.Settled && slices.Contains(w.Readers, w.Self.Host) }
 
 // Run starts the fetches that are due.
 func (s *System) Run(w *world.World, now time.Time) {
--- a/internal/system/configsync/configsync_test.go
+++ b/internal/system/configsync/configsync_test.go
@@ -56,6 +56,7 @@
 		w.Hosts[name] = &world.Host{Name: name, Address: name + ":1", DataCentre: "dc1"}
 	}
 	w.Readers = []string{"h1", "h2"}
+	w.Settled = true
 	value, err := proto.Marshal(&peerpb.Head{Key: "services/a", Revision: 9, Holder: "h1"})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -194,6 +194,9 @@
 	// HostsChanged and ServicesChanged ask for new placement and routes.
 	HostsChanged    bool
 	ServicesChanged bool
+	// Settled is whether this host has had time to hear of the others, or knows
+	// of none.
+	Settled bool
 	// Leaving is set during a planned stop of this host.
 	Leaving bool
 	// FreshUntil is until when the view may be trusted for non-idempotent work.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -43,7 +43,7 @@
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
 mutant "young hosts abstain" internal/claims/table.go 's/now.Sub(t.startedAt) < t.horizon/false/' ./internal/claims
 mutant "revision only grows" internal/system/configsync/apply.go 's/if revision <= doc.Revision {/if revision == doc.Revision {/' ./internal/system/configsync
-mutant "new host asks peers" internal/engine/engine.go 's/return asked \&\& configsync.Current(e.world)/_ = asked; return e.world.Index != nil || configsync.Current(e.world)/' ./e2e -ginkgo.focus "never goes back"
+mutant "new host asks peers" internal/engine/engine.go 's/return e.joined(now) \&\& configsync.Current(e.world)/return e.world.Index != nil || configsync.Current(e.world)/' ./e2e -ginkgo.focus "never goes back"
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "drain sign" internal/system/rotation/rotation.go 's/^	p.removeDraining()$//' ./e2e -ginkgo.focus "says so itself"
@@ -54,5 +54,8 @@
 mutant "indirect probes" internal/membership/probe.go 's/if !p.asked \&\& !now.Before(p.indirect) {/if false {/' ./internal/membership
 mutant "pause forgiven" internal/membership/probe.go 's/if gap := now.Sub(l.lastTick); gap > pauseFactor\*l.conf.ProbeInterval {/if gap := now.Sub(l.lastTick); gap < 0 {/' ./internal/membership
 
+mutant "new host is no reader" internal/system/configsync/configsync.go 's/return w.Settled \&\& slices/return slices/' ./e2e -ginkgo.focus "all hosts restart"
+mutant "polls stretch" internal/system/configsync/configsync.go 's/max(hosts, PollHosts)/max(0, PollHosts)/' ./internal/system/configsync
+
 echo "$survivors survivors"
 exit "$((survivors > 0))"
