Hand-started daemons; refusals of owners counted as such; settings proved strict

pearshelf-bench standins serves a platform and backend servers for daemons started by hand; examples/ holds three hosts. Running them by hand showed three faults: a refusal relayed from an owner was counted as complete, its inner header reached the caller, and the tool printed the transport's words. The new tests fail on the first two without the mends.

--- a/cmd/pearshelf-bench/main.go
+++ b/cmd/pearshelf-bench/main.go
@@ -30,6 +30,7 @@
 	Detection detectionCommand `cmd:"" help:"Detection time and false ejections by a moved clock, against two baselines."`
 	Picking   pickingCommand   `cmd:"" help:"Owner hosts against hosts that pick apart, beside one central queue."`
 	Control   controlCommand   `cmd:"" help:"Bytes and processor time of control at growing fleet sizes."`
+	Standins  standinsCommand  `cmd:"" help:"Platform and backend servers for daemons started by hand, until a signal."`
 	Scale     scaleCommand     `cmd:"" help:"Cost of each control mechanism up to the target's size, with bounds as ratios."`
 	Latency   latencyCommand   `cmd:"" help:"Added time against a direct call, in the same run."`
 }
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/standin/backend"
 )
 
 var _ = Describe("the whole path", func() {
@@ -55,6 +56,18 @@
 		Expect(strings.Count(string(raw), "z")).To(Equal(100_000))
 	})
 
+	It("counts a refusal that an owner host gave as a refusal, and keeps its kind inside", func() {
+		f := start(4, []config.Service{shop(1)})
+		f.Backends["shop"]["b1"].SetFaults(backend.Faults{ShedAll: true})
+		for _, d := range f.Hosts { // at least one of them is no owner
+			r := mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "x")
+			Expect(r.outcome()).To(Equal("not-run"))
+			Expect(r.header).NotTo(HaveKey("Pearshelf-Kind"))
+			metrics := mustCall("GET", "http://"+d.OperatorAddress()+"/metrics", "")
+			Expect(metrics.body).To(ContainSubstring(`pearshelf_requests_total{outcome="not-run",service="shop"} 1`))
+		}
+	})
+
 	It("answers an unknown route with a problem document", func() {
 		f := start(1, []config.Service{shop(1)})
 		r := mustCall("GET", "http://"+f.Hosts[0].CallerAddress()+"/nowhere", "")
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -161,7 +161,6 @@
 func (c *copier) header() {
 	out := c.w.Header()
 	stripHopByHop(c.answer.Header)
-	kind := c.answer.Header.Get(HeaderKind)
 	stripOwn(c.answer.Header)
 	for name, values := range c.answer.Header {
 		out[name] = values
@@ -171,9 +170,6 @@
 	}
 	out.Set(upstream.HeaderRequestID, c.id)
 	out.Set(HeaderOutcome, string(c.outcome))
-	if kind != "" {
-		out.Set(HeaderKind, kind)
-	}
 	if c.session != "" {
 		out.Set(HeaderSession, c.session)
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -175,7 +175,7 @@
 
 func (f *Frontend) dispatch(w http.ResponseWriter, req *dispatch.Request) error {
 	err := f.dispatcher.Serve(w, req)
-	outcome := dispatch.OutcomeComplete
+	outcome := dispatch.Outcome(w.Header().Get(dispatch.HeaderOutcome))
 	var refusal *dispatch.Refusal
 	if errors.As(err, &refusal) {
 		outcome = refusal.Outcome
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -64,6 +64,23 @@
 	return &App{conf: conf, client: peer.NewClients(tlsConf).Admin(conf.Host)}, nil
 }
 
+// remoteError shows a host's refusal without the transport's words.
+type remoteError struct{ refusal twirp.Error }
+
+// Error returns message and remedy.
+func (e remoteError) Error() string { return e.refusal.Msg() }
+
+// Unwrap returns the transport's error.
+func (e remoteError) Unwrap() error { return e.refusal }
+
+func plain(err error) error {
+	var refusal twirp.Error
+	if errors.As(err, &refusal) {
+		return remoteError{refusal}
+	}
+	return err
+}
+
 // ExitCode maps an error to the tool's exit code.
 func ExitCode(err error) int {
 	var twerr twirp.Error
@@ -88,7 +105,7 @@
 	text := verb + " " + strings.Join(words, " ")
 	resp, err := a.client.Query(ctx, &adminpb.QueryRequest{Statement: text, Actor: a.conf.Actor})
 	if err != nil {
-		return err
+		return plain(err)
 	}
 	if resp.Ticket != nil {
 		return a.confirm(ctx, resp.Ticket)
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,55 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/settings"
+)
+
+const good = `host: h1
+data_centre: dc1
+caller: {listen: "127.0.0.1:1"}
+peer: {listen: "127.0.0.1:2", insecure: true}
+operator: {listen: "127.0.0.1:3", insecure: true}
+platform: {address: "http://127.0.0.1:4"}
+`
+
+func TestSamplesLoad(t *testing.T) {
+	for _, name := range []string{"h1", "h2", "h3"} {
+		if _, err := settings.Load("../../examples/" + name + ".yaml"); err != nil {
+			t.Error(err)
+		}
+	}
+	raw, err := os.ReadFile("../../examples/shard.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := config.ParseDocument(raw); err != nil {
+		t.Error(err)
+	}
+}
+
+// A refusal names file, line, field and remedy.
+func TestStrictSettings(t *testing.T) {
+	cases := map[string]struct{ text, want string }{
+		"unknown key":       {good + "hots: x\n", "line 7"},
+		"wrong type":        {good + "timing: {tick: fast}\n", "line 7"},
+		"out of range":      {good + "timing:\n  tick: 1h\n", "f.yaml:8: timing.tick: 1h0m0s is outside 5ms to 1s"},
+		"duplicate address": {strings.Replace(good, "127.0.0.1:3", "127.0.0.1:2", 1), "operator.listen: \"127.0.0.1:2\" is already the address of peer.listen"},
+		"no security":       {strings.Replace(good, "\"127.0.0.1:2\", insecure: true", "\"127.0.0.1:2\"", 1), "peer.insecure: true"},
+		"no host":           {strings.Replace(good, "host: h1", "host: ''", 1), "f.yaml:1: host"},
+	}
+	if _, err := settings.Parse("f.yaml", []byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range cases {
+		_, err := settings.Parse("f.yaml", []byte(c.text))
+		if errs.KindOf(err) != errs.KindSettings || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got %v, want %q in it", name, err, c.want)
+		}
+	}
+}
