Claims: asking ends within half a horizon; callers cannot pass for hosts

Asking now ends at half a horizon, settings hold the claim timeout to that, and the tests' own timing obeys it. Ruled out: release on a killed host, the client's own replay (claimed like any copy).

Found by reading: a caller's Pearshelf-Forwarded-By let it choose its request ID. The header is dropped before anything reads it; the new test failed before.

--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -68,6 +68,15 @@
 		}
 	})
 
+	It("takes no caller's word for being a host", func() {
+		f := start(1, []config.Service{shop(1)})
+		r := mustCall("POST", "http://"+f.Hosts[0].CallerAddress()+"/shop/order", "x",
+			"Pearshelf-Forwarded-By", "h9", "Pearshelf-Request-Id", "forged", "Pearshelf-Service", "shop", "Pearshelf-Idempotent", "true")
+		Expect(r.outcome()).To(Equal("complete"), r.body)
+		Expect(r.header.Get("Pearshelf-Request-Id")).NotTo(Equal("forged"))
+		Expect(r.body).NotTo(ContainSubstring("request=forged"))
+	})
+
 	It("answers an unknown route with a problem document", func() {
 		f := start(1, []config.Service{shop(1)})
 		r := mustCall("GET", "http://"+f.Hosts[0].CallerAddress()+"/nowhere", "")
--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -141,8 +141,8 @@
 	before := c.Settings
 	c.Settings = func(i int, s *settings.Settings) {
 		before(i, s)
-		s.Timing.ClaimHorizon = config.Duration(2 * time.Second)
-		s.Timing.ClaimTimeout = config.Duration(5 * time.Second) // the race detector is slow
+		s.Timing.ClaimHorizon = config.Duration(4 * time.Second)
+		s.Timing.ClaimTimeout = config.Duration(2 * time.Second) // the race detector is slow
 	}
 }
 
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -200,3 +200,21 @@
 		net.travel(2 * net.delay)
 	}
 }
+
+// With a claimant gone, a holder's quorum shows on three hosts only. A request
+// of lower identity then asks on; it must give up well before the finished key
+// is forgotten, or it would run a second time.
+func TestAskingEndsBeforeTheHorizon(t *testing.T) {
+	const horizon = 200 * time.Millisecond
+	net, snap := newNetwork(6, horizon, 0)
+	key := claims.Key{Service: "s", Key: "k"}
+	for _, host := range []string{"h0", "h1", "h2", "h3"} { // a quorum that has run
+		net.tables[host].Claim(key, "z-high", time.Minute)
+		net.tables[host].Release(key, "z-high", true)
+	}
+	net.down["h3"] = true
+	other := claims.NewCoordinator("h5", net.tables["h5"], net, 10*horizon)
+	if _, err := other.Claim(t.Context(), snap, key, "a-low", time.Minute); errs.KindOf(err) != errs.KindClaimHeld {
+		t.Fatalf("want the key held, got %v", err)
+	}
+}
--- a/internal/claims/coordinator.go
+++ b/internal/claims/coordinator.go
@@ -136,7 +136,11 @@
 
 // run asks until a quorum has granted or the claim is lost: to a request that
 // has the quorum itself, or to one with a lower identity.
+//
+// It asks on for half a horizon at most: a key that was held when it began must
+// not be taken after its holder has finished and been forgotten.
 func (b *ballot) run(ctx context.Context) error {
+	giveUp := time.Now().Add(b.claim.coordinator.table.horizon / 2)
 	for {
 		holders := b.round(ctx)
 		if b.granted >= b.quorum {
@@ -146,7 +150,7 @@
 			return errs.New(errs.KindClaimRefused, "the idempotency key could not be secured over the fleet", "repeat the request with the same key after the time in Retry-After")
 		}
 		lowest := slices.Min(slices.Collect(maps.Keys(holders)))
-		if lowest < b.claim.id || ctx.Err() != nil {
+		if lowest < b.claim.id || ctx.Err() != nil || time.Now().After(giveUp) {
 			return heldError(lowest)
 		}
 		for holder, hosts := range holders {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -64,7 +64,11 @@
 func (f *Frontend) CallerHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get(ReadyPath, f.ready)
-	serve := f.wrap(f.serveCaller)
+	wrapped := f.wrap(f.serveCaller)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del(dispatch.HeaderForwardedBy) // a caller must not pass for a host
+		wrapped(w, r)
+	}
 	router.NotFound(serve)
 	router.MethodNotAllowed(serve)
 	return router
@@ -115,8 +119,6 @@
 }
 
 func (f *Frontend) serveCaller(w http.ResponseWriter, r *http.Request, id string) error {
-	// A caller must not pass for another host.
-	r.Header.Del(dispatch.HeaderForwardedBy)
 	snap := f.snapshot()
 	if !snap.Ready {
 		return refuse(http.StatusServiceUnavailable, errs.KindNotConfigured, "this host has no configuration yet", "repeat the request; the balancer should ask "+ReadyPath)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -331,6 +331,9 @@
 			c.addf(r.field, "%s is outside %s to %s", value, r.low, r.high)
 		}
 	}
+	if 2*s.Timing.ClaimTimeout > s.Timing.ClaimHorizon {
+		c.addf("timing.claim_timeout", "%s must be at most half of timing.claim_horizon", time.Duration(s.Timing.ClaimTimeout))
+	}
 	if s.Timing.ProbeTimeout >= s.Timing.ProbeInterval {
 		c.addf("timing.probe_timeout", "%s must be shorter than timing.probe_interval", time.Duration(s.Timing.ProbeTimeout))
 	}
