--- a/experiment/control/control.go
+++ b/experiment/control/control.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	startLimit = time.Minute
-	settle     = 3 * time.Second
-	servers    = 10
-	faultRate  = 200 // requests a second over the fleet while there is a fault
+	settle  = 3 * time.Second
+	servers = 10
+
+	configurationLimit = time.Minute
+
+	faultRate = 200 // requests a second over the fleet while there is a fault
 )
 
 // Result of one fleet size.
@@ -37,16 +39,11 @@
 
 // Run measures a fleet of a size for length, idle and then at a fault.
 func Run(ctx context.Context, hosts int, length time.Duration) (Result, error) {
-	f, err := start(hosts)
+	f, err := start(ctx, hosts)
 	if err != nil {
 		return Result{}, err
 	}
 	defer f.Close()
-	startCtx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	if err := f.WaitReady(startCtx); err != nil {
-		return Result{}, err
-	}
 	time.Sleep(settle)
 	result := Result{Hosts: hosts}
 	calls, processor, bytes := f.Platform.Calls(), processorTime(), total(f)
@@ -58,16 +55,16 @@
 	result.BusyBytes, _ = traffic(ctx, f, length)
 	f.Backends["s"]["b01"].SetFaults(backend.Faults{ErrorRate: 0.5})
 	result.FaultBytes, result.FaultMost = traffic(ctx, f, length)
-	result.ConfigMs, err = configuration(startCtx, f)
+	result.ConfigMs, err = configuration(ctx, f)
 	return result, err
 }
 
-func start(hosts int) (*fleet.Fleet, error) {
+func start(ctx context.Context, hosts int) (*fleet.Fleet, error) {
 	svc := config.Service{Name: "s", Floor: 5, Detection: config.DetectionFast, Slots: 3, Routes: []config.Route{{Path: "/s", Idempotent: true}}}
 	for i := range servers {
 		svc.Backends = append(svc.Backends, config.Backend{ID: fmt.Sprintf("b%02d", i)})
 	}
-	return fleet.Start(fleet.Config{
+	return fleet.StartReady(ctx, fleet.Config{
 		Hosts: hosts, DataCentres: []string{"dc1", "dc2", "dc3"}, Services: []config.Service{svc},
 		Backend: func(_ string, b config.Backend) backend.Config {
 			return backend.Config{ID: b.ID, Slots: 3, ServiceTime: 5 * time.Millisecond, Seed: 1}
@@ -118,6 +115,8 @@
 }
 
 func configuration(ctx context.Context, f *fleet.Fleet) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, configurationLimit)
+	defer cancel()
 	begin := time.Now()
 	revision, err := f.Publish()
 	if err != nil {
--- a/experiment/latency/latency.go
+++ b/experiment/latency/latency.go
@@ -17,10 +17,9 @@
 )
 
 const (
-	hosts      = 6
-	startLimit = time.Minute
-	settle     = 2 * time.Second
-	warmUp     = 200
+	hosts  = 6
+	settle = 2 * time.Second
+	warmUp = 200
 )
 
 // Result is the spread of one way's round trips.
@@ -39,7 +38,7 @@
 
 // Run sends requests one after another over each way in turn.
 func Run(ctx context.Context, requests int) ([]Result, error) {
-	f, err := fleet.Start(fleet.Config{
+	f, err := fleet.StartReady(ctx, fleet.Config{
 		Hosts: hosts, DataCentres: []string{"dc1"},
 		Services: []config.Service{{
 			Name: "s", Slots: 8,
@@ -55,11 +54,6 @@
 		return nil, err
 	}
 	defer f.Close()
-	startCtx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	if err := f.WaitReady(startCtx); err != nil {
-		return nil, err
-	}
 	time.Sleep(settle)
 	owner, entry := split(f)
 	ways := []way{
--- a/experiment/picking/picking.go
+++ b/experiment/picking/picking.go
@@ -20,7 +20,6 @@
 	servers     = 10
 	slots       = 3
 	serviceTime = 25 * time.Millisecond
-	startLimit  = time.Minute
 )
 
 // Config of a Run.
@@ -49,16 +48,11 @@
 
 // Run measures one way of picking under one load.
 func Run(ctx context.Context, conf Config) (Result, error) {
-	f, err := start(conf)
+	f, err := start(ctx, conf)
 	if err != nil {
 		return Result{}, err
 	}
 	defer f.Close()
-	startCtx, cancel := context.WithTimeout(ctx, startLimit)
-	defer cancel()
-	if err := f.WaitReady(startCtx); err != nil {
-		return Result{}, err
-	}
 	var targets []string
 	for _, d := range f.Hosts {
 		targets = append(targets, d.CallerAddress())
@@ -79,7 +73,7 @@
 	return result, nil
 }
 
-func start(conf Config) (*fleet.Fleet, error) {
+func start(ctx context.Context, conf Config) (*fleet.Fleet, error) {
 	svc := config.Service{
 		Name: "s", Slots: slots, Detection: config.DetectionCareful, Floor: servers,
 		Routes: []config.Route{{Path: "/s", Idempotent: true}},
@@ -87,7 +81,7 @@
 	for i := range servers {
 		svc.Backends = append(svc.Backends, config.Backend{ID: string(rune('a' + i)), Slots: slots})
 	}
-	return fleet.Start(fleet.Config{
+	return fleet.StartReady(ctx, fleet.Config{
 		Hosts:       conf.Hosts,
 		DataCentres: []string{"dc1", "dc2", "dc3"},
 		Services:    []config.Service{svc},
--- a/experiment/report/report.go
+++ b/experiment/report/report.go
@@ -226,14 +226,14 @@
 func Scale(out io.Writer, slopes []scale.Slope) error {
 	var broken []string
 	err := table(out, func(w io.Writer) {
-		fmt.Fprintln(w, "mechanism\tof\tunit\tsize: value\t\t\tgrowth of size\tof cost\tbound")
+		fmt.Fprintln(w, "mechanism\tof\tunit\tsize: median of 3 (spread)\t\t\tgrowth of size\tof cost\texponent\tbound")
 		for _, s := range slopes {
 			fmt.Fprintf(w, "%s\t%s\t%s", s.Name, s.Of, s.Unit)
 			for _, p := range s.Points {
-				fmt.Fprintf(w, "\t%d: %.2f", p.Size, p.Value)
+				fmt.Fprintf(w, "\t%d: %.2f (%.0f%%)", p.Size, p.Value, 100*p.Spread)
 			}
 			sizes := float64(s.Points[len(s.Points)-1].Size) / float64(s.Points[0].Size)
-			fmt.Fprintf(w, "\t%.0f\t%.1f\t%.0f\n", sizes, s.Growth(), s.Bound)
+			fmt.Fprintf(w, "\t%.0f\t%.1f\t%.2f\t%.0f\n", sizes, s.Growth(), s.Exponent(), s.Bound)
 			if s.Exceeded() {
 				broken = append(broken, s.Name)
 			}
--- a/experiment/scale/scale.go
+++ b/experiment/scale/scale.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"math"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,10 +41,24 @@
 	probeInterval = time.Second
 )
 
-// Point is one measurement.
+// runs is how often each value is measured.
+const runs = 3
+
+// Point is the measurements at one size.
 type Point struct {
-	Size  int
-	Value float64
+	Size int
+	// Value is the median, Spread the largest less the smallest as a share of it.
+	Value  float64
+	Spread float64
+}
+
+func newPoint(size int, values []float64) Point {
+	slices.Sort(values)
+	p := Point{Size: size, Value: values[len(values)/2]}
+	if p.Value > 0 {
+		p.Spread = (values[len(values)-1] - values[0]) / p.Value
+	}
+	return p
 }
 
 // Slope is one mechanism's cost at growing sizes.
@@ -65,6 +81,20 @@
 	return last / first
 }
 
+// Exponent fits cost = c * size^exponent to all points by least squares over
+// the logarithms: 0 is a cost that does not grow, 1 one that grows as the size.
+func (s Slope) Exponent() float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range s.Points {
+		if p.Value <= 0 {
+			continue
+		}
+		x, y := math.Log(float64(p.Size)), math.Log(p.Value)
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
 // Exceeded reports whether the slope breaks its bound.
 func (s Slope) Exceeded() bool { return s.Growth() > s.Bound }
 
@@ -72,7 +102,11 @@
 func measure(name, of, unit string, bound float64, sizes []int, value func(size int) float64) Slope {
 	s := Slope{Name: name, Of: of, Unit: unit, Bound: bound}
 	for _, size := range sizes {
-		s.Points = append(s.Points, Point{Size: size, Value: value(size)})
+		var values []float64
+		for range runs {
+			values = append(values, value(size))
+		}
+		s.Points = append(s.Points, newPoint(size, values))
 	}
 	return s
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -22,6 +22,9 @@
 const (
 	anyPort   = "127.0.0.1:0"
 	pollEvery = 5 * time.Millisecond
+
+	// readyLimit bounds the start of a fleet.
+	readyLimit = time.Minute
 )
 
 // Config of a Fleet.
@@ -70,6 +73,21 @@
 	return f, nil
 }
 
+// StartReady starts everything and waits until all hosts are ready.
+func StartReady(ctx context.Context, conf Config) (*Fleet, error) {
+	f, err := Start(conf)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	if err := f.WaitReady(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
 func (f *Fleet) start() error {
 	var err error
 	if f.Platform, err = platform.Start(); err != nil {
