--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -68,6 +68,22 @@
 		}
 	})
 
+	It("serves HTTP/2 without TLS", func() {
+		f := start(3, []config.Service{shop(2)})
+		protocols := &http.Protocols{}
+		protocols.SetUnencryptedHTTP2(true)
+		h2 := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+		for i, d := range f.Hosts {
+			resp, err := h2.Post("http://"+d.CallerAddress()+"/shop/order", "text/plain", strings.NewReader(fmt.Sprint("h2-", i)))
+			Expect(err).NotTo(HaveOccurred())
+			raw, err := io.ReadAll(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			Expect(resp.ProtoMajor).To(Equal(2))
+			Expect(string(raw)).To(ContainSubstring(fmt.Sprint("body=h2-", i)))
+		}
+	})
+
 	It("takes no caller's word for being a host", func() {
 		f := start(1, []config.Service{shop(1)})
 		r := mustCall("POST", "http://"+f.Hosts[0].CallerAddress()+"/shop/order", "x",
--- a/e2e/tls_test.go
+++ b/e2e/tls_test.go
@@ -6,11 +6,13 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -22,6 +24,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/operator"
 	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/standin/backend"
 	"github.com/pearshelf/pearshelf/standin/fleet"
 )
 
@@ -65,6 +68,31 @@
 }
 
 var _ = Describe("a fleet with keys", func() {
+	It("serves callers over TLS with HTTP/2", func() {
+		keys := writeKeys(GinkgoT().TempDir())
+		conf := fleet.Config{
+			Hosts: 1, DataCentres: []string{"dc1"}, Services: []config.Service{shop(1)},
+			Backend: func(_ string, b config.Backend) backend.Config { return backend.Config{ID: b.ID} },
+			Settings: func(i int, s *settings.Settings) {
+				quick(i, s)
+				s.Caller.TLS = keys
+			},
+		}
+		f, err := fleet.StartReady(context.Background(), conf)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		raw, err := os.ReadFile(keys.CAFile)
+		Expect(err).NotTo(HaveOccurred())
+		pool := x509.NewCertPool()
+		pool.AppendCertsFromPEM(raw)
+		secure := &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{RootCAs: pool}}}
+		resp, err := secure.Post("https://"+f.Hosts[0].CallerAddress()+"/shop/order", "text/plain", strings.NewReader("x"))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		Expect(resp.ProtoMajor).To(Equal(2))
+		Expect(resp.Header.Get("Pearshelf-Outcome")).To(Equal("complete"))
+	})
+
 	It("serves, forwards, claims and answers operators over mutual TLS", func() {
 		dir := GinkgoT().TempDir()
 		keys := writeKeys(dir)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,8 +25,6 @@
 )
 
 const (
-	// RetransmitMult of gossip; see gossip.Queue.
-	RetransmitMult = 3
 	// ReadyAfter is how long a new host waits for an answer from peers before
 	// it goes by what the platform says alone.
 	ReadyAfter = 3 * time.Second
@@ -102,7 +100,7 @@
 		clock:     clock,
 		effects:   effects,
 		world:     world.New(conf.Self, clock, now),
-		queue:     gossip.NewQueue(RetransmitMult),
+		queue:     gossip.NewQueue(),
 		detection: detection.New(),
 		views:     newViewBuilder(conf.Forwarding),
 		inbox:     make(chan func(time.Time), inboxSize),
--- a/internal/gossip/queue.go
+++ b/internal/gossip/queue.go
@@ -22,6 +22,10 @@
 // itemOverheadBytes is the tag and length of one repeated field.
 const itemOverheadBytes = 4
 
+// extraTransmits is c: one change in some 3,000 misses a host, and waits for
+// the full comparison.
+const extraTransmits = 8
+
 type item struct {
 	key      string
 	size     int
@@ -32,18 +36,11 @@
 
 // Queue is not safe for concurrent use.
 type Queue struct {
-	// RetransmitMult scales how often each change is sent: mult times the
-	// decimal logarithm of the fleet. Higher survives more loss and costs more
-	// bytes.
-	RetransmitMult int
-
 	items []*item
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(retransmitMult int) *Queue {
-	return &Queue{RetransmitMult: retransmitMult}
-}
+func NewQueue() *Queue { return &Queue{} }
 
 // AddMember queues a membership change in place of older ones of that host.
 func (q *Queue) AddMember(m *peerpb.Member) {
@@ -63,9 +60,10 @@
 // Len returns the number of queued changes.
 func (q *Queue) Len() int { return len(q.items) }
 
-// Limit returns how often a change is sent in a fleet of n hosts.
-func (q *Queue) Limit(n int) int {
-	return q.RetransmitMult * int(math.Ceil(math.Log10(float64(n+1))))
+// Limit returns how often each host sends a change in a fleet of n hosts. If
+// each sends it to ln(n)+c random others, e^-c hosts are expected to miss it.
+func Limit(n int) int {
+	return int(math.Ceil(math.Log(float64(n+1)))) + extraTransmits
 }
 
 // Fill adds the least-sent changes that fit to a datagram. n is the number of
@@ -85,7 +83,7 @@
 		it.sent++
 		it.attach(d)
 	}
-	limit := q.Limit(n)
+	limit := Limit(n)
 	q.items = slices.DeleteFunc(q.items, func(it *item) bool { return it.sent >= limit })
 }
 
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -39,16 +39,19 @@
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
 
+var meshes uint64 // seeds differ from mesh to mesh, the same in every run
+
 func newMesh(n int) *mesh {
+	meshes++
 	m := &mesh{now: time.Unix(1_700_000_000, 0), cut: make(map[[2]int]bool), paused: make(map[int]bool)}
 	var members []*peerpb.Member
 	for i := range n {
 		conf := membership.Config{
 			Host: fmt.Sprintf("h%02d", i), Address: address(i), DataCentre: "dc",
 			ProbeInterval: probeInterval, ProbeTimeout: 80 * time.Millisecond,
-			GossipInterval: tick, Seed: uint64(i),
+			GossipInterval: tick, Seed: meshes*1000 + uint64(i),
 		}
-		l := membership.New(conf, delegate{m}, gossip.NewQueue(3), m.now)
+		l := membership.New(conf, delegate{m}, gossip.NewQueue(), m.now)
 		m.lists = append(m.lists, l)
 		members = append(members, l.Member(conf.Host))
 	}
