--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -50,8 +50,10 @@
 mutant "drain sign" internal/system/rotation/rotation.go 's/^	p.removeDraining()$//' ./e2e -ginkgo.focus "says so itself"
 mutant "stop grace" internal/daemon/stop.go 's/^	wait(ctx, time.Duration(d.settings.Timing.StopGrace))$//' ./e2e -ginkgo.focus "kept connections"
 mutant "graceful end" internal/daemon/stop.go 's/d.callerServer.Shutdown(ctx), d.peerServer.Shutdown(ctx)/d.callerServer.Close(), d.peerServer.Close()/' ./e2e -ginkgo.focus "in turn under load"
-mutant "witnesses" internal/system/detection/detection.go 's/return live <= 1 || e.witnessed(now)/return true/' ./experiment/detection -run NoFalse
+mutant "witnesses" internal/system/detection/judge.go 's/return live <= 1 || e.witnessed(now)/return true/' ./experiment/detection -run NoFalse
 mutant "peers' score" internal/system/detection/score.go 's/peerFactor = 3/peerFactor = 0/' ./experiment/detection -run NoFalse
+mutant "gossip reaches all" internal/gossip/queue.go "s/extraTransmits = 8/extraTransmits = 0/" ./internal/membership
+mutant "asking ends" internal/claims/coordinator.go "s/time.Now().After(giveUp)/giveUp.IsZero()/" ./internal/claims
 mutant "indirect probes" internal/membership/probe.go 's/if !p.asked \&\& !now.Before(p.indirect) {/if false {/' ./internal/membership
 mutant "stale after a pause" internal/engine/engine.go "s/if pause > e.conf.Freshness {/if false {/" ./internal/engine
 mutant "pause forgiven" internal/membership/probe.go 's/if gap := now.Sub(l.lastTick); gap > pauseFactor\*l.conf.ProbeInterval {/if gap := now.Sub(l.lastTick); gap < 0 {/' ./internal/membership
