Remove what nothing uses; list known addresses once a tick

The list of other hosts' addresses was built up to three times a tick, 1,100 entries each at the target; it is built once now. Gone, because nothing read or set them: two metrics that were registered and never had a value, a vote's time and a raw score in the table, a wrapper of slices.Contains, two switches of the stand-ins; one constant has a name that says its use.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,8 +30,6 @@
 	errCutShort   = errors.New("the answer was cut short")
 )
 
-func contains(list []string, s string) bool { return slices.Contains(list, s) }
-
 // pass streams a backend server's answer to the caller.
 func (x *exchange) pass(ctx context.Context, lease *slots.Lease, answer *upstream.Answer) {
 	x.headerArrived()
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -85,7 +86,7 @@
 // reopenAtOwner continues a download at another owner.
 func (x *exchange) reopenAtOwner(ctx context.Context, at rangeRequest, tried *[]string) *upstream.Answer {
 	for _, owner := range ownersInOrder(x.view) {
-		if contains(*tried, owner.Host) {
+		if slices.Contains(*tried, owner.Host) {
 			continue
 		}
 		*tried = append(*tried, owner.Host)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -91,6 +91,7 @@
 	wokeAt   time.Time // end of the last pause, zero if the view is fresh
 	synced   bool      // a peer has answered a full comparison
 	ready    bool
+	known    []string // addresses of other hosts, as of this tick
 }
 
 // New returns an engine that starts at now.
@@ -113,6 +114,7 @@
 		e.detection,
 		rotation.System{},
 	}
+	e.known = e.knownAddresses()
 	self := e.members.Member(conf.Self.Host)
 	e.world.Hosts[self.Host] = hostRow(self)
 	e.world.HostsChanged = true
@@ -177,6 +179,7 @@
 // Step runs one tick.
 func (e *Engine) Step(now time.Time) {
 	e.noticePause(now)
+	e.known = e.knownAddresses()
 	e.world.Settled = e.settled(now)
 	e.expireRegisters(now)
 	for _, system := range e.systems {
@@ -184,7 +187,7 @@
 	}
 	e.dispatchOutbox(now)
 	e.effects.Send(e.members.Tick(now))
-	for _, address := range e.members.SyncTargets(now, e.knownAddresses()) {
+	for _, address := range e.members.SyncTargets(now, e.known) {
 		e.effects.SyncWith(address)
 	}
 	e.effects.Reading(configsync.IsReader(e.world))
@@ -305,12 +308,12 @@
 
 // settled reports whether the list of hosts may be taken for whole.
 func (e *Engine) settled(now time.Time) bool {
-	return len(e.knownAddresses()) == 0 || e.joined(now) && now.Sub(e.world.StartedAt) >= SettleAfter
+	return len(e.known) == 0 || e.joined(now) && now.Sub(e.world.StartedAt) >= SettleAfter
 }
 
 // joined reports whether a peer has answered, or none is to be waited for.
 func (e *Engine) joined(now time.Time) bool {
-	return e.synced || len(e.knownAddresses()) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
+	return e.synced || len(e.known) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
 }
 
 // Ready reports whether a configuration is in force.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,14 +10,12 @@
 
 // Metrics is all measurements of a host.
 type Metrics struct {
-	requests          *prometheus.CounterVec
-	added             *prometheus.HistogramVec
-	observationsLost  prometheus.Counter
-	ticks             prometheus.Histogram
-	membersLive       prometheus.Gauge
-	backendsOut       *prometheus.GaugeVec
-	platformCalls     *prometheus.CounterVec
-	peerDatagramBytes *prometheus.CounterVec
+	requests         *prometheus.CounterVec
+	added            *prometheus.HistogramVec
+	observationsLost prometheus.Counter
+	ticks            prometheus.Histogram
+	membersLive      prometheus.Gauge
+	platformCalls    *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -48,20 +46,12 @@
 			Name: "pearshelf_hosts_live",
 			Help: "Hosts held for alive.",
 		}),
-		backendsOut: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "pearshelf_backend_servers_out",
-			Help: "Backend servers out of rotation on this host, by service.",
-		}, []string{"service"}),
 		platformCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearshelf_platform_calls_total",
 			Help: "Calls to the platform by result.",
 		}, []string{"result"}),
-		peerDatagramBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "pearshelf_peer_datagram_bytes_total",
-			Help: "Datagram bytes between hosts by direction.",
-		}, []string{"direction"}),
 	}
-	reg.MustRegister(m.requests, m.added, m.observationsLost, m.ticks, m.membersLive, m.backendsOut, m.platformCalls, m.peerDatagramBytes)
+	reg.MustRegister(m.requests, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -84,11 +74,6 @@
 // MembersLive sets the number of live hosts.
 func (m *Metrics) MembersLive(n int) { m.membersLive.Set(float64(n)) }
 
-// BackendsOut sets how many backend servers of a service are out of rotation.
-func (m *Metrics) BackendsOut(service string, n int) {
-	m.backendsOut.WithLabelValues(service).Set(float64(n))
-}
-
 // PlatformCall counts a call to the platform.
 func (m *Metrics) PlatformCall(err error) {
 	result := "ok"
@@ -97,9 +82,3 @@
 	}
 	m.platformCalls.WithLabelValues(result).Inc()
 }
-
-// DatagramBytes adds bytes sent and received.
-func (m *Metrics) DatagramBytes(sent, received uint64) {
-	m.peerDatagramBytes.WithLabelValues("sent").Add(float64(sent))
-	m.peerDatagramBytes.WithLabelValues("received").Add(float64(received))
-}
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -38,8 +38,9 @@
 	PollEvery = 60 * time.Second
 	PollHosts = 40
 
-	treeFanout  = 4
-	planHistory = 64
+	treeFanout = 4
+	// seedStream keeps this system's random choices apart from others'.
+	seedStream = 64
 )
 
 // System is the document step.
@@ -51,7 +52,7 @@
 
 // New returns a system whose jitter comes from seed.
 func New(now time.Time, seed uint64) *System {
-	rng := rand.New(rand.NewPCG(seed, planHistory))
+	rng := rand.New(rand.NewPCG(seed, seedStream))
 	s := &System{rng: rng}
 	s.directAt = now.Add(DirectAfter + jitter(rng, DirectSpread))
 	s.nextPoll = now.Add(jitter(rng, PollEvery))
--- a/internal/system/detection/judge.go
+++ b/internal/system/detection/judge.go
@@ -50,7 +50,6 @@
 
 func (s *System) judge(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, e *evidence, sorted []float64) {
 	own := e.score()
-	b.Detection.Score = own
 	b.Detection.Relative = own - peerFactor*medianOfOthers(sorted, own)
 	s.suspect(w, now, svc, b)
 	s.drainEnds(now, svc, b)
--- a/internal/system/detection/vote.go
+++ b/internal/system/detection/vote.go
@@ -21,7 +21,6 @@
 		d.Relapses = 0
 	}
 	d.Voted = true
-	d.VotedAt = now
 	d.RenewAt = now.Add(verdict.RenewEvery)
 	d.ProbesGood = 0
 	d.ProbeAt = now.Add(holdOff(d.Relapses))
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -96,17 +96,15 @@
 
 // Detection is the evidence about one backend server on this host.
 type Detection struct {
-	// Score is the cumulative log-likelihood ratio of faulty against healthy.
-	Score float64
-	// Relative is Score less the median of the service's other servers.
+	// Relative is the cumulative log-likelihood ratio of faulty against healthy,
+	// less a multiple of the median of the service's other servers.
 	Relative float64
 	// Unreachable counts failed connections in a row on this host.
 	Unreachable int
 	// PathFault is set while the server fails from this host only.
 	PathFault bool
 	// Voted is whether this host, as a watcher, holds it ejected.
-	Voted   bool
-	VotedAt time.Time
+	Voted bool
 	// RenewAt is when the vote must be renewed.
 	RenewAt time.Time
 	// Relapses counts ejections that followed closely on a return.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -43,8 +43,6 @@
 	Hooks func(i int) daemon.Hooks
 	// Links puts a relay in front of each host's peer listener.
 	Links bool
-	// NoHostList leaves the platform's host list unpublished.
-	NoHostList bool
 }
 
 // Fleet is a running deployment.
@@ -104,9 +102,6 @@
 			return err
 		}
 	}
-	if f.conf.NoHostList {
-		return nil
-	}
 	return f.Platform.PutHosts(&f.hostList)
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -36,7 +36,6 @@
 	copy     map[string]value
 	changed  chan struct{}
 	down     bool
-	delay    time.Duration
 	calls    uint64
 }
 
@@ -141,13 +140,6 @@
 	p.values = p.copy
 }
 
-// SetDelay slows every call.
-func (p *Platform) SetDelay(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.delay = d
-}
-
 // Calls returns the number of calls so far, a waiting watch counted as one.
 func (p *Platform) Calls() uint64 {
 	p.mu.Lock()
@@ -162,15 +154,14 @@
 	return v, ok, p.changed, p.down
 }
 
-func (p *Platform) count() time.Duration {
+func (p *Platform) count() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
-	return p.delay
 }
 
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
-	time.Sleep(p.count())
+	p.count()
 	key, ok := strings.CutPrefix(r.URL.Path, keysPath)
 	if !ok || r.Method != http.MethodGet {
 		http.Error(w, "only GET "+keysPath, http.StatusNotFound)
