--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -24,6 +24,7 @@
 	// serviceGain in that of its service.
 	speedGain   = 0.2
 	serviceGain = 0.05
+	sizeGain    = 0.2
 	// defaultSpeed is the time of a request before any answer.
 	defaultSpeed = 250 * time.Millisecond
 	// pathHold is how long a server that this host cannot reach is avoided here,
@@ -63,8 +64,9 @@
 
 // counts only grow in one life of a host.
 type counts struct {
-	good, failed, unreachable uint64
-	goodTime                  time.Duration
+	good, failed, unreachable, shed uint64
+	requests, retries               uint64
+	goodTime                        time.Duration
 }
 
 // server is one row of the table.
@@ -79,6 +81,8 @@
 	toldAt     time.Time
 	// speed is the usual time to the header of an answer, 0 if unknown.
 	speed time.Duration
+	// lastSent is when a host of this data centre last sent a request there.
+	lastSent time.Time
 	// coldUntil is until when a new server is slow.
 	coldUntil time.Time
 	// pathFailures in a row from this host; avoided until pathUntil.
@@ -90,31 +94,56 @@
 	failing bool
 }
 
+// service is what is known of a service as a whole.
+type service struct {
+	speed time.Duration // usual time to the header of a good answer
+	// requests and retries of this data centre, for RetryRule.
+	requests, retries window
+	// served and unserved are recent outcomes, each halved every troubleHalfLife.
+	served, unserved float64
+	troubleAt        time.Time
+}
+
+// Config of a Table.
+type Config struct {
+	Cost  CostRule
+	Retry RetryRule
+}
+
 // Table is safe for concurrent use.
 type Table struct {
+	conf    Config
+	started time.Time
+	changed chan struct{}
+
 	mu       sync.Mutex
-	started  time.Time
 	servers  map[key]*server
-	speeds   map[string]time.Duration // by service
-	settled  map[string]bool          // services whose first servers are known
-	changed  chan struct{}
+	services map[string]*service
 	sizes    map[string]float64 // bytes of an answer, by route group
-	costRule CostRule
 }
 
 // NewTable returns an empty table of a host that started at now.
-func NewTable(now time.Time, rule CostRule) *Table {
+func NewTable(now time.Time, conf Config) *Table {
 	return &Table{
+		conf:     conf,
 		started:  now,
 		servers:  make(map[key]*server),
-		speeds:   make(map[string]time.Duration),
-		settled:  make(map[string]bool),
+		services: make(map[string]*service),
 		sizes:    make(map[string]float64),
 		changed:  make(chan struct{}, 1),
-		costRule: rule,
 	}
 }
 
+// service returns a service's row, made if absent.
+func (t *Table) service(name string) *service {
+	svc, ok := t.services[name]
+	if !ok {
+		svc = &service{speed: defaultSpeed}
+		t.services[name] = svc
+	}
+	return svc
+}
+
 // Changed receives after the table has something to tell other hosts.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
@@ -164,16 +193,29 @@
 	s.inFlight--
 	s.dirty = true
 	s.learnOutcome(now, done)
-	t.learnSpeed(k, s, done)
+	svc := t.service(k.service)
+	svc.learnOutcome(now, done.Outcome)
+	if done.Outcome == Good && done.FirstByte > 0 {
+		s.learnSpeed(done.FirstByte)
+		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
+	}
 	if done.Load != nil {
 		s.learnLoad(now, done.Load)
 	}
 	if done.Outcome == Good {
-		t.sizes[group] += serviceGain * (float64(done.Bytes) - t.sizes[group])
+		t.learnSize(group, float64(done.Bytes))
 	}
 	t.notify()
 }
 
+func (t *Table) learnSize(group string, bytes float64) {
+	size, known := t.sizes[group]
+	if !known {
+		size = bytes
+	}
+	t.sizes[group] = size + sizeGain*(bytes-size)
+}
+
 func (s *server) learnOutcome(now time.Time, done Done) {
 	switch done.Outcome {
 	case Good:
@@ -186,6 +228,8 @@
 		s.spell.failed(now)
 		s.counts.failed++
 		s.failing = true
+	case Shed:
+		s.counts.shed++
 	case Unreachable:
 		s.spell.unreachable(now)
 		s.counts.unreachable++
@@ -196,18 +240,6 @@
 	}
 }
 
-func (t *Table) learnSpeed(k key, s *server, done Done) {
-	if done.Outcome != Good || done.FirstByte <= 0 {
-		return
-	}
-	s.learnSpeed(done.FirstByte)
-	usual, ok := t.speeds[k.service]
-	if !ok {
-		usual = done.FirstByte
-	}
-	t.speeds[k.service] = usual + time.Duration(serviceGain*float64(done.FirstByte-usual))
-}
-
 func (s *server) learnSpeed(took time.Duration) {
 	if s.speed == 0 {
 		s.speed = took
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -11,42 +11,56 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// CostRule says what a choice costs, in seconds of a caller's waiting.
+// CostRule says what a choice costs. The unit is one request lost.
 type CostRule struct {
 	// Failure is the cost of a failed request: one that is not idempotent is
 	// lost, one that is idempotent is repeated elsewhere.
-	Failure           time.Duration
-	IdempotentFailure time.Duration
+	Failure           float64
+	IdempotentFailure float64
+	// Late is the cost of an answer after the latency objective.
+	Late float64
 	// OtherDataCentre is the cost of a request to another data centre, and
 	// PerMegabyte of each megabyte of its answer.
-	OtherDataCentre time.Duration
-	PerMegabyte     time.Duration
+	OtherDataCentre float64
+	PerMegabyte     float64
 }
 
 // DefaultCostRule returns the costs measured to serve best; see
 // docs/MEASUREMENTS.md.
 func DefaultCostRule() CostRule {
 	return CostRule{
-		Failure:           2500 * time.Millisecond,
-		IdempotentFailure: 400 * time.Millisecond,
-		OtherDataCentre:   30 * time.Millisecond,
-		PerMegabyte:       15 * time.Second,
+		Failure:           1,
+		IdempotentFailure: 0.12,
+		Late:              0.6,
+		OtherDataCentre:   0.01,
+		PerMegabyte:       12,
 	}
 }
 
 const (
+	// defaultObjective is the latency objective of a route that has none.
+	defaultObjective = time.Second
+	// lateAt and lateWidth shape the chance that an answer is late: even odds
+	// where the expected time is lateAt of the objective.
+	lateAt    = 0.9
+	lateWidth = 0.15
+	// slowness is the cost of an answer that takes the whole objective and is
+	// not late, growing with the square.
+	slowness = 0.15
 	// spread is the cost of a full server against an empty one, so that load is
 	// even where nothing else differs.
-	spread = 60 * time.Millisecond
+	spread = 0.03
 	// jitter keeps hosts with equal views from choosing alike.
-	jitter = 5 * time.Millisecond
+	jitter = 0.003
+	// lowWeight is the cost of a server of weight 0.
+	lowWeight = 0.3
 	// queuePerSlot times its slots is how many requests a server may have before
 	// it is held for full. Servers queue a few requests themselves.
 	queuePerSlot = 4
 	// coldFactor is how much slower a server is just after its start.
 	coldFactor = 2.0
 	// blocked is the cost of a server that this host cannot reach now.
-	blocked = time.Hour
+	blocked = 1000.0
 
 	bytesPerMegabyte = 1 << 20
 )
@@ -57,6 +71,10 @@
 	Idempotent bool
 	// DataCentre is this host's.
 	DataCentre string
+	// Objective is the latency objective, 0 for none.
+	Objective time.Duration
+	// Repeat is set if another server has had the request.
+	Repeat bool
 	// Group names requests with answers of about one size, such as a route.
 	Group string
 	// Exclude are servers already tried.
@@ -88,6 +106,7 @@
 	var bestRow *server
 	bestCost := math.Inf(1)
 	eligible := 0
+	svc := t.service(req.Service)
 	for i := range view.Backends {
 		b := &view.Backends[i]
 		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
@@ -99,7 +118,7 @@
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		if cost := t.cost(now, s, b, load, req); cost < bestCost {
+		if cost := t.cost(now, svc, s, b, load, req); cost < bestCost {
 			best, bestRow, bestCost = b, s, cost
 		}
 	}
@@ -108,6 +127,8 @@
 	}
 	bestRow.inFlight++
 	bestRow.dirty = true
+	bestRow.lastSent = now
+	svc.noteSent(now, t.conf.Retry.Window, bestRow, req.Repeat)
 	t.notify()
 	return &Lease{Server: *best, table: t, key: key{req.Service, best.ID}, group: req.Group}, nil
 }
@@ -123,46 +144,55 @@
 func (t *Table) RetryAfter(service string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.usualSpeed(service)
+	return t.service(service).speed
 }
 
-func (t *Table) usualSpeed(service string) time.Duration {
-	if usual, ok := t.speeds[service]; ok {
-		return usual
+// cost is the expected cost of a choice.
+func (t *Table) cost(now time.Time, svc *service, s *server, b *world.BackendView, load float64, req Request) float64 {
+	rule := t.conf.Cost
+	slots := float64(max(b.Slots, 1))
+	cost := rule.lateness(s.expected(now, svc, load, slots), req.Objective)
+	cost += spread*load/slots + jitter*rand.Float64() + lowWeight*(1-b.Weight)
+	failure := rule.Failure
+	if req.Idempotent {
+		failure = rule.IdempotentFailure
+	}
+	cost += failure * s.spell.failure(now)
+	if b.DataCentre != req.DataCentre {
+		return cost + s.pathCost(now) + rule.OtherDataCentre + rule.PerMegabyte*t.sizes[req.Group]/bytesPerMegabyte
 	}
-	return defaultSpeed
+	return cost + s.pathCost(now) - svc.breadth(now, s)
 }
 
-// cost is the expected cost in seconds.
-func (t *Table) cost(now time.Time, s *server, b *world.BackendView, load float64, req Request) float64 {
-	slots := float64(max(b.Slots, 1))
+// expected is the expected time to an answer.
+func (s *server) expected(now time.Time, svc *service, load, slots float64) time.Duration {
 	speed := s.speed
 	if speed == 0 {
-		speed = t.usualSpeed(req.Service)
+		speed = svc.speed
 	}
 	if now.Before(s.coldUntil) {
 		speed = time.Duration(coldFactor * float64(speed))
 	}
 	waiting := max(load+1-slots, 0) / slots
-	cost := speed.Seconds() * (1 + waiting)
-	cost += spread.Seconds() * load / slots
-	failure := t.costRule.Failure
-	if req.Idempotent {
-		failure = t.costRule.IdempotentFailure
-	}
-	cost += failure.Seconds() * s.spell.failure(now)
-	if b.DataCentre != req.DataCentre {
-		megabytes := t.sizes[req.Group] / bytesPerMegabyte
-		cost += t.costRule.OtherDataCentre.Seconds() + t.costRule.PerMegabyte.Seconds()*megabytes
+	return time.Duration(float64(speed) * (1 + waiting))
+}
+
+// lateness is the cost of an answer that is expected to take some time.
+func (r CostRule) lateness(expected, objective time.Duration) float64 {
+	if objective <= 0 {
+		objective = defaultObjective
 	}
+	part := float64(expected) / float64(objective)
+	late := 1 / (1 + math.Exp((lateAt-part)/lateWidth))
+	return slowness*part*part + r.Late*late
+}
+
+// pathCost keeps this host off a server that it cannot reach.
+func (s *server) pathCost(now time.Time) float64 {
 	if now.Before(s.pathUntil) {
-		cost += blocked.Seconds()
-	}
-	cost += jitter.Seconds() * rand.Float64()
-	if b.Weight < 1 {
-		cost += spread.Seconds() * (1 - b.Weight) * 10
+		return blocked
 	}
-	return cost
+	return 0
 }
 
 func decay(age, halfLife time.Duration) float64 {
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -58,6 +58,9 @@
 		Failed:      s.counts.failed,
 		Unreachable: s.counts.unreachable,
 		GoodUs:      uint64(s.counts.goodTime.Microseconds()),
+		Requests:    s.counts.requests,
+		Retries:     s.counts.retries,
+		Shed:        s.counts.shed,
 	}
 }
 
@@ -79,14 +82,18 @@
 		p = &peerLoad{}
 		s.peers[host] = p
 	}
-	next := counts{good: l.Good, failed: l.Failed, unreachable: l.Unreachable, goodTime: time.Duration(l.GoodUs) * time.Microsecond}
-	if next.good < p.counts.good || next.failed < p.counts.failed || next.unreachable < p.counts.unreachable {
+	next := countsOf(l)
+	if next.before(p.counts) {
 		if !now.After(p.at.Add(reorderWindow)) {
 			return // an older datagram that came late
 		}
 		p.counts = counts{} // the host has begun a new life
 	}
 	s.learnPeer(now, p.counts, next)
+	t.service(k.service).learnPeer(now, t.conf.Retry.Window, p.counts, next, near)
+	if near && next.requests+next.retries > p.counts.requests+p.counts.retries {
+		s.lastSent = now
+	}
 	p.counts = next
 	p.at = now
 	if near {
@@ -101,6 +108,25 @@
 // whose order is lost.
 const maxNews = 4
 
+func countsOf(l *peerpb.BackendLoad) counts {
+	return counts{
+		good:        l.Good,
+		failed:      l.Failed,
+		unreachable: l.Unreachable,
+		shed:        l.Shed,
+		requests:    l.Requests,
+		retries:     l.Retries,
+		goodTime:    time.Duration(l.GoodUs) * time.Microsecond,
+	}
+}
+
+// before reports whether any count is lower: an older report of the same life
+// of a host, or one of a new life.
+func (c counts) before(d counts) bool {
+	return c.good < d.good || c.failed < d.failed || c.unreachable < d.unreachable ||
+		c.shed < d.shed || c.requests < d.requests || c.retries < d.retries
+}
+
 func (s *server) learnPeer(now time.Time, was, is counts) {
 	good := is.good - was.good
 	for range min(good, maxNews) {
--- /dev/null
+++ b/internal/balance/retries.go
@@ -0,0 +1,77 @@
+package balance
+
+import "time"
+
+// RetryRule bounds the requests that all hosts together send to a second
+// server. The hosts of a data centre share what falls to them, because each
+// knows what the others spent.
+type RetryRule struct {
+	// Share is the part of a service's requests that may be sent again in a
+	// window, Reserve how many more.
+	Share   float64
+	Reserve float64
+	// Window is the length of the sliding window.
+	Window time.Duration
+}
+
+// DefaultRetryRule is for a fleet without an allowance of its own.
+func DefaultRetryRule() RetryRule {
+	return RetryRule{Share: 0.1, Reserve: 10, Window: 10 * time.Second}
+}
+
+const (
+	// retrySafety is the part of the allowance that is spent: reports may be
+	// lost, and hosts may decide at the same moment.
+	retrySafety = 0.8
+	// windowBuckets divide the window.
+	windowBuckets = 20
+)
+
+// window counts events of the last Window in buckets.
+type window struct {
+	counts [windowBuckets + 1]int
+	bucket int64 // number of the newest bucket since the epoch
+}
+
+func (w *window) add(now time.Time, length time.Duration, n int) {
+	w.advance(now, length)
+	w.counts[w.bucket%int64(len(w.counts))] += n
+}
+
+func (w *window) sum(now time.Time, length time.Duration) int {
+	w.advance(now, length)
+	total := 0
+	for _, n := range w.counts {
+		total += n
+	}
+	return total
+}
+
+// advance clears the buckets that began since the last call.
+func (w *window) advance(now time.Time, length time.Duration) {
+	bucket := now.UnixNano() / int64(length/windowBuckets)
+	size := int64(len(w.counts))
+	for b := max(w.bucket+1, bucket-size+1); b <= bucket; b++ {
+		w.counts[b%size] = 0
+	}
+	w.bucket = max(w.bucket, bucket)
+}
+
+// Fleet is how many hosts there are.
+type Fleet struct {
+	// Near are the live hosts of this data centre, this one included.
+	Near int
+	// All is the most hosts that were ever live at a time.
+	All int
+}
+
+// AllowRetry reports whether a request of a service may be sent again.
+func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	svc := t.service(name)
+	rule := t.conf.Retry
+	reserve := rule.Reserve * float64(fleet.Near) / float64(max(fleet.All, fleet.Near, 1))
+	allowance := retrySafety * (rule.Share*float64(svc.requests.sum(now, rule.Window)) + reserve)
+	return float64(svc.retries.sum(now, rule.Window)+1) <= max(allowance, 1)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,7 +215,14 @@
 		BeforeTick: d.hooks.BeforeTick,
 	}, d.clock, &effects{d: d}, now)
 	if !*d.settings.Forwarding {
-		d.balance = balance.NewTable(now, balance.DefaultCostRule())
+		d.balance = balance.NewTable(now, balance.Config{
+			Cost: balance.DefaultCostRule(),
+			Retry: balance.RetryRule{
+				Share:   d.settings.Retry.FleetShare,
+				Reserve: d.settings.Retry.FleetReserve,
+				Window:  time.Duration(d.settings.Retry.Window),
+			},
+		})
 	}
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
@@ -231,7 +238,6 @@
 		PeerScheme:  scheme,
 		Protocol:    d.protocol,
 		BufferBytes: int64(d.settings.Backend.BufferBytes),
-		Budget:      d.retryBudget,
 		BeforeWrite: d.hooks.BeforeWrite,
 	}, dispatch.Parts{
 		Snapshot: d.engine.Snapshot,
@@ -246,15 +252,6 @@
 	})
 }
 
-// retryBudget is this host's part of the fleet's allowance, if there is one.
-func (d *Daemon) retryBudget() dispatch.BudgetConfig {
-	retry := d.settings.Retry
-	if retry.FleetShare == 0 && retry.FleetReserve == 0 {
-		return dispatch.DefaultBudget()
-	}
-	return dispatch.FleetBudget(retry.FleetShare, retry.FleetReserve, d.engine.Snapshot().FleetSize)
-}
-
 // Start runs the host until Stop or Kill.
 func (d *Daemon) Start() error {
 	d.wg.Go(func() { _ = d.bus.Run(d.ctx) }) // ends with the context
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -75,7 +75,7 @@
 // reopenAtServer continues a download at another backend server.
 func (x *exchange) reopenAtServer(ctx context.Context, at rangeRequest, from *place) (*place, *upstream.Answer) {
 	x.tried = append(x.tried, from.Server.ID)
-	if !x.state.budget.retry() {
+	if !x.allowRetry() {
 		return nil, nil
 	}
 	next, err := x.acquire(ctx)
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -8,43 +8,21 @@
 	retryShare = 0.1
 	// retryReserve lets a quiet service retry at all.
 	retryReserve = 10
-	// fleetSafety is the part of the fleet's allowance that its hosts share out
-	// among them: hosts that have just joined, and such as each holds for dead,
-	// also take theirs.
-	fleetSafety = 0.7
 )
 
-// BudgetConfig bounds the retries of one service on one host.
-type BudgetConfig struct {
-	// Share is the part of first tries that may be tried again.
-	Share float64
-	// Reserve is how many retries may come at once.
-	Reserve float64
-}
-
-// FleetBudget returns a host's part of an allowance of the whole fleet.
-func FleetBudget(share, reserve float64, hosts int) BudgetConfig {
-	return BudgetConfig{Share: fleetSafety * share, Reserve: max(1, fleetSafety*reserve/float64(max(hosts, 1)))}
-}
-
-// DefaultBudget is the budget without an allowance of the fleet.
-func DefaultBudget() BudgetConfig { return BudgetConfig{Share: retryShare, Reserve: retryReserve} }
-
 // budget is the retry budget of one service on one host.
 type budget struct {
 	mu     sync.Mutex
 	tokens float64
-	full   float64 // the newest Reserve
 }
 
-func newBudget(conf BudgetConfig) *budget { return &budget{tokens: conf.Reserve, full: conf.Reserve} }
+func newBudget() *budget { return &budget{tokens: retryReserve} }
 
 // first notes a first try.
-func (b *budget) first(conf BudgetConfig) {
+func (b *budget) first() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.full = conf.Reserve
-	b.tokens = min(b.tokens+conf.Share, conf.Reserve)
+	b.tokens = min(b.tokens+retryShare, retryReserve)
 }
 
 // retry takes a token for another try, or reports that there is none.
@@ -69,5 +47,5 @@
 func (b *budget) ample() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.tokens >= b.full/2
+	return b.tokens >= retryReserve/2
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,8 +36,6 @@
 	// gets any of it, 0 for none. Larger mends more answers that break off and
 	// costs memory and time to the first byte.
 	BufferBytes int64
-	// Budget returns the present retry budget of a service on this host.
-	Budget func() BudgetConfig
 	// BeforeWrite, if set, is called after the decision to send and before the
 	// last check. Tests hold it to freeze a host.
 	BeforeWrite func(*Request)
@@ -108,7 +106,7 @@
 	defer d.mu.Unlock()
 	s, ok := d.services[name]
 	if !ok {
-		s = &serviceState{pool: slots.NewPool(), budget: newBudget(d.conf.Budget())}
+		s = &serviceState{pool: slots.NewPool(), budget: newBudget()}
 		d.services[name] = s
 	}
 	return s
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
@@ -48,8 +49,10 @@
 	// free and paid say how the next try is allowed; see mayRetry.
 	free, paid bool
 	broken     int
-	// ran counts the servers that may have run the request.
-	ran int
+	// ran counts the servers that may have run the request, arrived those that
+	// it may have reached.
+	ran     int
+	arrived int
 }
 
 // headerDeadline ends the context at the request's deadline. headerArrived
@@ -82,7 +85,7 @@
 	if claim != nil {
 		defer func() { claim.Release(x.written) }()
 	}
-	x.state.budget.first(x.d.conf.Budget())
+	x.state.budget.first()
 	return x.tryServers(ctx)
 }
 
@@ -192,10 +195,20 @@
 		x.free = false
 		return true
 	}
-	x.paid = x.state.budget.retry()
+	x.paid = x.allowRetry()
 	return x.paid
 }
 
+// allowRetry asks for a retry: where hosts pick directly, of what the hosts of
+// this data centre share, else of this host's own budget.
+func (x *exchange) allowRetry() bool {
+	if x.d.balance == nil {
+		return x.state.budget.retry()
+	}
+	fleet := balance.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
+	return x.d.balance.AllowRetry(time.Now(), x.req.Service, fleet)
+}
+
 // try sends the request to one server. done is whether the caller has been
 // answered; otherwise refusal says what this try came to.
 func (x *exchange) try(ctx context.Context, lease *place) (done bool, refusal *Refusal) {
@@ -275,6 +288,7 @@
 	}
 	x.written = true
 	x.ran++
+	x.arrived++
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	x.tried = append(x.tried, lease.Server.ID)
 	return unknown(typed)
@@ -282,6 +296,7 @@
 
 // judge decides what an answer is worth.
 func (x *exchange) judge(ctx context.Context, lease *place, answer *upstream.Answer) (done bool, refusal *Refusal) {
+	x.arrived++
 	x.noteHints(lease, answer)
 	if x.isNotRun(answer) {
 		answer.Finish()
@@ -326,6 +341,7 @@
 // shed notes that a server had no slot. A borrowed slot was a guess: it is paid
 // from the budget, and the request may still wait for a slot of this host's own.
 func (x *exchange) shed(lease *place) {
+	lease.done.Outcome = balance.Shed
 	if lease.Borrowed {
 		x.state.budget.charge()
 		x.borrowed = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -65,6 +65,8 @@
 			Idempotent: x.req.Idempotent,
 			DataCentre: x.snap.Self.DataCentre,
 			Group:      x.req.Group,
+			Objective:  x.req.Objective,
+			Repeat:     x.arrived > 0,
 			Exclude:    x.tried,
 		})
 		if err != nil {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -66,6 +66,8 @@
 	Explicit bool
 	// Attempts is how many backend servers may run the request, 0 for the default.
 	Attempts int
+	// Objective is the route's latency objective, 0 for none.
+	Objective time.Duration
 	// Group names requests with answers of about one size: their route.
 	Group string
 	// ForwardedBy is the entry host, on an owner.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -120,7 +120,11 @@
 		e.world.Polled = conf.Documents
 	}
 	documents := configsync.New(now, configsync.Config{Seed: conf.Seed, DirectAfter: conf.DirectAfter, DirectSpread: conf.DirectSpread})
-	e.systems = []world.System{placement.System{}, documents, e.detection, rotation.System{}}
+	e.systems = []world.System{placement.System{}, documents}
+	if conf.Forwarding { // else the balancer judges servers
+		e.systems = append(e.systems, e.detection)
+	}
+	e.systems = append(e.systems, rotation.System{})
 	e.known = e.knownAddresses()
 	self := e.members.Member(conf.Self.Host)
 	e.world.Hosts[self.Host] = hostRow(self)
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -22,6 +22,7 @@
 	hosts             int
 	peers             []world.PeerView
 	peersVersion      uint64
+	nearHosts         int
 	fleetSize         int
 }
 
@@ -46,6 +47,7 @@
 		Routes:          v.routes,
 		Services:        v.services,
 		Peers:           v.peers,
+		NearHosts:       v.nearHosts,
 		FleetSize:       v.fleetSize,
 		Claimants:       v.claimants,
 		ClaimantAddress: v.claimantAddresses,
@@ -153,10 +155,15 @@
 	}
 	v.peersVersion = w.HostsVersion
 	v.peers = nil
+	v.nearHosts = 1
 	for _, name := range w.HostNames() {
 		h := w.Hosts[name]
-		if h.Live() && name != w.Self.Host {
-			v.peers = append(v.peers, world.PeerView{Host: name, Address: h.Address, DataCentre: h.DataCentre})
+		if !h.Live() || name == w.Self.Host {
+			continue
+		}
+		v.peers = append(v.peers, world.PeerView{Host: name, Address: h.Address, DataCentre: h.DataCentre})
+		if h.DataCentre == w.Self.DataCentre {
+			v.nearHosts++
 		}
 	}
 	v.fleetSize = max(v.fleetSize, len(v.peers)+1)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -148,10 +149,11 @@
 // Retry bounds the requests that are sent to a second backend server.
 type Retry struct {
 	// FleetShare is the part of a service's requests that all hosts together may
-	// send again, FleetReserve how many more in one window. Each host keeps to
-	// its part by the most hosts it has seen. Default: 0, each host by itself.
-	FleetShare   float64 `yaml:"fleet_share"`
-	FleetReserve float64 `yaml:"fleet_reserve"`
+	// send again in a window, FleetReserve how many more. The hosts of a data
+	// centre share its part. For direct picking only. Defaults: 0.1, 10, 10s.
+	FleetShare   float64         `yaml:"fleet_share"`
+	FleetReserve float64         `yaml:"fleet_reserve"`
+	Window       config.Duration `yaml:"window"`
 }
 
 // Backend is how this host deals with backend servers.
@@ -223,6 +225,11 @@
 	setDuration(&s.Caller.ReadHeaderTimeout, DefaultReadHeaderLimit)
 	setDuration(&s.Caller.IdleTimeout, DefaultIdleLimit)
 	setDuration(&s.Caller.BodyIdleTimeout, DefaultBodyIdleLimit)
+	rule := balance.DefaultRetryRule()
+	if s.Retry.FleetShare == 0 && s.Retry.FleetReserve == 0 {
+		s.Retry.FleetShare, s.Retry.FleetReserve = rule.Share, rule.Reserve
+	}
+	setDuration(&s.Retry.Window, rule.Window)
 	setDuration(&s.Backend.DialTimeout, upstream.DefaultDialTimeout)
 	setDuration(&s.Timing.Tick, DefaultTick)
 	setDuration(&s.Timing.Freshness, DefaultFreshness)
@@ -377,6 +384,7 @@
 		{"caller.read_header_timeout", s.Caller.ReadHeaderTimeout, 100 * time.Millisecond, time.Minute},
 		{"caller.idle_timeout", s.Caller.IdleTimeout, time.Second, time.Hour},
 		{"caller.body_idle_timeout", s.Caller.BodyIdleTimeout, 100 * time.Millisecond, time.Hour},
+		{"retry.window", s.Retry.Window, time.Second, time.Hour},
 		{"backend.dial_timeout", s.Backend.DialTimeout, 10 * time.Millisecond, time.Minute},
 		{"platform.direct_after", s.Platform.DirectAfter, time.Millisecond, time.Minute},
 		{"platform.direct_spread", s.Platform.DirectSpread, time.Millisecond, time.Minute},
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -74,6 +74,9 @@
 }
 
 func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
 	return time.Duration(rng.Int64N(int64(d)))
 }
 
@@ -133,7 +136,12 @@
 // lacksRequired reports whether a document is missing without which a host
 // cannot serve.
 func lacksRequired(w *world.World) bool {
-	return slices.ContainsFunc(w.Required, func(key string) bool { return w.Document(key).Revision == 0 })
+	return slices.ContainsFunc(w.Required, func(key string) bool {
+		if key == world.KeyIndex {
+			return w.Index == nil
+		}
+		return w.Document(key).Revision == 0
+	})
 }
 
 // Wanted returns the documents that are older than the index says.
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -68,6 +68,8 @@
 	Services map[string]*ServiceView
 	// Peers are the other live hosts.
 	Peers []PeerView
+	// NearHosts are the live hosts of this data centre, this one included.
+	NearHosts int
 	// FleetSize is the largest number of hosts that were live at a time.
 	FleetSize int
 	// Claimants are the hosts among which idempotency keys are spread, with
