Servers without a recent failure stay in use; a late report no longer counts twice

Ruled out: late news of new servers (told to all hosts within 1.2 s of the store). Second cause: the repeat of a failure report, arriving behind a newer one, was taken for a new life of the host and counted whole (647 outcomes in 2 s at 76 requests). Third: a request whose time was over before it was sent was tried for ever.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -6,6 +6,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -81,6 +82,8 @@
 	toldAt     time.Time
 	// speed is the usual time to the header of an answer, 0 if unknown.
 	speed time.Duration
+	// failedAt is when a request last failed there, at any host.
+	failedAt time.Time
 	// lastSent is when a host of this data centre last sent a request there.
 	lastSent time.Time
 	// coldUntil is until when a new server is slow.
@@ -99,9 +102,6 @@
 	speed time.Duration // usual time to the header of a good answer
 	// requests and retries of this data centre, for RetryRule.
 	requests, retries window
-	// served and unserved are recent outcomes, each halved every troubleHalfLife.
-	served, unserved float64
-	troubleAt        time.Time
 }
 
 // Config of a Table.
@@ -113,12 +113,14 @@
 // Table is safe for concurrent use.
 type Table struct {
 	conf    Config
+	life    uint64
 	started time.Time
 	changed chan struct{}
 
 	mu       sync.Mutex
 	servers  map[key]*server
 	services map[string]*service
+	lives    map[string]uint64  // of the other hosts, by name
 	sizes    map[string]float64 // bytes of an answer, by route group
 }
 
@@ -129,6 +131,8 @@
 		started:  now,
 		servers:  make(map[key]*server),
 		services: make(map[string]*service),
+		lives:    make(map[string]uint64),
+		life:     rand.Uint64(),
 		sizes:    make(map[string]float64),
 		changed:  make(chan struct{}, 1),
 	}
@@ -144,6 +148,9 @@
 	return svc
 }
 
+// Life tells one start of this host from the next.
+func (t *Table) Life() uint64 { return t.life }
+
 // Changed receives after the table has something to tell other hosts.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
@@ -194,7 +201,6 @@
 	s.dirty = true
 	s.learnOutcome(now, done)
 	svc := t.service(k.service)
-	svc.learnOutcome(now, done.Outcome)
 	if done.Outcome == Good && done.FirstByte > 0 {
 		s.learnSpeed(done.FirstByte)
 		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
@@ -216,23 +222,34 @@
 	t.sizes[group] = size + sizeGain*(bytes-size)
 }
 
+// add counts one outcome.
+func (c *counts) add(done Done) {
+	switch done.Outcome {
+	case Good:
+		c.good++
+		c.goodTime += done.FirstByte
+	case Failed:
+		c.failed++
+	case Shed:
+		c.shed++
+	case Unreachable:
+		c.unreachable++
+	}
+}
+
 func (s *server) learnOutcome(now time.Time, done Done) {
+	s.counts.add(done)
 	switch done.Outcome {
 	case Good:
 		s.spell.good(now)
-		s.counts.good++
-		s.counts.goodTime += done.FirstByte
 		s.pathFailures = 0
 		s.pathUntil = time.Time{}
 	case Failed:
 		s.spell.failed(now)
-		s.counts.failed++
+		s.failedAt = now
 		s.failing = true
-	case Shed:
-		s.counts.shed++
 	case Unreachable:
 		s.spell.unreachable(now)
-		s.counts.unreachable++
 		s.failing = true
 		hold := pathHold << min(s.pathFailures, 8)
 		s.pathFailures++
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -30,7 +30,7 @@
 func DefaultCostRule() CostRule {
 	return CostRule{
 		Failure:           1,
-		IdempotentFailure: 0.12,
+		IdempotentFailure: 0.5,
 		Late:              0.6,
 		OtherDataCentre:   0.01,
 		PerMegabyte:       12,
@@ -107,6 +107,7 @@
 	bestCost := math.Inf(1)
 	eligible := 0
 	svc := t.service(req.Service)
+	narrow := t.narrow(now, view, req)
 	for i := range view.Backends {
 		b := &view.Backends[i]
 		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
@@ -118,7 +119,7 @@
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		if cost := t.cost(now, svc, s, b, load, req); cost < bestCost {
+		if cost := t.cost(now, svc, s, b, load, req) - s.breadth(now, narrow && b.DataCentre == req.DataCentre); cost < bestCost {
 			best, bestRow, bestCost = b, s, cost
 		}
 	}
@@ -154,14 +155,14 @@
 	cost := rule.lateness(s.expected(now, svc, load, slots), req.Objective)
 	cost += spread*load/slots + jitter*rand.Float64() + lowWeight*(1-b.Weight)
 	failure := rule.Failure
-	if req.Idempotent {
+	if req.Idempotent && !req.Repeat {
 		failure = rule.IdempotentFailure
 	}
 	cost += failure * s.spell.failure(now)
 	if b.DataCentre != req.DataCentre {
 		return cost + s.pathCost(now) + rule.OtherDataCentre + rule.PerMegabyte*t.sizes[req.Group]/bytesPerMegabyte
 	}
-	return cost + s.pathCost(now) - svc.breadth(now, s)
+	return cost + s.pathCost(now)
 }
 
 // expected is the expected time to an answer.
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -50,30 +50,44 @@
 const forgetAfter = 2 * time.Minute
 
 func (s *server) report(k key) *peerpb.BackendLoad {
+	c := &s.counts
 	return &peerpb.BackendLoad{
 		Service:     k.service,
 		Backend:     k.backend,
 		InFlight:    uint32(max(s.inFlight, 0)),
-		Good:        s.counts.good,
-		Failed:      s.counts.failed,
-		Unreachable: s.counts.unreachable,
-		GoodUs:      uint64(s.counts.goodTime.Microseconds()),
-		Requests:    s.counts.requests,
-		Retries:     s.counts.retries,
-		Shed:        s.counts.shed,
+		Good:        c.good,
+		Failed:      c.failed,
+		Unreachable: c.unreachable,
+		GoodUs:      uint64(c.goodTime.Microseconds()),
+		Requests:    c.requests,
+		Retries:     c.retries,
+		Shed:        c.shed,
 	}
 }
 
-// Report takes what another host told. near is whether that host tells this one
-// of all its requests; its in-flight counts are used only then.
-func (t *Table) Report(now time.Time, host string, loads []*peerpb.BackendLoad, near bool) {
+// Report takes what another host told in one of its lives. near is whether that
+// host tells this one of all its requests; its in-flight counts are used only
+// then.
+func (t *Table) Report(now time.Time, host string, life uint64, loads []*peerpb.BackendLoad, near bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.meet(host, life)
 	for _, l := range loads {
 		t.reportOne(now, host, l, near)
 	}
 }
 
+// meet forgets what an earlier life of a host told: its requests are gone.
+func (t *Table) meet(host string, life uint64) {
+	if t.lives[host] == life {
+		return
+	}
+	t.lives[host] = life
+	for _, s := range t.servers {
+		delete(s.peers, host)
+	}
+}
+
 func (t *Table) reportOne(now time.Time, host string, l *peerpb.BackendLoad, near bool) {
 	k := key{l.Service, l.Backend}
 	s := t.row(now, k, nil)
@@ -84,13 +98,12 @@
 	}
 	next := countsOf(l)
 	if next.before(p.counts) {
-		if !now.After(p.at.Add(reorderWindow)) {
-			return // an older datagram that came late
-		}
-		p.counts = counts{} // the host has begun a new life
+		return // an older datagram that came late
 	}
 	s.learnPeer(now, p.counts, next)
-	t.service(k.service).learnPeer(now, t.conf.Retry.Window, p.counts, next, near)
+	if near {
+		t.service(k.service).learnNear(now, t.conf.Retry.Window, p.counts, next)
+	}
 	if near && next.requests+next.retries > p.counts.requests+p.counts.retries {
 		s.lastSent = now
 	}
@@ -101,9 +114,6 @@
 	}
 }
 
-// reorderWindow is how late a datagram may arrive behind a newer one.
-const reorderWindow = 200 * time.Millisecond
-
 // maxNews bounds the outcomes taken from one datagram: more are a backlog,
 // whose order is lost.
 const maxNews = 4
@@ -120,8 +130,7 @@
 	}
 }
 
-// before reports whether any count is lower: an older report of the same life
-// of a host, or one of a new life.
+// before reports whether any count is lower, as in an older report.
 func (c counts) before(d counts) bool {
 	return c.good < d.good || c.failed < d.failed || c.unreachable < d.unreachable ||
 		c.shed < d.shed || c.requests < d.requests || c.retries < d.retries
@@ -134,6 +143,7 @@
 	}
 	for range min(is.failed-was.failed, maxNews) {
 		s.spell.failed(now)
+		s.failedAt = now
 	}
 	if is.unreachable > was.unreachable {
 		s.spell.unreachable(now)
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -30,7 +30,8 @@
 // window counts events of the last Window in buckets.
 type window struct {
 	counts [windowBuckets + 1]int
-	bucket int64 // number of the newest bucket since the epoch
+	start  time.Time // of the first event; the steady clock counts from there
+	bucket int64     // number of the newest bucket since start
 }
 
 func (w *window) add(now time.Time, length time.Duration, n int) {
@@ -49,7 +50,10 @@
 
 // advance clears the buckets that began since the last call.
 func (w *window) advance(now time.Time, length time.Duration) {
-	bucket := now.UnixNano() / int64(length/windowBuckets)
+	if w.start.IsZero() {
+		w.start = now
+	}
+	bucket := int64(now.Sub(w.start) / (length / windowBuckets))
 	size := int64(len(w.counts))
 	for b := max(w.bucket+1, bucket-size+1); b <= bucket; b++ {
 		w.counts[b%size] = 0
@@ -65,6 +69,23 @@
 	All int
 }
 
+// noteSent counts a request that is sent to a server.
+func (svc *service) noteSent(now time.Time, length time.Duration, s *server, repeat bool) {
+	if repeat {
+		s.counts.retries++
+		svc.retries.add(now, length, 1)
+		return
+	}
+	s.counts.requests++
+	svc.requests.add(now, length, 1)
+}
+
+// learnNear counts what a host of this data centre sent since its last report.
+func (svc *service) learnNear(now time.Time, length time.Duration, was, is counts) {
+	svc.requests.add(now, length, int(is.requests-was.requests))
+	svc.retries.add(now, length, int(is.retries-was.retries))
+}
+
 // AllowRetry reports whether a request of a service may be sent again.
 func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
 	t.mu.Lock()
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -79,6 +79,7 @@
 		l.d.datagrams.Send(address, &peerpb.Datagram{
 			Kind:  peerpb.Datagram_KIND_LOAD,
 			From:  l.d.settings.Host,
+			Life:  l.table.Life(),
 			Loads: loads[:n],
 		})
 		loads = loads[n:]
@@ -101,7 +102,7 @@
 		d.publishDatagram(from, payload)
 		return
 	}
-	d.balance.Report(time.Now(), datagram.From, datagram.Loads, d.sameDataCentre(datagram.From))
+	d.balance.Report(time.Now(), datagram.From, datagram.Life, datagram.Loads, d.sameDataCentre(datagram.From))
 }
 
 func (d *Daemon) sameDataCentre(host string) bool {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -130,7 +130,7 @@
 // tryServers sends the request to one server after another until one answers.
 func (x *exchange) tryServers(ctx context.Context) error {
 	var last *Refusal
-	for x.ran < x.req.attempts() && len(x.tried) < maxSends && !isCallerGone(ctx) {
+	for x.ran < x.req.attempts() && len(x.tried) < maxSends && x.broken < maxBroken && ctx.Err() == nil {
 		lease, err := x.acquire(ctx)
 		if err != nil {
 			return x.final(last, err)
@@ -147,7 +147,7 @@
 			return last
 		}
 	}
-	return x.final(last, errs.New(errs.KindCanceled, "the caller went away before the request was sent", "repeat the request"))
+	return x.final(last, errs.New(errs.KindDeadline, "the time was over before the request was sent", "allow more time"))
 }
 
 // final chooses between the last try's refusal and having no server left.
@@ -278,7 +278,7 @@
 	}
 	if !failure.Written {
 		x.broken++
-		x.free = x.broken < maxBroken
+		x.free = true // no server had any of it
 		// An idle connection that the server closed says nothing against it.
 		if !failure.Dialled && typed.Kind == errs.KindDialFailed {
 			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
