--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/platform"
@@ -53,6 +54,9 @@
 // health records when the platform goes away and comes back.
 func (w *watcher) health(err error) {
 	w.d.metrics.PlatformCall(err)
+	if err == nil {
+		w.d.engine.Post(func(now time.Time) { w.d.engine.PlatformAnswered(now) })
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if lost := err != nil; lost != w.lost {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -87,6 +87,7 @@
 	queue     *gossip.Queue
 	members   *membership.List
 	detection *detection.System
+	documents *configsync.System
 	systems   []world.System
 	views     *viewBuilder
 
@@ -118,9 +119,15 @@
 	if conf.Documents != nil {
 		e.world.Required = conf.Documents
 		e.world.Polled = conf.Documents
+		e.world.ActiveReaders = 1 // others stand in for it
 	}
-	documents := configsync.New(now, configsync.Config{Seed: conf.Seed, DirectAfter: conf.DirectAfter, DirectSpread: conf.DirectSpread})
-	e.systems = []world.System{placement.System{}, documents}
+	e.documents = configsync.New(now, configsync.Config{
+		Seed:         conf.Seed,
+		DirectAfter:  conf.DirectAfter,
+		DirectSpread: conf.DirectSpread,
+		StandIn:      conf.Documents != nil,
+	})
+	e.systems = []world.System{placement.System{}, e.documents}
 	if conf.Forwarding { // else the balancer judges servers
 		e.systems = append(e.systems, e.detection)
 	}
@@ -280,6 +287,9 @@
 	for _, report := range out.Evidence {
 		e.sendAll(report.To, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_EVIDENCE, Evidence: report.Evidence})
 	}
+	for _, beat := range out.Heartbeats {
+		e.sendAll(beat.To, beat.Datagram)
+	}
 	for _, f := range out.Fetches {
 		e.effects.Fetch(f)
 	}
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -27,6 +27,9 @@
 func (e *Engine) Datagram(now time.Time, address string, d *peerpb.Datagram) {
 	e.clock.Observe(now, hlc.Timestamp(d.Clock))
 	e.mergeRegisters(now, d.Registers)
+	if d.Kind == peerpb.Datagram_KIND_HEARTBEAT {
+		e.documents.Heartbeat(e.world, now, d)
+	}
 	if d.Evidence != nil {
 		e.detection.Report(e.world, now, d.Evidence)
 	}
@@ -41,6 +44,9 @@
 	}
 }
 
+// PlatformAnswered notes that the platform has answered this host's watch.
+func (e *Engine) PlatformAnswered(now time.Time) { e.documents.Answered(now) }
+
 // Write stores a register of this host's and passes it on.
 func (e *Engine) Write(now time.Time, r *peerpb.Register) {
 	e.world.Write(now, r)
--- /dev/null
+++ b/internal/system/configsync/absence_test.go
@@ -0,0 +1,76 @@
+package configsync_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// registered delivers the list of registered backend servers.
+func (h *standInHost) registered(revision uint64, ids ...string) {
+	var rows []string
+	for i, id := range ids {
+		rows = append(rows, fmt.Sprintf(`{"service":"s","id":%q,"address":"10.0.0.1:%d","slots":1}`, id, 1000+i))
+	}
+	configsync.Accept(h.world, h.now, world.KeyDiscovered, revision, []byte(`{"backends":[`+strings.Join(rows, ",")+`]}`))
+}
+
+func (h *standInHost) uses(id string) bool {
+	return h.world.Services["s"].Backend(id) != nil
+}
+
+func newDiscoveringHost(t *testing.T) *standInHost {
+	h := newStandInHost("h1")
+	h.run(time.Second, from(0))
+	configsync.Accept(h.world, h.now, "services/a", 1, []byte(`{"services":[{"name":"s"}]}`))
+	h.registered(1, "b1", "b2")
+	if !h.uses("b1") || !h.uses("b2") {
+		t.Fatal("registered backend servers are not used")
+	}
+	return h
+}
+
+// A server whose registration is removed while the platform is in touch is gone
+// at once.
+func TestRemovedServerIsGone(t *testing.T) {
+	h := newDiscoveringHost(t)
+	h.registered(2, "b1")
+	if h.uses("b2") {
+		t.Fatal("b2 is used after its registration was removed")
+	}
+}
+
+// Registrations lapse while the platform is away: a server that is missing just
+// after its return is used on, until about 2 s are over; one that comes back
+// stays.
+func TestLapsedServersAreKeptForAWhile(t *testing.T) {
+	h := newDiscoveringHost(t)
+	h.run(5*time.Second, nil) // the platform is out of touch
+	h.registered(2)           // both registrations have lapsed
+	if !h.uses("b1") || !h.uses("b2") {
+		t.Fatal("servers whose registrations lapsed with the platform are dropped at once")
+	}
+	h.run(time.Second, from(0))
+	h.registered(3, "b1")
+	h.run(1500*time.Millisecond, from(0))
+	if !h.uses("b1") {
+		t.Error("b1 came back and is not used")
+	}
+	if h.uses("b2") {
+		t.Error("b2 is used 2.5 s after the platform's return without a registration")
+	}
+}
+
+// What a host keeps for a while it does not pass on as the platform's list.
+func TestKeptServersAreNotPassedOn(t *testing.T) {
+	h := newDiscoveringHost(t)
+	h.run(5*time.Second, nil)
+	h.registered(2, "b1")
+	if raw := string(h.world.Document(world.KeyDiscovered).Raw); strings.Contains(raw, "b2") {
+		t.Fatalf("document %s names a server that the platform does not list", raw)
+	}
+}
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -37,6 +37,7 @@
 	doc.Revision = revision
 	doc.Raw = raw
 	doc.RefusedReason = ""
+	w.HeadsChanged = true
 	w.Record(now, event.ConfigApplied, "", "", fmt.Sprintf("%s revision %d", key, revision))
 	announce(w, now, key, revision)
 }
@@ -151,6 +152,9 @@
 		next[b.Service] = append(next[b.Service], b.Backend)
 	}
 	held := w.Discovered
+	for name, backends := range held {
+		next[name] = keepAbsent(w, now, name, backends, next[name])
+	}
 	w.Discovered = next
 	for name, svc := range w.Services {
 		if svc.ListsBackends || slices.Equal(held[name], next[name]) {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -54,6 +54,9 @@
 	// costs reads when the whole fleet restarts.
 	DirectAfter  time.Duration
 	DirectSpread time.Duration
+	// StandIn lets hosts stand in for a reader that is not heard or gets no
+	// answers. Without it, readers change with the membership only.
+	StandIn bool
 }
 
 // System is the document step.
@@ -62,6 +65,7 @@
 	rng      *rand.Rand
 	directAt time.Time
 	nextPoll time.Time
+	standIn  takeOver
 }
 
 // New returns a system that starts at now.
@@ -70,6 +74,7 @@
 	s := &System{conf: conf, rng: rng}
 	s.directAt = now.Add(conf.DirectAfter + jitter(rng, conf.DirectSpread))
 	s.nextPoll = now.Add(jitter(rng, PollEvery))
+	s.standIn = takeOver{heard: now, fresh: now}
 	return s
 }
 
@@ -83,13 +88,19 @@
 // IsReader reports whether this host watches the platform. A new host
 // knows few others and would often be one: a restarted fleet would then
 // read everything once a host.
-func IsReader(w *world.World) bool { return w.Settled && slices.Contains(w.Readers, w.Self.Host) }
+func IsReader(w *world.World) bool {
+	return w.Settled && (w.StandsIn || slices.Contains(w.Readers, w.Self.Host))
+}
 
 // Run starts the fetches that are due.
 func (s *System) Run(w *world.World, now time.Time) {
+	s.notePlatform(w, now)
+	dropAbsent(w, now)
+	s.chooseReader(w, now)
 	s.followHeads(w, now)
 	s.followIndex(w, now)
 	s.poll(w, now)
+	s.beat(w, now)
 }
 
 // followHeads fetches what peers have announced.
--- /dev/null
+++ b/internal/system/configsync/takeover.go
@@ -0,0 +1,109 @@
+package configsync
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// One reader in each data centre is cheap and may be killed, cut off, slow or
+// turned away by the platform. It therefore tells the hosts of its data centre
+// every HeartbeatEvery that it reads and how old its knowledge is, and others
+// read in its place when that is missing or too old.
+const (
+	// HeartbeatEvery is the period of a reader's heartbeats.
+	HeartbeatEvery = 250 * time.Millisecond
+	// staleAfter is how old the reader's last answer from the platform may be.
+	// A quiet platform answers a watch every second.
+	staleAfter = 1500 * time.Millisecond
+	// staleStep delays the next in rank, so that they do not start together.
+	staleStep = 300 * time.Millisecond
+	// standIns is how many hosts of a data centre may stand in for a reader that
+	// lives but gets no answers: the platform may be away for all.
+	standIns = 4
+	// silentAfter is when a host that hears no reader at all reads by itself: it
+	// may be cut off from its peers. Five heartbeats would be lost by then.
+	silentAfter = 1250 * time.Millisecond
+)
+
+// takeOver is what a host knows of the readers of its data centre.
+type takeOver struct {
+	// heard is when a reader was last heard, fresh when one that was had last
+	// got an answer from the platform.
+	heard time.Time
+	fresh time.Time
+	// answered is when the platform last answered this host's own watch.
+	answered time.Time
+	// reading is set while this host stands in for a reader.
+	reading bool
+	// next is when the next heartbeat of this host is due.
+	next time.Time
+}
+
+// Answered notes that the platform has answered this host's watch.
+func (s *System) Answered(now time.Time) { s.standIn.answered = now }
+
+// Heartbeat takes a reader's heartbeat.
+func (s *System) Heartbeat(w *world.World, now time.Time, d *peerpb.Datagram) {
+	s.standIn.heard = now
+	fresh := now.Add(-time.Duration(d.AnswerAgeMs) * time.Millisecond)
+	if fresh.After(s.standIn.fresh) {
+		s.standIn.fresh = fresh
+	}
+	for _, head := range d.Heads {
+		doc := w.Document(head.Key)
+		if head.Revision > doc.Revision && head.Revision > doc.Refused {
+			s.fetch(w, now, doc, fetchPlan{holder: d.From})
+		}
+	}
+}
+
+// chooseReader decides whether this host stands in for a reader.
+func (s *System) chooseReader(w *world.World, now time.Time) {
+	if !s.conf.StandIn {
+		return
+	}
+	stale := now.Sub(s.standIn.fresh)
+	silent := now.Sub(s.standIn.heard)
+	rank := slices.Index(w.ReaderOrder, w.Self.Host)
+	due := staleAfter + time.Duration(max(rank, 0))*staleStep
+	switch {
+	case silent > silentAfter:
+		s.standIn.reading = true
+	case rank >= 0 && rank < standIns && stale > due:
+		s.standIn.reading = true
+	case stale < staleAfter:
+		s.standIn.reading = false
+	}
+	w.StandsIn = s.standIn.reading
+}
+
+// beat queues this host's heartbeat if it reads and one is due, or at once
+// after a document changed.
+func (s *System) beat(w *world.World, now time.Time) {
+	if !s.conf.StandIn || !IsReader(w) || s.standIn.answered.IsZero() {
+		return
+	}
+	if now.Before(s.standIn.next) && !w.HeadsChanged {
+		return
+	}
+	w.HeadsChanged = false
+	s.standIn.next = now.Add(HeartbeatEvery)
+	d := &peerpb.Datagram{
+		Kind:        peerpb.Datagram_KIND_HEARTBEAT,
+		AnswerAgeMs: uint32(now.Sub(s.standIn.answered).Milliseconds()),
+	}
+	for _, key := range w.Required {
+		d.Heads = append(d.Heads, &peerpb.Head{Key: key, Revision: w.Document(key).Revision})
+	}
+	var near []string
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		if h.Live() && h.DataCentre == w.Self.DataCentre && name != w.Self.Host {
+			near = append(near, name)
+		}
+	}
+	w.Out.Heartbeats = append(w.Out.Heartbeats, world.Heartbeat{To: near, Datagram: d})
+}
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -20,8 +20,9 @@
 	StandbyOwners = 1
 	// WatchersPerService must be odd, so that a majority is clear.
 	WatchersPerService = 3
-	// ReadersPerDataCentre is how many hosts watch the platform.
-	ReadersPerDataCentre = 2
+	// rankedReaders is how many hosts of a data centre are ranked to watch the
+	// platform; the others stand in only when they hear nobody.
+	rankedReaders = 5
 )
 
 // System is the placement step.
@@ -33,7 +34,8 @@
 		return
 	}
 	nodes := eligible(w)
-	w.Readers = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], ReadersPerDataCentre)
+	w.ReaderOrder = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], rankedReaders)
+	w.Readers = w.ReaderOrder[:min(w.ActiveReaders, len(w.ReaderOrder))]
 	for _, svc := range w.Services {
 		place(svc, nodes)
 	}
--- a/internal/world/outbox.go
+++ b/internal/world/outbox.go
@@ -32,6 +32,12 @@
 	Evidence *peerpb.Evidence
 }
 
+// Heartbeat is what a host that reads the platform tells the others.
+type Heartbeat struct {
+	To       []string // host names
+	Datagram *peerpb.Datagram
+}
+
 // Outbox collects what a tick wants done.
 type Outbox struct {
 	Events    []event.Event
@@ -41,6 +47,8 @@
 	Probes   []Probe
 	Fetches  []Fetch
 	Evidence []Evidence
+	// Heartbeats of a reader.
+	Heartbeats []Heartbeat
 }
 
 // Urgent is a register that should not wait for gossip.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -188,8 +188,16 @@
 	HostList config.HostList
 	// Index is the platform's list of shards, nil until known.
 	Index *config.Index
-	// Readers are the hosts of this data centre that watch the platform.
-	Readers []string
+	// Readers are the hosts of this data centre that watch the platform, the
+	// first ones of ReaderOrder, which also ranks those that stand in for them.
+	Readers     []string
+	ReaderOrder []string
+	// ActiveReaders is how many hosts of a data centre watch the platform.
+	ActiveReaders int
+	// StandsIn is set while this host watches the platform in a reader's place.
+	StandsIn bool
+	// HeadsChanged asks a reader for a heartbeat at once.
+	HeadsChanged bool
 
 	Documents map[string]*Document
 	// Required are the keys without which this host is not ready.
@@ -202,6 +210,11 @@
 	// Discovered are the registered backend servers by service; they serve the
 	// services whose configuration lists none.
 	Discovered map[string][]config.Backend
+	// Absent are the registered backend servers that the platform no longer
+	// lists and this host still uses for a while, by ID.
+	Absent map[string]AbsentBackend
+	// PlatformAwayAt is when the platform was last out of touch.
+	PlatformAwayAt time.Time
 	// DirectPicking is set where every host picks backend servers by itself.
 	DirectPicking bool
 	Registers     *register.Store
@@ -226,19 +239,32 @@
 	Out Outbox
 }
 
+// AbsentBackend is a backend server whose registration is missing.
+type AbsentBackend struct {
+	Service string
+	// Until is when it is taken for gone.
+	Until time.Time
+}
+
+// DefaultActiveReaders watch the platform in each data centre where nobody
+// stands in for them.
+const DefaultActiveReaders = 2
+
 // New returns an empty world.
 func New(self Identity, clock *hlc.Clock, now time.Time) *World {
 	return &World{
-		Self:         self,
-		Clock:        clock,
-		Hosts:        make(map[string]*Host),
-		Documents:    make(map[string]*Document),
-		Services:     make(map[string]*Service),
-		SharedRoutes: make(map[string][]config.Route),
-		Required:     []string{KeyIndex},
-		Polled:       []string{KeyIndex, KeyHosts},
-		Registers:    register.NewStore(),
-		StartedAt:    now,
+		Self:          self,
+		Clock:         clock,
+		Hosts:         make(map[string]*Host),
+		Documents:     make(map[string]*Document),
+		Services:      make(map[string]*Service),
+		SharedRoutes:  make(map[string][]config.Route),
+		Absent:        make(map[string]AbsentBackend),
+		ActiveReaders: DefaultActiveReaders,
+		Required:      []string{KeyIndex},
+		Polled:        []string{KeyIndex, KeyHosts},
+		Registers:     register.NewStore(),
+		StartedAt:     now,
 	}
 }
 
