Fewer bytes between data centres

Now gossip prefers the own data centre, failures go far once and short, and a far pick costs three times as much.

--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -32,8 +32,8 @@
 		Failure:           1,
 		IdempotentFailure: 0.5,
 		Late:              0.6,
-		OtherDataCentre:   0.01,
-		PerMegabyte:       12,
+		OtherDataCentre:   0.03,
+		PerMegabyte:       24,
 	}
 }
 
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -24,7 +24,7 @@
 			near = append(near, row)
 		}
 		if s.failing {
-			failing = append(failing, row)
+			failing = append(failing, failuresOf(row))
 		}
 		s.dirty, s.failing = false, false
 	}
@@ -49,6 +49,12 @@
 // forgetAfter is long enough for the belief to have faded.
 const forgetAfter = 2 * time.Minute
 
+// failuresOf is what the hosts of other data centres need: they do not share
+// this one's slots.
+func failuresOf(row *peerpb.BackendLoad) *peerpb.BackendLoad {
+	return &peerpb.BackendLoad{Service: row.Service, Backend: row.Backend, Failed: row.Failed, Unreachable: row.Unreachable}
+}
+
 func (s *server) report(k key) *peerpb.BackendLoad {
 	c := &s.counts
 	return &peerpb.BackendLoad{
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -16,8 +16,9 @@
 	// gatherFor is how long changes gather into one datagram. A request takes
 	// some 250 ms, so that this delays no decision by much.
 	gatherFor = 2 * time.Millisecond
-	// repeatAfter is when failures are told once more, in case a datagram was
-	// lost. What is told are counts, so that a repeat changes nothing.
+	// repeatAfter is when failures are told once more within the data centre, in
+	// case a datagram was lost. What is told are counts, so that a repeat changes
+	// nothing.
 	repeatAfter = 60 * time.Millisecond
 	// loadsPerDatagram keeps a datagram below common MTUs, at some 50 bytes each.
 	loadsPerDatagram = 20
@@ -48,28 +49,35 @@
 
 func (l *loadReporter) tell() {
 	near, failing := l.table.Changes()
-	snap := l.d.engine.Snapshot()
-	for _, p := range snap.Peers {
-		if p.DataCentre == snap.Self.DataCentre {
-			l.send(p.Address, near)
-		}
-	}
+	l.tellNear(near)
 	if len(failing) == 0 {
 		return
 	}
-	l.tellFailures(failing)
+	l.tellFar(failing)
 	time.AfterFunc(repeatAfter, func() {
 		if l.d.ctx.Err() == nil {
-			l.tellFailures(failing)
+			l.tellNear(near)
 		}
 	})
 }
 
-// tellFailures tells the hosts of the other data centres, and on the repeat
-// those of this one too.
-func (l *loadReporter) tellFailures(failing []*peerpb.BackendLoad) {
-	for _, p := range l.d.engine.Snapshot().Peers {
-		l.send(p.Address, failing)
+func (l *loadReporter) tellNear(loads []*peerpb.BackendLoad) {
+	snap := l.d.engine.Snapshot()
+	for _, p := range snap.Peers {
+		if p.DataCentre == snap.Self.DataCentre {
+			l.send(p.Address, loads)
+		}
+	}
+}
+
+// tellFar tells the hosts of other data centres, once: bytes to them are dear,
+// and they send few requests to this data centre's servers.
+func (l *loadReporter) tellFar(loads []*peerpb.BackendLoad) {
+	snap := l.d.engine.Snapshot()
+	for _, p := range snap.Peers {
+		if p.DataCentre != snap.Self.DataCentre {
+			l.send(p.Address, loads)
+		}
 	}
 }
 
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -16,6 +16,10 @@
 	DefaultAwarenessMax       = 8
 	pauseFactor               = 3
 	relayLifetimeProbePeriods = 2
+	// farGossipShare is how often a member of another data centre is told of a
+	// change when it is drawn. Each change is sent ln(n)+8 times by each host, so
+	// that some 50 tell each other data centre in a fleet of 40.
+	farGossipShare = 0.2
 )
 
 // Config of a List.
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -119,12 +119,27 @@
 		return out
 	}
 	l.nextGossip = now.Add(l.conf.GossipInterval)
-	for _, m := range l.randomLive(l.conf.GossipFanout, "") {
+	for _, m := range l.gossipTargets() {
 		out = append(out, l.packet(m.Address, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_GOSSIP}))
 	}
 	return out
 }
 
+// gossipTargets picks random live members, those of other data centres only
+// now and then: bytes to them are dear, and one of them tells all others there.
+func (l *List) gossipTargets() []*peerpb.Member {
+	targets := make([]*peerpb.Member, 0, l.conf.GossipFanout)
+	for _, m := range l.randomLive(len(l.rows), "") {
+		if len(targets) == l.conf.GossipFanout {
+			break
+		}
+		if m.DataCentre == l.conf.DataCentre || l.rng.Float64() < farGossipShare {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
 // randomLive picks up to n live members other than this host and except.
 func (l *List) randomLive(n int, except string) []*peerpb.Member {
 	var live []*peerpb.Member
