A quiet platform is not away

Ruled out: late news (all hosts had the list within 0.6 s). Now 2.5 s count as away: registrations lapse after some 3 s at the soonest. The test fails with 1.5 s.

--- a/internal/system/configsync/absence.go
+++ b/internal/system/configsync/absence.go
@@ -13,6 +13,12 @@
 // while the platform is away, and are back within about 2 s of its return.
 const absenceGrace = 2200 * time.Millisecond
 
+// awayAfter is how old the last answer from the platform must be for it to
+// count as away. Registrations lapse after some 4.5 s without a heartbeat of
+// their server, at least 3 s of them with the platform away; an answer and two
+// heartbeats of a reader are at most 1.6 s apart in calm.
+const awayAfter = 2500 * time.Millisecond
+
 // notePlatform keeps until when the platform was out of touch, as far as this
 // host knows by its own calls and by what readers tell.
 func (s *System) notePlatform(w *world.World, now time.Time) {
@@ -20,7 +26,7 @@
 	if s.standIn.answered.After(contact) {
 		contact = s.standIn.answered
 	}
-	if s.conf.StandIn && now.Sub(contact) > staleAfter {
+	if s.conf.StandIn && now.Sub(contact) > awayAfter {
 		w.PlatformAwayAt = now
 	}
 }
--- a/internal/system/configsync/absence_test.go
+++ b/internal/system/configsync/absence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -44,6 +45,24 @@
 	}
 }
 
+// An answer that is a second old and a lost heartbeat are calm: a server whose
+// registration is removed then is gone at once.
+func TestQuietPlatformIsNotAway(t *testing.T) {
+	h := newDiscoveringHost(t)
+	start := h.now
+	h.run(3*time.Second, func() *peerpb.Datagram {
+		if h.now.Sub(start)%(500*time.Millisecond) != 0 {
+			return nil
+		}
+		return from(h.now.Sub(start) % time.Second)()
+	})
+	h.run(800*time.Millisecond, nil)
+	h.registered(2, "b1")
+	if h.uses("b2") {
+		t.Fatal("b2 is used after its registration was removed")
+	}
+}
+
 // Registrations lapse while the platform is away: a server that is missing just
 // after its return is used on, until about 2 s are over; one that comes back
 // stays.
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -16,10 +16,10 @@
 	// HeartbeatEvery is the period of a reader's heartbeats.
 	HeartbeatEvery = 250 * time.Millisecond
 	// staleAfter is how old the reader's last answer from the platform may be.
-	// A quiet platform answers a watch every second.
-	staleAfter = 1500 * time.Millisecond
+	// A quiet platform answers a watch every second, and a heartbeat may be lost.
+	staleAfter = 1600 * time.Millisecond
 	// staleStep delays the next in rank, so that they do not start together.
-	staleStep = 300 * time.Millisecond
+	staleStep = 200 * time.Millisecond
 	// standIns is how many hosts of a data centre may stand in for a reader that
 	// lives but gets no answers: the platform may be away for all.
 	standIns = 4
