--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,250 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// view is a service of n servers b0, b1, ... in data centre dc1.
+func view(n int) *world.ServiceView {
+	v := &world.ServiceView{}
+	for i := range n {
+		v.Backends = append(v.Backends, world.BackendView{ID: fmt.Sprint("b", i), DataCentre: "dc1", Slots: 3, Weight: 1})
+	}
+	return v
+}
+
+func newTable() (*Table, time.Time) {
+	now := time.Now()
+	return NewTable(now, Config{Cost: DefaultCostRule(), Retry: DefaultRetryRule()}), now
+}
+
+func mustPick(t *testing.T, table *Table, now time.Time, v *world.ServiceView, req Request) *Lease {
+	t.Helper()
+	req.Service = "s"
+	if req.DataCentre == "" {
+		req.DataCentre = "dc1"
+	}
+	lease, err := table.Pick(now, v, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lease
+}
+
+// use sends a request to a server and notes its outcome.
+func use(t *testing.T, table *Table, now time.Time, v *world.ServiceView, id string, done Done) {
+	t.Helper()
+	only := &world.ServiceView{}
+	for _, b := range v.Backends {
+		if b.ID == id {
+			only.Backends = append(only.Backends, b)
+		}
+	}
+	mustPick(t, table, now, only, Request{}).Finish(done)
+}
+
+func TestBeliefRisesWithFailuresAndFades(t *testing.T) {
+	now := time.Now()
+	s := spell{probability: 0.02, at: now}
+	s.failed(now)
+	once := s.now(now)
+	s.failed(now)
+	twice := s.now(now)
+	if once < 0.4 || once > 0.7 || twice < 0.95 {
+		t.Errorf("belief %.2f after one failure and %.2f after two, want about even odds, then near certainty", once, twice)
+	}
+	if later := s.now(now.Add(time.Minute)); later > 1.05*stationary {
+		t.Errorf("belief %.2f a minute later, want %.2f", later, stationary)
+	}
+	s.good(now)
+	s.good(now)
+	s.good(now)
+	if cleared := s.now(now); cleared > 0.8 {
+		t.Errorf("belief %.2f after three good requests", cleared)
+	}
+}
+
+// A failure that another host saw turns this host's next request away.
+func TestFailureElsewhereTurnsRequestsAway(t *testing.T) {
+	table, now := newTable()
+	v := view(2)
+	for _, id := range []string{"b0", "b1"} {
+		use(t, table, now, v, id, Done{Outcome: Good, FirstByte: 100 * time.Millisecond})
+	}
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 2, Failed: 2}}, false)
+	for range 3 {
+		if lease := mustPick(t, table, now, v, Request{}); lease.Server.ID != "b1" {
+			t.Fatalf("request goes to %s, where two just failed", lease.Server.ID)
+		}
+	}
+}
+
+// A repeated or late report counts nothing twice; a new life of the host is
+// counted from its start.
+func TestReportsCountOnce(t *testing.T) {
+	table, now := newTable()
+	first := []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 5, Retries: 1}}
+	second := []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 9, Retries: 2}}
+	table.Report(now, "h2", 7, first, true)
+	table.Report(now, "h2", 7, second, true)
+	table.Report(now, "h2", 7, first, true)
+	table.Report(now, "h2", 7, second, true)
+	svc := table.service("s")
+	window := table.conf.Retry.Window
+	if got := svc.requests.sum(now, window); got != 9 {
+		t.Errorf("%d requests counted, want 9", got)
+	}
+	table.Report(now, "h2", 8, first, true)
+	if got := svc.requests.sum(now, window); got != 14 {
+		t.Errorf("%d requests counted after the host's restart, want 14", got)
+	}
+}
+
+// Requests in flight from another host of the data centre fill a server here
+// too, and no longer once that host is not heard.
+func TestPeersRequestsFillServers(t *testing.T) {
+	table, now := newTable()
+	v := view(1)
+	full := uint32(3 * queuePerSlot)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", InFlight: full, Requests: uint64(full)}}, true)
+	if _, err := table.Pick(now, v, Request{Service: "s", DataCentre: "dc1"}); errs.KindOf(err) != errs.KindQueueFull {
+		t.Fatalf("error %v, want %s", err, errs.KindQueueFull)
+	}
+	if _, err := table.Pick(now.Add(2*peerExpiry), v, Request{Service: "s", DataCentre: "dc1"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What hosts of a data centre sent again comes out of one allowance.
+func TestRetriesAreSharedByADataCentre(t *testing.T) {
+	table, now := newTable()
+	table.conf.Retry = RetryRule{Share: 0.2, Reserve: 20, Window: 10 * time.Second}
+	fleet := Fleet{Near: 10, All: 40}
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 50}}, true)
+	allowed := 0
+	for now := now; table.AllowRetry(now, "s", fleet); allowed++ {
+		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 50, Retries: uint64(allowed + 1)}}, true)
+	}
+	// 0.8 of 0.2 of 50 requests and of a quarter of the reserve
+	if allowed != 12 {
+		t.Errorf("%d retries allowed, want 12", allowed)
+	}
+	if !table.AllowRetry(now.Add(11*time.Second), "s", fleet) {
+		t.Error("no retry allowed once the window has passed")
+	}
+}
+
+// The window forgets what is older than its length.
+func TestWindowForgets(t *testing.T) {
+	var w window
+	now := time.Now()
+	const length = 10 * time.Second
+	w.add(now, length, 3)
+	w.add(now.Add(6*time.Second), length, 2)
+	if got := w.sum(now.Add(9*time.Second), length); got != 5 {
+		t.Errorf("%d after 9 s, want 5", got)
+	}
+	if got := w.sum(now.Add(12*time.Second), length); got != 2 {
+		t.Errorf("%d after 12 s, want 2", got)
+	}
+	if got := w.sum(now.Add(time.Hour), length); got != 0 {
+		t.Errorf("%d after an hour, want 0", got)
+	}
+}
+
+// Servers without a recent failure stay in use, although one server alone could
+// carry all requests; failing ones need not.
+func TestServersStayInUse(t *testing.T) {
+	table, start := newTable()
+	v := view(8)
+	used := make(map[string]int)
+	for step := range 100 {
+		now := start.Add(time.Duration(step) * 40 * time.Millisecond)
+		lease := mustPick(t, table, now, v, Request{})
+		if step >= 50 {
+			used[lease.Server.ID]++
+		}
+		outcome := Good
+		if lease.Server.ID == "b0" {
+			outcome = Failed
+		}
+		// finish by hand: the test's clock moves
+		table.mu.Lock()
+		row := table.servers[lease.key]
+		row.inFlight--
+		row.learnOutcome(now, Done{Outcome: outcome, FirstByte: 100 * time.Millisecond})
+		table.mu.Unlock()
+	}
+	if len(used) < 6 {
+		t.Errorf("%d of 8 servers in use over 2 s: %v", len(used), used)
+	}
+	if used["b0"] > 2 {
+		t.Errorf("the failing server got %d of 50 requests", used["b0"])
+	}
+}
+
+// A server that cannot be reached from here is left until the hold is over.
+func TestUnreachableServerIsLeft(t *testing.T) {
+	table, now := newTable()
+	v := view(2)
+	use(t, table, now, v, "b0", Done{Outcome: Unreachable})
+	for range 5 {
+		if lease := mustPick(t, table, now, v, Request{Idempotent: true}); lease.Server.ID != "b1" {
+			t.Fatalf("request goes to %s, which cannot be reached", lease.Server.ID)
+		}
+	}
+}
+
+// A large answer is worth waiting for in the own data centre, a small one is
+// had from another when the own servers fail.
+func TestLargeAnswersStayInTheDataCentre(t *testing.T) {
+	table, now := newTable()
+	v := view(2)
+	v.Backends[1].DataCentre = "dc2"
+	use(t, table, now, v, "b1", Done{Outcome: Good, FirstByte: 100 * time.Millisecond})
+	use(t, table, now, v, "b0", Done{Outcome: Failed})
+	table.learnSize("large", 100_000)
+	table.learnSize("small", 500)
+	if lease := mustPick(t, table, now, v, Request{Idempotent: true, Group: "large"}); lease.Server.ID != "b0" {
+		t.Errorf("a large answer is fetched from %s", lease.Server.DataCentre)
+	}
+	if lease := mustPick(t, table, now, v, Request{Idempotent: true, Group: "small"}); lease.Server.ID != "b1" {
+		t.Errorf("a small answer is asked for at a server that just failed")
+	}
+}
+
+// The load that a server tells counts beyond what is known, and fades.
+func TestToldLoadFades(t *testing.T) {
+	table, now := newTable()
+	v := view(1)
+	use(t, table, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond, Load: &protocol.Load{Running: 3, Waiting: 6}})
+	row := table.servers[key{"s", "b0"}]
+	if load := row.load(row.toldAt); load != 8 {
+		t.Errorf("load %.1f, want the 8 others that the server told of", load)
+	}
+	if load := row.load(row.toldAt.Add(10 * toldHalfLife)); load > 0.1 {
+		t.Errorf("load %.1f long after it was told", load)
+	}
+}
+
+// Changes tell the data centre of every request, all hosts of failures only.
+func TestChangesTellFailuresFar(t *testing.T) {
+	table, now := newTable()
+	v := view(2)
+	use(t, table, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
+	use(t, table, now, v, "b1", Done{Outcome: Failed})
+	near, far := table.Changes()
+	if len(near) != 2 || len(far) != 1 || far[0].Backend != "b1" || far[0].Failed != 1 || far[0].Requests != 0 {
+		t.Errorf("near %v, far %v", near, far)
+	}
+	if near, far = table.Changes(); len(near)+len(far) != 0 {
+		t.Errorf("told again without a change: %v, %v", near, far)
+	}
+}
