--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -102,6 +102,8 @@
 	speed time.Duration // usual time to the header of a good answer
 	// requests and retries of this data centre, for RetryRule.
 	requests, retries window
+	// served and unserved requests of this data centre, for breadth.
+	served, unserved window
 }
 
 // Config of a Table.
@@ -201,6 +203,7 @@
 	s.dirty = true
 	s.learnOutcome(now, done)
 	svc := t.service(k.service)
+	svc.noteOutcome(now, done.Outcome)
 	if done.Outcome == Good && done.FirstByte > 0 {
 		s.learnSpeed(done.FirstByte)
 		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -19,12 +19,29 @@
 	// breadthShare is the part of the servers without a recent failure that
 	// must be in use. The users' rule asks for 0.7 over all data centres.
 	breadthShare = 0.75
-	// breadthGain outweighs any belief in a spell, and no blocked path.
-	breadthGain = 2.0
+	// troubleWindow is the time over which outcomes are counted, as in the
+	// users' rule; troubleShare the part of unserved requests from which on all
+	// servers are tried, also such as are believed to fail: then what is known
+	// of them helps little. The rule speaks of a tenth.
+	troubleWindow = 2 * time.Second
+	troubleShare  = 0.1
+	// troubleLeast is how many outcomes must be known.
+	troubleLeast = 20
+	// troubleFailure is recentFailure in such a time.
+	troubleFailure = time.Second
+	// unusedGain outweighs any belief in a spell, and no blocked path.
+	unusedGain = 2.0
 )
 
-// narrow reports whether too few of this data centre's servers are in use.
-func (t *Table) narrow(now time.Time, view *world.ServiceView, req Request) bool {
+// breadth is the need for more servers in use.
+type breadth struct {
+	narrow   bool // too few of this data centre's servers are in use
+	troubled bool // many of the service's requests are unserved
+}
+
+// breadth looks at this data centre's servers.
+func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request) breadth {
+	troubled := t.service(req.Service).troubled(now)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -35,26 +52,50 @@
 		switch {
 		case !known:
 			candidates++
-		case s.mustBeUsed(now):
+		case s.mustBeUsed(now, troubled):
 			candidates++
 			if now.Sub(s.lastSent) < unusedFor {
 				used++
 			}
 		}
 	}
-	return float64(used) < breadthShare*float64(candidates)
+	return breadth{narrow: float64(used) < breadthShare*float64(candidates), troubled: troubled}
+}
+
+// troubled reports whether many requests of this data centre are unserved.
+func (svc *service) troubled(now time.Time) bool {
+	served := svc.served.sum(now, troubleWindow)
+	unserved := svc.unserved.sum(now, troubleWindow)
+	total := served + unserved
+	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)
+}
+
+// noteOutcome counts an outcome of this host's own.
+func (svc *service) noteOutcome(now time.Time, outcome Outcome) {
+	switch outcome {
+	case Good:
+		svc.served.add(now, troubleWindow, 1)
+	case Failed, Shed:
+		svc.unserved.add(now, troubleWindow, 1)
+	}
 }
 
 // mustBeUsed reports whether nothing recent speaks against a server.
-func (s *server) mustBeUsed(now time.Time) bool {
-	return now.Sub(s.failedAt) > recentFailure && now.After(s.pathUntil) && s.spell.now(now) < inSpell
+func (s *server) mustBeUsed(now time.Time, troubled bool) bool {
+	if now.Before(s.pathUntil) {
+		return false
+	}
+	if troubled {
+		return now.Sub(s.failedAt) > troubleFailure
+	}
+	return now.Sub(s.failedAt) > recentFailure && s.spell.now(now) < inSpell
 }
 
-// breadth is what a request gains by going to a server that has had none for
-// long, where too few servers are in use.
-func (s *server) breadth(now time.Time, narrow bool) float64 {
-	if narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now) {
-		return breadthGain
+// breadthGain is what a request gains by going to a server that has had none
+// for long, where too few servers are in use.
+func (s *server) breadthGain(now time.Time, need breadth) float64 {
+	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, need.troubled) {
+		return unusedGain
 	}
 	return 0
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -107,7 +107,7 @@
 	bestCost := math.Inf(1)
 	eligible := 0
 	svc := t.service(req.Service)
-	narrow := t.narrow(now, view, req)
+	need := t.breadth(now, view, req)
 	for i := range view.Backends {
 		b := &view.Backends[i]
 		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
@@ -119,7 +119,11 @@
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		if cost := t.cost(now, svc, s, b, load, req) - s.breadth(now, narrow && b.DataCentre == req.DataCentre); cost < bestCost {
+		cost := t.cost(now, svc, s, b, load, req)
+		if b.DataCentre == req.DataCentre {
+			cost -= s.breadthGain(now, need)
+		}
+		if cost < bestCost {
 			best, bestRow, bestCost = b, s, cost
 		}
 	}
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -80,10 +80,12 @@
 	svc.requests.add(now, length, 1)
 }
 
-// learnNear counts what a host of this data centre sent since its last report.
+// learnNear counts what a host of this data centre did since its last report.
 func (svc *service) learnNear(now time.Time, length time.Duration, was, is counts) {
 	svc.requests.add(now, length, int(is.requests-was.requests))
 	svc.retries.add(now, length, int(is.retries-was.retries))
+	svc.served.add(now, troubleWindow, int(is.good-was.good))
+	svc.unserved.add(now, troubleWindow, int(is.failed-was.failed+is.shed-was.shed))
 }
 
 // AllowRetry reports whether a request of a service may be sent again.
