The reader says whether it comes from an outage; all hosts of a data centre may stand in

Now the list itself says whether its reader has just found the store again, and every host of a data centre may stand in, 0.2 s after the one before. Ruled out: lost or late lists (0.6 s).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -184,7 +184,10 @@
 // Discovered is the value of the backends key: the backend servers that have
 // registered themselves, for services that list none of their own.
 type Discovered struct {
-	Backends []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
+	// AfterOutage is set where the platform was out of the reader's touch until
+	// just now: registrations may be missing although their servers live.
+	AfterOutage bool                `yaml:"after_outage" json:"after_outage,omitempty"`
+	Backends    []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
 }
 
 // DiscoveredBackend is one registered backend server.
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -94,7 +94,6 @@
 
 // Run starts the fetches that are due.
 func (s *System) Run(w *world.World, now time.Time) {
-	s.notePlatform(w, now)
 	dropAbsent(w, now)
 	s.chooseReader(w, now)
 	s.followHeads(w, now)
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -18,11 +18,9 @@
 	// staleAfter is how old the reader's last answer from the platform may be.
 	// A quiet platform answers a watch every second, and a heartbeat may be lost.
 	staleAfter = 1600 * time.Millisecond
-	// staleStep delays the next in rank, so that they do not start together.
+	// staleStep delays the next in rank, so that not all ask a platform that is
+	// away for everybody.
 	staleStep = 200 * time.Millisecond
-	// standIns is how many hosts of a data centre may stand in for a reader that
-	// lives but gets no answers: the platform may be away for all.
-	standIns = 4
 	// silentAfter is when a host that hears no reader at all reads by itself: it
 	// may be cut off from its peers. Five heartbeats would be lost by then.
 	silentAfter = 1250 * time.Millisecond
@@ -72,7 +70,7 @@
 	switch {
 	case silent > silentAfter:
 		s.standIn.reading = true
-	case rank >= 0 && rank < standIns && stale > due:
+	case rank >= 0 && stale > due:
 		s.standIn.reading = true
 	case stale < staleAfter:
 		s.standIn.reading = false
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -20,9 +20,6 @@
 	StandbyOwners = 1
 	// WatchersPerService must be odd, so that a majority is clear.
 	WatchersPerService = 3
-	// rankedReaders is how many hosts of a data centre are ranked to watch the
-	// platform; the others stand in only when they hear nobody.
-	rankedReaders = 5
 )
 
 // System is the placement step.
@@ -34,7 +31,7 @@
 		return
 	}
 	nodes := eligible(w)
-	w.ReaderOrder = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], rankedReaders)
+	w.ReaderOrder = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], len(nodes[w.Self.DataCentre]))
 	w.Readers = w.ReaderOrder[:min(w.ActiveReaders, len(w.ReaderOrder))]
 	for _, svc := range w.Services {
 		place(svc, nodes)
