--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -25,6 +25,7 @@
 		IdentityHeader:  d.settings.Caller.IdentityHeader,
 		Protocol:        d.protocol,
 		ReadyApart:      d.listeners.ready != nil,
+		WhenReady:       d.engine.WhenReady(),
 		BodyIdleTimeout: time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
 	service := admin.NewServer(d.settings.Host, d.engine, d.events, d.clients)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,11 +94,12 @@
 	inbox    chan func(now time.Time)
 	snapshot atomic.Pointer[world.Snapshot]
 
-	lastTick time.Time
-	wokeAt   time.Time // end of the last pause, zero if the view is fresh
-	synced   bool      // a peer has answered a full comparison
-	ready    bool
-	known    []string // addresses of other hosts, as of this tick
+	lastTick  time.Time
+	wokeAt    time.Time // end of the last pause, zero if the view is fresh
+	synced    bool      // a peer has answered a full comparison
+	ready     bool
+	whenReady chan struct{} // closed once this host is ready
+	known     []string      // addresses of other hosts, as of this tick
 }
 
 // New returns an engine that starts at now.
@@ -113,6 +114,7 @@
 		views:     newViewBuilder(conf.Forwarding),
 		inbox:     make(chan func(time.Time), inboxSize),
 		lastTick:  now,
+		whenReady: make(chan struct{}),
 	}
 	e.members = membership.New(conf.Membership, e, e.queue, now)
 	e.world.DirectPicking = !conf.Forwarding
@@ -315,6 +317,7 @@
 	w := e.world
 	if !e.ready && e.isReady(now) {
 		e.ready = true
+		defer close(e.whenReady) // after the snapshot that says so
 		w.Record(now, event.HostReady, "", "", "")
 	}
 	if e.wokeAt.IsZero() {
@@ -337,6 +340,9 @@
 	return e.synced || len(e.known) == 0 || now.Sub(e.world.StartedAt) > ReadyAfter
 }
 
+// WhenReady is closed once a configuration is in force.
+func (e *Engine) WhenReady() <-chan struct{} { return e.whenReady }
+
 // Ready reports whether a configuration is in force.
 func (e *Engine) Ready() bool { return e.Snapshot().Ready }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -4,6 +4,7 @@
 package frontend
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,6 +27,10 @@
 	maxIdempotencyKey = 256
 	maxSession        = 256
 	maxTimeout        = 2 * time.Hour
+
+	// startPatience is how long a request that comes before the configuration
+	// may wait for it: a host that has just started reads it in some 300 ms.
+	startPatience = 500 * time.Millisecond
 )
 
 // Dispatcher serves requests.
@@ -39,6 +44,8 @@
 	IdentityHeader string
 	// Protocol is what callers speak.
 	Protocol *protocol.Protocol
+	// WhenReady is closed once the first configuration is in force.
+	WhenReady <-chan struct{}
 	// ReadyApart is set where the balancer has a listener of its own.
 	ReadyApart bool
 	// BodyIdleTimeout ends a request whose body stands still, either way.
@@ -134,7 +141,7 @@
 }
 
 func (f *Frontend) serveCaller(w http.ResponseWriter, r *http.Request, id string) error {
-	snap := f.snapshot()
+	snap := f.awaitReady(r.Context())
 	if !snap.Ready {
 		return refuse(http.StatusServiceUnavailable, errs.KindNotConfigured, "this host has no configuration yet", "repeat the request; the balancer should ask "+f.conf.Protocol.ReadyPath)
 	}
@@ -168,6 +175,23 @@
 	return f.dispatch(w, req)
 }
 
+// awaitReady returns the newest view, after a short wait if there is no
+// configuration yet.
+func (f *Frontend) awaitReady(ctx context.Context) *world.Snapshot {
+	snap := f.snapshot()
+	if snap.Ready {
+		return snap
+	}
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-f.conf.WhenReady:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.snapshot()
+}
+
 func (f *Frontend) serveForwarded(w http.ResponseWriter, r *http.Request, id string) error {
 	snap := f.snapshot()
 	req := dispatch.NewRequest(r)
