Lines about requests on standard output, bounded and never blocking

One line for each request that failed, was refused, repeated or slow, and for one in 100 others: its tries with server, result, time, and the belief and load that decided the pick. At most 100 lines a second a host; a stalled reader of standard output costs lines, not time (test).

--- a/cmd/pearshelfd/main.go
+++ b/cmd/pearshelfd/main.go
@@ -4,11 +4,9 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -16,6 +14,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/daemon"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/logging"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/internal/version"
 	"github.com/pearshelf/pearshelf/platform"
@@ -41,23 +40,19 @@
 		kong.Description("Entry host of a pearshelf fleet. SIGTERM is a planned stop that loses no request; a second one ends it at once."),
 		kong.Vars{"version": version.String()},
 	)
-	setVerbosity(f.Verbose)
-	defer klog.Flush()
-	if err := run(f); err != nil {
+	lines := logging.NewWriter(os.Stdout)
+	if err := logging.Use(lines, f.Verbose); err != nil {
+		fmt.Fprintln(os.Stderr, "pearshelfd: verbosity not set:", err)
+	}
+	err := run(f)
+	klog.Flush()
+	lines.Close()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "pearshelfd:", err)
-		klog.Flush()
 		os.Exit(exitCode(err))
 	}
 }
 
-func setVerbosity(level int) {
-	set := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(set)
-	if err := set.Set("v", strconv.Itoa(level)); err != nil {
-		klog.ErrorS(err, "verbosity not set")
-	}
-}
-
 func exitCode(err error) int {
 	if errs.KindOf(err) == errs.KindSettings {
 		return exitSettings
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -85,6 +85,10 @@
 type Lease struct {
 	// Server is where to send.
 	Server world.BackendView
+	// Belief that the server is failing, and Load, its requests, decided the
+	// pick, among others.
+	Belief float64
+	Load   float64
 
 	table *Table
 	key   key
@@ -130,12 +134,20 @@
 	if best == nil {
 		return nil, t.none(req, eligible)
 	}
+	load := bestRow.load(now)
 	bestRow.inFlight++
 	bestRow.dirty = true
 	bestRow.lastSent = now
 	svc.noteSent(now, t.conf.Retry.Window, bestRow, req.Repeat)
 	t.notify()
-	return &Lease{Server: *best, table: t, key: key{req.Service, best.ID}, group: req.Group}, nil
+	return &Lease{
+		Server: *best,
+		Belief: bestRow.spell.now(now),
+		Load:   load,
+		table:  t,
+		key:    key{req.Service, best.ID},
+		group:  req.Group,
+	}, nil
 }
 
 func (t *Table) none(req Request, eligible int) error {
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -32,6 +32,7 @@
 // pass streams a backend server's answer to the caller.
 func (x *exchange) pass(ctx context.Context, lease *place, answer *upstream.Answer) {
 	x.headerArrived()
+	x.status = answer.StatusCode
 	x.d.metrics.Added(x.req.Service, time.Since(x.start)-answer.FirstByte)
 	source := lease
 	copying := &copier{
@@ -58,11 +59,16 @@
 	x.noteEnd(source, answer, err)
 	source.Release()
 	if err != nil {
+		x.trace.end("aborted")
+		x.logRequest(unknown(asTyped(err)))
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func (x *exchange) noteEnd(lease *place, answer *upstream.Answer, err error) {
+	if err == nil {
+		x.trace.end("answered/" + strconv.Itoa(answer.StatusCode))
+	}
 	switch {
 	case errors.Is(err, errCallerGone):
 	case err != nil || answer.StatusCode >= http.StatusInternalServerError:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,6 +60,8 @@
 	balance  *balance.Table
 	marks    *protocol.Protocol
 
+	requestLog requestLog
+
 	mu       sync.Mutex
 	services map[string]*serviceState
 }
@@ -139,7 +141,10 @@
 			return err
 		}
 	}
-	return x.serveOwned(ctx)
+	err := x.serveOwned(ctx)
+	refusal, _ := err.(*Refusal)
+	x.logRequest(refusal)
+	return err
 }
 
 // forwards reports whether an owner host should take the request. An owner
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -49,6 +50,9 @@
 	// free and paid say how the next try is allowed; see mayRetry.
 	free, paid bool
 	broken     int
+	// status is of the answer that was passed on, 0 for none.
+	status int
+	trace  trace
 	// ran counts the servers that may have run the request, arrived those that
 	// it may have reached.
 	ran     int
@@ -213,6 +217,7 @@
 // answered; otherwise refusal says what this try came to.
 func (x *exchange) try(ctx context.Context, lease *place) (done bool, refusal *Refusal) {
 	defer lease.Release()
+	x.trace.begin(lease)
 	x.free = false
 	x.paid = false
 	answer, failure := x.send(ctx, x.d.backends, "http", lease.Server.Address, x.target(lease))
@@ -272,6 +277,7 @@
 // failed notes an exchange that brought no answer.
 func (x *exchange) failed(ctx context.Context, lease *place, failure *upstream.Failure) *Refusal {
 	typed := asTyped(failure.Unwrap())
+	x.trace.end(string(typed.Kind))
 	if isCallerGone(ctx) {
 		x.written = x.written || failure.Written
 		return notRunOrUnknown(x.written, typed)
@@ -301,6 +307,7 @@
 	if x.isNotRun(answer) {
 		answer.Finish()
 		x.shed(lease)
+		x.trace.end("not-run/" + strconv.Itoa(answer.StatusCode))
 		return false, notRunOrUnknown(x.written, errs.New(errs.KindShed, "backend server "+lease.Server.ID+" shed the request", "repeat the request after the time in Retry-After"))
 	}
 	x.written = true
@@ -310,6 +317,7 @@
 	}
 	if err := readWhole(answer, x.d.conf.BufferBytes); err != nil {
 		answer.Discard()
+		x.trace.end("cut-short")
 		x.tried = append(x.tried, lease.Server.ID)
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 		return false, unknown(x.whyBroken(ctx, err))
@@ -324,6 +332,7 @@
 // wrongAnswer drops an answer that is not this request's, or not the server's.
 func (x *exchange) wrongAnswer(lease *place, answer *upstream.Answer) *Refusal {
 	answer.Discard()
+	x.trace.end("wrong-answer")
 	x.tried = append(x.tried, lease.Server.ID)
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	x.d.events.Record(event.RequestWrong, x.req.Service, lease.Server.ID, "answer carries another request's ID, or no signature")
@@ -361,6 +370,7 @@
 		return true, nil
 	}
 	answer.Finish()
+	x.trace.end("error/" + strconv.Itoa(answer.StatusCode))
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	return false, unknown(errs.New(errs.KindBroken, "backend server "+lease.Server.ID+" answered with an error", "repeat the request"))
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,7 +19,10 @@
 	// Borrowed is set if the slot belongs to another owner host.
 	Borrowed bool
 	// done is what was learnt so far.
-	done   balance.Done
+	done balance.Done
+	// belief and load are what decided the pick, 0 with owner hosts.
+	belief float64
+	load   float64
 	end    func(balance.Done)
 	report func(protocol.Load)
 }
@@ -52,6 +55,7 @@
 
 func balancedPlace(lease *balance.Lease) *place {
 	p := &place{Server: lease.Server, done: balance.Done{Outcome: balance.Neutral}, end: lease.Finish}
+	p.belief, p.load = lease.Belief, lease.Load
 	p.report = func(load protocol.Load) { p.done.Load = &load }
 	return p
 }
--- /dev/null
+++ b/internal/dispatch/trace.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// slowAfter makes a request worth a line of its own. It is the usual latency
+	// objective.
+	slowAfter = time.Second
+	// sampleOneIn is how many plain requests there are for each line about one.
+	sampleOneIn = 100
+	// linesPerSecond bounds the lines about requests on one host; what does not
+	// fit is counted and told with the next line that does.
+	linesPerSecond = 100
+)
+
+// try is what is logged of one try.
+type try struct {
+	server string
+	// belief that the server was failing, and its load, when it was picked.
+	belief float64
+	load   float64
+	began  time.Time
+	took   time.Duration
+	result string
+}
+
+// trace is what is logged of one request.
+type trace struct {
+	tries   []try
+	retried []string // what allowed each retry
+}
+
+// begin notes a pick.
+func (t *trace) begin(lease *place) {
+	t.tries = append(t.tries, try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now()})
+}
+
+// end notes what became of the newest try. The first result counts.
+func (t *trace) end(result string) {
+	if len(t.tries) == 0 {
+		return
+	}
+	last := &t.tries[len(t.tries)-1]
+	if last.result == "" {
+		last.result = result
+		last.took = time.Since(last.began)
+	}
+}
+
+// String lists the tries: server, result, time taken, and what decided the pick.
+func (t *trace) String() string {
+	var text strings.Builder
+	for i, one := range t.tries {
+		if i > 0 {
+			text.WriteString("; ")
+		}
+		text.WriteString(one.server + " " + one.result)
+		text.WriteString(" took=" + one.took.Round(time.Millisecond).String())
+		text.WriteString(" belief=" + strconv.FormatFloat(one.belief, 'f', 2, 64))
+		text.WriteString(" load=" + strconv.FormatFloat(one.load, 'f', 1, 64))
+	}
+	return text.String()
+}
+
+// requestLog bounds the lines about requests.
+type requestLog struct {
+	plain  atomic.Uint64
+	second atomic.Int64
+	lines  atomic.Int64
+	missed atomic.Int64
+}
+
+// wants reports whether a request gets a line: all that failed, were refused,
+// repeated or slow, and a sample of the others.
+func (l *requestLog) wants(now time.Time, plain bool) bool {
+	if plain && l.plain.Add(1)%sampleOneIn != 0 {
+		return false
+	}
+	second := now.Unix()
+	if l.second.Swap(second) != second {
+		l.lines.Store(0)
+	}
+	if l.lines.Add(1) > linesPerSecond {
+		l.missed.Add(1)
+		return false
+	}
+	return true
+}
+
+// logRequest writes the line about a request that has its final answer.
+func (x *exchange) logRequest(refusal *Refusal) {
+	now := time.Now()
+	took := now.Sub(x.start)
+	plain := refusal == nil && x.status < 500 && len(x.trace.tries) == 1 && took < slowAfter
+	if !x.d.requestLog.wants(now, plain) {
+		return
+	}
+	outcome, status, reason := OutcomeComplete, x.status, ""
+	if refusal != nil {
+		outcome, status, reason = refusal.Outcome, refusal.Status, refusal.Err.Error()
+	}
+	klog.InfoS("request",
+		"request", x.req.ID,
+		"service", x.req.Service,
+		"idempotent", x.req.Idempotent,
+		"outcome", string(outcome),
+		"status", status,
+		"reason", reason,
+		"took", took.Round(time.Millisecond),
+		"left", time.Until(x.req.Deadline).Round(time.Millisecond),
+		"version", x.snap.Revisions[world.KeyPublished],
+		"servers", len(x.view.Backends),
+		"tries", x.trace.String(),
+		"missed", x.d.requestLog.missed.Swap(0))
+}
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -20,6 +20,7 @@
 	claimantAddresses map[string]string
 	hostListRevision  uint64
 	hosts             int
+	revisions         map[string]uint64
 	peers             []world.PeerView
 	peersVersion      uint64
 	nearHosts         int
@@ -38,9 +39,11 @@
 	v.buildServices(w)
 	v.buildClaimants(w)
 	v.buildPeers(w)
+	v.buildRevisions(w)
 	return &world.Snapshot{
 		Self:            w.Self,
 		FreshUntil:      w.FreshUntil,
+		Revisions:       v.revisions,
 		Ready:           ready,
 		Leaving:         w.Leaving,
 		Distrust:        w.Distrust,
@@ -148,6 +151,21 @@
 	}
 }
 
+// buildRevisions copies the documents' revisions where one has changed.
+func (v *viewBuilder) buildRevisions(w *world.World) {
+	same := len(v.revisions) == len(w.Documents)
+	for key, doc := range w.Documents {
+		same = same && v.revisions[key] == doc.Revision
+	}
+	if same {
+		return
+	}
+	v.revisions = make(map[string]uint64, len(w.Documents))
+	for key, doc := range w.Documents {
+		v.revisions[key] = doc.Revision
+	}
+}
+
 // buildPeers lists the other live hosts.
 func (v *viewBuilder) buildPeers(w *world.World) {
 	if v.peersVersion == w.HostsVersion && v.fleetSize > 0 {
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,51 @@
+package logging_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/logging"
+)
+
+func TestLinesArriveInOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := logging.NewWriter(&out)
+	var want bytes.Buffer
+	for i := range 100 {
+		line := fmt.Appendf(nil, "line %d\n", i)
+		want.Write(line)
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Close()
+	if out.String() != want.String() || w.Dropped() != 0 {
+		t.Errorf("%d dropped, got %q", w.Dropped(), out.String())
+	}
+}
+
+// A reader of standard output that stands still holds up nobody: every Write
+// returns, and what does not fit is counted.
+func TestStalledReaderBlocksNobody(t *testing.T) {
+	stalled, reader := newStalled()
+	w := logging.NewWriter(stalled)
+	const lines = 20_000
+	for range lines {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if dropped := w.Dropped(); dropped < lines/2 {
+		t.Errorf("%d of %d lines dropped; the queue must be bounded", dropped, lines)
+	}
+	reader.Close()
+	w.Close()
+}
+
+// newStalled returns a writer whose reader reads nothing until it is closed.
+func newStalled() (io.Writer, io.Closer) {
+	r, w := io.Pipe()
+	return w, r
+}
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -59,6 +59,8 @@
 	Self Identity
 	// FreshUntil is until when non-idempotent requests may be sent.
 	FreshUntil time.Time
+	// Revisions of the documents in force, by key.
+	Revisions map[string]uint64
 	// Ready is whether a configuration is in force.
 	Ready   bool
 	Leaving bool
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -20,6 +20,9 @@
 	KeyIndex       = "services/index"
 	KeyHosts       = "hosts"
 	KeyShardPrefix = "services/"
+	// KeyPublished is the one shard of a platform that publishes its
+	// configuration as a whole.
+	KeyPublished = KeyShardPrefix + "published"
 	// KeyDiscovered holds the backend servers that registered themselves, where
 	// the platform has such a register.
 	KeyDiscovered = "backends"
