--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,9 +32,6 @@
 	// doubled for each further failure up to maxPathHold.
 	pathHold    = 500 * time.Millisecond
 	maxPathHold = 4 * time.Second
-	// settleTime is how long after the start of a host servers that it learns
-	// of are held for known to the fleet, not for new ones.
-	settleTime = 5 * time.Second
 )
 
 // Outcome is what became of one request at a backend server.
@@ -100,6 +97,9 @@
 // service is what is known of a service as a whole.
 type service struct {
 	speed time.Duration // usual time to the header of a good answer
+	// known is set once this host has seen the service's servers: those that it
+	// sees later have just started.
+	known bool
 	// requests and retries of this data centre, for RetryRule.
 	requests, retries window
 	// served and unserved requests of this data centre, for breadth.
@@ -116,7 +116,6 @@
 type Table struct {
 	conf    Config
 	life    uint64
-	started time.Time
 	changed chan struct{}
 
 	mu       sync.Mutex
@@ -126,11 +125,10 @@
 	sizes    map[string]float64 // bytes of an answer, by route group
 }
 
-// NewTable returns an empty table of a host that started at now.
-func NewTable(now time.Time, conf Config) *Table {
+// NewTable returns an empty table.
+func NewTable(conf Config) *Table {
 	return &Table{
 		conf:     conf,
-		started:  now,
 		servers:  make(map[key]*server),
 		services: make(map[string]*service),
 		lives:    make(map[string]uint64),
@@ -171,7 +169,7 @@
 	}
 	s = &server{peers: make(map[string]*peerLoad)}
 	s.spell = spell{probability: stationary, at: now}
-	if view != nil && now.Sub(t.started) > settleTime {
+	if view != nil && t.service(k.service).known {
 		s.spell.probability = newServer
 		s.coldUntil = now.Add(view.Warmup)
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -22,7 +22,7 @@
 
 func newTable() (*Table, time.Time) {
 	now := time.Now()
-	return NewTable(now, Config{Cost: DefaultCostRule(), Retry: DefaultRetryRule()}), now
+	return NewTable(Config{Cost: DefaultCostRule(), Retry: DefaultRetryRule()}), now
 }
 
 func mustPick(t *testing.T, table *Table, now time.Time, v *world.ServiceView, req Request) *Lease {
@@ -248,3 +248,17 @@
 		t.Errorf("told again without a change: %v, %v", near, far)
 	}
 }
+
+// The servers that a host finds when it starts may be in a spell; one that joins
+// later has just started and is held for sound.
+func TestNewServersAreTrusted(t *testing.T) {
+	table, now := newTable()
+	use(t, table, now, view(2), "b0", Done{Outcome: Neutral})
+	mustPick(t, table, now, view(3), Request{})
+	if found := table.servers[key{"s", "b0"}].spell.now(now); found < 0.9*stationary {
+		t.Errorf("belief %.2f of a server found at the start, want %.2f", found, stationary)
+	}
+	if joined := table.servers[key{"s", "b2"}].spell.now(now); joined > 2*newServer {
+		t.Errorf("belief %.2f of a server that joined, want %.2f", joined, newServer)
+	}
+}
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -131,6 +131,7 @@
 			best, bestRow, bestCost = b, s, cost
 		}
 	}
+	svc.known = true
 	if best == nil {
 		return nil, t.none(req, eligible)
 	}
