--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -115,6 +115,7 @@
 // Table is safe for concurrent use.
 type Table struct {
 	conf    Config
+	started time.Time
 	life    uint64
 	changed chan struct{}
 
@@ -125,10 +126,11 @@
 	sizes    map[string]float64 // bytes of an answer, by route group
 }
 
-// NewTable returns an empty table.
-func NewTable(conf Config) *Table {
+// NewTable returns an empty table of a host that started at now.
+func NewTable(now time.Time, conf Config) *Table {
 	return &Table{
 		conf:     conf,
+		started:  now,
 		servers:  make(map[key]*server),
 		services: make(map[string]*service),
 		lives:    make(map[string]uint64),
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -103,6 +103,9 @@
 		s.peers[host] = p
 	}
 	next := countsOf(l)
+	if !known && next.requests+next.retries > maxNews {
+		p.counts = next // what was before this host heard of it is long past
+	}
 	if next.before(p.counts) {
 		return // an older datagram that came late
 	}
@@ -121,7 +124,7 @@
 }
 
 // maxNews bounds the outcomes taken from one datagram: more are a backlog,
-// whose order is lost.
+// whose order and time are lost.
 const maxNews = 4
 
 func countsOf(l *peerpb.BackendLoad) counts {
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -95,6 +95,9 @@
 	svc := t.service(name)
 	rule := t.conf.Retry
 	reserve := rule.Reserve * float64(fleet.Near) / float64(max(fleet.All, fleet.Near, 1))
+	// What the hosts spent before they were all killed is forgotten: a young host
+	// spends as if the reserve had just been used up.
+	reserve *= min(now.Sub(t.started).Seconds()/rule.Window.Seconds(), 1)
 	allowance := retrySafety * (rule.Share*float64(svc.requests.sum(now, rule.Window)) + reserve)
 	return float64(svc.retries.sum(now, rule.Window)+1) <= max(allowance, 1)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,7 +215,7 @@
 		BeforeTick: d.hooks.BeforeTick,
 	}, d.clock, &effects{d: d}, now)
 	if !*d.settings.Forwarding {
-		d.balance = balance.NewTable(balance.Config{
+		d.balance = balance.NewTable(now, balance.Config{
 			Cost: balance.DefaultCostRule(),
 			Retry: balance.RetryRule{
 				Share:   d.settings.Retry.FleetShare,
