Each report brings the service's totals

Now each datagram brings the totals of the service (test: a lost report is made up by the host's next one).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -104,6 +104,11 @@
 	requests, retries window
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
+	// totals are this host's counts over all servers, near those that the hosts
+	// of this data centre last told.
+	totals counts
+	near   map[string]counts
+	dirty  bool
 }
 
 // Config of a Table.
@@ -144,7 +149,7 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{speed: defaultSpeed}
+		svc = &service{speed: defaultSpeed, near: make(map[string]counts)}
 		t.services[name] = svc
 	}
 	return svc
@@ -203,6 +208,8 @@
 	s.dirty = true
 	s.learnOutcome(now, done)
 	svc := t.service(k.service)
+	svc.totals.add(done)
+	svc.dirty = true
 	svc.noteOutcome(now, done.Outcome)
 	if done.Outcome == Good && done.FirstByte > 0 {
 		s.learnSpeed(done.FirstByte)
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -90,8 +90,8 @@
 // counted from its start.
 func TestReportsCountOnce(t *testing.T) {
 	table, now := newTable()
-	first := []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 3, Retries: 1}}
-	second := []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 9, Retries: 2}}
+	first := []*peerpb.BackendLoad{{Service: "s", Requests: 3, Retries: 1}}
+	second := []*peerpb.BackendLoad{{Service: "s", Requests: 9, Retries: 2}}
 	table.Report(now, "h2", 7, first, true)
 	table.Report(now, "h2", 7, second, true)
 	table.Report(now, "h2", 7, first, true)
@@ -128,11 +128,11 @@
 	table.conf.Retry = RetryRule{Share: 0.2, Reserve: 20, Window: 10 * time.Second}
 	fleet := Fleet{Near: 10, All: 40}
 	now = now.Add(time.Minute)
-	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0"}}, true)
-	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 50}}, true)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s"}}, true)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 50}}, true)
 	allowed := 0
 	for now := now; table.AllowRetry(now, "s", fleet); allowed++ {
-		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 50, Retries: uint64(allowed + 1)}}, true)
+		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 50, Retries: uint64(allowed + 1)}}, true)
 	}
 	// 0.8 of 0.2 of 50 requests and of a quarter of the reserve
 	if allowed != 12 {
@@ -143,13 +143,28 @@
 	}
 }
 
+// A lost report is made up by the host's next one, whatever server that is about.
+func TestLostReportIsMadeUp(t *testing.T) {
+	sender, now := newTable()
+	receiver, _ := newTable()
+	v := view(2)
+	use(t, sender, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
+	sender.Changes() // lost
+	use(t, sender, now, v, "b1", Done{Outcome: Good, FirstByte: time.Millisecond})
+	near, _ := sender.Changes()
+	receiver.Report(now, "h2", sender.Life(), near, true)
+	if got := receiver.service("s").requests.sum(now, receiver.conf.Retry.Window); got != 2 {
+		t.Errorf("%d requests known, want 2", got)
+	}
+}
+
 // A host that has just started knows nothing of what was spent before: it takes
 // no other host's past for the present, and its reserve grows over a window.
 func TestYoungHostSpendsLittle(t *testing.T) {
 	table, now := newTable()
 	table.conf.Retry = RetryRule{Share: 0.2, Reserve: 20, Window: 10 * time.Second}
 	fleet := Fleet{Near: 40, All: 40}
-	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Requests: 500, Retries: 50}}, true)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 500, Retries: 50}}, true)
 	svc := table.service("s")
 	if got := svc.requests.sum(now, table.conf.Retry.Window); got != 0 {
 		t.Errorf("%d requests of the past counted as of now", got)
@@ -257,14 +272,15 @@
 	}
 }
 
-// Changes tell the data centre of every request, all hosts of failures only.
+// Changes tell the data centre of every request and of the service's totals, all
+// hosts of failures only.
 func TestChangesTellFailuresFar(t *testing.T) {
 	table, now := newTable()
 	v := view(2)
 	use(t, table, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
 	use(t, table, now, v, "b1", Done{Outcome: Failed})
 	near, far := table.Changes()
-	if len(near) != 2 || len(far) != 1 || far[0].Backend != "b1" || far[0].Failed != 1 || far[0].Requests != 0 {
+	if len(near) != 3 || len(far) != 1 || far[0].Backend != "b1" || far[0].Failed != 1 || far[0].Requests != 0 {
 		t.Errorf("near %v, far %v", near, far)
 	}
 	if near, far = table.Changes(); len(near)+len(far) != 0 {
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -28,6 +28,12 @@
 		}
 		s.dirty, s.failing = false, false
 	}
+	for name, svc := range t.services {
+		if svc.dirty {
+			near = append(near, svc.totals.row(key{service: name}))
+			svc.dirty = false
+		}
+	}
 	return near, failing
 }
 
@@ -56,11 +62,16 @@
 }
 
 func (s *server) report(k key) *peerpb.BackendLoad {
-	c := &s.counts
+	row := s.counts.row(k)
+	row.InFlight = uint32(max(s.inFlight, 0))
+	return row
+}
+
+// row is a report. One without a server holds the totals of a service.
+func (c counts) row(k key) *peerpb.BackendLoad {
 	return &peerpb.BackendLoad{
 		Service:     k.service,
 		Backend:     k.backend,
-		InFlight:    uint32(max(s.inFlight, 0)),
 		Good:        c.good,
 		Failed:      c.failed,
 		Unreachable: c.unreachable,
@@ -92,9 +103,20 @@
 	for _, s := range t.servers {
 		delete(s.peers, host)
 	}
+	for _, svc := range t.services {
+		if _, known := svc.near[host]; known {
+			svc.near[host] = counts{} // its counts begin anew
+		}
+	}
 }
 
 func (t *Table) reportOne(now time.Time, host string, l *peerpb.BackendLoad, near bool) {
+	if l.Backend == "" {
+		if near {
+			t.service(l.Service).learnNear(now, t.conf.Retry.Window, host, countsOf(l))
+		}
+		return
+	}
 	k := key{l.Service, l.Backend}
 	s := t.row(now, k, nil)
 	p, known := s.peers[host]
@@ -110,9 +132,6 @@
 		return // an older datagram that came late
 	}
 	s.learnPeer(now, p.counts, next)
-	if near {
-		t.service(k.service).learnNear(now, t.conf.Retry.Window, p.counts, next)
-	}
 	if near && next.requests+next.retries > p.counts.requests+p.counts.retries {
 		s.lastSent = now
 	}
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -71,17 +71,29 @@
 
 // noteSent counts a request that is sent to a server.
 func (svc *service) noteSent(now time.Time, length time.Duration, s *server, repeat bool) {
+	svc.dirty = true
 	if repeat {
 		s.counts.retries++
+		svc.totals.retries++
 		svc.retries.add(now, length, 1)
 		return
 	}
 	s.counts.requests++
+	svc.totals.requests++
 	svc.requests.add(now, length, 1)
 }
 
 // learnNear counts what a host of this data centre did since its last report.
-func (svc *service) learnNear(now time.Time, length time.Duration, was, is counts) {
+// Each datagram brings the totals, so that the next one makes up for a lost one.
+func (svc *service) learnNear(now time.Time, length time.Duration, host string, is counts) {
+	was, known := svc.near[host]
+	if is.before(was) {
+		return // an older datagram that came late
+	}
+	svc.near[host] = is
+	if !known && is.requests+is.retries > maxNews {
+		return // what was before this host heard of it is long past
+	}
 	svc.requests.add(now, length, int(is.requests-was.requests))
 	svc.retries.add(now, length, int(is.retries-was.retries))
 	svc.served.add(now, troubleWindow, int(is.good-was.good))
