Idle timeouts that servers announce are honoured; smaller files; old failures are no news

A host that has just started took the failures that others had counted before for new ones; now only the newest is (test).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,13 +60,6 @@
 	counts   counts
 }
 
-// counts only grow in one life of a host.
-type counts struct {
-	good, failed, unreachable, shed uint64
-	requests, retries               uint64
-	goodTime                        time.Duration
-}
-
 // server is one row of the table.
 type server struct {
 	spell    spell
@@ -232,21 +225,6 @@
 	t.sizes[group] = size + sizeGain*(bytes-size)
 }
 
-// add counts one outcome.
-func (c *counts) add(done Done) {
-	switch done.Outcome {
-	case Good:
-		c.good++
-		c.goodTime += done.FirstByte
-	case Failed:
-		c.failed++
-	case Shed:
-		c.shed++
-	case Unreachable:
-		c.unreachable++
-	}
-}
-
 func (s *server) learnOutcome(now time.Time, done Done) {
 	s.counts.add(done)
 	switch done.Outcome {
--- /dev/null
+++ b/internal/balance/counts.go
@@ -0,0 +1,74 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
+
+// counts only grow in one life of a host.
+type counts struct {
+	good, failed, unreachable, shed uint64
+	requests, retries               uint64
+	goodTime                        time.Duration
+}
+
+// add counts one outcome.
+func (c *counts) add(done Done) {
+	switch done.Outcome {
+	case Good:
+		c.good++
+		c.goodTime += done.FirstByte
+	case Failed:
+		c.failed++
+	case Shed:
+		c.shed++
+	case Unreachable:
+		c.unreachable++
+	}
+}
+
+func countsOf(l *peerpb.BackendLoad) counts {
+	return counts{
+		good:        l.Good,
+		failed:      l.Failed,
+		unreachable: l.Unreachable,
+		shed:        l.Shed,
+		requests:    l.Requests,
+		retries:     l.Retries,
+		goodTime:    time.Duration(l.GoodUs) * time.Microsecond,
+	}
+}
+
+// before reports whether any count is lower, as in an older report.
+func (c counts) before(d counts) bool {
+	return c.good < d.good || c.failed < d.failed || c.unreachable < d.unreachable ||
+		c.shed < d.shed || c.requests < d.requests || c.retries < d.retries
+}
+
+// history is all but the newest outcome: of what a host first tells of a server,
+// only that is news. A failure comes first, because it is what is told to all.
+func (c counts) history() counts {
+	switch {
+	case c.failed > 0:
+		c.failed--
+	case c.good > 0:
+		c.good--
+	}
+	return c
+}
+
+// row is a report. One without a server holds the totals of a service.
+func (c counts) row(k key) *peerpb.BackendLoad {
+	return &peerpb.BackendLoad{
+		Service:     k.service,
+		Backend:     k.backend,
+		Good:        c.good,
+		Failed:      c.failed,
+		Unreachable: c.unreachable,
+		GoodUs:      uint64(c.goodTime.Microseconds()),
+		Requests:    c.requests,
+		Retries:     c.retries,
+		Shed:        c.shed,
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -67,21 +67,6 @@
 	return row
 }
 
-// row is a report. One without a server holds the totals of a service.
-func (c counts) row(k key) *peerpb.BackendLoad {
-	return &peerpb.BackendLoad{
-		Service:     k.service,
-		Backend:     k.backend,
-		Good:        c.good,
-		Failed:      c.failed,
-		Unreachable: c.unreachable,
-		GoodUs:      uint64(c.goodTime.Microseconds()),
-		Requests:    c.requests,
-		Retries:     c.retries,
-		Shed:        c.shed,
-	}
-}
-
 // Report takes what another host told in one of its lives. near is whether that
 // host tells this one of all its requests; its in-flight counts are used only
 // then.
@@ -125,8 +110,8 @@
 		s.peers[host] = p
 	}
 	next := countsOf(l)
-	if !known && next.requests+next.retries > maxNews {
-		p.counts = next // what was before this host heard of it is long past
+	if !known {
+		p.counts = next.history()
 	}
 	if next.before(p.counts) {
 		return // an older datagram that came late
@@ -146,24 +131,6 @@
 // whose order and time are lost.
 const maxNews = 4
 
-func countsOf(l *peerpb.BackendLoad) counts {
-	return counts{
-		good:        l.Good,
-		failed:      l.Failed,
-		unreachable: l.Unreachable,
-		shed:        l.Shed,
-		requests:    l.Requests,
-		retries:     l.Retries,
-		goodTime:    time.Duration(l.GoodUs) * time.Microsecond,
-	}
-}
-
-// before reports whether any count is lower, as in an older report.
-func (c counts) before(d counts) bool {
-	return c.good < d.good || c.failed < d.failed || c.unreachable < d.unreachable ||
-		c.shed < d.shed || c.requests < d.requests || c.retries < d.retries
-}
-
 func (s *server) learnPeer(now time.Time, was, is counts) {
 	good := is.good - was.good
 	for range min(good, maxNews) {
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -23,44 +23,8 @@
 	// retrySafety is the part of the allowance that is spent: reports may be
 	// lost, and hosts may decide at the same moment.
 	retrySafety = 0.8
-	// windowBuckets divide the window.
-	windowBuckets = 20
 )
 
-// window counts events of the last Window in buckets.
-type window struct {
-	counts [windowBuckets + 1]int
-	start  time.Time // of the first event; the steady clock counts from there
-	bucket int64     // number of the newest bucket since start
-}
-
-func (w *window) add(now time.Time, length time.Duration, n int) {
-	w.advance(now, length)
-	w.counts[w.bucket%int64(len(w.counts))] += n
-}
-
-func (w *window) sum(now time.Time, length time.Duration) int {
-	w.advance(now, length)
-	total := 0
-	for _, n := range w.counts {
-		total += n
-	}
-	return total
-}
-
-// advance clears the buckets that began since the last call.
-func (w *window) advance(now time.Time, length time.Duration) {
-	if w.start.IsZero() {
-		w.start = now
-	}
-	bucket := int64(now.Sub(w.start) / (length / windowBuckets))
-	size := int64(len(w.counts))
-	for b := max(w.bucket+1, bucket-size+1); b <= bucket; b++ {
-		w.counts[b%size] = 0
-	}
-	w.bucket = max(w.bucket, bucket)
-}
-
 // Fleet is how many hosts there are.
 type Fleet struct {
 	// Near are the live hosts of this data centre, this one included.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -26,6 +26,8 @@
 	begun  uint64
 	sealed bool
 	guard  Guard
+	// idleTimeout is what the server announced, 0 for nothing.
+	idleTimeout time.Duration
 }
 
 // Write notes that a write begins before any byte can leave.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -118,6 +118,9 @@
 	defer a.mu.Unlock()
 	a.conn = conn
 	if conn != nil {
+		if info.WasIdle {
+			conn.sealIfIdle(info.IdleTime)
+		}
 		a.mark = conn.arm(a.guard)
 	}
 }
@@ -152,6 +155,9 @@
 	if err != nil {
 		return nil, failure(ctx, err, conn, mark)
 	}
+	if conn != nil {
+		conn.announce(announcedIdle(resp.Header))
+	}
 	return &Answer{Response: resp, FirstByte: time.Since(start), conn: conn}, nil
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,7 +31,7 @@
 
 mutant "floor" internal/system/rotation/rotation.go 's/if p.in <= p.floor {/if false {/' ./internal/system/rotation
 mutant "floor of non-idempotent" internal/system/rotation/rotation.go 's/idempotentOnly \&\& p.whole > max(p.floor, 1)/idempotentOnly/' ./internal/system/rotation
-mutant "own answer" internal/dispatch/exchange.go 's/return echo == x.req.ID/return echo != ""/' ./e2e -ginkgo.focus "another request's ID"
+mutant "own answer" internal/dispatch/judge.go 's/return echo == x.req.ID/return echo != ""/' ./e2e -ginkgo.focus "another request's ID"
 mutant "abort of a short answer" internal/dispatch/answer.go '0,/panic(http.ErrAbortHandler)/s//return/' ./e2e -ginkgo.focus "cut short|cannot be continued"
 mutant "resumed download" internal/dispatch/answer.go 's/if !c.resumable {/if true {/' ./e2e -ginkgo.focus "continues a download"
 mutant "connection kept after the end" internal/dispatch/answer.go 's/return c.answer.Body.Close()/c.answer.Discard(); return nil/' ./e2e -ginkgo.focus "share them"
