--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -47,7 +47,7 @@
 			only.Backends = append(only.Backends, b)
 		}
 	}
-	mustPick(t, table, now, only, Request{}).Finish(done)
+	mustPick(t, table, now, only, Request{First: true}).Finish(done)
 }
 
 func TestBeliefRisesWithFailuresAndFades(t *testing.T) {
@@ -134,9 +134,9 @@
 	for now := now; table.AllowRetry(now, "s", fleet); allowed++ {
 		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 50, Retries: uint64(allowed + 1)}}, true)
 	}
-	// 0.8 of 0.2 of 50 requests and of a quarter of the reserve
-	if allowed != 12 {
-		t.Errorf("%d retries allowed, want 12", allowed)
+	// 0.75 of 0.2 of 50 requests and of a quarter of the reserve
+	if allowed != 11 {
+		t.Errorf("%d retries allowed, want 11", allowed)
 	}
 	if !table.AllowRetry(now.Add(11*time.Second), "s", fleet) {
 		t.Error("no retry allowed once the window has passed")
@@ -155,6 +155,21 @@
 	}
 }
 
+// A request that is picked for again, because a server could not be reached, is
+// counted once: each count adds to what may be sent again.
+func TestPickedAgainCountsOnce(t *testing.T) {
+	table, now := newTable()
+	v := view(3)
+	mustPick(t, table, now, v, Request{First: true}).Finish(Done{Outcome: Unreachable})
+	mustPick(t, table, now, v, Request{}).Finish(Done{Outcome: Shed})
+	mustPick(t, table, now, v, Request{Repeat: true}).Finish(Done{Outcome: Good})
+	svc := table.service("s")
+	window := table.conf.Retry.Window
+	if requests, retries := svc.requests.sum(now, window), svc.retries.sum(now, window); requests != 1 || retries != 1 {
+		t.Errorf("%d requests and %d retries counted, want 1 and 1", requests, retries)
+	}
+}
+
 // A lost report is made up by the host's next one, whatever server that is about.
 func TestLostReportIsMadeUp(t *testing.T) {
 	sender, now := newTable()
@@ -186,7 +201,7 @@
 	for ; table.AllowRetry(now, "s", fleet); allowed++ {
 		svc.retries.add(now, table.conf.Retry.Window, 1)
 	}
-	if allowed > 2 { // a tenth of 0.8 of the reserve
+	if allowed > 2 { // a tenth of 0.75 of the reserve
 		t.Errorf("%d retries allowed a second after the start", allowed)
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -73,7 +73,9 @@
 	DataCentre string
 	// Objective is the latency objective, 0 for none.
 	Objective time.Duration
-	// Repeat is set if another server has had the request.
+	// First is set at the first pick for a request, Repeat once a server has had
+	// it. Neither is set after a server that could not be reached.
+	First  bool
 	Repeat bool
 	// Group names requests with answers of about one size, such as a route.
 	Group string
@@ -139,7 +141,7 @@
 	bestRow.inFlight++
 	bestRow.dirty = true
 	bestRow.lastSent = now
-	svc.noteSent(now, t.conf.Retry.Window, bestRow, req.Repeat)
+	svc.noteSent(now, t.conf.Retry.Window, bestRow, req)
 	t.notify()
 	return &Lease{
 		Server: *best,
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -22,7 +22,7 @@
 const (
 	// retrySafety is the part of the allowance that is spent: reports may be
 	// lost, and hosts may decide at the same moment.
-	retrySafety = 0.8
+	retrySafety = 0.75
 )
 
 // Fleet is how many hosts there are.
@@ -34,17 +34,18 @@
 }
 
 // noteSent counts a request that is sent to a server.
-func (svc *service) noteSent(now time.Time, length time.Duration, s *server, repeat bool) {
+func (svc *service) noteSent(now time.Time, length time.Duration, s *server, req Request) {
 	svc.dirty = true
-	if repeat {
+	switch {
+	case req.Repeat:
 		s.counts.retries++
 		svc.totals.retries++
 		svc.retries.add(now, length, 1)
-		return
+	case req.First:
+		s.counts.requests++
+		svc.totals.requests++
+		svc.requests.add(now, length, 1)
 	}
-	s.counts.requests++
-	svc.totals.requests++
-	svc.requests.add(now, length, 1)
 }
 
 // learnNear counts what a host of this data centre did since its last report.
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -65,7 +65,7 @@
 	snap := l.d.engine.Snapshot()
 	for _, p := range snap.Peers {
 		if p.DataCentre == snap.Self.DataCentre {
-			l.send(p.Address, loads)
+			l.send(p.Address, loads, true)
 		}
 	}
 }
@@ -76,12 +76,12 @@
 	snap := l.d.engine.Snapshot()
 	for _, p := range snap.Peers {
 		if p.DataCentre != snap.Self.DataCentre {
-			l.send(p.Address, loads)
+			l.send(p.Address, loads, false)
 		}
 	}
 }
 
-func (l *loadReporter) send(address string, loads []*peerpb.BackendLoad) {
+func (l *loadReporter) send(address string, loads []*peerpb.BackendLoad, near bool) {
 	for len(loads) > 0 {
 		n := min(len(loads), loadsPerDatagram)
 		l.d.datagrams.Send(address, &peerpb.Datagram{
@@ -89,6 +89,7 @@
 			From:  l.d.settings.Host,
 			Life:  l.table.Life(),
 			Loads: loads[:n],
+			Near:  near,
 		})
 		loads = loads[n:]
 	}
@@ -110,15 +111,5 @@
 		d.publishDatagram(from, payload)
 		return
 	}
-	d.balance.Report(time.Now(), datagram.From, datagram.Life, datagram.Loads, d.sameDataCentre(datagram.From))
-}
-
-func (d *Daemon) sameDataCentre(host string) bool {
-	snap := d.engine.Snapshot()
-	for _, p := range snap.Peers {
-		if p.Host == host {
-			return p.DataCentre == snap.Self.DataCentre
-		}
-	}
-	return false
+	d.balance.Report(time.Now(), datagram.From, datagram.Life, datagram.Loads, datagram.Near)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -70,6 +70,7 @@
 			DataCentre: x.snap.Self.DataCentre,
 			Group:      x.req.Group,
 			Objective:  x.req.Objective,
+			First:      x.arrived == 0 && x.broken == 0,
 			Repeat:     x.arrived > 0,
 			Exclude:    x.tried,
 		})
