--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -184,10 +184,10 @@
 // Discovered is the value of the backends key: the backend servers that have
 // registered themselves, for services that list none of their own.
 type Discovered struct {
-	// AfterOutage is set where the platform was out of the reader's touch until
-	// just now: registrations may be missing although their servers live.
-	AfterOutage bool                `yaml:"after_outage" json:"after_outage,omitempty"`
-	Backends    []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
+	// AbsenceGrace is how much longer a registration may be missing although its
+	// server lives, because the platform has come back from an outage. Default: 0.
+	AbsenceGrace Duration            `yaml:"absence_grace" json:"absence_grace,omitempty"`
+	Backends     []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
 }
 
 // DiscoveredBackend is one registered backend server.
--- a/internal/system/configsync/absence.go
+++ b/internal/system/configsync/absence.go
@@ -8,23 +8,18 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// absenceGrace is how long after the platform's return a backend server's
-// registration may be missing although the server lives: registrations lapse
-// while the platform is away, and are back within about 2 s of its return. The
-// reader says in its list whether it has just found the platform again.
-const absenceGrace = 2200 * time.Millisecond
-
 // keepAbsent adds to the registered backend servers those that were registered
 // before and whose absence may be due to the platform's own. It is this host's
-// choice alone: what hosts pass on to others is what the platform holds.
-func keepAbsent(w *world.World, now time.Time, service string, held, listed []config.Backend, afterOutage bool) []config.Backend {
+// choice alone: what hosts pass on to others is what the platform holds. The
+// reader says in its list for how long registrations may still be missing.
+func keepAbsent(w *world.World, now time.Time, service string, held, listed []config.Backend, grace time.Duration) []config.Backend {
 	for _, b := range held {
 		if slices.ContainsFunc(listed, func(l config.Backend) bool { return l.ID == b.ID }) {
 			delete(w.Absent, b.ID)
 			continue
 		}
-		if _, absent := w.Absent[b.ID]; !absent && afterOutage && !b.Leaving {
-			w.Absent[b.ID] = world.AbsentBackend{Service: service, Until: now.Add(absenceGrace)}
+		if _, absent := w.Absent[b.ID]; !absent && grace > 0 && !b.Leaving {
+			w.Absent[b.ID] = world.AbsentBackend{Service: service, Until: now.Add(grace)}
 		}
 		if absent, ok := w.Absent[b.ID]; ok && now.Before(absent.Until) {
 			listed = append(listed, b)
--- a/internal/system/configsync/absence_test.go
+++ b/internal/system/configsync/absence_test.go
@@ -10,14 +10,14 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// registered delivers the list of registered backend servers; afterOutage is
-// whether the reader has just found the platform again.
-func (h *standInHost) registered(revision uint64, afterOutage bool, ids ...string) {
+// registered delivers the list of registered backend servers; grace is how much
+// longer registrations may be missing after an outage.
+func (h *standInHost) registered(revision uint64, grace time.Duration, ids ...string) {
 	var rows []string
 	for i, id := range ids {
 		rows = append(rows, fmt.Sprintf(`{"service":"s","id":%q,"address":"10.0.0.1:%d","slots":1}`, id, 1000+i))
 	}
-	configsync.Accept(h.world, h.now, world.KeyDiscovered, revision, []byte(fmt.Sprintf(`{"after_outage":%t,"backends":[%s]}`, afterOutage, strings.Join(rows, ","))))
+	configsync.Accept(h.world, h.now, world.KeyDiscovered, revision, []byte(fmt.Sprintf(`{"absence_grace":%q,"backends":[%s]}`, grace, strings.Join(rows, ","))))
 }
 
 func (h *standInHost) uses(id string) bool {
@@ -28,7 +28,7 @@
 	h := newStandInHost("h1")
 	h.run(time.Second, from(0))
 	configsync.Accept(h.world, h.now, "services/a", 1, []byte(`{"services":[{"name":"s"}]}`))
-	h.registered(1, false, "b1", "b2")
+	h.registered(1, 0, "b1", "b2")
 	if !h.uses("b1") || !h.uses("b2") {
 		t.Fatal("registered backend servers are not used")
 	}
@@ -39,7 +39,7 @@
 // at once.
 func TestRemovedServerIsGone(t *testing.T) {
 	h := newDiscoveringHost(t)
-	h.registered(2, false, "b1")
+	h.registered(2, 0, "b1")
 	if h.uses("b2") {
 		t.Fatal("b2 is used after its registration was removed")
 	}
@@ -50,12 +50,12 @@
 // stays.
 func TestLapsedServersAreKeptForAWhile(t *testing.T) {
 	h := newDiscoveringHost(t)
-	h.registered(2, true) // both registrations have lapsed
+	h.registered(2, 2*time.Second) // both registrations have lapsed
 	if !h.uses("b1") || !h.uses("b2") {
 		t.Fatal("servers whose registrations lapsed with the platform are dropped at once")
 	}
 	h.run(time.Second, from(0))
-	h.registered(3, true, "b1")
+	h.registered(3, time.Second, "b1")
 	h.run(1500*time.Millisecond, from(0))
 	if !h.uses("b1") {
 		t.Error("b1 came back and is not used")
@@ -68,7 +68,7 @@
 // What a host keeps for a while it does not pass on as the platform's list.
 func TestKeptServersAreNotPassedOn(t *testing.T) {
 	h := newDiscoveringHost(t)
-	h.registered(2, true, "b1")
+	h.registered(2, 2*time.Second, "b1")
 	if raw := string(h.world.Document(world.KeyDiscovered).Raw); strings.Contains(raw, "b2") {
 		t.Fatalf("document %s names a server that the platform does not list", raw)
 	}
@@ -78,8 +78,8 @@
 // that others have seen leave.
 func TestRemovedServerDoesNotComeBack(t *testing.T) {
 	h := newDiscoveringHost(t)
-	h.registered(2, false, "b1")
-	h.registered(3, true, "b1")
+	h.registered(2, 0, "b1")
+	h.registered(3, 2*time.Second, "b1")
 	if h.uses("b2") {
 		t.Fatal("b2 is used again")
 	}
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -153,7 +153,7 @@
 	}
 	held := w.Discovered
 	for name, backends := range held {
-		next[name] = keepAbsent(w, now, name, backends, next[name], found.AfterOutage)
+		next[name] = keepAbsent(w, now, name, backends, next[name], time.Duration(found.AbsenceGrace))
 	}
 	w.Discovered = next
 	for name, svc := range w.Services {
