A young host keeps to its own part of the retries

Each restarted host knew nothing of what had been spent before, and spent the data centre's allowance anew. Now a host younger than the window spends a part of its own requests only.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -93,8 +93,10 @@
 	// known is set once this host has seen the service's servers: those that it
 	// sees later have just started.
 	known bool
-	// requests and retries of this data centre, for RetryRule.
-	requests, retries window
+	// requests and retries of this data centre, and of this host alone, for
+	// RetryRule.
+	requests, retries       window
+	ownRequests, ownRetries window
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
 	// totals are this host's counts over all servers, near those that the hosts
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -186,7 +186,8 @@
 }
 
 // A host that has just started knows nothing of what was spent before: it takes
-// no other host's past for the present, and its reserve grows over a window.
+// no other host's past for the present, and spends its own part only, however
+// many requests the others have.
 func TestYoungHostSpendsLittle(t *testing.T) {
 	table, now := newTable()
 	table.conf.Retry = RetryRule{Share: 0.2, Reserve: 20, Window: 10 * time.Second}
@@ -196,13 +197,14 @@
 	if got := svc.requests.sum(now, table.conf.Retry.Window); got != 0 {
 		t.Errorf("%d requests of the past counted as of now", got)
 	}
+	now = now.Add(9 * time.Second)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 1500, Retries: 50}}, true)
 	allowed := 0
-	now = now.Add(time.Second)
 	for ; table.AllowRetry(now, "s", fleet); allowed++ {
-		svc.retries.add(now, table.conf.Retry.Window, 1)
+		mustPick(t, table, now, view(30), Request{Repeat: true}).Finish(Done{Outcome: Neutral})
 	}
-	if allowed > 2 { // a tenth of 0.75 of the reserve
-		t.Errorf("%d retries allowed a second after the start", allowed)
+	if allowed > 1 { // it had no request itself
+		t.Errorf("%d retries allowed 9 s after the start", allowed)
 	}
 }
 
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -41,10 +41,12 @@
 		s.counts.retries++
 		svc.totals.retries++
 		svc.retries.add(now, length, 1)
+		svc.ownRetries.add(now, length, 1)
 	case req.First:
 		s.counts.requests++
 		svc.totals.requests++
 		svc.requests.add(now, length, 1)
+		svc.ownRequests.add(now, length, 1)
 	}
 }
 
@@ -71,10 +73,22 @@
 	defer t.mu.Unlock()
 	svc := t.service(name)
 	rule := t.conf.Retry
-	reserve := rule.Reserve * float64(fleet.Near) / float64(max(fleet.All, fleet.Near, 1))
-	// What the hosts spent before they were all killed is forgotten: a young host
-	// spends as if the reserve had just been used up.
-	reserve *= min(now.Sub(t.started).Seconds()/rule.Window.Seconds(), 1)
-	allowance := retrySafety * (rule.Share*float64(svc.requests.sum(now, rule.Window)) + reserve)
-	return float64(svc.retries.sum(now, rule.Window)+1) <= max(allowance, 1)
+	age := now.Sub(t.started)
+	all := float64(max(fleet.All, fleet.Near, 1))
+	if age < rule.Window {
+		// A young host does not know what the others spent before its start, and
+		// may have spent itself before it was killed: it keeps to its own part, and
+		// its reserve grows with its age.
+		reserve := rule.Reserve / all * age.Seconds() / rule.Window.Seconds()
+		return rule.allows(svc.ownRetries.sum(now, rule.Window), svc.ownRequests.sum(now, rule.Window), reserve)
+	}
+	reserve := rule.Reserve * float64(fleet.Near) / all
+	return rule.allows(svc.retries.sum(now, rule.Window), svc.requests.sum(now, rule.Window), reserve)
+}
+
+// allows reports whether one more retry is within the safe part of a share of
+// the requests and a reserve. One in a window always is.
+func (r RetryRule) allows(retries, requests int, reserve float64) bool {
+	allowance := retrySafety * (r.Share*float64(requests) + reserve)
+	return float64(retries+1) <= max(allowance, 1)
 }
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -35,8 +35,7 @@
 
 // trace is what is logged of one request.
 type trace struct {
-	tries   []try
-	retried []string // what allowed each retry
+	tries []try
 }
 
 // begin notes a pick.
