--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -143,6 +143,23 @@
 	}
 }
 
+// A report that arrives behind a newer one brings no failure anew.
+func TestLateReportOfAServer(t *testing.T) {
+	table, now := newTable()
+	for _, failed := range []uint64{1, 2} {
+		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Failed: failed}}, false)
+	}
+	row := table.servers[key{"s", "b0"}]
+	for range 5 {
+		row.spell.good(now)
+	}
+	before := row.spell.now(now)
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", Failed: 1}}, false)
+	if after := row.spell.now(now); after > before {
+		t.Errorf("belief rose from %.3f to %.3f", before, after)
+	}
+}
+
 // What another host counted before this one heard of it is long past: only its
 // newest failure is news.
 func TestOldFailuresAreNoNews(t *testing.T) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,7 +44,7 @@
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
 mutant "young hosts abstain" internal/claims/table.go 's/now.Sub(t.startedAt) < t.horizon/false/' ./internal/claims
 mutant "revision only grows" internal/system/configsync/apply.go 's/if revision <= doc.Revision {/if revision == doc.Revision {/' ./internal/system/configsync
-mutant "new host asks peers" internal/engine/engine.go 's/return e.joined(now) \&\& configsync.Current(e.world)/return e.world.Index != nil || configsync.Current(e.world)/' ./internal/engine
+mutant "new host asks peers" internal/engine/engine.go 's/\&\& configsync.Current(e.world)/\&\& (e.world.Index != nil || configsync.Current(e.world))/' ./internal/engine
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "drain sign" internal/system/rotation/rotation.go 's/^	p.removeDraining()$//' ./e2e -ginkgo.focus "says so itself"
@@ -54,6 +54,15 @@
 mutant "peers' score" internal/system/detection/score.go 's/peerFactor = 3/peerFactor = 0/' ./experiment/detection -run NoFalse
 mutant "gossip reaches all" internal/gossip/queue.go "s/extraTransmits = 8/extraTransmits = 0/" ./internal/membership
 mutant "asking ends" internal/claims/coordinator.go "s/time.Now().After(giveUp)/giveUp.IsZero()/" ./internal/claims
+mutant "stand-in for a silent reader" internal/system/configsync/takeover.go 's/silent > silentAfter/silent > time.Hour/' ./internal/system/configsync
+mutant "stand-in for a stale reader" internal/system/configsync/takeover.go 's/stale > due/stale > time.Hour/' ./internal/system/configsync
+mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
+mutant "late reports" internal/balance/report.go 's/if next.before(p.counts) {/if false {/' ./internal/balance
+mutant "servers stay in use" internal/balance/breadth.go 's/return unusedGain/return 0/' ./internal/balance
+mutant "young hosts spend their own" internal/balance/retries.go 's/if age < rule.Window {/if false {/' ./internal/balance
+mutant "time is over" internal/dispatch/exchange.go 's/ \&\& x.broken < maxBroken \&\& ctx.Err() == nil {/ \&\& !isCallerGone(ctx) {/' ./platform -run TimeOver
+mutant "signature" internal/dispatch/judge.go 's/marks.Signature != ""/marks.Signature == "-"/' ./platform -run Idempotent
+mutant "misdirected" internal/dispatch/judge.go 's/x.isMisdirected(answer) || x.d/x.d/' ./platform -run NotRun
 mutant "indirect probes" internal/membership/probe.go 's/if !p.asked \&\& !now.Before(p.indirect) {/if false {/' ./internal/membership
 mutant "stale after a pause" internal/engine/engine.go "s/if pause > e.conf.Freshness {/if false {/" ./internal/engine
 mutant "pause forgiven" internal/membership/probe.go 's/if gap := now.Sub(l.lastTick); gap > pauseFactor\*l.conf.ProbeInterval {/if gap := now.Sub(l.lastTick); gap < 0 {/' ./internal/membership
