--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -154,7 +154,11 @@
 		case <-ctx.Done():
 			return
 		case input := <-e.inbox:
-			input(time.Now())
+			now := time.Now()
+			input(now)
+			if e.urgent() {
+				e.Step(now)
+			}
 		case <-ticker.C:
 			if e.conf.BeforeTick != nil {
 				e.conf.BeforeTick()
@@ -166,6 +170,14 @@
 	}
 }
 
+// urgent reports whether an input asks for a tick at once: a document is to be
+// fetched, told of or put into force. A change passes three hosts, and would
+// wait for a tick on each.
+func (e *Engine) urgent() bool {
+	w := e.world
+	return e.conf.Documents != nil && (len(w.Out.Fetches) > 0 || w.HeadsChanged || w.ServicesChanged)
+}
+
 // Post queues an input; it reports false if the inbox is full.
 func (e *Engine) Post(input func(now time.Time)) bool {
 	select {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -188,6 +188,7 @@
 // fetchPlan says where to look for a document.
 type fetchPlan struct {
 	holder   string // host that announced it, may be empty
+	near     bool   // the holder is near and serves few: ask it first
 	platform bool   // ask the platform and no peer
 }
 
@@ -204,7 +205,7 @@
 	doc.Attempts++
 	f := world.Fetch{Key: doc.Key, After: doc.Revision, Platform: plan.platform || doc.Attempts > PlatformAfter}
 	if !plan.platform {
-		f.Peers = s.sources(w, doc, plan.holder)
+		f.Peers = s.sources(w, doc, plan)
 	}
 	f.Platform = f.Platform || len(f.Peers) == 0
 	w.Out.Fetches = append(w.Out.Fetches, f)
@@ -214,13 +215,13 @@
 // no parent or the parent gives nothing. Readers ask the holder, so that the
 // holder serves the readers only. A holder may have been replaced and have
 // forgotten the document: later attempts ask any other host too.
-func (s *System) sources(w *world.World, doc *world.Document, holder string) []string {
+func (s *System) sources(w *world.World, doc *world.Document, plan fetchPlan) []string {
 	above := parent(w, doc.Key)
-	if above != nil && doc.Attempts <= HolderAfter {
+	if above != nil && doc.Attempts <= HolderAfter && !plan.near {
 		return []string{above.Address}
 	}
 	var addresses []string
-	if h, ok := w.Hosts[holder]; ok && holder != w.Self.Host && h.Live() {
+	if h, ok := w.Hosts[plan.holder]; ok && plan.holder != w.Self.Host && h.Live() {
 		addresses = append(addresses, h.Address)
 	}
 	if len(addresses) == 0 || doc.Attempts > AnyAfter {
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -21,6 +21,10 @@
 	// staleStep delays the next in rank, so that not all ask a platform that is
 	// away for everybody.
 	staleStep = 200 * time.Millisecond
+	// nearReaderHosts is up to how many hosts of a data centre fetch a document
+	// from its reader themselves: a step of the tree costs up to FetchRetry, and
+	// the reader sends at most some 2 MB for a change of 50 KB.
+	nearReaderHosts = 40
 	// silentAfter is when a host that hears no reader at all reads by itself: it
 	// may be cut off from its peers. Five heartbeats would be lost by then.
 	silentAfter = 1250 * time.Millisecond
@@ -53,7 +57,7 @@
 	for _, head := range d.Heads {
 		doc := w.Document(head.Key)
 		if head.Revision > doc.Revision && head.Revision > doc.Refused {
-			s.fetch(w, now, doc, fetchPlan{holder: d.From})
+			s.fetch(w, now, doc, fetchPlan{holder: d.From, near: len(w.ReaderOrder) <= nearReaderHosts})
 		}
 	}
 }
@@ -81,13 +85,14 @@
 // beat queues this host's heartbeat if it reads and one is due, or at once
 // after a document changed.
 func (s *System) beat(w *world.World, now time.Time) {
+	changed := w.HeadsChanged
+	w.HeadsChanged = false
 	if !s.conf.StandIn || !IsReader(w) || s.standIn.answered.IsZero() {
 		return
 	}
-	if now.Before(s.standIn.next) && !w.HeadsChanged {
+	if now.Before(s.standIn.next) && !changed {
 		return
 	}
-	w.HeadsChanged = false
 	s.standIn.next = now.Add(HeartbeatEvery)
 	d := &peerpb.Datagram{
 		Kind:        peerpb.Datagram_KIND_HEARTBEAT,
