--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,7 +55,7 @@
 mutant "gossip reaches all" internal/gossip/queue.go "s/extraTransmits = 8/extraTransmits = 0/" ./internal/membership
 mutant "asking ends" internal/claims/coordinator.go "s/time.Now().After(giveUp)/giveUp.IsZero()/" ./internal/claims
 mutant "stand-in for a silent reader" internal/system/configsync/takeover.go 's/silent > silentAfter/silent > time.Hour/' ./internal/system/configsync
-mutant "stand-in for a stale reader" internal/system/configsync/takeover.go 's/stale > due/stale > time.Hour/' ./internal/system/configsync
+mutant "stand-in for a stale reader" internal/system/configsync/takeover.go 's/stale > due/stale > due+time.Hour/' ./internal/system/configsync
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
 mutant "late reports" internal/balance/report.go 's/if next.before(p.counts) {/if false {/' ./internal/balance
 mutant "servers stay in use" internal/balance/breadth.go 's/return unusedGain/return 0/' ./internal/balance
