--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -49,34 +49,25 @@
 
 func (l *loadReporter) tell() {
 	near, failing := l.table.Changes()
-	l.tellNear(near)
+	l.tellPeers(near, true)
 	if len(failing) == 0 {
 		return
 	}
-	l.tellFar(failing)
+	l.tellPeers(failing, false)
 	time.AfterFunc(repeatAfter, func() {
 		if l.d.ctx.Err() == nil {
-			l.tellNear(near)
+			l.tellPeers(near, true)
 		}
 	})
 }
 
-func (l *loadReporter) tellNear(loads []*peerpb.BackendLoad) {
+// tellPeers tells the hosts of this data centre, or if near is false those of the
+// others: bytes to them are dear, so that they hear of failures only, and once.
+func (l *loadReporter) tellPeers(loads []*peerpb.BackendLoad, near bool) {
 	snap := l.d.engine.Snapshot()
 	for _, p := range snap.Peers {
-		if p.DataCentre == snap.Self.DataCentre {
-			l.send(p.Address, loads, true)
-		}
-	}
-}
-
-// tellFar tells the hosts of other data centres, once: bytes to them are dear,
-// and they send few requests to this data centre's servers.
-func (l *loadReporter) tellFar(loads []*peerpb.BackendLoad) {
-	snap := l.d.engine.Snapshot()
-	for _, p := range snap.Peers {
-		if p.DataCentre != snap.Self.DataCentre {
-			l.send(p.Address, loads, false)
+		if (p.DataCentre == snap.Self.DataCentre) == near {
+			l.send(p.Address, loads, near)
 		}
 	}
 }
