--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -77,6 +77,10 @@
 	// it. Neither is set after a server that could not be reached.
 	First  bool
 	Repeat bool
+	// Last is set where no other server may have the request after this one.
+	Last bool
+	// Fleet is what the retry allowance is divided by.
+	Fleet Fleet
 	// Group names requests with answers of about one size, such as a route.
 	Group string
 	// Exclude are servers already tried.
@@ -114,6 +118,7 @@
 	eligible := 0
 	svc := t.service(req.Service)
 	need := t.breadth(now, view, req)
+	failure := t.failureCost(now, req)
 	for i := range view.Backends {
 		b := &view.Backends[i]
 		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
@@ -125,7 +130,7 @@
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		cost := t.cost(now, svc, s, b, load, req)
+		cost := t.cost(now, svc, s, b, load, req) + failure*s.spell.failure(now)
 		if b.DataCentre == req.DataCentre {
 			cost -= s.breadthGain(now, need)
 		}
@@ -173,17 +178,24 @@
 	slots := float64(max(b.Slots, 1))
 	cost := rule.lateness(s.expected(now, svc, load, slots), req.Objective)
 	cost += spread*load/slots + jitter*rand.Float64() + lowWeight*(1-b.Weight)
-	failure := rule.Failure
-	if req.Idempotent && !req.Repeat {
-		failure = rule.IdempotentFailure
-	}
-	cost += failure * s.spell.failure(now)
 	if b.DataCentre != req.DataCentre {
 		return cost + s.pathCost(now) + rule.OtherDataCentre + rule.PerMegabyte*t.sizes[req.Group]/bytesPerMegabyte
 	}
 	return cost + s.pathCost(now)
 }
 
+// failureCost is the cost of a failed try: the request is lost, unless it can
+// be sent again. The more of the retry allowance is spent, the less likely that
+// is.
+func (t *Table) failureCost(now time.Time, req Request) float64 {
+	rule := t.conf.Cost
+	if !req.Idempotent || req.Repeat || req.Last {
+		return rule.Failure
+	}
+	spent := t.spentAllowance(now, req.Service, req.Fleet)
+	return rule.IdempotentFailure + spent*(rule.Failure-rule.IdempotentFailure)
+}
+
 // expected is the expected time to an answer.
 func (s *server) expected(now time.Time, svc *service, load, slots float64) time.Duration {
 	speed := s.speed
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -71,6 +71,24 @@
 func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	used := t.retriesUsed(now, name, fleet)
+	return float64(used.retries+1) <= max(used.allowance, 1) // one in a window always is
+}
+
+// spentAllowance is the part of the retry allowance that is spent, 0 to 1.
+func (t *Table) spentAllowance(now time.Time, name string, fleet Fleet) float64 {
+	used := t.retriesUsed(now, name, fleet)
+	return min(float64(used.retries)/max(used.allowance, 1), 1)
+}
+
+// retriesUsed is how many requests were sent again in the last window, and how
+// many may be.
+type retriesUsed struct {
+	retries   int
+	allowance float64
+}
+
+func (t *Table) retriesUsed(now time.Time, name string, fleet Fleet) retriesUsed {
 	svc := t.service(name)
 	rule := t.conf.Retry
 	age := now.Sub(t.started)
@@ -80,15 +98,13 @@
 		// may have spent itself before it was killed: it keeps to its own part, and
 		// its reserve grows with its age.
 		reserve := rule.Reserve / all * age.Seconds() / rule.Window.Seconds()
-		return rule.allows(svc.ownRetries.sum(now, rule.Window), svc.ownRequests.sum(now, rule.Window), reserve)
+		return retriesUsed{svc.ownRetries.sum(now, rule.Window), rule.allowance(svc.ownRequests.sum(now, rule.Window), reserve)}
 	}
 	reserve := rule.Reserve * float64(fleet.Near) / all
-	return rule.allows(svc.retries.sum(now, rule.Window), svc.requests.sum(now, rule.Window), reserve)
+	return retriesUsed{svc.retries.sum(now, rule.Window), rule.allowance(svc.requests.sum(now, rule.Window), reserve)}
 }
 
-// allows reports whether one more retry is within the safe part of a share of
-// the requests and a reserve. One in a window always is.
-func (r RetryRule) allows(retries, requests int, reserve float64) bool {
-	allowance := retrySafety * (r.Share*float64(requests) + reserve)
-	return float64(retries+1) <= max(allowance, 1)
+// allowance is the safe part of a share of the requests and a reserve.
+func (r RetryRule) allowance(requests int, reserve float64) float64 {
+	return retrySafety * (r.Share*float64(requests) + reserve)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -207,8 +207,12 @@
 	if x.d.balance == nil {
 		return x.state.budget.retry()
 	}
-	fleet := balance.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
-	return x.d.balance.AllowRetry(time.Now(), x.req.Service, fleet)
+	return x.d.balance.AllowRetry(time.Now(), x.req.Service, x.fleet())
+}
+
+// fleet is how many hosts share the retry allowance.
+func (x *exchange) fleet() balance.Fleet {
+	return balance.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
 }
 
 // try sends the request to one server. done is whether the caller has been
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -73,6 +73,8 @@
 			Objective:  x.req.Objective,
 			First:      x.arrived == 0 && x.broken == 0,
 			Repeat:     x.arrived > 0,
+			Last:       x.ran+1 >= x.req.attempts(),
+			Fleet:      x.fleet(),
 			Exclude:    x.tried,
 		})
 		if err != nil {
