Idempotent requests try the servers that are kept out of use

Idempotent requests now use nearly all of them, whatever is believed, while half of the retry allowance is left; a failure there is sent again. Their findings also guide the non-idempotent requests.

With it: a late answer costs 0.3 of a lost one (was 0.6): it still counts as served, and the old cost sent requests of overloaded services to failing servers; the jitter is 0.02 (was 0.003), for arrivals that come together at hosts with equal views.

--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -19,6 +19,14 @@
 	// breadthShare is the part of the servers without a recent failure that
 	// must be in use. The users' rule asks for 0.7 over all data centres.
 	breadthShare = 0.75
+	// idempotentShare is that part for idempotent requests, of all servers
+	// without a recent failure, also those believed to fail: a request that fails
+	// there is sent again, and what it finds guides the non-idempotent ones. The
+	// rule looks at servers that nothing was done to, which may be few.
+	idempotentShare = 0.95
+	// allowanceForBreadth is the part of the retry allowance that may be spent
+	// while idempotent requests try such servers.
+	allowanceForBreadth = 0.5
 	// troubleWindow is the time over which outcomes are counted, as in the
 	// users' rule; troubleShare the part of unserved requests from which on all
 	// servers are tried, also such as are believed to fail: then what is known
@@ -35,13 +43,16 @@
 
 // breadth is the need for more servers in use.
 type breadth struct {
-	narrow   bool // too few of this data centre's servers are in use
-	troubled bool // many of the service's requests are unserved
+	narrow bool // too few of this data centre's servers are in use
+	// anyBelief is set where servers that are believed to fail must be tried too.
+	anyBelief bool
+	// after a failure for which time a server need not be used.
+	after time.Duration
 }
 
 // breadth looks at this data centre's servers.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request) breadth {
-	troubled := t.service(req.Service).troubled(now)
+	need, share := t.breadthRule(now, req)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -52,14 +63,27 @@
 		switch {
 		case !known:
 			candidates++
-		case s.mustBeUsed(now, troubled):
+		case s.mustBeUsed(now, need):
 			candidates++
 			if now.Sub(s.lastSent) < unusedFor {
 				used++
 			}
 		}
 	}
-	return breadth{narrow: float64(used) < breadthShare*float64(candidates), troubled: troubled}
+	need.narrow = float64(used) < share*float64(candidates)
+	return need
+}
+
+// breadthRule returns which servers must be in use, and what part of them.
+func (t *Table) breadthRule(now time.Time, req Request) (breadth, float64) {
+	switch {
+	case t.service(req.Service).troubled(now):
+		return breadth{anyBelief: true, after: troubleFailure}, breadthShare
+	case req.Idempotent && !req.Last && t.spentAllowance(now, req.Service, req.Fleet) < allowanceForBreadth:
+		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
+	default:
+		return breadth{after: recentFailure}, breadthShare
+	}
 }
 
 // troubled reports whether many requests of this data centre are unserved.
@@ -81,20 +105,17 @@
 }
 
 // mustBeUsed reports whether nothing recent speaks against a server.
-func (s *server) mustBeUsed(now time.Time, troubled bool) bool {
-	if now.Before(s.pathUntil) {
+func (s *server) mustBeUsed(now time.Time, need breadth) bool {
+	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after {
 		return false
 	}
-	if troubled {
-		return now.Sub(s.failedAt) > troubleFailure
-	}
-	return now.Sub(s.failedAt) > recentFailure && s.spell.now(now) < inSpell
+	return need.anyBelief || s.spell.now(now) < inSpell
 }
 
 // breadthGain is what a request gains by going to a server that has had none
 // for long, where too few servers are in use.
 func (s *server) breadthGain(now time.Time, need breadth) float64 {
-	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, need.troubled) {
+	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, need) {
 		return unusedGain
 	}
 	return 0
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -31,7 +31,7 @@
 	return CostRule{
 		Failure:           1,
 		IdempotentFailure: 0.5,
-		Late:              0.6,
+		Late:              0.3,
 		OtherDataCentre:   0.03,
 		PerMegabyte:       24,
 	}
@@ -51,7 +51,7 @@
 	// even where nothing else differs.
 	spread = 0.03
 	// jitter keeps hosts with equal views from choosing alike.
-	jitter = 0.003
+	jitter = 0.02
 	// lowWeight is the cost of a server of weight 0.
 	lowWeight = 0.3
 	// queuePerSlot times its slots is how many requests a server may have before
