--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -418,3 +418,12 @@
 		t.Errorf("a failure of the last try costs %.2f, want a lost request", last)
 	}
 }
+
+// A server counts as used from the first that another host tells of it.
+func TestFirstReportCountsAsUse(t *testing.T) {
+	table, now := newTable()
+	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Backend: "b0", InFlight: 1, Requests: 1}}, true)
+	if row := table.servers[key{"s", "b0"}]; !row.lastSent.Equal(now) {
+		t.Errorf("last use at %v, want %v", row.lastSent, now)
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -117,8 +117,8 @@
 		return // an older datagram that came late
 	}
 	s.learnPeer(now, p.counts, next)
-	if near && next.requests+next.retries > p.counts.requests+p.counts.retries {
-		s.lastSent = now
+	if near && (!known || next.requests+next.retries > p.counts.requests+p.counts.retries) {
+		s.lastSent = now // a host tells of a server when it has just used it
 	}
 	p.counts = next
 	p.at = now
