--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -16,13 +16,6 @@
 	DefaultAwarenessMax       = 8
 	pauseFactor               = 3
 	relayLifetimeProbePeriods = 2
-	// youngFor is how long after its start a host compares its full state each
-	// youngSyncInterval, in fleets of up to youngSyncHosts. 36 hosts that start
-	// together know each other after 0.9 s by gossip alone. A comparison is some
-	// 60 bytes a host, so that it is left to gossip in larger fleets.
-	youngFor          = time.Second
-	youngSyncInterval = 200 * time.Millisecond
-	youngSyncHosts    = 200
 	// farGossipShare is how often a member of another data centre is told of a
 	// change when it is drawn. Each change is sent ln(n)+8 times by each host, so
 	// that some 50 tell each other data centre in a fleet of 40.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -160,22 +160,3 @@
 		}
 	}
 }
-
-// A host that has just started compares its full state again and again: the one
-// that it joined by may have known few others.
-func TestYoungHostComparesOften(t *testing.T) {
-	m := newMesh(3)
-	young, old := 0, 0
-	for range 30 * time.Second / tick {
-		m.now = m.now.Add(tick)
-		n := len(m.lists[0].SyncTargets(m.now, nil))
-		if m.now.Sub(time.Unix(1_700_000_000, 0)) <= time.Second {
-			young += n
-		} else {
-			old += n
-		}
-	}
-	if young < 4 || old > 2 {
-		t.Errorf("%d comparisons in the first second, %d in the next 29 s; want 4 or more, and 2 at most", young, old)
-	}
-}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -227,7 +227,7 @@
 func (l *List) SyncTargets(now time.Time, known []string) []string {
 	var targets []string
 	if !now.Before(l.nextSync) {
-		l.nextSync = now.Add(l.syncInterval(now))
+		l.nextSync = now.Add(l.conf.SyncInterval)
 		for _, m := range l.randomLive(1, "") {
 			targets = append(targets, m.Address)
 		}
@@ -243,15 +243,6 @@
 	return append(targets, absent[l.rng.IntN(len(absent))])
 }
 
-// syncInterval is short while this host is young: where many start at once, the
-// host that it joined by knew few others at that moment.
-func (l *List) syncInterval(now time.Time) time.Duration {
-	if now.Sub(l.started) < youngFor && l.Live() <= youngSyncHosts {
-		return youngSyncInterval
-	}
-	return l.conf.SyncInterval
-}
-
 // connectInterval is short while this host is alone.
 func (l *List) connectInterval() time.Duration {
 	if l.Live() > 1 {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -43,7 +43,6 @@
 	rows      map[string]*row
 	awareness awareness
 
-	started     time.Time
 	sequence    uint64
 	probe       *probe
 	probeOrder  []string
@@ -68,7 +67,6 @@
 		rows:      make(map[string]*row),
 		relays:    make(map[uint64]relay),
 		awareness: awareness{max: conf.AwarenessMax},
-		started:   now,
 		lastTick:  now,
 		lastHeard: now,
 	}
