--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -16,12 +16,31 @@
 	DefaultAwarenessMax       = 8
 	pauseFactor               = 3
 	relayLifetimeProbePeriods = 2
+	// youngSeeds is how many known hosts a new host asks at its start.
+	youngSeeds = 3
+	// youngSyncHosts is up to how many hosts a young host compares its full state
+	// with known hosts again: a comparison is some 60 bytes a host, and those few
+	// answer for all. Larger fleets are left to gossip.
+	youngSyncHosts = 200
 	// farGossipShare is how often a member of another data centre is told of a
 	// change when it is drawn. Each change is sent ln(n)+8 times by each host, so
 	// that some 50 tell each other data centre in a fleet of 40.
 	farGossipShare = 0.2
 )
 
+// youngSyncs are the ages at which a new host compares its state with known
+// hosts, which may start 0.4 s later than it. 36 hosts that start together know
+// each other after 0.2 s, by gossip alone after 0.9 s.
+var youngSyncs = []time.Duration{
+	0,
+	100 * time.Millisecond,
+	200 * time.Millisecond,
+	300 * time.Millisecond,
+	400 * time.Millisecond,
+	550 * time.Millisecond,
+	900 * time.Millisecond,
+}
+
 // Config of a List.
 type Config struct {
 	// Host, Address (IP:port) and DataCentre describe this host.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -160,3 +160,25 @@
 		}
 	}
 }
+
+// A new host asks several known hosts at once and one of them again soon after:
+// where all start together, the first answers name few.
+func TestYoungHostAsksAgain(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	conf := membership.Config{Host: "h0", Address: "10.0.0.1:1", DataCentre: "dc", ProbeInterval: time.Second, ProbeTimeout: time.Second / 2, GossipInterval: tick}
+	l := membership.New(conf, delegate{&mesh{}}, gossip.NewQueue(), start)
+	known := []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}
+	if first := l.SyncTargets(start, known); len(first) != len(known) {
+		t.Fatalf("asks %v first, want all of %v", first, known)
+	}
+	for i, addr := range known {
+		l.Merge(start, []*peerpb.Member{{Host: fmt.Sprint("h", i+1), Address: addr, DataCentre: "dc"}})
+	}
+	again := 0
+	for age := tick; age < 2*time.Second; age += tick {
+		again += len(l.SyncTargets(start.Add(age), known))
+	}
+	if again < 4 || again > 8 {
+		t.Errorf("%d comparisons in the next 2 s, want 4 to 8", again)
+	}
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -223,9 +223,10 @@
 
 // SyncTargets returns the addresses with which full state should be compared
 // now: one live member each SyncInterval and one that is dead, or known only
-// to the platform or the settings, each ReconnectInterval.
+// to the platform or the settings, each ReconnectInterval. known are the
+// addresses of the platform and the settings.
 func (l *List) SyncTargets(now time.Time, known []string) []string {
-	var targets []string
+	targets := l.youngTargets(now, known)
 	if !now.Before(l.nextSync) {
 		l.nextSync = now.Add(l.conf.SyncInterval)
 		for _, m := range l.randomLive(1, "") {
@@ -243,6 +244,27 @@
 	return append(targets, absent[l.rng.IntN(len(absent))])
 }
 
+// youngTargets returns known hosts with which a host that has just started
+// compares its state: several at first, then one at each of youngSyncs. Where many
+// start together, the known ones may start last, and their first answers name few.
+func (l *List) youngTargets(now time.Time, known []string) []string {
+	if l.youngDone == len(youngSyncs) || now.Sub(l.started) < youngSyncs[l.youngDone] {
+		return nil
+	}
+	targets := slices.Clone(known)
+	l.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	l.youngDone++
+	switch {
+	case l.youngDone == 1:
+		l.nextConnect = now.Add(l.connectInterval())
+		return targets[:min(youngSeeds, len(targets))]
+	case l.Live() > youngSyncHosts:
+		return nil
+	default:
+		return targets[:min(1, len(targets))]
+	}
+}
+
 // connectInterval is short while this host is alone.
 func (l *List) connectInterval() time.Duration {
 	if l.Live() > 1 {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -43,6 +43,8 @@
 	rows      map[string]*row
 	awareness awareness
 
+	started     time.Time
+	youngDone   int // of youngSyncs
 	sequence    uint64
 	probe       *probe
 	probeOrder  []string
@@ -67,6 +69,7 @@
 		rows:      make(map[string]*row),
 		relays:    make(map[uint64]relay),
 		awareness: awareness{max: conf.AwarenessMax},
+		started:   now,
 		lastTick:  now,
 		lastHeard: now,
 	}
