All servers are tried from a twentieth of unserved requests on

The rule speaks of a tenth over all data centres; each of them tried all its servers only from a tenth of its own. Now from a twentieth, and 3 more for chance, on; and 0.8 instead of 0.75 of the servers without a recent failure are kept in use.

--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -18,7 +18,7 @@
 	inSpell = 0.5
 	// breadthShare is the part of the servers without a recent failure that
 	// must be in use. The users' rule asks for 0.7 over all data centres.
-	breadthShare = 0.75
+	breadthShare = 0.8
 	// idempotentShare is that part for idempotent requests, of all servers
 	// without a recent failure, also those believed to fail: a request that fails
 	// there is sent again, and what it finds guides the non-idempotent ones. The
@@ -30,9 +30,11 @@
 	// troubleWindow is the time over which outcomes are counted, as in the
 	// users' rule; troubleShare the part of unserved requests from which on all
 	// servers are tried, also such as are believed to fail: then what is known
-	// of them helps little. The rule speaks of a tenth.
+	// of them helps little. The rule speaks of a tenth over all data centres, of
+	// which this one may have less. troubleChance more may fail by chance.
 	troubleWindow = 2 * time.Second
-	troubleShare  = 0.1
+	troubleShare  = 0.05
+	troubleChance = 3
 	// troubleLeast is how many outcomes must be known.
 	troubleLeast = 20
 	// troubleFailure is recentFailure in such a time.
@@ -91,7 +93,7 @@
 	served := svc.served.sum(now, troubleWindow)
 	unserved := svc.unserved.sum(now, troubleWindow)
 	total := served + unserved
-	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)
+	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)+troubleChance
 }
 
 // noteOutcome counts an outcome of this host's own.
