--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -1,5 +1,6 @@
 // Package link is a stand-in for the network in front of a host: it relays TCP
-// and UDP to the host and can cut either direction.
+// and UDP to the host, can cut either direction, delay it, reset connections or
+// let open ones go silent.
 package link
 
 import (
@@ -8,9 +9,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-const datagramBytes = 64 << 10
+const (
+	datagramBytes = 64 << 10
+	pieceBytes    = 32 << 10
+)
 
 // Link relays to one target; others reach the target only through it.
 type Link struct {
@@ -21,8 +26,12 @@
 	cutIn  atomic.Bool // towards the target
 	cutOut atomic.Bool // from the target
 
+	delayNs atomic.Int64 // of each piece, both ways
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// silenced connections pass nothing on any more, without an end.
+	silenced map[net.Conn]bool
 	flows map[string]*net.UDPConn
 }
 
@@ -37,7 +46,7 @@
 		tcp.Close()
 		return nil, err
 	}
-	return &Link{tcp: tcp, udp: udp, conns: make(map[net.Conn]bool), flows: make(map[string]*net.UDPConn)}, nil
+	return &Link{tcp: tcp, udp: udp, conns: make(map[net.Conn]bool), silenced: make(map[net.Conn]bool), flows: make(map[string]*net.UDPConn)}, nil
 }
 
 // Address is the address that others use.
@@ -60,6 +69,58 @@
 	}
 }
 
+// Delay holds each piece of data up for a time, 0 for none.
+func (l *Link) Delay(d time.Duration) { l.delayNs.Store(int64(d)) }
+
+// Silence lets all open connections stand still for good; new ones work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		l.silenced[conn] = true
+	}
+}
+
+// Reset breaks all open connections with a reset; new ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a connection that ended already needs no reset
+		}
+		conn.Close()
+	}
+}
+
+func (l *Link) isSilenced(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silenced[conn]
+}
+
+// pass copies one direction until either side ends.
+func (l *Link) pass(to, from net.Conn) {
+	buffer := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buffer)
+		if l.isSilenced(from) && err == nil {
+			continue // the bytes are lost and nobody is told
+		}
+		if d := time.Duration(l.delayNs.Load()); d > 0 {
+			time.Sleep(d)
+		}
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 func (l *Link) breakConns() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -101,6 +162,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, conn)
+	delete(l.silenced, conn)
 }
 
 func (l *Link) relayTCP(in net.Conn) {
@@ -117,10 +179,10 @@
 	l.keep(out)
 	defer l.drop(out)
 	go func() {
-		_, _ = io.Copy(out, in)
+		l.pass(out, in)
 		closeWrite(out)
 	}()
-	_, _ = io.Copy(in, out)
+	l.pass(in, out)
 }
 
 func closeWrite(conn net.Conn) {
