Non-idempotent requests keep off idle connections once one broke; trouble shows within a second

A request on a forgotten connection is reset; it counted as a failure of the server, which then was avoided, and non-idempotent ones were lost one after the other. And trouble was seen over two seconds only, too late for the two seconds that the rule looks at.

Now: a reused connection that breaks at once is told apart, counts little against the server, and keeps the non-idempotent requests of the data centre for 15 s on connections that were idle for 0.2 s at most. A write that the system refuses whole leaves the request unwritten. Trouble also shows over the newest half of the window, and where a data centre has 15 servers or more 0.9 of them stay in use.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,6 +50,9 @@
 	// lateError: an error after the usual time of a request's work. The table
 	// tells it from Failed itself.
 	lateError
+	// staleConnection: a connection that had been idle broke as soon as a request
+	// was sent on it. The table tells it from Failed itself.
+	staleConnection
 	// Unreachable: no connection could be made.
 	Unreachable
 	// Shed: the server refused the request for lack of room.
@@ -104,6 +107,9 @@
 	// RetryRule.
 	requests, retries       window
 	ownRequests, ownRetries window
+	// staleAt is when an idle connection to one of its servers last broke under a
+	// request, at this host or another of the data centre.
+	staleAt time.Time
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
 	// totals are this host's counts over all servers, near those that the hosts
@@ -195,6 +201,10 @@
 	Load *protocol.Load
 	// Bytes is the size of a good answer's body.
 	Bytes int64
+	// Reused is whether a failed request was sent on a connection that had been
+	// used before, and Took the time until it broke.
+	Reused bool
+	Took   time.Duration
 }
 
 // finish ends a request at a server.
@@ -209,8 +219,12 @@
 	s.inFlight--
 	s.dirty = true
 	svc := t.service(k.service)
-	if done.Outcome == Failed && done.FirstByte > s.quickError(svc) {
+	switch {
+	case done.Outcome == Failed && done.FirstByte > s.quickError(svc):
 		done.Outcome = lateError
+	case done.Outcome == Failed && done.Reused && done.Took < s.quickError(svc):
+		done.Outcome = staleConnection
+		svc.staleAt = now
 	}
 	s.learnOutcome(now, done)
 	svc.totals.add(done)
@@ -248,7 +262,7 @@
 		s.spell.failed(now)
 		s.failedAt = now
 		s.failing = true
-	case lateError:
+	case lateError, staleConnection:
 		s.spell.lateError(now)
 	case Unreachable:
 		s.spell.unreachable(now)
--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -19,6 +19,11 @@
 	// breadthShare is the part of the servers without a recent failure that
 	// must be in use. The users' rule asks for 0.7 over all data centres.
 	breadthShare = 0.8
+	// breadthShareMany is that part in a data centre with manyServers or more,
+	// where it costs little: most are in use by their number of requests, and of
+	// few one would be all.
+	breadthShareMany = 0.9
+	manyServers      = 15
 	// idempotentShare is that part for idempotent requests, of all servers
 	// without a recent failure, also those believed to fail: a request that fails
 	// there is sent again, and what it finds guides the non-idempotent ones. The
@@ -54,7 +59,7 @@
 
 // breadth looks at this data centre's servers.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request) breadth {
-	need, share := t.breadthRule(now, req)
+	need, share := t.breadthRule(now, view, req)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -77,21 +82,42 @@
 }
 
 // breadthRule returns which servers must be in use, and what part of them.
-func (t *Table) breadthRule(now time.Time, req Request) (breadth, float64) {
+func (t *Table) breadthRule(now time.Time, view *world.ServiceView, req Request) (breadth, float64) {
+	share := breadthShare
+	if near(view, req.DataCentre) >= manyServers {
+		share = breadthShareMany
+	}
 	switch {
 	case t.service(req.Service).troubled(now):
-		return breadth{anyBelief: true, after: troubleFailure}, breadthShare
+		return breadth{anyBelief: true, after: troubleFailure}, share
 	case req.Idempotent && !req.Last && t.spentAllowance(now, req.Service, req.Fleet) < allowanceForBreadth:
 		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
 	default:
-		return breadth{after: recentFailure}, breadthShare
+		return breadth{after: recentFailure}, share
+	}
+}
+
+// near is the number of a service's servers in a data centre.
+func near(view *world.ServiceView, dataCentre string) int {
+	n := 0
+	for i := range view.Backends {
+		if view.Backends[i].DataCentre == dataCentre {
+			n++
+		}
 	}
+	return n
 }
 
-// troubled reports whether many requests of this data centre are unserved.
+// troubled reports whether many requests of this data centre are unserved, over
+// the whole window or, where there are many requests, already over a half.
 func (svc *service) troubled(now time.Time) bool {
-	served := svc.served.sum(now, troubleWindow)
-	unserved := svc.unserved.sum(now, troubleWindow)
+	return svc.manyUnserved(now, windowBuckets+1) || svc.manyUnserved(now, windowBuckets/2)
+}
+
+// manyUnserved looks at the newest buckets of the window.
+func (svc *service) manyUnserved(now time.Time, buckets int) bool {
+	served := svc.served.newest(now, troubleWindow, buckets)
+	unserved := svc.unserved.newest(now, troubleWindow, buckets)
 	total := served + unserved
 	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)+troubleChance
 }
@@ -101,7 +127,7 @@
 	switch outcome {
 	case Good:
 		svc.served.add(now, troubleWindow, 1)
-	case Failed, Shed, lateError:
+	case Failed, Shed, lateError, staleConnection:
 		svc.unserved.add(now, troubleWindow, 1)
 	}
 }
--- /dev/null
+++ b/internal/balance/connections.go
@@ -0,0 +1,25 @@
+package balance
+
+import "time"
+
+// Servers may forget idle connections without a word, and sooner than they
+// announce. Whatever is sent next on such a connection is lost, and nobody can
+// say whether it ran. One loss tells the hosts of the data centre; requests that
+// must not run twice then use only connections that were just in use.
+const (
+	// staleFor is how long after a loss that holds. A server that forgets does so
+	// for some seconds; new connections cost little.
+	staleFor = 15 * time.Second
+	// staleIdle is for how long a connection may then have been idle. Shorter
+	// than any idle timeout seen (1 s and more).
+	staleIdle = 200 * time.Millisecond
+)
+
+// maxIdle is for how long a connection may have been idle that carries a
+// request, 0 for no bound.
+func (svc *service) maxIdle(now time.Time, req Request) time.Duration {
+	if req.Idempotent || svc.staleAt.IsZero() || now.Sub(svc.staleAt) > staleFor {
+		return 0
+	}
+	return staleIdle
+}
--- a/internal/balance/counts.go
+++ b/internal/balance/counts.go
@@ -9,7 +9,7 @@
 // counts only grow in one life of a host.
 type counts struct {
 	good, failed, unreachable, shed uint64
-	lateErrors                      uint64
+	lateErrors, staleConnections    uint64
 	requests, retries               uint64
 	goodTime                        time.Duration
 }
@@ -24,6 +24,8 @@
 		c.failed++
 	case lateError:
 		c.lateErrors++
+	case staleConnection:
+		c.staleConnections++
 	case Shed:
 		c.shed++
 	case Unreachable:
@@ -38,20 +40,24 @@
 		unreachable: l.Unreachable,
 		shed:        l.Shed,
 		lateErrors:  l.LateErrors,
-		requests:    l.Requests,
-		retries:     l.Retries,
-		goodTime:    time.Duration(l.GoodUs) * time.Microsecond,
+
+		staleConnections: l.StaleConnections,
+
+		requests: l.Requests,
+		retries:  l.Retries,
+		goodTime: time.Duration(l.GoodUs) * time.Microsecond,
 	}
 }
 
 // before reports whether any count is lower, as in an older report.
 func (c counts) before(d counts) bool {
 	return c.good < d.good || c.failed < d.failed || c.unreachable < d.unreachable ||
-		c.shed < d.shed || c.lateErrors < d.lateErrors || c.requests < d.requests || c.retries < d.retries
+		c.shed < d.shed || c.lateErrors < d.lateErrors ||
+		c.staleConnections < d.staleConnections || c.requests < d.requests || c.retries < d.retries
 }
 
 // unserved counts the requests that brought their callers no good answer.
-func (c counts) unserved() uint64 { return c.failed + c.lateErrors + c.shed }
+func (c counts) unserved() uint64 { return c.failed + c.lateErrors + c.staleConnections + c.shed }
 
 // history is all but the newest outcome: of what a host first tells of a server,
 // only that is news. A failure comes first, because it is what is told to all.
@@ -78,5 +84,7 @@
 		Retries:     c.retries,
 		Shed:        c.shed,
 		LateErrors:  c.lateErrors,
+
+		StaleConnections: c.staleConnections,
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -95,6 +95,9 @@
 	// pick, among others.
 	Belief float64
 	Load   float64
+	// MaxIdle is for how long a connection may have been idle that carries the
+	// request, 0 for no bound.
+	MaxIdle time.Duration
 
 	table *Table
 	key   key
@@ -152,9 +155,12 @@
 		Server: *best,
 		Belief: bestRow.spell.now(now),
 		Load:   load,
-		table:  t,
-		key:    key{req.Service, best.ID},
-		group:  req.Group,
+
+		MaxIdle: svc.maxIdle(now, req),
+
+		table: t,
+		key:   key{req.Service, best.ID},
+		group: req.Group,
 	}, nil
 }
 
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -140,7 +140,8 @@
 		s.spell.failed(now)
 		s.failedAt = now
 	}
-	for range min(is.lateErrors-was.lateErrors, maxNews) {
+	weak := is.lateErrors - was.lateErrors + is.staleConnections - was.staleConnections
+	for range min(weak, maxNews) {
 		s.spell.lateError(now)
 	}
 	if is.unreachable > was.unreachable {
--- a/internal/balance/retries.go
+++ b/internal/balance/retries.go
@@ -61,6 +61,9 @@
 	if !known && is.requests+is.retries > maxNews {
 		return // what was before this host heard of it is long past
 	}
+	if is.staleConnections > was.staleConnections {
+		svc.staleAt = now
+	}
 	svc.requests.add(now, length, int(is.requests-was.requests))
 	svc.retries.add(now, length, int(is.retries-was.retries))
 	svc.served.add(now, troubleWindow, int(is.good-was.good))
--- a/internal/balance/window.go
+++ b/internal/balance/window.go
@@ -18,10 +18,16 @@
 }
 
 func (w *window) sum(now time.Time, length time.Duration) int {
+	return w.newest(now, length, len(w.counts))
+}
+
+// newest sums the newest n buckets, the one that is being filled included.
+func (w *window) newest(now time.Time, length time.Duration, n int) int {
 	w.advance(now, length)
+	size := int64(len(w.counts))
 	total := 0
-	for _, n := range w.counts {
-		total += n
+	for b := w.bucket; b > w.bucket-int64(n) && b >= 0; b-- {
+		total += w.counts[b%size]
 	}
 	return total
 }
--- /dev/null
+++ b/internal/balance/window_test.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// The newest part of a window holds what came lately, and no older round of
+// its buckets.
+func TestNewestPartOfAWindow(t *testing.T) {
+	const length = 2 * time.Second
+	now := time.Now()
+	var w window
+	for i := range 100 { // one each 50 ms, over 5 s
+		w.add(now.Add(time.Duration(i)*50*time.Millisecond), length, 1)
+	}
+	end := now.Add(99 * 50 * time.Millisecond)
+	if whole := w.sum(end, length); whole < 40 || whole > 42 {
+		t.Errorf("%d in 2 s, want about 41", whole)
+	}
+	if half := w.newest(end, length, windowBuckets/2); half < 19 || half > 20 {
+		t.Errorf("%d in the newest half, want about 20", half)
+	}
+	if late := w.newest(end.Add(length), length, windowBuckets/2); late != 0 {
+		t.Errorf("%d left after a quiet time, want 0", late)
+	}
+}
+
+// A service with many requests is in trouble as soon as the newest second shows it.
+func TestTroubleShowsInASecond(t *testing.T) {
+	var svc service
+	now := time.Now()
+	for i := range 300 { // 2 s at 150 requests a second, all served
+		svc.served.add(now.Add(time.Duration(i)*time.Second/150), troubleWindow, 1)
+	}
+	now = now.Add(2 * time.Second)
+	if svc.troubled(now) {
+		t.Fatal("in trouble although all were served")
+	}
+	for i := range 120 { // 0.8 s in which one in ten is not
+		at := now.Add(time.Duration(i) * time.Second / 150)
+		if i%10 == 0 {
+			svc.unserved.add(at, troubleWindow, 1)
+		} else {
+			svc.served.add(at, troubleWindow, 1)
+		}
+	}
+	if !svc.troubled(now.Add(800 * time.Millisecond)) {
+		t.Error("not in trouble although one in ten was unserved for 0.8 s")
+	}
+}
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -90,10 +90,12 @@
 	if err != nil {
 		return nil, nil
 	}
-	answer, failure := x.send(ctx, x.d.backends, "http", next.Server.Address, func(h http.Header) {
+	to := x.toServer(next)
+	to.adjust = func(h http.Header) {
 		x.target(next)(h)
 		at.set(h)
-	})
+	}
+	answer, failure := x.send(ctx, to)
 	if failure != nil {
 		x.failed(ctx, next, failure)
 		next.Release()
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -222,7 +222,7 @@
 	x.trace.begin(lease)
 	x.free = false
 	x.paid = false
-	answer, failure := x.send(ctx, x.d.backends, "http", lease.Server.Address, x.target(lease))
+	answer, failure := x.send(ctx, x.toServer(lease))
 	if failure != nil {
 		return false, x.failed(ctx, lease, failure)
 	}
@@ -245,19 +245,44 @@
 	return notRun(err, 0)
 }
 
-// send sends the request once; adjust may change the outgoing headers.
-func (x *exchange) send(ctx context.Context, via *upstream.Transport, scheme, address string, adjust func(http.Header)) (*upstream.Answer, *upstream.Failure) {
-	out, err := x.req.outgoing(ctx, scheme, address, x.d.marks)
+// destination is where and how a request is sent once.
+type destination struct {
+	via     *upstream.Transport
+	scheme  string
+	address string // IP:port
+	// maxIdle is for how long the connection may have been idle, 0 for no bound.
+	maxIdle time.Duration
+	// adjust changes the outgoing headers.
+	adjust func(http.Header)
+}
+
+// toServer is the destination of a request for a backend server.
+func (x *exchange) toServer(lease *place) destination {
+	return destination{
+		via:     x.d.backends,
+		scheme:  "http",
+		address: lease.Server.Address,
+		maxIdle: lease.maxIdle,
+		adjust:  x.target(lease),
+	}
+}
+
+// toOwner is the destination of a request for an owner host.
+func (x *exchange) toOwner(owner world.OwnerView, adjust func(http.Header)) destination {
+	return destination{via: x.d.owners, scheme: x.d.conf.PeerScheme, address: owner.Address, adjust: adjust}
+}
+
+// send sends the request once.
+func (x *exchange) send(ctx context.Context, to destination) (*upstream.Answer, *upstream.Failure) {
+	out, err := x.req.outgoing(ctx, to.scheme, to.address, x.d.marks)
 	if err != nil {
 		return nil, upstream.NotSent(asTyped(err))
 	}
-	if adjust != nil {
-		adjust(out.Header)
-	}
+	to.adjust(out.Header)
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
-	return via.Do(ctx, out, x.lastLook)
+	return to.via.Do(ctx, out, x.lastLook, to.maxIdle)
 }
 
 // lastLook is asked right before the first byte leaves: a host that was paused
@@ -297,6 +322,8 @@
 	x.written = true
 	x.ran++
 	x.arrived++
+	lease.done.Reused = failure.Reused
+	lease.done.Took = x.trace.lastTook()
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	x.tried = append(x.tried, lease.Server.ID)
 	return unknown(typed)
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -16,7 +16,7 @@
 // it, nothing can have run, and this host should serve it itself.
 func (x *exchange) forward(ctx context.Context) (done bool, err error) {
 	for _, owner := range ownersInOrder(x.view) {
-		answer, failure := x.send(ctx, x.d.owners, x.d.conf.PeerScheme, owner.Address, x.forwardHeaders)
+		answer, failure := x.send(ctx, x.toOwner(owner, x.forwardHeaders))
 		switch {
 		case failure != nil && isCallerGone(ctx):
 			return true, notRunOrUnknown(failure.Written, asTyped(failure.Unwrap()))
@@ -93,10 +93,10 @@
 			continue
 		}
 		*tried = append(*tried, owner.Host)
-		answer, failure := x.send(ctx, x.d.owners, x.d.conf.PeerScheme, owner.Address, func(h http.Header) {
+		answer, failure := x.send(ctx, x.toOwner(owner, func(h http.Header) {
 			x.forwardHeaders(h)
 			at.set(h)
-		})
+		}))
 		if failure == nil {
 			return answer
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -23,8 +23,11 @@
 	// belief and load are what decided the pick, 0 with owner hosts.
 	belief float64
 	load   float64
-	end    func(balance.Done)
-	report func(protocol.Load)
+	// maxIdle is for how long a connection that carries the request may have been
+	// idle, 0 for no bound.
+	maxIdle time.Duration
+	end     func(balance.Done)
+	report  func(protocol.Load)
 }
 
 // Release ends the request at the server. Further calls do nothing.
@@ -56,7 +59,7 @@
 
 func balancedPlace(lease *balance.Lease) *place {
 	p := &place{Server: lease.Server, done: balance.Done{Outcome: balance.Neutral}, end: lease.Finish}
-	p.belief, p.load = lease.Belief, lease.Load
+	p.belief, p.load, p.maxIdle = lease.Belief, lease.Load, lease.MaxIdle
 	p.report = func(load protocol.Load) { p.done.Load = &load }
 	return p
 }
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// lastTook is how long the newest try took, 0 if it has not ended.
+func (t *trace) lastTook() time.Duration {
+	if len(t.tries) == 0 {
+		return 0
+	}
+	return t.tries[len(t.tries)-1].took
+}
+
 // String lists the tries: server, result, time taken, and what decided the pick.
 func (t *trace) String() string {
 	var text strings.Builder
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,7 +43,19 @@
 	}
 	c.begun++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.nothingWritten()
+	}
+	return n, err
+}
+
+// nothingWritten takes back the note of a write that the system refused whole,
+// as on a connection that the other side has closed.
+func (c *trackedConn) nothingWritten() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun--
 }
 
 // check asks the guard once, before the first write of a request.
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -35,12 +35,16 @@
 	}
 }
 
-// sealIfIdle forbids writes on a connection that has been idle for nearly as
-// long as its server keeps it. The request on it then counts as not written.
-func (c *trackedConn) sealIfIdle(idle time.Duration) {
+// sealIfIdle forbids writes on a connection that has been idle for longer than
+// maxIdle, or for nearly as long as its server keeps it. The request on it then
+// counts as not written.
+func (c *trackedConn) sealIfIdle(idle, maxIdle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleTimeout > 0 && float64(idle) > idleMargin*float64(c.idleTimeout) {
 		c.sealed = true
 	}
+	if maxIdle > 0 && idle > maxIdle {
+		c.sealed = true
+	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -90,7 +90,10 @@
 	Written bool
 	// Dialled is false if no connection could be had.
 	Dialled bool
-	err     *errs.Error
+	// Reused is whether the connection had carried a request before: then it may
+	// be the connection alone that broke.
+	Reused bool
+	err    *errs.Error
 }
 
 // Error implements error.
@@ -101,11 +104,13 @@
 
 // attempt follows one request over its connection.
 type attempt struct {
-	guard Guard
+	guard   Guard
+	maxIdle time.Duration
 
-	mu   sync.Mutex
-	conn *trackedConn
-	mark uint64
+	mu     sync.Mutex
+	conn   *trackedConn
+	mark   uint64
+	reused bool
 }
 
 // Guard is asked right before the first byte of a request is written. An error
@@ -118,17 +123,18 @@
 	defer a.mu.Unlock()
 	a.conn = conn
 	if conn != nil {
+		a.reused = info.Reused
 		if info.WasIdle {
-			conn.sealIfIdle(info.IdleTime)
+			conn.sealIfIdle(info.IdleTime, a.maxIdle)
 		}
 		a.mark = conn.arm(a.guard)
 	}
 }
 
-func (a *attempt) connection() (*trackedConn, uint64) {
+func (a *attempt) connection() (conn *trackedConn, mark uint64, reused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn, a.mark
+	return a.conn, a.mark, a.reused
 }
 
 func underlying(conn net.Conn) *trackedConn {
@@ -144,16 +150,19 @@
 }
 
 // Do sends a request once. The request's body must not be nil; Body gives one
-// for requests without content. guard may be nil.
-func (t *Transport) Do(ctx context.Context, req *http.Request, guard Guard) (*Answer, *Failure) {
-	a := &attempt{guard: guard}
+// for requests without content. guard may be nil. A connection that was idle for
+// longer than maxIdle is not used, 0 for no bound but the server's own.
+func (t *Transport) Do(ctx context.Context, req *http.Request, guard Guard, maxIdle time.Duration) (*Answer, *Failure) {
+	a := &attempt{guard: guard, maxIdle: maxIdle}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
 	req.GetBody = nil
 	start := time.Now()
 	resp, err := t.http.RoundTrip(req)
-	conn, mark := a.connection()
+	conn, mark, reused := a.connection()
 	if err != nil {
-		return nil, failure(ctx, err, conn, mark)
+		f := failure(ctx, err, conn, mark)
+		f.Reused = reused
+		return nil, f
 	}
 	if conn != nil {
 		conn.announce(announcedIdle(resp.Header))
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,12 +85,12 @@
 func TestTransportNeverResends(t *testing.T) {
 	c := newCloser(t)
 	transport := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout})
-	answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+	answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
 	if failure != nil {
 		t.Fatal(failure)
 	}
 	drain(t, answer.Body)
-	_, failure = transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+	_, failure = transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
 	if failure == nil || !failure.Written {
 		t.Fatalf("want a failure after the write, got %+v", failure)
 	}
@@ -109,7 +109,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(t.Context(), req, nil)
+	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(t.Context(), req, nil, 0)
 	if failure == nil || failure.Written || failure.Dialled || errs.KindOf(failure) != errs.KindDialFailed {
 		t.Fatalf("want a dial failure, got %+v", failure)
 	}
@@ -123,7 +123,7 @@
 	objection := func() error { return errors.New("paused") }
 	for _, reused := range []bool{false, true} {
 		if reused {
-			answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil)
+			answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
 			if failure != nil {
 				t.Fatal(failure)
 			}
@@ -131,7 +131,7 @@
 		}
 		before := c.runs.Load()
 		body := io.NopCloser(strings.NewReader("payload"))
-		_, failure := transport.Do(t.Context(), c.request(t, body), objection)
+		_, failure := transport.Do(t.Context(), c.request(t, body), objection, 0)
 		if failure == nil || failure.Written || errs.KindOf(failure) != errs.KindStaleHost {
 			t.Fatalf("want a forbidden write, got %+v", failure)
 		}
@@ -163,7 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(ctx, req, nil)
+	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(ctx, req, nil, 0)
 	if failure == nil || !failure.Written || errs.KindOf(failure) != errs.KindDeadline {
 		t.Fatalf("want a deadline after the write, got %+v", failure)
 	}
