A new host asks the platform for what it lacks only, and once a second

All hosts start before the first configuration is there, and each asked for both documents every 0.5 s until it came.

Two tests, both fail without.

--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -32,8 +32,11 @@
 	// all at once.
 	DirectAfter  = 2 * time.Second
 	DirectSpread = 3 * time.Second
-	// RepeatDirectAfter is the least pause between two such reads.
-	RepeatDirectAfter = 500 * time.Millisecond
+	// RepeatDirectAfter is the least pause between two such reads. Readers are
+	// chosen after 1 s and pass on what the platform then has: where a whole fleet
+	// starts before its first configuration is published, each host would ask for
+	// it again and again.
+	RepeatDirectAfter = time.Second
 	// PollEvery is how often every host of a fleet of up to PollHosts asks the
 	// platform for its index, in case all readers are cut off from it. Larger
 	// fleets ask less often, so that the fleet's rate does not grow.
@@ -74,7 +77,7 @@
 	s := &System{conf: conf, rng: rng}
 	s.directAt = now.Add(conf.DirectAfter + jitter(rng, conf.DirectSpread))
 	s.nextPoll = now.Add(jitter(rng, PollEvery))
-	s.standIn = takeOver{heard: now, fresh: now}
+	s.standIn = takeOver{heard: now.Add(startGrace), fresh: now}
 	return s
 }
 
@@ -172,8 +175,13 @@
 // poll asks the platform directly, rarely, and early only without an index.
 func (s *System) poll(w *world.World, now time.Time) {
 	if lacksRequired(w) && !now.Before(s.directAt) {
-		s.directAt = now.Add(max(s.conf.DirectAfter, RepeatDirectAfter))
-		s.nextPoll = now
+		s.directAt = now.Add(max(s.conf.DirectAfter, RepeatDirectAfter) + jitter(s.rng, s.conf.DirectSpread))
+		for _, key := range w.Polled {
+			if w.Document(key).Revision == 0 {
+				w.Out.Fetches = append(w.Out.Fetches, world.Fetch{Key: key, Platform: true})
+			}
+		}
+		return
 	}
 	if now.Before(s.nextPoll) {
 		return
--- a/internal/system/configsync/configsync_test.go
+++ b/internal/system/configsync/configsync_test.go
@@ -105,3 +105,24 @@
 		t.Fatalf("%.0f calls an hour by 1,100 hosts, %.0f by 40", large, small)
 	}
 }
+
+// A host that holds one of its documents asks the platform for the other only,
+// and not more than once a second: a whole fleet may start before its first
+// configuration is published.
+func TestOnlyMissingDocumentsAreAskedFor(t *testing.T) {
+	w := world.New(world.Identity{Host: "h0", DataCentre: "dc1"}, &hlc.Clock{}, epoch)
+	w.Required = []string{"held", "missing"}
+	w.Polled = w.Required
+	w.Document("held").Revision = 1
+	system := configsync.New(epoch, configsync.Config{Seed: 1, DirectAfter: time.Millisecond, DirectSpread: time.Millisecond})
+	asked := make(map[string]int)
+	for now := epoch; now.Before(epoch.Add(5 * time.Second)); now = now.Add(tick) {
+		system.Run(w, now)
+		for _, f := range w.Out.Take().Fetches {
+			asked[f.Key]++
+		}
+	}
+	if asked["held"] > 0 || asked["missing"] < 3 || asked["missing"] > 6 {
+		t.Errorf("asked %v in 5 s, want the missing document about 5 times and no other", asked)
+	}
+}
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -28,6 +28,10 @@
 	// silentAfter is when a host that hears no reader at all reads by itself: it
 	// may be cut off from its peers. Five heartbeats would be lost by then.
 	silentAfter = 1250 * time.Millisecond
+	// startGrace is added to it at a host's start. Hosts that start together
+	// choose readers after 1 s, and hear them some 0.3 s later; each has just read
+	// the platform itself. Silence then shows after 2 s.
+	startGrace = 750 * time.Millisecond
 )
 
 // takeOver is what a host knows of the readers of its data centre.
--- a/internal/system/configsync/takeover_test.go
+++ b/internal/system/configsync/takeover_test.go
@@ -116,3 +116,25 @@
 		t.Fatalf("fetches %v, want services/a from h0", fetches)
 	}
 }
+
+// Where all hosts start together, readers are heard only after they were chosen:
+// the others wait for them. One that hears none still reads after 2 s.
+func TestHostsThatStartTogetherWaitForReaders(t *testing.T) {
+	const chosen = 1500 * time.Millisecond
+	for _, self := range []string{"h1", "h4", "h5"} {
+		h := newStandInHost(self)
+		h.run(chosen, nil)
+		if configsync.IsReader(h.world) {
+			t.Errorf("%s reads before a reader can be heard", self)
+		}
+		h.run(2*time.Second, from(0))
+		if configsync.IsReader(h.world) {
+			t.Errorf("%s reads beside a reader that is heard", self)
+		}
+		alone := newStandInHost(self)
+		alone.run(2200*time.Millisecond, nil)
+		if !configsync.IsReader(alone.world) {
+			t.Errorf("%s hears no reader for 2.2 s and does not read", self)
+		}
+	}
+}
