pearshelf explain: from a request's ID to its cause, by the hosts' logs alone

Reads the lines that pearshelfd writes (one a decision), tells an error of the request's own from a spell by the usual time of good answers, names what was known when the server was picked, and lists what else the logs show of its servers and host around that time. The log writer takes lines after its end without harm (found by reading; a test fails before). Soak: ports that outgoing connections do not get.

--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -25,12 +25,13 @@
 	CA      string           `help:"CA certificate of the hosts, PEM." type:"path"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Show     statement `cmd:"" help:"List a table: hosts, services, backends, routes, directives or documents. Example: show backends where service=checkout and state=ejected"`
-	Drain    statement `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
-	Undrain  statement `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
-	Stop     statement `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
-	Set      statement `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
-	Timeline timeline  `cmd:"" help:"Events of all hosts in causal order."`
+	Show     statement      `cmd:"" help:"List a table: hosts, services, backends, routes, directives or documents. Example: show backends where service=checkout and state=ejected"`
+	Drain    statement      `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
+	Undrain  statement      `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
+	Stop     statement      `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
+	Set      statement      `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
+	Timeline timeline       `cmd:"" help:"Events of all hosts in causal order."`
+	Explain  explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
 	Config   struct {
 		Check checkConfig `cmd:"" help:"Check a shard document before it is published."`
 		Diff  diffConfig  `cmd:"" help:"Show hosts whose revisions differ from the newest."`
@@ -60,6 +61,16 @@
 	return app.Timeline(ctx, t.Since, t.Service)
 }
 
+type explainRequest struct {
+	Request string   `arg:"" help:"ID of the request."`
+	Logs    []string `arg:"" optional:"" help:"Logs of the hosts, each named after its host; standard input if none." type:"existingfile"`
+}
+
+// Run explains a request without a fleet.
+func (e *explainRequest) Run(app *operator.App) error {
+	return app.Explain(e.Request, e.Logs, os.Stdin)
+}
+
 type checkConfig struct {
 	File string `arg:"" help:"Document to check." type:"existingfile"`
 }
--- a/experiment/soak/host.go
+++ b/experiment/soak/host.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -86,7 +88,7 @@
 
 // newHost prepares a host that is not started yet, and returns its peers' address.
 func (s *soak) newHost(i int, seeds []string) (*host, string, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := s.freeAddresses(3)
 	if err != nil {
 		return nil, "", err
 	}
@@ -129,18 +131,41 @@
 	return h, h.peerLink.Address(), os.WriteFile(h.settings, raw, 0o600)
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
+// Ports of the daemons lie below those that the system gives to outgoing
+// connections (from 32768 on by default): one of these could otherwise take the
+// port of a daemon that is being restarted.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// freeAddresses returns loopback addresses that are free for TCP and UDP.
+func (s *soak) freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+	for range lastPort - firstPort {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+s.ports.IntN(lastPort-firstPort))
+		if !isFree(address) || slices.Contains(addresses, address) {
+			continue
 		}
-		defer l.Close() // after the loop, so that all differ
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
+		if len(addresses) == n {
+			return addresses, nil
+		}
+	}
+	return nil, errors.New("no free ports on loopback")
+}
+
+func isFree(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
 	}
-	return addresses, nil
+	return udp.Close() == nil
 }
 
 // start runs the daemon's process.
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -79,6 +79,7 @@
 	s := &soak{
 		conf:    conf,
 		rng:     rand.New(rand.NewPCG(conf.Seed, uint64(conf.Hosts))),
+		ports:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		journal: newJournal(),
 		faults:  make(map[string]int),
 	}
@@ -99,9 +100,11 @@
 
 // soak is one run.
 type soak struct {
-	conf    Config
-	rng     *rand.Rand
-	direct  bool
+	conf   Config
+	rng    *rand.Rand
+	direct bool
+	// ports draws the daemons' ports; runs beside this one draw others.
+	ports   *rand.Rand
 	journal *journal
 
 	platform     *platform.Platform
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,62 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/explain"
+)
+
+// Lines as hosts write them; the second host's have its name before them.
+const logs = `
+I0406 12:52:20.000000   14785 trace.go:110] "request" request="good1" service="checkout" idempotent=false outcome="complete" status=200 reason="" took="210ms" left="2.79s" version=4 servers=16 tries="b1 answered/200 took=210ms belief=0.01 load=1.0" missed=0
+I0406 12:52:21.000000   14785 trace.go:110] "request" request="other" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="2ms" left="2.99s" version=4 servers=16 tries="b7 answered/500 took=2ms belief=0.90 load=0.0" missed=0
+I0406 12:52:22.000000   14785 trace.go:110] "request" request="lost" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="3ms" left="2.997s" version=4 servers=16 tries="b7 answered/500 took=3ms belief=0.05 load=0.0" missed=0
+I0406 12:52:22.100000   14785 trace.go:110] "request" request="own" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="180ms" left="2.8s" version=4 servers=16 tries="b2 answered/500 took=180ms belief=0.01 load=0.0" missed=0
+I0406 12:52:23.000000   14785 trace.go:110] "request" request="shed" service="checkout" idempotent=false outcome="not-run" status=503 reason="backend-server-shed: \"b3\" refused" took="4ms" left="2.99s" version=4 servers=16 tries="b3 not-run/503 took=2ms belief=0.01 load=3.0; b4 not-run/503 took=2ms belief=0.02 load=3.0" missed=0
+   2.1 h2 I0406 12:52:24.000000   14786 event.go:167] "host-started" event=101 host="h2" service="" backend="" detail="dc1"
+some other text
+`
+
+func read(t *testing.T) *explain.Logs {
+	t.Helper()
+	l := &explain.Logs{}
+	if err := l.Read(strings.NewReader(logs), "h1"); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// The three walks of docs/OPERATIONS.md, and the request's own error.
+func TestCauses(t *testing.T) {
+	l := read(t)
+	for id, want := range map[string][]string{
+		"lost":  {"b7 failed it at once", "did not know yet", "must not run twice"},
+		"own":   {"b2 worked on it for 180ms", "the request's own"},
+		"shed":  {"overload: 2 servers refused", "has not run"},
+		"other": {"known to fail (belief 0.90)"},
+		"gone":  {"no host has a line", "killed or cut off"},
+	} {
+		cause := l.Request(id).Cause
+		for _, part := range want {
+			if !strings.Contains(cause, part) {
+				t.Errorf("%s: cause %q lacks %q", id, cause, part)
+			}
+		}
+	}
+}
+
+func TestWhatElseTheLogsShow(t *testing.T) {
+	l := read(t)
+	lost := strings.Join(l.Request("lost").Around, "\n")
+	if !strings.Contains(lost, "server b7 within 5s: 1 of the 1 other logged tries failed") {
+		t.Errorf("around the lost request: %s", lost)
+	}
+	gone := strings.Join(l.Request("gone").Around, "\n")
+	if !strings.Contains(gone, "12:52:24 h2 host-started dc1") {
+		t.Errorf("around the request without a line: %s", gone)
+	}
+	if steps := strings.Join(l.Request("shed").Steps, "\n"); !strings.Contains(steps, `reason given: backend-server-shed: "b3" refused`) {
+		t.Errorf("steps of the refused request: %s", steps)
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -19,26 +19,49 @@
 // Writer passes lines on in the background. Write never blocks.
 type Writer struct {
 	queue   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // NewWriter starts a writer to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{queue: make(chan []byte, queueLines), done: make(chan struct{})}
+	w := &Writer{queue: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	for line := range w.queue {
-		if _, err := out.Write(line); err != nil {
-			w.dropped.Add(1) // there is nowhere else to tell it
+	for {
+		select {
+		case line := <-w.queue:
+			w.pass(out, line)
+		case <-w.closing:
+			w.drain(out)
+			return
 		}
 	}
 }
 
+// drain writes the lines that are queued now.
+func (w *Writer) drain(out io.Writer) {
+	for {
+		select {
+		case line := <-w.queue:
+			w.pass(out, line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *Writer) pass(out io.Writer, line []byte) {
+	if _, err := out.Write(line); err != nil {
+		w.dropped.Add(1) // there is nowhere else to tell it
+	}
+}
+
 // Write queues a copy of a line, or drops it if the queue is full.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
@@ -52,9 +75,10 @@
 // Dropped is how many lines were dropped so far.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what is queued and ends the writer. No Write may follow.
+// Close writes what is queued and ends the writer. Lines that other goroutines
+// still write are not passed on. Close is called once.
 func (w *Writer) Close() {
-	close(w.queue)
+	close(w.closing)
 	<-w.done
 }
 
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -49,3 +49,16 @@
 	r, w := io.Pipe()
 	return w, r
 }
+
+// A goroutine that still logs while the program ends does no harm.
+func TestWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := logging.NewWriter(&out)
+	w.Close()
+	if _, err := w.Write([]byte("late\n")); err != nil {
+		t.Fatal(err)
+	}
+	if out.Len() != 0 {
+		t.Errorf("%q was written after Close", out.String())
+	}
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -35,8 +35,22 @@
 	flows    map[string]*net.UDPConn
 }
 
+// openTries bounds how often a port is looked for that is free for TCP and UDP.
+const openTries = 20
+
 // New opens a link on loopback; Connect names the target.
 func New() (*Link, error) {
+	var err error
+	for range openTries {
+		var l *Link
+		if l, err = open(); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
+func open() (*Link, error) {
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
