The test of one key through all hosts asks for every key, whatever the time; ports for TCP and UDP

The copy that the others gave way to did not get its claim within claim_timeout (300 ms), so nothing ran and all were told so truthfully. Ruled out: a claim that is never released; each such key runs by a repeat. The test counted keys answered within that time, which a busy machine decides. It now repeats each key that no copy ran and asks for exactly one run of all 40, no longer of nine in ten: stricter, and independent of time.

Beside it a start failed once: the port that TCP got by chance was taken for UDP. A daemon that may choose its port now looks for one that is free for both.

--- a/e2e/atmostonce_test.go
+++ b/e2e/atmostonce_test.go
@@ -84,13 +84,20 @@
 			}
 		}
 		wg.Wait()
-		answered := 0
 		for k := range keys {
-			Expect(runs(f, fmt.Sprint("key-", k))).To(BeNumerically("<=", 1))
+			key := fmt.Sprint("key-", k)
+			Expect(runs(f, key)).To(BeNumerically("<=", 1))
 			Expect(complete[k].Load()).To(BeNumerically("<=", 1))
-			answered += int(complete[k].Load())
+			if complete[k].Load() == 1 {
+				continue
+			}
+			// On a busy machine the copy that others gave way to may not get its
+			// claim in time, and nothing runs. A repeat then runs it.
+			Eventually(func() string {
+				return mustCall("POST", url(f, k%len(f.Hosts)), "x", "Idempotency-Key", key).outcome()
+			}, patience).Should(Equal("complete"), "no copy ran, so a repeat must")
+			Expect(runs(f, key)).To(Equal(1))
 		}
-		Expect(answered).To(BeNumerically(">=", keys*9/10), "most keys get an answer")
 	})
 
 	It("when it is repeated through another host after an unknown outcome", func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -136,7 +137,7 @@
 			return err
 		}
 	}
-	if d.listeners.peer, err = listen("peer.listen", d.settings.Peer.Listen); err != nil {
+	if err := d.openPeerSockets(); err != nil {
 		return err
 	}
 	if d.listeners.operator, err = listen("operator.listen", d.settings.Operator.Listen); err != nil {
@@ -145,13 +146,35 @@
 	if d.settings.Peer.Advertise == d.settings.Peer.Listen {
 		d.settings.Peer.Advertise = d.listeners.peer.Addr().String()
 	}
+	return nil
+}
+
+// anyPortTries bounds how often a port is looked for that is free for TCP and
+// UDP, where the settings leave the choice (port 0).
+const anyPortTries = 20
+
+// openPeerSockets listens for peers on one port, for calls and datagrams.
+func (d *Daemon) openPeerSockets() error {
 	var sealer *peer.Sealer
+	var err error
 	if path := d.settings.Peer.DatagramKeyFile; path != "" {
 		if sealer, err = peer.LoadSealer(path); err != nil {
 			return err
 		}
 	}
-	d.datagrams, err = peer.ListenDatagrams(d.listeners.peer.Addr().String(), sealer)
+	tries := 1
+	if strings.HasSuffix(d.settings.Peer.Listen, ":0") {
+		tries = anyPortTries
+	}
+	for range tries {
+		if d.listeners.peer, err = listen("peer.listen", d.settings.Peer.Listen); err != nil {
+			return err
+		}
+		if d.datagrams, err = peer.ListenDatagrams(d.listeners.peer.Addr().String(), sealer); err == nil {
+			return nil
+		}
+		d.listeners.peer.Close()
+	}
 	return err
 }
 
