The load that servers tell is shared within a data centre

Requests of other data centres fill a server that nobody here counts, and what it told on its answers only the asking host knew. It now goes with the host's next report to its neighbours.

The test fails without it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -80,6 +80,8 @@
 	// toldExcess is the load beyond what is known here, as told at toldAt.
 	toldExcess float64
 	toldAt     time.Time
+	// toldNow is the load as told to this host since its last report, and 1.
+	toldNow uint32
 	// speed is the usual time to the header of an answer, 0 if unknown.
 	speed time.Duration
 	// failedAt is when a request last failed there, at any host.
@@ -235,7 +237,9 @@
 		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
 	}
 	if done.Load != nil {
-		s.learnLoad(now, done.Load)
+		load := done.Load.Running + done.Load.Waiting
+		s.learnLoad(now, load)
+		s.toldNow = uint32(load) + 1
 	}
 	if done.Outcome == Good {
 		t.learnSize(group, float64(done.Bytes))
@@ -293,8 +297,8 @@
 
 // learnLoad keeps what the told load exceeds the known one by: requests of
 // hosts that this one does not hear.
-func (s *server) learnLoad(now time.Time, load *protocol.Load) {
-	s.toldExcess = max(float64(load.Running+load.Waiting-s.known(now))-1, 0)
+func (s *server) learnLoad(now time.Time, load int) {
+	s.toldExcess = max(float64(load-s.known(now))-1, 0)
 	s.toldAt = now
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -427,3 +427,24 @@
 		t.Errorf("last use at %v, want %v", row.lastSent, now)
 	}
 }
+
+// The load that a server tells one host guides the others of the data centre:
+// requests of other data centres fill it too, and nobody here counts them.
+func TestToldLoadIsShared(t *testing.T) {
+	hearer, now := newTable()
+	neighbour, _ := newTable()
+	v := view(1)
+	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond, Load: &protocol.Load{Running: 3, Waiting: 6}})
+	near, _ := hearer.Changes()
+	neighbour.Report(now, "h2", hearer.Life(), near, true)
+	row := neighbour.servers[key{"s", "b0"}]
+	if load := row.load(now); load < 7 {
+		t.Errorf("load %.1f at the neighbour, want about 8 of the 9 told", load)
+	}
+	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
+	near, _ = hearer.Changes()
+	neighbour.Report(now.Add(5*toldHalfLife), "h2", hearer.Life(), near, true)
+	if load := row.load(now.Add(5 * toldHalfLife)); load > 1 {
+		t.Errorf("load %.1f later, though the server told nothing since", load)
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/balance/report.go
@@ -64,6 +64,8 @@
 func (s *server) report(k key) *peerpb.BackendLoad {
 	row := s.counts.row(k)
 	row.InFlight = uint32(max(s.inFlight, 0))
+	row.ToldLoad = s.toldNow
+	s.toldNow = 0
 	return row
 }
 
@@ -124,6 +126,9 @@
 	p.at = now
 	if near {
 		p.inFlight = int(l.InFlight)
+		if l.ToldLoad > 0 {
+			s.learnLoad(now, int(l.ToldLoad)-1)
+		}
 	}
 }
 
