--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,16 +28,17 @@
 	sizeGain    = 0.2
 	// defaultSpeed is the time of a request before any answer.
 	defaultSpeed = 250 * time.Millisecond
-	// quickErrorShare of a server's usual time ends what counts as an error at
-	// once. On calm days of both deployments errors in a spell took under 0.05 of
-	// it, nine in ten of the others over 0.2.
-	quickErrorShare = 0.12
 	// pathHold is how long a server that this host cannot reach is avoided here,
 	// doubled for each further failure up to maxPathHold.
 	pathHold    = 500 * time.Millisecond
 	maxPathHold = 4 * time.Second
 )
 
+// QuickErrorShare of a server's usual time ends what counts as an error at once.
+// On calm days of both deployments errors in a spell took under 0.05 of it, nine
+// in ten of the others over 0.2.
+const QuickErrorShare = 0.12
+
 // Outcome is what became of one request at a backend server.
 type Outcome int
 
@@ -285,7 +286,7 @@
 	if speed == 0 {
 		speed = svc.speed
 	}
-	return time.Duration(quickErrorShare * float64(speed))
+	return time.Duration(QuickErrorShare * float64(speed))
 }
 
 func (s *server) learnSpeed(took time.Duration) {
--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -19,11 +19,6 @@
 	// breadthShare is the part of the servers without a recent failure that
 	// must be in use. The users' rule asks for 0.7 over all data centres.
 	breadthShare = 0.8
-	// breadthShareMany is that part in a data centre with manyServers or more,
-	// where it costs little: most are in use by their number of requests, and of
-	// few one would be all.
-	breadthShareMany = 0.9
-	manyServers      = 15
 	// idempotentShare is that part for idempotent requests, of all servers
 	// without a recent failure, also those believed to fail: a request that fails
 	// there is sent again, and what it finds guides the non-idempotent ones. The
@@ -59,7 +54,7 @@
 
 // breadth looks at this data centre's servers.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request) breadth {
-	need, share := t.breadthRule(now, view, req)
+	need, share := t.breadthRule(now, req)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -82,30 +77,15 @@
 }
 
 // breadthRule returns which servers must be in use, and what part of them.
-func (t *Table) breadthRule(now time.Time, view *world.ServiceView, req Request) (breadth, float64) {
-	share := breadthShare
-	if near(view, req.DataCentre) >= manyServers {
-		share = breadthShareMany
-	}
+func (t *Table) breadthRule(now time.Time, req Request) (breadth, float64) {
 	switch {
 	case t.service(req.Service).troubled(now):
-		return breadth{anyBelief: true, after: troubleFailure}, share
+		return breadth{anyBelief: true, after: troubleFailure}, breadthShare
 	case req.Idempotent && !req.Last && t.spentAllowance(now, req.Service, req.Fleet) < allowanceForBreadth:
 		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
 	default:
-		return breadth{after: recentFailure}, share
-	}
-}
-
-// near is the number of a service's servers in a data centre.
-func near(view *world.ServiceView, dataCentre string) int {
-	n := 0
-	for i := range view.Backends {
-		if view.Backends[i].DataCentre == dataCentre {
-			n++
-		}
+		return breadth{after: recentFailure}, breadthShare
 	}
-	return n
 }
 
 // troubled reports whether many requests of this data centre are unserved, over
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -6,12 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
-	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -229,113 +227,9 @@
 	return x.judge(ctx, lease, answer)
 }
 
-// target names the server that a request is meant for, in protocols that can.
-func (x *exchange) target(lease *place) func(http.Header) {
-	return func(h http.Header) {
-		if x.d.marks.Target != "" {
-			h.Set(x.d.marks.Target, lease.Server.ID)
-		}
-	}
-}
-
 func notRunOrUnknown(written bool, err *errs.Error) *Refusal {
 	if written {
 		return unknown(err)
 	}
 	return notRun(err, 0)
 }
-
-// destination is where and how a request is sent once.
-type destination struct {
-	via     *upstream.Transport
-	scheme  string
-	address string // IP:port
-	// maxIdle is for how long the connection may have been idle, 0 for no bound.
-	maxIdle time.Duration
-	// adjust changes the outgoing headers.
-	adjust func(http.Header)
-}
-
-// toServer is the destination of a request for a backend server.
-func (x *exchange) toServer(lease *place) destination {
-	return destination{
-		via:     x.d.backends,
-		scheme:  "http",
-		address: lease.Server.Address,
-		maxIdle: lease.maxIdle,
-		adjust:  x.target(lease),
-	}
-}
-
-// toOwner is the destination of a request for an owner host.
-func (x *exchange) toOwner(owner world.OwnerView, adjust func(http.Header)) destination {
-	return destination{via: x.d.owners, scheme: x.d.conf.PeerScheme, address: owner.Address, adjust: adjust}
-}
-
-// send sends the request once.
-func (x *exchange) send(ctx context.Context, to destination) (*upstream.Answer, *upstream.Failure) {
-	out, err := x.req.outgoing(ctx, to.scheme, to.address, x.d.marks)
-	if err != nil {
-		return nil, upstream.NotSent(asTyped(err))
-	}
-	to.adjust(out.Header)
-	if x.d.conf.BeforeWrite != nil {
-		x.d.conf.BeforeWrite(x.req)
-	}
-	return to.via.Do(ctx, out, x.lastLook, to.maxIdle)
-}
-
-// lastLook is asked right before the first byte leaves: a host that was paused
-// must not act on what it decided before.
-func (x *exchange) lastLook() error {
-	now := time.Now()
-	if world.Passed(now, x.req.Deadline) {
-		return errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
-	}
-	if x.req.Idempotent {
-		return nil
-	}
-	if world.Passed(now, x.d.snapshot().FreshUntil) {
-		return errs.New(errs.KindStaleHost, "this host paused and its view is not fresh yet", "repeat the request after the time in Retry-After")
-	}
-	return nil
-}
-
-// failed notes an exchange that brought no answer.
-func (x *exchange) failed(ctx context.Context, lease *place, failure *upstream.Failure) *Refusal {
-	typed := asTyped(failure.Unwrap())
-	x.trace.end(string(typed.Kind))
-	if isCallerGone(ctx) {
-		x.written = x.written || failure.Written
-		return notRunOrUnknown(x.written, typed)
-	}
-	if !failure.Written {
-		x.broken++
-		x.free = true // no server had any of it
-		// An idle connection that the server closed says nothing against it.
-		if !failure.Dialled && typed.Kind == errs.KindDialFailed {
-			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
-			x.tried = append(x.tried, lease.Server.ID)
-		}
-		return notRunOrUnknown(x.written, typed)
-	}
-	x.written = true
-	x.ran++
-	x.arrived++
-	lease.done.Reused = failure.Reused
-	lease.done.Took = x.trace.lastTook()
-	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
-	x.tried = append(x.tried, lease.Server.ID)
-	return unknown(typed)
-}
-
-func (x *exchange) observe(lease *place, kind peerpb.Observation_Kind, firstByte time.Duration) {
-	lease.note(kind, firstByte)
-	x.d.observer.Observe(&peerpb.Observation{
-		Service:     x.req.Service,
-		Backend:     lease.Server.ID,
-		Kind:        kind,
-		FirstByteUs: uint64(firstByte.Microseconds()),
-		Idempotent:  x.req.Idempotent,
-	})
-}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,15 +5,14 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/balance"
 )
 
 const (
 	// around is how far other lines may lie from the request to count: spells of
 	// failures last some 10 s.
 	around = 5 * time.Second
-	// atOnce is the part of the usual time of a good answer up to which an error
-	// came too soon to be the request's own; internal/balance uses the same.
-	atOnce = 0.12
 	// known is the belief from which on a server was held for failing.
 	known = 0.5
 )
@@ -110,7 +109,7 @@
 // errorCause tells a failing server from an error of the request's own.
 func (l *Logs) errorCause(r line, last try) string {
 	usual := l.usualTime(r.fields["service"])
-	if usual > 0 && float64(last.took) > atOnce*float64(usual) {
+	if usual > 0 && float64(last.took) > balance.QuickErrorShare*float64(usual) {
 		return fmt.Sprintf("server %s worked on it for %s, about as long as usual (%s), and answered an error: most likely the request's own", last.server, last.took, usual)
 	}
 	if last.belief >= known {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		doc := w.Document(head.Key)
-		if head.Revision > doc.Revision && head.Revision > doc.Refused {
+		if doc.Lacks(head.Revision) {
 			s.fetch(w, now, doc, fetchPlan{holder: head.Holder})
 		}
 	}
@@ -139,7 +139,7 @@
 	}
 	for _, r := range w.Registers.Prefix(headPrefix) {
 		doc := w.Document(strings.TrimPrefix(r.Key, headPrefix))
-		if r.Stamp.Revision > max(doc.Revision, doc.Refused) {
+		if doc.Lacks(r.Stamp.Revision) {
 			return false
 		}
 	}
@@ -165,7 +165,7 @@
 	var wanted []*world.Document
 	for shard, revision := range w.Index.Shards {
 		held := w.Document(world.KeyShardPrefix + shard)
-		if held.Revision < revision && held.Refused < revision {
+		if held.Lacks(revision) {
 			wanted = append(wanted, held)
 		}
 	}
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -60,7 +60,7 @@
 	}
 	for _, head := range d.Heads {
 		doc := w.Document(head.Key)
-		if head.Revision > doc.Revision && head.Revision > doc.Refused {
+		if doc.Lacks(head.Revision) {
 			s.fetch(w, now, doc, fetchPlan{holder: d.From, near: len(w.ReaderOrder) <= nearReaderHosts})
 		}
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -72,6 +72,12 @@
 	Attempts int
 }
 
+// Lacks reports whether a revision is newer than what this host holds, and not
+// one that it refused.
+func (d *Document) Lacks(revision uint64) bool {
+	return revision > d.Revision && revision > d.Refused
+}
+
 // BackendState is the graded judgement of a backend server.
 type BackendState int
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -38,7 +38,7 @@
 mutant "written is unknown" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./e2e -ginkgo.focus "told as unknown"
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
-mutant "last look of a frozen host" internal/dispatch/exchange.go 's/if world.Passed(now, x.d.snapshot().FreshUntil) {/if false {/' ./e2e -ginkgo.focus "freezes between"
+mutant "last look of a frozen host" internal/dispatch/send.go 's/if world.Passed(now, x.d.snapshot().FreshUntil) {/if false {/' ./e2e -ginkgo.focus "freezes between"
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
 mutant "identity of a claim" internal/claims/coordinator.go 's|id:          requestID + "/" + ulid.Make().String(),|id: requestID + ulid.ULID{}.String(),|' ./internal/claims
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
@@ -59,6 +59,19 @@
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
 mutant "late reports" internal/balance/report.go 's/if next.before(p.counts) {/if false {/' ./internal/balance
 mutant "servers stay in use" internal/balance/breadth.go 's/return unusedGain/return 0/' ./internal/balance
+mutant "errors after work" internal/balance/balance.go 's/done.FirstByte > s.quickError(svc)/false/' ./internal/balance
+mutant "broken idle connections" internal/balance/retries.go 's/if is.staleConnections > was.staleConnections {/if false {/' ./internal/balance
+mutant "bound of idle time" internal/upstream/idle.go 's/if maxIdle > 0 \&\& idle > maxIdle {/if false {/' ./internal/upstream
+mutant "refused writes" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream
+mutant "told load is shared" internal/balance/report.go 's/if l.ToldLoad > 0 {/if false {/' ./internal/balance
+mutant "first report is a use" internal/balance/report.go 's/!known || next.requests/next.requests/' ./internal/balance
+mutant "spent allowance" internal/balance/pick.go 's/return rule.IdempotentFailure + spent\*/return rule.IdempotentFailure + 0*spent*/' ./internal/balance
+mutant "trouble within a second" internal/balance/breadth.go 's/ || svc.manyUnserved(now, windowBuckets\/2)//' ./internal/balance
+mutant "new hosts ask again" internal/membership/probe.go 's/case l.Live() > youngSyncHosts:/case true:/' ./internal/membership
+mutant "missing documents only" internal/system/configsync/configsync.go 's/if w.Document(key).Revision == 0 {/if true {/' ./internal/system/configsync
+mutant "start grace" internal/system/configsync/configsync.go 's/heard: now.Add(startGrace)/heard: now/' ./internal/system/configsync
+mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& Outcome/if false \&\& Outcome/' ./internal/dispatch
+mutant "refusal here after an owner broke off" internal/dispatch/dispatch.go 's/refusal.Outcome == OutcomeNotRun \&\& x.written/false/' ./internal/dispatch
 mutant "young hosts spend their own" internal/balance/retries.go 's/if age < rule.Window {/if false {/' ./internal/balance
 mutant "time is over" internal/dispatch/exchange.go 's/ \&\& x.broken < maxBroken \&\& ctx.Err() == nil {/ \&\& !isCallerGone(ctx) {/' ./platform -run TimeOver
 mutant "signature" internal/dispatch/judge.go 's/marks.Signature != ""/marks.Signature == "-"/' ./platform -run Idempotent
