--- a/cmd/pearshelfd/main.go
+++ b/cmd/pearshelfd/main.go
@@ -44,7 +44,7 @@
 	if err := logging.Use(lines, f.Verbose); err != nil {
 		fmt.Fprintln(os.Stderr, "pearshelfd: verbosity not set:", err)
 	}
-	err := run(f)
+	err := run(f, lines)
 	klog.Flush()
 	lines.Close()
 	if err != nil {
@@ -60,7 +60,7 @@
 	return exitFailure
 }
 
-func run(f flags) error {
+func run(f flags, lines *logging.Writer) error {
 	s, err := settings.Load(f.Settings)
 	if err != nil || f.Check {
 		return err
@@ -69,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	d.Metrics().WatchLog(lines.Dropped)
 	reloadOnHangup(f.Settings)
 	if err := d.Start(); err != nil {
 		return err
--- /dev/null
+++ b/internal/balance/stats.go
@@ -0,0 +1,42 @@
+package balance
+
+import "time"
+
+// ServiceStats is what a host knows of one service, for its metrics.
+type ServiceStats struct {
+	Service string
+	// Servers are known, Failing those believed to be in a spell of failures.
+	Servers int
+	Failing int
+	// InFlight are this host's own requests.
+	InFlight int
+	// Retries of this data centre in the last window of RetryRule.
+	Retries int
+}
+
+// Stats returns a row per service.
+func (t *Table) Stats() []ServiceStats {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := make(map[string]*ServiceStats, len(t.services))
+	for name, svc := range t.services {
+		rows[name] = &ServiceStats{Service: name, Retries: svc.retries.sum(now, t.conf.Retry.Window)}
+	}
+	for k, s := range t.servers {
+		row, ok := rows[k.service]
+		if !ok {
+			continue // a server told of by others, of a service not used here
+		}
+		row.Servers++
+		row.InFlight += s.inFlight
+		if s.spell.now(now) > inSpell {
+			row.Failing++
+		}
+	}
+	stats := make([]ServiceStats, 0, len(rows))
+	for _, row := range rows {
+		stats = append(stats, *row)
+	}
+	return stats
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -246,6 +246,7 @@
 				Window:  time.Duration(d.settings.Retry.Window),
 			},
 		})
+		d.metrics.WatchBalance(d.balance)
 	}
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
@@ -316,6 +317,9 @@
 	})
 }
 
+// Metrics returns what this host measures, for the program's own figures.
+func (d *Daemon) Metrics() *metrics.Metrics { return d.metrics }
+
 // Ready reports whether a configuration is in force.
 func (d *Daemon) Ready() bool { return d.engine.Ready() }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -196,6 +196,7 @@
 		return true
 	}
 	x.paid = x.allowRetry()
+	x.d.metrics.Retry(x.req.Service, x.paid)
 	return x.paid
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -219,6 +219,7 @@
 }
 
 func (f *Frontend) dispatch(w http.ResponseWriter, req *dispatch.Request) error {
+	start := time.Now()
 	err := f.dispatcher.Serve(w, req)
 	outcome := dispatch.Outcome(w.Header().Get(dispatch.HeaderOutcome))
 	var refusal *dispatch.Refusal
@@ -226,7 +227,7 @@
 		outcome = refusal.Outcome
 	}
 	if req.ForwardedBy == "" {
-		f.metrics.Request(req.Service, string(outcome))
+		f.metrics.Request(req.Service, string(outcome), time.Since(start))
 	}
 	return err
 }
--- /dev/null
+++ b/internal/metrics/balance.go
@@ -0,0 +1,57 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearshelf/pearshelf/internal/balance"
+)
+
+// balanceSource is what the collector reads, once a scrape.
+type balanceSource interface {
+	Stats() []balance.ServiceStats
+}
+
+// balanceCollector publishes what a host that picks directly knows of services.
+// Its label set is the services': 500 at the target size, of 4 figures each.
+type balanceCollector struct {
+	source   balanceSource
+	servers  *prometheus.Desc
+	failing  *prometheus.Desc
+	inFlight *prometheus.Desc
+	retries  *prometheus.Desc
+}
+
+// WatchBalance publishes a balancer's figures.
+func (m *Metrics) WatchBalance(source balanceSource) {
+	label := []string{"service"}
+	m.registerer.MustRegister(&balanceCollector{
+		source:   source,
+		servers:  prometheus.NewDesc("pearshelf_servers_known", "Backend servers that this host knows, by service.", label, nil),
+		failing:  prometheus.NewDesc("pearshelf_servers_failing", "Backend servers believed to be in a spell of failures.", label, nil),
+		inFlight: prometheus.NewDesc("pearshelf_requests_in_flight", "Requests of this host at backend servers.", label, nil),
+		retries:  prometheus.NewDesc("pearshelf_retries_in_window", "Requests that this data centre sent again in the last window of the retry allowance.", label, nil),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (c *balanceCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{c.servers, c.failing, c.inFlight, c.retries} {
+		out <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *balanceCollector) Collect(out chan<- prometheus.Metric) {
+	for _, s := range c.source.Stats() {
+		figures := map[*prometheus.Desc]int{c.servers: s.Servers, c.failing: s.Failing, c.inFlight: s.InFlight, c.retries: s.Retries}
+		for desc, n := range figures {
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(n), s.Service)
+		}
+	}
+}
+
+// Interface guards.
+var (
+	_ prometheus.Collector = (*balanceCollector)(nil)
+	_ balanceSource        = (*balance.Table)(nil)
+)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,6 +3,7 @@
 package metrics
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,9 @@
 
 // Metrics is all measurements of a host.
 type Metrics struct {
+	registerer       prometheus.Registerer
+	latency          *prometheus.HistogramVec
+	retries          *prometheus.CounterVec
 	requests         *prometheus.CounterVec
 	added            *prometheus.HistogramVec
 	observationsLost prometheus.Counter
@@ -24,6 +28,16 @@
 // New registers the measurements with a registerer.
 func New(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		registerer: reg,
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "pearshelf_request_seconds",
+			Help:    "Time to the final answer on the entry host, by service and outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.004, 2, 12),
+		}, []string{"service", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_retries_total",
+			Help: "Requests that could be sent again, by service and whether the allowance let them.",
+		}, []string{"service", "allowed"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearshelf_requests_total",
 			Help: "Requests from callers by service and outcome.",
@@ -51,13 +65,27 @@
 			Help: "Calls to the platform by result.",
 		}, []string{"result"}),
 	}
-	reg.MustRegister(m.requests, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
-// Request counts one answered request.
-func (m *Metrics) Request(service, outcome string) {
+// Request counts one answered request and the time that it took.
+func (m *Metrics) Request(service, outcome string, took time.Duration) {
 	m.requests.WithLabelValues(service, outcome).Inc()
+	m.latency.WithLabelValues(service, outcome).Observe(took.Seconds())
+}
+
+// Retry counts a request that could be sent again.
+func (m *Metrics) Retry(service string, allowed bool) {
+	m.retries.WithLabelValues(service, strconv.FormatBool(allowed)).Inc()
+}
+
+// WatchLog publishes how many log lines were dropped so far.
+func (m *Metrics) WatchLog(dropped func() int64) {
+	m.registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "pearshelf_log_lines_dropped_total",
+		Help: "Log lines that a slow reader of standard output had no room for.",
+	}, func() float64 { return float64(dropped()) }))
 }
 
 // Added takes the time that the fleet added to a request on this host.
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,74 @@
+package metrics_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// value returns a gauge or counter by name, over all its labels.
+func value(t *testing.T, reg *prometheus.Registry, name string) float64 {
+	t.Helper()
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	total, found := 0.0, false
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, m := range family.Metric {
+			found = true
+			total += m.GetGauge().GetValue() + m.GetCounter().GetValue() + float64(m.GetHistogram().GetSampleCount())
+		}
+	}
+	if !found {
+		t.Fatalf("no metric %s", name)
+	}
+	return total
+}
+
+// What the balancer believes shows on the metrics address.
+func TestBalancerIsPublished(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	m := metrics.New(reg)
+	now := time.Now()
+	table := balance.NewTable(now, balance.Config{Cost: balance.DefaultCostRule(), Retry: balance.DefaultRetryRule()})
+	m.WatchBalance(table)
+	view := &world.ServiceView{Backends: []world.BackendView{{ID: "b1", DataCentre: "dc1", Slots: 3, Weight: 1}}}
+	for _, outcome := range []balance.Outcome{balance.Failed, balance.Failed} {
+		lease, err := table.Pick(now, view, balance.Request{Service: "s", DataCentre: "dc1", First: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := value(t, reg, "pearshelf_requests_in_flight"); got != 1 {
+			t.Errorf("%v requests in flight, want 1", got)
+		}
+		lease.Finish(balance.Done{Outcome: outcome})
+	}
+	for name, want := range map[string]float64{"pearshelf_servers_known": 1, "pearshelf_servers_failing": 1, "pearshelf_requests_in_flight": 0} {
+		if got := value(t, reg, name); got != want {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestRequestsRetriesAndLog(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	m := metrics.New(reg)
+	m.WatchLog(func() int64 { return 7 })
+	m.Request("s", "complete", time.Second)
+	m.Retry("s", true)
+	m.Retry("s", false)
+	for name, want := range map[string]float64{"pearshelf_requests_total": 1, "pearshelf_request_seconds": 1, "pearshelf_retries_total": 2, "pearshelf_log_lines_dropped_total": 7} {
+		if got := value(t, reg, name); got != want {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
