--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -301,6 +301,7 @@
 	c.word("host", s.Host)
 	c.word("data_centre", s.DataCentre)
 	c.addresses(s)
+	c.forwarding(s)
 	c.secured("peer", s.Peer.TLS, s.Peer.Insecure)
 	c.secured("operator", s.Operator.TLS, s.Operator.Insecure)
 	if s.Peer.TLS.Enabled() && s.Peer.DatagramKeyFile == "" {
@@ -360,6 +361,14 @@
 	}
 }
 
+// forwarding refuses owner hosts where their protocol does not carry what the
+// platform's requests need: attempts and header names.
+func (c *checker) forwarding(s *Settings) {
+	if s.Platform.Kind == PlatformStore && *s.Forwarding {
+		c.addf("forwarding", "must be false with platform.kind: %s: owner hosts do not speak that platform's protocol", PlatformStore)
+	}
+}
+
 func (c *checker) address(field, address string) {
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		c.addf(field, "%q must be IP:port", address)
