--- a/cmd/pearshelf-bench/soak.go
+++ b/cmd/pearshelf-bench/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -60,7 +61,7 @@
 		Seed: seed, Length: c.Duration, Hosts: c.Hosts, Daemon: c.Daemon, Dir: logs, Progress: os.Stderr,
 	})
 	if err != nil {
-		return false, err
+		return false, errors.Join(err, c.keep(logs))
 	}
 	fmt.Printf("seed %d: direct %t, %d requests, %d served, %d refused, %d findings, faults %v\n",
 		seed, report.Direct, report.Requests, report.Served, report.Refused, len(report.Findings), report.Faults)
@@ -70,8 +71,13 @@
 	if len(report.Findings) == 0 {
 		return true, os.RemoveAll(logs)
 	}
+	return false, c.keep(logs)
+}
+
+// keep copies a run's settings and logs to the folder of failed seeds.
+func (c *soakCommand) keep(logs string) error {
 	if err := os.MkdirAll(c.Keep, 0o755); err != nil {
-		return false, err
+		return err
 	}
-	return false, os.CopyFS(filepath.Join(c.Keep, filepath.Base(logs)), os.DirFS(logs))
+	return os.CopyFS(filepath.Join(c.Keep, filepath.Base(logs)), os.DirFS(logs))
 }
--- a/experiment/soak/host.go
+++ b/experiment/soak/host.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -88,7 +85,7 @@
 
 // newHost prepares a host that is not started yet, and returns its peers' address.
 func (s *soak) newHost(i int, seeds []string) (*host, string, error) {
-	addresses, err := s.freeAddresses(3)
+	addresses, err := s.ports.take(portsPerHost)
 	if err != nil {
 		return nil, "", err
 	}
@@ -131,43 +128,6 @@
 	return h, h.peerLink.Address(), os.WriteFile(h.settings, raw, 0o600)
 }
 
-// Ports of the daemons lie below those that the system gives to outgoing
-// connections (from 32768 on by default): one of these could otherwise take the
-// port of a daemon that is being restarted.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-// freeAddresses returns loopback addresses that are free for TCP and UDP.
-func (s *soak) freeAddresses(n int) ([]string, error) {
-	var addresses []string
-	for range lastPort - firstPort {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+s.ports.IntN(lastPort-firstPort))
-		if !isFree(address) || slices.Contains(addresses, address) {
-			continue
-		}
-		addresses = append(addresses, address)
-		if len(addresses) == n {
-			return addresses, nil
-		}
-	}
-	return nil, errors.New("no free ports on loopback")
-}
-
-func isFree(address string) bool {
-	tcp, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer tcp.Close()
-	udp, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
-	}
-	return udp.Close() == nil
-}
-
 // start runs the daemon's process.
 func (h *host) start() error {
 	h.mu.Lock()
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -79,7 +79,6 @@
 	s := &soak{
 		conf:    conf,
 		rng:     rand.New(rand.NewPCG(conf.Seed, uint64(conf.Hosts))),
-		ports:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		journal: newJournal(),
 		faults:  make(map[string]int),
 	}
@@ -103,8 +102,7 @@
 	conf   Config
 	rng    *rand.Rand
 	direct bool
-	// ports draws the daemons' ports; runs beside this one draw others.
-	ports   *rand.Rand
+	ports   *ports
 	journal *journal
 
 	platform     *platform.Platform
@@ -123,6 +121,9 @@
 
 func (s *soak) start(ctx context.Context) error {
 	var err error
+	if s.ports, err = claimPorts(); err != nil {
+		return err
+	}
 	if s.platform, err = platform.Start(); err != nil {
 		return err
 	}
@@ -140,7 +141,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	return fleet.Until(ctx, "all hosts ready", s.allReady)
+	if err := fleet.Until(ctx, "all hosts ready", s.allReady); err != nil {
+		return fmt.Errorf("seed %d did not start: %w", s.conf.Seed, err)
+	}
+	return nil
 }
 
 func linkTo(target string) (*link.Link, error) {
@@ -260,6 +264,9 @@
 	if s.platform != nil {
 		s.platform.Close()
 	}
+	if s.ports != nil {
+		s.ports.release()
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -81,7 +81,8 @@
 	// toldExcess is the load beyond what is known here, as told at toldAt.
 	toldExcess float64
 	toldAt     time.Time
-	// toldNow is the load as told to this host since its last report, and 1.
+	// toldNow is the load that the server told this host since its last report,
+	// plus 1; 0 for nothing told.
 	toldNow uint32
 	// speed is the usual time to the header of an answer, 0 if unknown.
 	speed time.Duration
--- a/internal/balance/counts.go
+++ b/internal/balance/counts.go
@@ -35,17 +35,15 @@
 
 func countsOf(l *peerpb.BackendLoad) counts {
 	return counts{
-		good:        l.Good,
-		failed:      l.Failed,
-		unreachable: l.Unreachable,
-		shed:        l.Shed,
-		lateErrors:  l.LateErrors,
-
+		good:             l.Good,
+		failed:           l.Failed,
+		unreachable:      l.Unreachable,
+		shed:             l.Shed,
+		lateErrors:       l.LateErrors,
 		staleConnections: l.StaleConnections,
-
-		requests: l.Requests,
-		retries:  l.Retries,
-		goodTime: time.Duration(l.GoodUs) * time.Microsecond,
+		requests:         l.Requests,
+		retries:          l.Retries,
+		goodTime:         time.Duration(l.GoodUs) * time.Microsecond,
 	}
 }
 
@@ -74,17 +72,16 @@
 // row is a report. One without a server holds the totals of a service.
 func (c counts) row(k key) *peerpb.BackendLoad {
 	return &peerpb.BackendLoad{
-		Service:     k.service,
-		Backend:     k.backend,
-		Good:        c.good,
-		Failed:      c.failed,
-		Unreachable: c.unreachable,
-		GoodUs:      uint64(c.goodTime.Microseconds()),
-		Requests:    c.requests,
-		Retries:     c.retries,
-		Shed:        c.shed,
-		LateErrors:  c.lateErrors,
-
+		Service:          k.service,
+		Backend:          k.backend,
+		Good:             c.good,
+		Failed:           c.failed,
+		Unreachable:      c.unreachable,
+		GoodUs:           uint64(c.goodTime.Microseconds()),
+		Requests:         c.requests,
+		Retries:          c.retries,
+		Shed:             c.shed,
+		LateErrors:       c.lateErrors,
 		StaleConnections: c.staleConnections,
 	}
 }
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -152,15 +152,13 @@
 	svc.noteSent(now, t.conf.Retry.Window, bestRow, req)
 	t.notify()
 	return &Lease{
-		Server: *best,
-		Belief: bestRow.spell.now(now),
-		Load:   load,
-
+		Server:  *best,
+		Belief:  bestRow.spell.now(now),
+		Load:    load,
 		MaxIdle: svc.maxIdle(now, req),
-
-		table: t,
-		key:   key{req.Service, best.ID},
-		group: req.Group,
+		table:   t,
+		key:     key{req.Service, best.ID},
+		group:   req.Group,
 	}, nil
 }
 
