--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -99,9 +99,9 @@
 
 // soak is one run.
 type soak struct {
-	conf   Config
-	rng    *rand.Rand
-	direct bool
+	conf    Config
+	rng     *rand.Rand
+	direct  bool
 	ports   *ports
 	journal *journal
 
