What is spent of the retry allowance is summed once a pick

Each pick for an idempotent request summed the windows of requests and retries twice, under the table's lock: for the cost of a failure and for the breadth.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -403,18 +403,18 @@
 	table.conf.Retry = RetryRule{Share: 0, Reserve: 40, Window: 10 * time.Second}
 	now = now.Add(time.Minute)
 	req := Request{Service: "s", Idempotent: true, Fleet: Fleet{Near: 1, All: 1}}
-	unspent := table.failureCost(now, req)
+	unspent := table.failureCost(req, table.spentAllowance(now, "s", req.Fleet))
 	if unspent >= table.conf.Cost.Failure {
 		t.Fatalf("a failure costs %.2f with the allowance unspent, want less than a lost request", unspent)
 	}
 	for table.AllowRetry(now, "s", req.Fleet) {
 		table.service("s").retries.add(now, table.conf.Retry.Window, 1)
 	}
-	if spent := table.failureCost(now, req); spent < 0.95*table.conf.Cost.Failure {
+	if spent := table.failureCost(req, table.spentAllowance(now, "s", req.Fleet)); spent < 0.95*table.conf.Cost.Failure {
 		t.Errorf("a failure costs %.2f with the allowance spent, want a lost request", spent)
 	}
 	req.Last = true
-	if last := table.failureCost(now.Add(time.Minute), req); last != table.conf.Cost.Failure {
+	if last := table.failureCost(req, table.spentAllowance(now.Add(time.Minute), "s", req.Fleet)); last != table.conf.Cost.Failure {
 		t.Errorf("a failure of the last try costs %.2f, want a lost request", last)
 	}
 }
--- a/internal/balance/breadth.go
+++ b/internal/balance/breadth.go
@@ -55,9 +55,10 @@
 	after time.Duration
 }
 
-// breadth looks at this data centre's servers.
-func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request) breadth {
-	need, share := t.breadthRule(now, req)
+// breadth looks at this data centre's servers. spent is the part of the retry
+// allowance that is spent.
+func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request, spent float64) breadth {
+	need, share := t.breadthRule(now, req, spent)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -80,11 +81,11 @@
 }
 
 // breadthRule returns which servers must be in use, and what part of them.
-func (t *Table) breadthRule(now time.Time, req Request) (breadth, float64) {
+func (t *Table) breadthRule(now time.Time, req Request, spent float64) (breadth, float64) {
 	switch {
 	case t.service(req.Service).troubled(now):
 		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
-	case req.Idempotent && !req.Last && t.spentAllowance(now, req.Service, req.Fleet) < allowanceForBreadth:
+	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
 		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
 	default:
 		return breadth{after: recentFailure}, breadthShare
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -120,8 +120,12 @@
 	bestCost := math.Inf(1)
 	eligible := 0
 	svc := t.service(req.Service)
-	need := t.breadth(now, view, req)
-	failure := t.failureCost(now, req)
+	var spent float64 // part of the retry allowance; matters to idempotent requests only
+	if req.Idempotent {
+		spent = t.spentAllowance(now, req.Service, req.Fleet)
+	}
+	need := t.breadth(now, view, req, spent)
+	failure := t.failureCost(req, spent)
 	for i := range view.Backends {
 		b := &view.Backends[i]
 		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
@@ -191,12 +195,11 @@
 // failureCost is the cost of a failed try: the request is lost, unless it can
 // be sent again. The more of the retry allowance is spent, the less likely that
 // is.
-func (t *Table) failureCost(now time.Time, req Request) float64 {
+func (t *Table) failureCost(req Request, spent float64) float64 {
 	rule := t.conf.Cost
 	if !req.Idempotent || req.Repeat || req.Last {
 		return rule.Failure
 	}
-	spent := t.spentAllowance(now, req.Service, req.Fleet)
 	return rule.IdempotentFailure + spent*(rule.Failure-rule.IdempotentFailure)
 }
 
