Decisions of hosts that pick directly have no clock, lock or unseeded random source

internal/balance becomes internal/policy, and a new internal/balance holds its lock and clock. Behaviour stays; a test on the syntax tree keeps it so.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,8 +1,5 @@
-// Package balance picks a backend server where every host picks by itself. It
-// keeps, for each server, the belief that it is in a spell of failures, the
-// requests in flight from this host and from the others of the data centre, and
-// its speed. Hosts tell each other what they see (see Changes and Report), so
-// that each knows nearly as much as one host that saw all requests.
+// Package balance is the shell of package policy on a host: it holds the lock and
+// the clock, and wakes whoever tells other hosts what was learnt.
 package balance
 
 import (
@@ -10,161 +7,32 @@
 	"sync"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-const (
-	// peerExpiry is how long another host's in-flight count holds without news.
-	// Counts are told again each RefreshEvery.
-	peerExpiry = 1600 * time.Millisecond
-	// toldHalfLife is how fast the load that a server told loses its weight: a
-	// request takes some 250 ms.
-	toldHalfLife = 200 * time.Millisecond
-	// speedGain is the weight of one answer in the usual time of a server, and
-	// serviceGain in that of its service.
-	speedGain   = 0.2
-	serviceGain = 0.05
-	sizeGain    = 0.2
-	// defaultSpeed is the time of a request before any answer.
-	defaultSpeed = 250 * time.Millisecond
-	// pathHold is how long a server that this host cannot reach is avoided here,
-	// doubled for each further failure up to maxPathHold.
-	pathHold    = 500 * time.Millisecond
-	maxPathHold = 4 * time.Second
-)
-
-// QuickErrorShare of a server's usual time ends what counts as an error at once.
-// On calm days of both deployments errors in a spell took under 0.05 of it, nine
-// in ten of the others over 0.2.
-const QuickErrorShare = 0.12
-
-// Outcome is what became of one request at a backend server.
-type Outcome int
-
-// Outcomes.
-const (
-	// Good: a whole answer that is no error of the server.
-	Good Outcome = iota
-	// Failed: an error, a reset, a wrong, cut or missing answer.
-	Failed
-	// lateError: an error after the usual time of a request's work. The table
-	// tells it from Failed itself.
-	lateError
-	// staleConnection: a connection that had been idle broke as soon as a request
-	// was sent on it. The table tells it from Failed itself.
-	staleConnection
-	// Unreachable: no connection could be made.
-	Unreachable
-	// Shed: the server refused the request for lack of room.
-	Shed
-	// Neutral: nothing was learnt, as when the caller went away.
-	Neutral
-)
-
-type key struct{ service, backend string }
-
-// peerLoad is what another host last told of a server.
-type peerLoad struct {
-	inFlight int
-	at       time.Time
-	counts   counts
-}
-
-// server is one row of the table.
-type server struct {
-	spell    spell
-	inFlight int
-	counts   counts
-	peers    map[string]*peerLoad
-
-	// toldExcess is the load beyond what is known here, as told at toldAt.
-	toldExcess float64
-	toldAt     time.Time
-	// toldNow is the load that the server told this host since its last report,
-	// plus 1; 0 for nothing told.
-	toldNow uint32
-	// speed is the usual time to the header of an answer, 0 if unknown.
-	speed time.Duration
-	// failedAt is when a request last failed there, at any host.
-	failedAt time.Time
-	// lastSent is when a host of this data centre last sent a request there.
-	lastSent time.Time
-	// coldUntil is until when a new server is slow.
-	coldUntil time.Time
-	// pathFailures in a row from this host; avoided until pathUntil.
-	pathFailures int
-	pathUntil    time.Time
-
-	// dirty: others of the data centre must be told. failing: all hosts.
-	dirty   bool
-	failing bool
-}
-
-// service is what is known of a service as a whole.
-type service struct {
-	speed time.Duration // usual time to the header of a good answer
-	// known is set once this host has seen the service's servers: those that it
-	// sees later have just started.
-	known bool
-	// requests and retries of this data centre, and of this host alone, for
-	// RetryRule.
-	requests, retries       window
-	ownRequests, ownRetries window
-	// staleAt is when an idle connection to one of its servers last broke under a
-	// request, at this host or another of the data centre.
-	staleAt time.Time
-	// served and unserved requests of this data centre, for breadth.
-	served, unserved window
-	// totals are this host's counts over all servers, near those that the hosts
-	// of this data centre last told.
-	totals counts
-	near   map[string]counts
-	dirty  bool
-}
-
-// Config of a Table.
-type Config struct {
-	Cost  CostRule
-	Retry RetryRule
-}
-
-// Table is safe for concurrent use.
+// Table is one host's policy.Table, safe for concurrent use.
 type Table struct {
-	conf    Config
-	started time.Time
+	clock   func() time.Time
 	life    uint64
 	changed chan struct{}
 
-	mu       sync.Mutex
-	servers  map[key]*server
-	services map[string]*service
-	lives    map[string]uint64  // of the other hosts, by name
-	sizes    map[string]float64 // bytes of an answer, by route group
+	mu    sync.Mutex
+	table *policy.Table
 }
 
-// NewTable returns an empty table of a host that started at now.
-func NewTable(now time.Time, conf Config) *Table {
-	return &Table{
-		conf:     conf,
-		started:  now,
-		servers:  make(map[key]*server),
-		services: make(map[string]*service),
-		lives:    make(map[string]uint64),
-		life:     rand.Uint64(),
-		sizes:    make(map[string]float64),
-		changed:  make(chan struct{}, 1),
+// NewTable returns the table of a host that starts now, by clock.
+func NewTable(clock func() time.Time, conf policy.Config) *Table {
+	if conf.Random == nil {
+		conf.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-}
-
-// service returns a service's row, made if absent.
-func (t *Table) service(name string) *service {
-	svc, ok := t.services[name]
-	if !ok {
-		svc = &service{speed: defaultSpeed, near: make(map[string]counts)}
-		t.services[name] = svc
+	return &Table{
+		clock:   clock,
+		life:    rand.Uint64(),
+		changed: make(chan struct{}, 1),
+		table:   policy.NewTable(clock(), conf),
 	}
-	return svc
 }
 
 // Life tells one start of this host from the next.
@@ -180,142 +48,76 @@
 	}
 }
 
-// row returns a server's row, made if absent.
-func (t *Table) row(now time.Time, k key, view *world.BackendView) *server {
-	s, ok := t.servers[k]
-	if ok {
-		return s
-	}
-	s = &server{peers: make(map[string]*peerLoad)}
-	s.spell = spell{probability: stationary, at: now}
-	if view != nil && t.service(k.service).known {
-		s.spell.probability = newServer
-		s.coldUntil = now.Add(view.Warmup)
-	}
-	t.servers[k] = s
-	return s
+// Lease is a request's place at a server until Finish.
+type Lease struct {
+	*policy.Placement
+	table *Table
+	once  sync.Once
 }
 
-// Done is the end of one request that Pick gave a server.
-type Done struct {
-	Outcome Outcome
-	// FirstByte is the time to the header of an answer, 0 if there was none.
-	FirstByte time.Duration
-	// Load is what the server told, nil if nothing.
-	Load *protocol.Load
-	// Bytes is the size of a good answer's body.
-	Bytes int64
-	// Reused is whether a failed request was sent on a connection that had been
-	// used before, and Took the time until it broke.
-	Reused bool
-	Took   time.Duration
+// Finish ends the request and notes what was learnt. Further calls do nothing.
+func (l *Lease) Finish(done policy.Done) {
+	l.once.Do(func() {
+		l.table.mu.Lock()
+		defer l.table.mu.Unlock()
+		l.table.table.Finish(l.table.clock(), l.Placement, done)
+		l.table.notify()
+	})
 }
 
-// finish ends a request at a server.
-func (t *Table) finish(k key, group string, done Done) {
-	now := time.Now()
+// Pick gives the request a place at a server, or says in a typed error why not.
+func (t *Table) Pick(view *world.ServiceView, req policy.Request) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.servers[k]
-	if !ok {
-		return
-	}
-	s.inFlight--
-	s.dirty = true
-	svc := t.service(k.service)
-	switch {
-	case done.Outcome == Failed && done.FirstByte > s.quickError(svc):
-		done.Outcome = lateError
-	case done.Outcome == Failed && done.Reused && done.Took < s.quickError(svc):
-		done.Outcome = staleConnection
-		svc.staleAt = now
-	}
-	s.learnOutcome(now, done)
-	svc.totals.add(done)
-	svc.dirty = true
-	svc.noteOutcome(now, done.Outcome)
-	if done.Outcome == Good && done.FirstByte > 0 {
-		s.learnSpeed(done.FirstByte)
-		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
-	}
-	if done.Load != nil {
-		load := done.Load.Running + done.Load.Waiting
-		s.learnLoad(now, load)
-		s.toldNow = uint32(load) + 1
-	}
-	if done.Outcome == Good {
-		t.learnSize(group, float64(done.Bytes))
+	placement, err := t.table.Pick(t.clock(), view, req)
+	if err != nil {
+		return nil, err
 	}
 	t.notify()
+	return &Lease{Placement: placement, table: t}, nil
 }
 
-func (t *Table) learnSize(group string, bytes float64) {
-	size, known := t.sizes[group]
-	if !known {
-		size = bytes
-	}
-	t.sizes[group] = size + sizeGain*(bytes-size)
+// RetryAfter is when a refused request should come back.
+func (t *Table) RetryAfter(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.RetryAfter(service)
 }
 
-func (s *server) learnOutcome(now time.Time, done Done) {
-	s.counts.add(done)
-	switch done.Outcome {
-	case Good:
-		s.spell.good(now)
-		s.pathFailures = 0
-		s.pathUntil = time.Time{}
-	case Failed:
-		s.spell.failed(now)
-		s.failedAt = now
-		s.failing = true
-	case lateError, staleConnection:
-		s.spell.lateError(now)
-	case Unreachable:
-		s.spell.unreachable(now)
-		s.failing = true
-		hold := pathHold << min(s.pathFailures, 8)
-		s.pathFailures++
-		s.pathUntil = now.Add(min(hold, maxPathHold))
-	}
+// AllowRetry reports whether a request of a service may be sent again.
+func (t *Table) AllowRetry(service string, fleet policy.Fleet) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.AllowRetry(t.clock(), service, fleet)
 }
 
-// quickError is the time up to which an error comes too soon to be the
-// request's own: the server did not work on it. Servers in a spell of failures
-// answer errors at once; an error that belongs to a request takes its work.
-func (s *server) quickError(svc *service) time.Duration {
-	speed := s.speed
-	if speed == 0 {
-		speed = svc.speed
-	}
-	return time.Duration(QuickErrorShare * float64(speed))
+// Changes returns what must be told: near to the hosts of this data centre,
+// failing to all others.
+func (t *Table) Changes() (near, failing []*peerpb.BackendLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Changes()
 }
 
-func (s *server) learnSpeed(took time.Duration) {
-	if s.speed == 0 {
-		s.speed = took
+// Refresh marks what must be told again.
+func (t *Table) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table.Refresh(t.clock()) {
+		t.notify()
 	}
-	s.speed += time.Duration(speedGain * float64(took-s.speed))
-}
-
-// learnLoad keeps what the told load exceeds the known one by: requests of
-// hosts that this one does not hear.
-func (s *server) learnLoad(now time.Time, load int) {
-	s.toldExcess = max(float64(load-s.known(now))-1, 0)
-	s.toldAt = now
 }
 
-// known is the number of requests in flight from this host and those it hears.
-func (s *server) known(now time.Time) int {
-	total := s.inFlight
-	for _, p := range s.peers {
-		if now.Sub(p.at) < peerExpiry {
-			total += p.inFlight
-		}
-	}
-	return total
+// Report takes what another host told in one of its lives.
+func (t *Table) Report(host string, life uint64, loads []*peerpb.BackendLoad, near bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.Report(t.clock(), host, life, loads, near)
 }
 
-// load estimates how many requests the server has now.
-func (s *server) load(now time.Time) float64 {
-	return float64(s.known(now)) + s.toldExcess*decay(now.Sub(s.toldAt), toldHalfLife)
+// Stats returns a row per service.
+func (t *Table) Stats() []policy.ServiceStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Stats(t.clock())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/peer"
 	"github.com/pearshelf/pearshelf/internal/platform"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -238,9 +239,9 @@
 		BeforeTick: d.hooks.BeforeTick,
 	}, d.clock, &effects{d: d}, now)
 	if !*d.settings.Forwarding {
-		d.balance = balance.NewTable(now, balance.Config{
-			Cost: balance.DefaultCostRule(),
-			Retry: balance.RetryRule{
+		d.balance = balance.NewTable(time.Now, policy.Config{
+			Cost: policy.DefaultCostRule(),
+			Retry: policy.RetryRule{
 				Share:   d.settings.Retry.FleetShare,
 				Reserve: d.settings.Retry.FleetReserve,
 				Window:  time.Duration(d.settings.Retry.Window),
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -10,6 +10,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
 const (
@@ -32,14 +33,14 @@
 }
 
 func (l *loadReporter) run(ctx context.Context) {
-	refresh := time.NewTicker(balance.RefreshEvery)
+	refresh := time.NewTicker(policy.RefreshEvery)
 	defer refresh.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-refresh.C:
-			l.table.Refresh(time.Now())
+			l.table.Refresh()
 		case <-l.table.Changed():
 			wait(ctx, gatherFor)
 			l.tell()
@@ -102,5 +103,5 @@
 		d.publishDatagram(from, payload)
 		return
 	}
-	d.balance.Report(time.Now(), datagram.From, datagram.Life, datagram.Loads, datagram.Near)
+	d.balance.Report(datagram.From, datagram.Life, datagram.Loads, datagram.Near)
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -6,10 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -206,12 +206,12 @@
 	if x.d.balance == nil {
 		return x.state.budget.retry()
 	}
-	return x.d.balance.AllowRetry(time.Now(), x.req.Service, x.fleet())
+	return x.d.balance.AllowRetry(x.req.Service, x.fleet())
 }
 
 // fleet is how many hosts share the retry allowance.
-func (x *exchange) fleet() balance.Fleet {
-	return balance.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
+func (x *exchange) fleet() policy.Fleet {
+	return policy.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
 }
 
 // try sends the request to one server. done is whether the caller has been
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -7,9 +7,9 @@
 	"strconv"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
-	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -74,7 +74,7 @@
 // shed notes that a server had no slot. A borrowed slot was a guess: it is paid
 // from the budget, and the request may still wait for a slot of this host's own.
 func (x *exchange) shed(lease *place) {
-	lease.done.Outcome = balance.Shed
+	lease.done.Outcome = policy.Shed
 	if lease.Borrowed {
 		x.state.budget.charge()
 		x.borrowed = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/slots"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -19,14 +20,14 @@
 	// Borrowed is set if the slot belongs to another owner host.
 	Borrowed bool
 	// done is what was learnt so far.
-	done balance.Done
+	done policy.Done
 	// belief and load are what decided the pick, 0 with owner hosts.
 	belief float64
 	load   float64
 	// maxIdle is for how long a connection that carries the request may have been
 	// idle, 0 for no bound.
 	maxIdle time.Duration
-	end     func(balance.Done)
+	end     func(policy.Done)
 	report  func(protocol.Load)
 }
 
@@ -37,13 +38,13 @@
 func (p *place) note(kind peerpb.Observation_Kind, firstByte time.Duration) {
 	switch kind {
 	case peerpb.Observation_KIND_GOOD:
-		p.done.Outcome = balance.Good
+		p.done.Outcome = policy.Good
 		p.done.FirstByte = firstByte
 	case peerpb.Observation_KIND_FAILED:
-		p.done.Outcome = balance.Failed
+		p.done.Outcome = policy.Failed
 		p.done.FirstByte = firstByte
 	case peerpb.Observation_KIND_UNREACHABLE:
-		p.done.Outcome = balance.Unreachable
+		p.done.Outcome = policy.Unreachable
 	}
 }
 
@@ -51,14 +52,14 @@
 	return &place{
 		Server:   lease.Server,
 		Borrowed: lease.Borrowed,
-		done:     balance.Done{Outcome: balance.Neutral},
-		end:      func(balance.Done) { lease.Release() },
+		done:     policy.Done{Outcome: policy.Neutral},
+		end:      func(policy.Done) { lease.Release() },
 		report:   func(load protocol.Load) { lease.Report(load.Running) },
 	}
 }
 
 func balancedPlace(lease *balance.Lease) *place {
-	p := &place{Server: lease.Server, done: balance.Done{Outcome: balance.Neutral}, end: lease.Finish}
+	p := &place{Server: lease.Server, done: policy.Done{Outcome: policy.Neutral}, end: lease.Finish}
 	p.belief, p.load, p.maxIdle = lease.Belief, lease.Load, lease.MaxIdle
 	p.report = func(load protocol.Load) { p.done.Load = &load }
 	return p
@@ -68,7 +69,7 @@
 // else one of this host's slots.
 func (x *exchange) place(ctx context.Context) (*place, error) {
 	if x.d.balance != nil {
-		lease, err := x.d.balance.Pick(time.Now(), x.view, balance.Request{
+		lease, err := x.d.balance.Pick(x.view, policy.Request{
 			Service:    x.req.Service,
 			Idempotent: x.req.Idempotent,
 			DataCentre: x.snap.Self.DataCentre,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
 const (
@@ -109,7 +109,7 @@
 // errorCause tells a failing server from an error of the request's own.
 func (l *Logs) errorCause(r line, last try) string {
 	usual := l.usualTime(r.fields["service"])
-	if usual > 0 && float64(last.took) > balance.QuickErrorShare*float64(usual) {
+	if usual > 0 && float64(last.took) > policy.QuickErrorShare*float64(usual) {
 		return fmt.Sprintf("server %s worked on it for %s, about as long as usual (%s), and answered an error: most likely the request's own", last.server, last.took, usual)
 	}
 	if last.belief >= known {
--- a/internal/metrics/balance.go
+++ b/internal/metrics/balance.go
@@ -4,11 +4,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
 // balanceSource is what the collector reads, once a scrape.
 type balanceSource interface {
-	Stats() []balance.ServiceStats
+	Stats() []policy.ServiceStats
 }
 
 // balanceCollector publishes what a host that picks directly knows of services.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -38,19 +39,18 @@
 func TestBalancerIsPublished(t *testing.T) {
 	reg := prometheus.NewRegistry()
 	m := metrics.New(reg)
-	now := time.Now()
-	table := balance.NewTable(now, balance.Config{Cost: balance.DefaultCostRule(), Retry: balance.DefaultRetryRule()})
+	table := balance.NewTable(time.Now, policy.Config{Cost: policy.DefaultCostRule(), Retry: policy.DefaultRetryRule()})
 	m.WatchBalance(table)
 	view := &world.ServiceView{Backends: []world.BackendView{{ID: "b1", DataCentre: "dc1", Slots: 3, Weight: 1}}}
-	for _, outcome := range []balance.Outcome{balance.Failed, balance.Failed} {
-		lease, err := table.Pick(now, view, balance.Request{Service: "s", DataCentre: "dc1", First: true})
+	for _, outcome := range []policy.Outcome{policy.Failed, policy.Failed} {
+		lease, err := table.Pick(view, policy.Request{Service: "s", DataCentre: "dc1", First: true})
 		if err != nil {
 			t.Fatal(err)
 		}
 		if got := value(t, reg, "pearshelf_requests_in_flight"); got != 1 {
 			t.Errorf("%v requests in flight, want 1", got)
 		}
-		lease.Finish(balance.Done{Outcome: outcome})
+		lease.Finish(policy.Done{Outcome: outcome})
 	}
 	for name, want := range map[string]float64{"pearshelf_servers_known": 1, "pearshelf_servers_failing": 1, "pearshelf_requests_in_flight": 0} {
 		if got := value(t, reg, name); got != want {
--- a/internal/balance/connections_test.go
+++ b/internal/policy/connections_test.go
@@ -1,4 +1,4 @@
-package balance
+package policy
 
 import (
 	"testing"
@@ -16,10 +16,10 @@
 		use(t, loser, now, v, "b0", Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
 	}
 	near, _ := loser.Changes()
-	neighbour.Report(now, "h2", loser.Life(), near, true)
+	neighbour.Report(now, "h2", 1, near, true)
 	use(t, loser, now, v, "b0", Done{Outcome: Failed, Reused: true, Took: time.Millisecond})
 	near, failing := loser.Changes()
-	neighbour.Report(now, "h2", loser.Life(), near, true)
+	neighbour.Report(now, "h2", 1, near, true)
 	if len(failing) != 0 {
 		t.Errorf("all hosts are told of %v", failing)
 	}
--- a/internal/balance/pick.go
+++ b/internal/policy/pick.go
@@ -1,10 +1,8 @@
-package balance
+package policy
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -87,8 +85,8 @@
 	Exclude []string
 }
 
-// Lease is a request's place at a server until Finish.
-type Lease struct {
+// Placement is a request's place at a server until Finish.
+type Placement struct {
 	// Server is where to send.
 	Server world.BackendView
 	// Belief that the server is failing, and Load, its requests, decided the
@@ -99,22 +97,13 @@
 	// request, 0 for no bound.
 	MaxIdle time.Duration
 
-	table *Table
 	key   key
 	group string
-	once  sync.Once
-}
-
-// Finish ends the request and notes what was learnt. Further calls do nothing.
-func (l *Lease) Finish(done Done) {
-	l.once.Do(func() { l.table.finish(l.key, l.group, done) })
 }
 
 // Pick returns the server that costs least, or a typed error if all are full
 // or none may be used.
-func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Lease, error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Placement, error) {
 	var best *world.BackendView
 	var bestRow *server
 	bestCost := math.Inf(1)
@@ -154,13 +143,11 @@
 	bestRow.dirty = true
 	bestRow.lastSent = now
 	svc.noteSent(now, t.conf.Retry.Window, bestRow, req)
-	t.notify()
-	return &Lease{
+	return &Placement{
 		Server:  *best,
 		Belief:  bestRow.spell.now(now),
 		Load:    load,
 		MaxIdle: svc.maxIdle(now, req),
-		table:   t,
 		key:     key{req.Service, best.ID},
 		group:   req.Group,
 	}, nil
@@ -175,8 +162,6 @@
 
 // RetryAfter is when a refused request should come back: one request's time.
 func (t *Table) RetryAfter(service string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	return t.service(service).speed
 }
 
@@ -185,7 +170,7 @@
 	rule := t.conf.Cost
 	slots := float64(max(b.Slots, 1))
 	cost := rule.lateness(s.expected(now, svc, load, slots), req.Objective)
-	cost += spread*load/slots + jitter*rand.Float64() + lowWeight*(1-b.Weight)
+	cost += spread*load/slots + jitter*t.conf.Random.Float64() + lowWeight*(1-b.Weight)
 	if b.DataCentre != req.DataCentre {
 		return cost + s.pathCost(now) + rule.OtherDataCentre + rule.PerMegabyte*t.sizes[req.Group]/bytesPerMegabyte
 	}
--- /dev/null
+++ b/internal/policy/pure_test.go
@@ -0,0 +1,62 @@
+package policy
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Decisions take the time and a random source, and hold no lock: the same calls
+// bring the same decisions, on a host and in a replay.
+func TestNoClockLockOrSocket(t *testing.T) {
+	allowedImports := []string{
+		"math", "math/rand/v2", "slices", "time",
+		"github.com/pearshelf/pearshelf/internal/api/peerpb",
+		"github.com/pearshelf/pearshelf/internal/errs",
+		"github.com/pearshelf/pearshelf/internal/protocol",
+		"github.com/pearshelf/pearshelf/internal/world",
+	}
+	// Of these packages only what neither reads a clock nor the shared random source.
+	allowedCalls := map[string][]string{
+		"time": {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
+		"rand": {"Rand"},
+	}
+	sources := func(info fs.FileInfo) bool { return !strings.HasSuffix(info.Name(), "_test.go") }
+	packages, err := parser.ParseDir(token.NewFileSet(), ".", sources, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, file := range packages["policy"].Files {
+		for _, spec := range file.Imports {
+			if path, _ := strconv.Unquote(spec.Path.Value); !slices.Contains(allowedImports, path) {
+				t.Errorf("%s imports %s", name, path)
+			}
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			selector, ok := n.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			from, ok := selector.X.(*ast.Ident)
+			if !ok {
+				return true
+			}
+			if allowed, bounded := allowedCalls[from.Name]; bounded && !slices.Contains(allowed, selector.Sel.Name) {
+				t.Errorf("%s uses %s.%s", name, from.Name, selector.Sel.Name)
+			}
+			return true
+		})
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch n.(type) {
+			case *ast.GoStmt, *ast.SelectStmt, *ast.SendStmt, *ast.ChanType:
+				t.Errorf("%s has a goroutine or channel", name)
+			}
+			return true
+		})
+	}
+}
--- a/internal/balance/report.go
+++ b/internal/policy/report.go
@@ -1,4 +1,4 @@
-package balance
+package policy
 
 import (
 	"time"
@@ -13,8 +13,6 @@
 // what all hosts must be: the servers that failed. Both are told once; what
 // was told before is repeated by Refresh and by the next change.
 func (t *Table) Changes() (near, failing []*peerpb.BackendLoad) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	for k, s := range t.servers {
 		if !s.dirty && !s.failing {
 			continue
@@ -38,18 +36,18 @@
 }
 
 // Refresh marks all servers with requests of this host to be told again, and
-// forgets those that nothing has been heard of for long.
-func (t *Table) Refresh(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// forgets those that nothing has been heard of for long. It reports whether
+// there is something to tell.
+func (t *Table) Refresh(now time.Time) (dirty bool) {
 	for k, s := range t.servers {
 		if s.inFlight > 0 {
 			s.dirty = true
-			t.notify()
+			dirty = true
 		} else if now.Sub(s.spell.at) > forgetAfter {
 			delete(t.servers, k)
 		}
 	}
+	return dirty
 }
 
 // forgetAfter is long enough for the belief to have faded.
@@ -73,8 +71,6 @@
 // host tells this one of all its requests; its in-flight counts are used only
 // then.
 func (t *Table) Report(now time.Time, host string, life uint64, loads []*peerpb.BackendLoad, near bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.meet(host, life)
 	for _, l := range loads {
 		t.reportOne(now, host, l, near)
--- a/internal/balance/retries.go
+++ b/internal/policy/retries.go
@@ -1,4 +1,4 @@
-package balance
+package policy
 
 import "time"
 
@@ -72,8 +72,6 @@
 
 // AllowRetry reports whether a request of a service may be sent again.
 func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	used := t.retriesUsed(now, name, fleet)
 	return float64(used.retries+1) <= max(used.allowance, 1) // one in a window always is
 }
--- a/internal/balance/stats.go
+++ b/internal/policy/stats.go
@@ -1,4 +1,4 @@
-package balance
+package policy
 
 import "time"
 
@@ -15,10 +15,7 @@
 }
 
 // Stats returns a row per service.
-func (t *Table) Stats() []ServiceStats {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) Stats(now time.Time) []ServiceStats {
 	rows := make(map[string]*ServiceStats, len(t.services))
 	for name, svc := range t.services {
 		rows[name] = &ServiceStats{Service: name, Retries: svc.retries.sum(now, t.conf.Retry.Window)}
--- a/internal/balance/balance_test.go
+++ b/internal/policy/table_test.go
@@ -1,8 +1,9 @@
-package balance
+package policy
 
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,10 +24,10 @@
 
 func newTable() (*Table, time.Time) {
 	now := time.Now()
-	return NewTable(now, Config{Cost: DefaultCostRule(), Retry: DefaultRetryRule()}), now
+	return NewTable(now, Config{Cost: DefaultCostRule(), Retry: DefaultRetryRule(), Random: rand.New(rand.NewPCG(1, 2))}), now
 }
 
-func mustPick(t *testing.T, table *Table, now time.Time, v *world.ServiceView, req Request) *Lease {
+func mustPick(t *testing.T, table *Table, now time.Time, v *world.ServiceView, req Request) *Placement {
 	t.Helper()
 	req.Service = "s"
 	if req.DataCentre == "" {
@@ -48,7 +49,7 @@
 			only.Backends = append(only.Backends, b)
 		}
 	}
-	mustPick(t, table, now, only, Request{First: true}).Finish(done)
+	table.Finish(now, mustPick(t, table, now, only, Request{First: true}), done)
 }
 
 func TestBeliefRisesWithFailuresAndFades(t *testing.T) {
@@ -207,13 +208,13 @@
 	v := view(1)
 	use(t, sender, now, v, "b0", Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
 	near, _ := sender.Changes()
-	receiver.Report(now, "h2", sender.Life(), near, true)
+	receiver.Report(now, "h2", 1, near, true)
 	use(t, sender, now, v, "b0", Done{Outcome: Failed, FirstByte: 200 * time.Millisecond})
 	near, failing := sender.Changes()
 	if len(failing) != 0 {
 		t.Errorf("hosts of other data centres are told of %v", failing)
 	}
-	receiver.Report(now, "h2", sender.Life(), near, true)
+	receiver.Report(now, "h2", 1, near, true)
 	if got := receiver.service("s").unserved.sum(now, troubleWindow); got != 1 {
 		t.Errorf("%d unserved requests counted, want 1", got)
 	}
@@ -224,9 +225,9 @@
 func TestPickedAgainCountsOnce(t *testing.T) {
 	table, now := newTable()
 	v := view(3)
-	mustPick(t, table, now, v, Request{First: true}).Finish(Done{Outcome: Unreachable})
-	mustPick(t, table, now, v, Request{}).Finish(Done{Outcome: Shed})
-	mustPick(t, table, now, v, Request{Repeat: true}).Finish(Done{Outcome: Good})
+	table.Finish(now, mustPick(t, table, now, v, Request{First: true}), Done{Outcome: Unreachable})
+	table.Finish(now, mustPick(t, table, now, v, Request{}), Done{Outcome: Shed})
+	table.Finish(now, mustPick(t, table, now, v, Request{Repeat: true}), Done{Outcome: Good})
 	svc := table.service("s")
 	window := table.conf.Retry.Window
 	if requests, retries := svc.requests.sum(now, window), svc.retries.sum(now, window); requests != 1 || retries != 1 {
@@ -243,7 +244,7 @@
 	sender.Changes() // lost
 	use(t, sender, now, v, "b1", Done{Outcome: Good, FirstByte: time.Millisecond})
 	near, _ := sender.Changes()
-	receiver.Report(now, "h2", sender.Life(), near, true)
+	receiver.Report(now, "h2", 1, near, true)
 	if got := receiver.service("s").requests.sum(now, receiver.conf.Retry.Window); got != 2 {
 		t.Errorf("%d requests known, want 2", got)
 	}
@@ -265,7 +266,7 @@
 	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 1500, Retries: 50}}, true)
 	allowed := 0
 	for ; table.AllowRetry(now, "s", fleet); allowed++ {
-		mustPick(t, table, now, view(30), Request{Repeat: true}).Finish(Done{Outcome: Neutral})
+		table.Finish(now, mustPick(t, table, now, view(30), Request{Repeat: true}), Done{Outcome: Neutral})
 	}
 	if allowed > 1 { // it had no request itself
 		t.Errorf("%d retries allowed 9 s after the start", allowed)
@@ -306,12 +307,7 @@
 		if lease.Server.ID == "b0" {
 			outcome = Failed
 		}
-		// finish by hand: the test's clock moves
-		table.mu.Lock()
-		row := table.servers[lease.key]
-		row.inFlight--
-		row.learnOutcome(now, Done{Outcome: outcome, FirstByte: 100 * time.Millisecond})
-		table.mu.Unlock()
+		table.Finish(now, lease, Done{Outcome: outcome, FirstByte: 100 * time.Millisecond})
 	}
 	if len(used) < 6 {
 		t.Errorf("%d of 8 servers in use over 2 s: %v", len(used), used)
@@ -436,14 +432,14 @@
 	v := view(1)
 	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond, Load: &protocol.Load{Running: 3, Waiting: 6}})
 	near, _ := hearer.Changes()
-	neighbour.Report(now, "h2", hearer.Life(), near, true)
+	neighbour.Report(now, "h2", 1, near, true)
 	row := neighbour.servers[key{"s", "b0"}]
 	if load := row.load(now); load < 7 {
 		t.Errorf("load %.1f at the neighbour, want about 8 of the 9 told", load)
 	}
 	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
 	near, _ = hearer.Changes()
-	neighbour.Report(now.Add(5*toldHalfLife), "h2", hearer.Life(), near, true)
+	neighbour.Report(now.Add(5*toldHalfLife), "h2", 1, near, true)
 	if load := row.load(now.Add(5 * toldHalfLife)); load > 1 {
 		t.Errorf("load %.1f later, though the server told nothing since", load)
 	}
--- a/internal/balance/window_test.go
+++ b/internal/policy/window_test.go
@@ -1,4 +1,4 @@
-package balance
+package policy
 
 import (
 	"testing"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,9 +13,9 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -225,7 +225,7 @@
 	setDuration(&s.Caller.ReadHeaderTimeout, DefaultReadHeaderLimit)
 	setDuration(&s.Caller.IdleTimeout, DefaultIdleLimit)
 	setDuration(&s.Caller.BodyIdleTimeout, DefaultBodyIdleLimit)
-	rule := balance.DefaultRetryRule()
+	rule := policy.DefaultRetryRule()
 	if s.Retry.FleetShare == 0 && s.Retry.FleetReserve == 0 {
 		s.Retry.FleetShare, s.Retry.FleetReserve = rule.Share, rule.Reserve
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,22 +57,22 @@
 mutant "stand-in for a silent reader" internal/system/configsync/takeover.go 's/silent > silentAfter/silent > time.Hour/' ./internal/system/configsync
 mutant "stand-in for a stale reader" internal/system/configsync/takeover.go 's/stale > due/stale > due+time.Hour/' ./internal/system/configsync
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
-mutant "late reports" internal/balance/report.go 's/if next.before(p.counts) {/if false {/' ./internal/balance
-mutant "servers stay in use" internal/balance/breadth.go 's/return unusedGain/return 0/' ./internal/balance
-mutant "errors after work" internal/balance/balance.go 's/done.FirstByte > s.quickError(svc)/false/' ./internal/balance
-mutant "broken idle connections" internal/balance/retries.go 's/if is.staleConnections > was.staleConnections {/if false {/' ./internal/balance
+mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
+mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
+mutant "errors after work" internal/policy/table.go 's/done.FirstByte > s.quickError(svc)/false/' ./internal/policy
+mutant "broken idle connections" internal/policy/retries.go 's/if is.staleConnections > was.staleConnections {/if false {/' ./internal/policy
 mutant "bound of idle time" internal/upstream/idle.go 's/if maxIdle > 0 \&\& idle > maxIdle {/if false {/' ./internal/upstream
 mutant "refused writes" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream
-mutant "told load is shared" internal/balance/report.go 's/if l.ToldLoad > 0 {/if false {/' ./internal/balance
-mutant "first report is a use" internal/balance/report.go 's/!known || next.requests/next.requests/' ./internal/balance
-mutant "spent allowance" internal/balance/pick.go 's/return rule.IdempotentFailure + spent\*/return rule.IdempotentFailure + 0*spent*/' ./internal/balance
-mutant "trouble within a second" internal/balance/breadth.go 's/ || svc.manyUnserved(now, windowBuckets\/2)//' ./internal/balance
+mutant "told load is shared" internal/policy/report.go 's/if l.ToldLoad > 0 {/if false {/' ./internal/policy
+mutant "first report is a use" internal/policy/report.go 's/!known || next.requests/next.requests/' ./internal/policy
+mutant "spent allowance" internal/policy/pick.go 's/return rule.IdempotentFailure + spent\*/return rule.IdempotentFailure + 0*spent*/' ./internal/policy
+mutant "trouble within a second" internal/policy/breadth.go 's/ || svc.manyUnserved(now, windowBuckets\/2)//' ./internal/policy
 mutant "new hosts ask again" internal/membership/probe.go 's/case l.Live() > youngSyncHosts:/case true:/' ./internal/membership
 mutant "missing documents only" internal/system/configsync/configsync.go 's/if w.Document(key).Revision == 0 {/if true {/' ./internal/system/configsync
 mutant "start grace" internal/system/configsync/configsync.go 's/heard: now.Add(startGrace)/heard: now/' ./internal/system/configsync
 mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& Outcome/if false \&\& Outcome/' ./internal/dispatch
 mutant "refusal here after an owner broke off" internal/dispatch/dispatch.go 's/refusal.Outcome == OutcomeNotRun \&\& x.written/false/' ./internal/dispatch
-mutant "young hosts spend their own" internal/balance/retries.go 's/if age < rule.Window {/if false {/' ./internal/balance
+mutant "young hosts spend their own" internal/policy/retries.go 's/if age < rule.Window {/if false {/' ./internal/policy
 mutant "time is over" internal/dispatch/exchange.go 's/ \&\& x.broken < maxBroken \&\& ctx.Err() == nil {/ \&\& !isCallerGone(ctx) {/' ./platform -run TimeOver
 mutant "signature" internal/dispatch/judge.go 's/marks.Signature != ""/marks.Signature == "-"/' ./platform -run Idempotent
 mutant "misdirected" internal/dispatch/judge.go 's/x.isMisdirected(answer) || x.d/x.d/' ./platform -run NotRun
