Requests that wait are evidence, idempotent ones get a second copy, usual times go by route

Cause: in a spell servers leave three of four requests unanswered. An idempotent request waited for its first server until its route's timeout, and a hang was evidence only then. Evidence now grows while a request waits (odds by the observed spread of answers, queue included; peers compute it from the age of a host's oldest request, no message more), and a second server gets a copy once the loss that it saves exceeds its cost. One usual time a service mixed requests of 3 ms and 210 ms work; it goes by route now.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -77,6 +77,14 @@
 	return &Lease{Placement: placement, table: t}, nil
 }
 
+// Review says whether a request that waits at a server should have a copy now, and
+// if not, when to ask again; 0 for never.
+func (t *Table) Review(view *world.ServiceView, req policy.Request, lease *Lease) (copyNow bool, after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Review(t.clock(), view, req, lease.Placement)
+}
+
 // RetryAfter is when a refused request should come back.
 func (t *Table) RetryAfter(service string) time.Duration {
 	t.mu.Lock()
@@ -96,7 +104,7 @@
 func (t *Table) Changes() (near, failing []*peerpb.BackendLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Changes()
+	return t.table.Changes(t.clock())
 }
 
 // Refresh marks what must be told again.
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -59,7 +59,7 @@
 	x.noteEnd(source, answer, err)
 	source.Release()
 	if err != nil {
-		x.trace.end("aborted")
+		lease.try.end("aborted")
 		x.logRequest(unknown(asTyped(err)))
 		panic(http.ErrAbortHandler)
 	}
@@ -67,7 +67,7 @@
 
 func (x *exchange) noteEnd(lease *place, answer *upstream.Answer, err error) {
 	if err == nil {
-		x.trace.end("answered/" + strconv.Itoa(answer.StatusCode))
+		lease.try.end("answered/" + strconv.Itoa(answer.StatusCode))
 	}
 	switch {
 	case errors.Is(err, errCallerGone):
@@ -90,6 +90,7 @@
 	if err != nil {
 		return nil, nil
 	}
+	x.trace.begin(next)
 	to := x.toServer(next)
 	to.adjust = func(h http.Header) {
 		x.target(next)(h)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -53,6 +53,8 @@
 	// it may have reached.
 	ran     int
 	arrived int
+	// waiting counts the servers that have the request and have not answered yet.
+	waiting int
 }
 
 // headerDeadline ends the context at the request's deadline. headerArrived
@@ -217,15 +219,14 @@
 // try sends the request to one server. done is whether the caller has been
 // answered; otherwise refusal says what this try came to.
 func (x *exchange) try(ctx context.Context, lease *place) (done bool, refusal *Refusal) {
-	defer lease.Release()
-	x.trace.begin(lease)
 	x.free = false
 	x.paid = false
-	answer, failure := x.send(ctx, x.toServer(lease))
-	if failure != nil {
-		return false, x.failed(ctx, lease, failure)
+	if x.mayCopy(lease) {
+		return x.race(ctx, lease)
 	}
-	return x.judge(ctx, lease, answer)
+	defer lease.Release()
+	x.trace.begin(lease)
+	return x.judge(ctx, lease, x.fetch(ctx, x.toServer(lease)))
 }
 
 func notRunOrUnknown(written bool, err *errs.Error) *Refusal {
--- /dev/null
+++ b/internal/dispatch/fetch.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// answerKind says what an answer is to the request.
+type answerKind int
+
+const (
+	answerOwn     answerKind = iota // the server's own, for this request
+	answerNotRun                    // the server says that it did not run the request
+	answerForeign                   // another request's, or not the server's
+)
+
+// fetched is what one send of a request brought.
+type fetched struct {
+	failure *upstream.Failure
+	// answer is read whole if it is the request's own and fits the buffer.
+	answer *upstream.Answer
+	kind   answerKind
+	// broken is why the answer broke off, nil if it did not.
+	broken error
+}
+
+// good reports whether the caller can be answered with it.
+func (f fetched) good() bool {
+	return f.failure == nil && f.kind == answerOwn && f.broken == nil && f.answer.StatusCode < 500
+}
+
+// discard drops what nobody wants any more.
+func (f fetched) discard() {
+	if f.answer != nil {
+		f.answer.Discard()
+	}
+}
+
+// fetch sends the request once. It reads of the exchange only what does not
+// change while the request is under way, so that copies can be under way beside it.
+func (x *exchange) fetch(ctx context.Context, to destination) fetched {
+	answer, failure := x.send(ctx, to)
+	if failure != nil {
+		return fetched{failure: failure}
+	}
+	switch {
+	case x.isMisdirected(answer), x.d.marks.NotRunBy(answer.Header):
+		return fetched{answer: answer, kind: answerNotRun}
+	case !x.isAnswerTo(answer, to.view):
+		return fetched{answer: answer, kind: answerForeign}
+	default:
+		return fetched{answer: answer, broken: readWhole(answer, x.d.conf.BufferBytes)}
+	}
+}
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -11,26 +11,31 @@
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// judge decides what an answer is worth.
-func (x *exchange) judge(ctx context.Context, lease *place, answer *upstream.Answer) (done bool, refusal *Refusal) {
+// judge decides what one send of the request came to.
+func (x *exchange) judge(ctx context.Context, lease *place, got fetched) (done bool, refusal *Refusal) {
+	if got.failure != nil {
+		return false, x.failed(ctx, lease, got.failure)
+	}
+	answer := got.answer
 	x.arrived++
 	x.noteHints(lease, answer)
-	if x.isMisdirected(answer) || x.d.marks.NotRunBy(answer.Header) {
+	if got.kind == answerNotRun {
 		return false, x.notRunBy(lease, answer)
 	}
 	x.written = true
 	x.ran++
-	if !x.isOwn(answer) {
+	if got.kind == answerForeign {
 		return false, x.wrongAnswer(lease, answer)
 	}
-	if err := readWhole(answer, x.d.conf.BufferBytes); err != nil {
+	if got.broken != nil {
 		answer.Discard()
-		x.trace.end("cut-short")
+		lease.try.end("cut-short")
 		x.tried = append(x.tried, lease.Server.ID)
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
-		return false, unknown(x.whyBroken(ctx, err))
+		return false, unknown(x.whyBroken(ctx, got.broken))
 	}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		return x.serverError(ctx, lease, answer)
@@ -42,7 +47,7 @@
 // notRunBy notes that the server did not run the request.
 func (x *exchange) notRunBy(lease *place, answer *upstream.Answer) *Refusal {
 	answer.Finish()
-	x.trace.end("not-run/" + strconv.Itoa(answer.StatusCode))
+	lease.try.end("not-run/" + strconv.Itoa(answer.StatusCode))
 	if x.isMisdirected(answer) {
 		// Another server has the address: the one meant is gone.
 		x.tried = append(x.tried, lease.Server.ID)
@@ -56,7 +61,7 @@
 // wrongAnswer drops an answer that is not this request's, or not the server's.
 func (x *exchange) wrongAnswer(lease *place, answer *upstream.Answer) *Refusal {
 	answer.Discard()
-	x.trace.end("wrong-answer")
+	lease.try.end("wrong-answer")
 	x.tried = append(x.tried, lease.Server.ID)
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	x.d.events.Record(event.RequestWrong, x.req.Service, lease.Server.ID, "answer carries another request's ID, or no signature")
@@ -89,12 +94,12 @@
 func (x *exchange) serverError(ctx context.Context, lease *place, answer *upstream.Answer) (done bool, refusal *Refusal) {
 	x.tried = append(x.tried, lease.Server.ID)
 	elsewhere := x.req.Idempotent && x.ran < x.req.attempts() && len(x.tried) < len(x.view.Backends)
-	if !elsewhere || !x.mayRetry() {
+	if x.waiting == 0 && (!elsewhere || !x.mayRetry()) {
 		x.pass(ctx, lease, answer)
 		return true, nil
 	}
 	answer.Finish()
-	x.trace.end("error/" + strconv.Itoa(answer.StatusCode))
+	lease.try.end("error/" + strconv.Itoa(answer.StatusCode))
 	x.observe(lease, peerpb.Observation_KIND_FAILED, answer.FirstByte)
 	return false, unknown(errs.New(errs.KindBroken, "backend server "+lease.Server.ID+" answered with an error", "repeat the request"))
 }
@@ -117,6 +122,10 @@
 
 // isOwn checks that an answer belongs to this request and is the server's own.
 func (x *exchange) isOwn(answer *upstream.Answer) bool {
+	return x.isAnswerTo(answer, x.view)
+}
+
+func (x *exchange) isAnswerTo(answer *upstream.Answer, view *world.ServiceView) bool {
 	marks := x.d.marks
 	success := answer.StatusCode < http.StatusMultipleChoices
 	if success && marks.Signature != "" && answer.Header.Get(marks.Signature) == "" {
@@ -127,7 +136,7 @@
 	}
 	echo := answer.Header.Get(marks.RequestID)
 	if echo == "" {
-		return x.view.Config.AllowMissingEcho
+		return view.Config.AllowMissingEcho
 	}
 	return echo == x.req.ID
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,6 +21,9 @@
 	Borrowed bool
 	// done is what was learnt so far.
 	done policy.Done
+	// try is the line about it, lease the balancer's, nil with owner hosts.
+	try   *try
+	lease *balance.Lease
 	// belief and load are what decided the pick, 0 with owner hosts.
 	belief float64
 	load   float64
@@ -59,7 +62,7 @@
 }
 
 func balancedPlace(lease *balance.Lease) *place {
-	p := &place{Server: lease.Server, done: policy.Done{Outcome: policy.Neutral}, end: lease.Finish}
+	p := &place{Server: lease.Server, done: policy.Done{Outcome: policy.Neutral}, end: lease.Finish, lease: lease}
 	p.belief, p.load, p.maxIdle = lease.Belief, lease.Load, lease.MaxIdle
 	p.report = func(load protocol.Load) { p.done.Load = &load }
 	return p
@@ -69,18 +72,7 @@
 // else one of this host's slots.
 func (x *exchange) place(ctx context.Context) (*place, error) {
 	if x.d.balance != nil {
-		lease, err := x.d.balance.Pick(x.view, policy.Request{
-			Service:    x.req.Service,
-			Idempotent: x.req.Idempotent,
-			DataCentre: x.snap.Self.DataCentre,
-			Group:      x.req.Group,
-			Objective:  x.req.Objective,
-			First:      x.arrived == 0 && x.broken == 0,
-			Repeat:     x.arrived > 0,
-			Last:       x.ran+1 >= x.req.attempts(),
-			Fleet:      x.fleet(),
-			Exclude:    x.tried,
-		})
+		lease, err := x.d.balance.Pick(x.view, x.policyRequest())
 		if err != nil {
 			return nil, err
 		}
@@ -98,3 +90,22 @@
 	}
 	return slotPlace(lease), nil
 }
+
+// policyRequest is what the balancer needs to know of the request now. A copy that
+// is under way counts as a server that has had it.
+func (x *exchange) policyRequest() policy.Request {
+	return policy.Request{
+		Service:    x.req.Service,
+		Idempotent: x.req.Idempotent,
+		DataCentre: x.snap.Self.DataCentre,
+		Group:      x.req.Group,
+		Objective:  x.req.Objective,
+		First:      x.arrived == 0 && x.broken == 0 && x.waiting == 0,
+		Repeat:     x.arrived > 0 || x.waiting > 0,
+		Last:       x.ran+x.waiting+1 >= x.req.attempts(),
+		Fleet:      x.fleet(),
+		Exclude:    x.tried,
+		Asked:      x.start,
+		Deadline:   x.req.Deadline,
+	}
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -18,6 +18,8 @@
 	address string // IP:port
 	// maxIdle is for how long the connection may have been idle, 0 for no bound.
 	maxIdle time.Duration
+	// view is of the service when the request was sent.
+	view *world.ServiceView
 	// adjust changes the outgoing headers.
 	adjust func(http.Header)
 }
@@ -29,6 +31,7 @@
 		scheme:  "http",
 		address: lease.Server.Address,
 		maxIdle: lease.maxIdle,
+		view:    x.view,
 		adjust:  x.target(lease),
 	}
 }
@@ -70,9 +73,10 @@
 // failed notes an exchange that brought no answer.
 func (x *exchange) failed(ctx context.Context, lease *place, failure *upstream.Failure) *Refusal {
 	typed := asTyped(failure.Unwrap())
-	x.trace.end(string(typed.Kind))
+	lease.try.end(string(typed.Kind))
 	if isCallerGone(ctx) {
 		x.written = x.written || failure.Written
+		x.giveUp(lease)
 		return notRunOrUnknown(x.written, typed)
 	}
 	if !failure.Written {
@@ -89,7 +93,8 @@
 	x.ran++
 	x.arrived++
 	lease.done.Reused = failure.Reused
-	lease.done.Took = x.trace.lastTook()
+	lease.done.Took = lease.try.took
+	lease.done.TimedOut = typed.Kind == errs.KindDeadline
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	x.tried = append(x.tried, lease.Server.ID)
 	return unknown(typed)
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -35,32 +35,21 @@
 
 // trace is what is logged of one request.
 type trace struct {
-	tries []try
+	tries []*try
 }
 
 // begin notes a pick.
 func (t *trace) begin(lease *place) {
-	t.tries = append(t.tries, try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now()})
+	lease.try = &try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now()}
+	t.tries = append(t.tries, lease.try)
 }
 
-// end notes what became of the newest try. The first result counts.
-func (t *trace) end(result string) {
-	if len(t.tries) == 0 {
-		return
-	}
-	last := &t.tries[len(t.tries)-1]
-	if last.result == "" {
-		last.result = result
-		last.took = time.Since(last.began)
-	}
-}
-
-// lastTook is how long the newest try took, 0 if it has not ended.
-func (t *trace) lastTook() time.Duration {
-	if len(t.tries) == 0 {
-		return 0
+// end notes what became of a try. The first result counts.
+func (t *try) end(result string) {
+	if t.result == "" {
+		t.result = result
+		t.took = time.Since(t.began)
 	}
-	return t.tries[len(t.tries)-1].took
 }
 
 // String lists the tries: server, result, time taken, and what decided the pick.
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -59,6 +59,7 @@
 // allowance that is spent.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request, spent float64) breadth {
 	need, share := t.breadthRule(now, req, spent)
+	svc := t.service(req.Service)
 	candidates, used := 0, 0
 	for i := range view.Backends {
 		b := &view.Backends[i]
@@ -69,7 +70,7 @@
 		switch {
 		case !known:
 			candidates++
-		case s.mustBeUsed(now, need):
+		case s.mustBeUsed(now, svc, need):
 			candidates++
 			if now.Sub(s.lastSent) < unusedFor {
 				used++
@@ -117,17 +118,17 @@
 }
 
 // mustBeUsed reports whether nothing recent speaks against a server.
-func (s *server) mustBeUsed(now time.Time, need breadth) bool {
-	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after {
+func (s *server) mustBeUsed(now time.Time, svc *service, need breadth) bool {
+	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after || s.silence(now, svc) > overdue {
 		return false
 	}
-	return need.anyBelief || s.spell.now(now) < inSpell
+	return need.anyBelief || s.belief(now, svc) < inSpell
 }
 
 // breadthGain is what a request gains by going to a server that has had none
 // for long, where too few servers are in use.
-func (s *server) breadthGain(now time.Time, need breadth) float64 {
-	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, need) {
+func (s *server) breadthGain(now time.Time, svc *service, need breadth) float64 {
+	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, svc, need) {
 		return unusedGain
 	}
 	return 0
--- a/internal/policy/connections_test.go
+++ b/internal/policy/connections_test.go
@@ -15,10 +15,10 @@
 	for range 3 {
 		use(t, loser, now, v, "b0", Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
 	}
-	near, _ := loser.Changes()
+	near, _ := loser.Changes(now)
 	neighbour.Report(now, "h2", 1, near, true)
 	use(t, loser, now, v, "b0", Done{Outcome: Failed, Reused: true, Took: time.Millisecond})
-	near, failing := loser.Changes()
+	near, failing := loser.Changes(now)
 	neighbour.Report(now, "h2", 1, near, true)
 	if len(failing) != 0 {
 		t.Errorf("all hosts are told of %v", failing)
--- /dev/null
+++ b/internal/policy/copies.go
@@ -0,0 +1,141 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// Where servers leave requests unanswered, an idempotent request must not wait for
+// its first server until its time is over: a second server gets a copy while the
+// first goes on, and the first whole answer wins. A copy costs work, which others
+// then wait for, a part of the retry allowance, and bytes if it goes to another
+// data centre. So it is sent when the loss that it saves, by what is known at that
+// moment, exceeds what it costs.
+//
+// Weighed, by trials on the users' bench (docs/DECISIONS.md): breaking the first
+// request off and sending it elsewhere (loses its work where it was only slow); a
+// copy at a fixed multiple of the usual time (too late for short objectives, too
+// many copies for long ones).
+const (
+	// reviewQuantile of the answers have come before a copy is considered.
+	reviewQuantile = 0.7
+	// reviewStep is the time between two considerations, in usual times.
+	reviewStep = 0.15
+	// copyWork is the cost of a copy at an idle data centre, copyLoad what is added
+	// where its servers have a request for each slot, growing with the square;
+	// copySpent what is added as the retry allowance is spent. In requests lost.
+	copyWork  = 0.05
+	copyLoad  = 0.25
+	copySpent = 0.3
+)
+
+// Review says whether a request that waits at a server should have a copy now and,
+// if not, when to ask again; 0 for never. tried are the servers that it has had,
+// that of p included.
+func (t *Table) Review(now time.Time, view *world.ServiceView, req Request, p *Placement) (copyNow bool, after time.Duration) {
+	svc := t.service(req.Service)
+	age := now.Sub(p.pending.since)
+	usual := p.pending.expected
+	first := time.Duration(svc.times.quantile(reviewQuantile) * float64(usual))
+	if age < first {
+		return false, first - age
+	}
+	if req.left(now) <= 0 {
+		return false, 0
+	}
+	if t.worthCopy(now, view, req, p) {
+		return true, 0
+	}
+	return false, max(time.Duration(reviewStep*float64(usual)), time.Millisecond)
+}
+
+// worthCopy compares the loss that a copy saves with its cost.
+func (t *Table) worthCopy(now time.Time, view *world.ServiceView, req Request, p *Placement) bool {
+	if !t.AllowRetry(now, req.Service, req.Fleet) {
+		return false
+	}
+	req.Repeat = true
+	best := t.choose(now, view, req)
+	if best.server == nil {
+		return false
+	}
+	svc := t.service(req.Service)
+	waiting := t.lossWaiting(now, svc, req, p)
+	expected := best.row.estimate(now, svc, t.usual(svc, req.Group), best.row.load(now)).expected
+	other := t.loss(svc, best.row.failure(now, svc), expected, req.objectiveLeft(now), req.left(now))
+	spent := t.spentAllowance(now, req.Service, req.Fleet)
+	busy := t.busy(now, view, req)
+	cost := copyWork + copyLoad*busy*busy + copySpent*spent*spent + t.crossing(best.server, req)
+	return waiting*(1-other) > cost
+}
+
+// lossWaiting is the expected loss of a request that waits at a server: it may
+// never be answered, or too late.
+func (t *Table) lossWaiting(now time.Time, svc *service, req Request, p *Placement) float64 {
+	age := now.Sub(p.pending.since)
+	unanswered := svc.times.beyondAfter(age, p.pending.expected)
+	hang := svc.hang()
+	belief := 0.0
+	if s, known := t.servers[p.key]; known {
+		belief = s.belief(now, svc)
+	}
+	never := belief * hang / (hang + (1-hang)*unanswered)
+	late := svc.times.beyondAfter(age+req.objectiveLeft(now), p.pending.expected) / unanswered
+	lost := svc.times.beyondAfter(age+req.left(now), p.pending.expected) / unanswered
+	return never + (1-never)*t.lateLoss(min(late, 1), min(lost, 1))
+}
+
+// loss is the expected loss of a request sent to a server now.
+func (t *Table) loss(svc *service, failure float64, expected, objectiveLeft, left time.Duration) float64 {
+	late := svc.times.beyondAfter(objectiveLeft, expected)
+	lost := svc.times.beyondAfter(left, expected)
+	return failure + (1-failure)*t.lateLoss(late, lost)
+}
+
+func (t *Table) lateLoss(late, lost float64) float64 {
+	return t.conf.Cost.Late*late + (t.conf.Cost.Failure-t.conf.Cost.Late)*lost
+}
+
+// busy is the part of the slots of this data centre that have a request, 1 at most.
+func (t *Table) busy(now time.Time, view *world.ServiceView, req Request) float64 {
+	load, slots := 0.0, 0
+	for i := range view.Backends {
+		b := &view.Backends[i]
+		if b.DataCentre != req.DataCentre {
+			continue
+		}
+		slots += b.Slots
+		if s, known := t.servers[key{req.Service, b.ID}]; known {
+			load += s.load(now)
+		}
+	}
+	if slots == 0 {
+		return 1
+	}
+	return min(load/float64(slots), 1)
+}
+
+// objectiveLeft is the time in which an answer still meets the objective.
+func (r Request) objectiveLeft(now time.Time) time.Duration {
+	objective := r.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	return objective - r.elapsed(now)
+}
+
+// left is the time until the request's deadline.
+func (r Request) left(now time.Time) time.Duration { return r.Deadline.Sub(now) }
+
+// elapsed is how long the request has been here.
+func (r Request) elapsed(now time.Time) time.Duration {
+	if r.Asked.IsZero() {
+		return 0
+	}
+	return now.Sub(r.Asked)
+}
+
+// excludes reports whether the request has had a server.
+func (r Request) excludes(id string) bool { return slices.Contains(r.Exclude, id) }
--- a/internal/policy/counts.go
+++ b/internal/policy/counts.go
@@ -1,8 +1,6 @@
 package policy
 
 import (
-	"time"
-
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 )
 
@@ -11,7 +9,8 @@
 	good, failed, unreachable, shed uint64
 	lateErrors, staleConnections    uint64
 	requests, retries               uint64
-	goodTime                        time.Duration
+	goodSlowness                    uint64 // of good answers, in millionths
+	silentMillinats                 uint64 // evidence of requests given up, in thousandths of log odds
 }
 
 // add counts one outcome.
@@ -19,7 +18,7 @@
 	switch done.Outcome {
 	case Good:
 		c.good++
-		c.goodTime += done.FirstByte
+		c.goodSlowness += uint64(1e6 * done.slowness)
 	case Failed:
 		c.failed++
 	case lateError:
@@ -43,7 +42,8 @@
 		staleConnections: l.StaleConnections,
 		requests:         l.Requests,
 		retries:          l.Retries,
-		goodTime:         time.Duration(l.GoodUs) * time.Microsecond,
+		goodSlowness:     l.GoodSlownessPpm,
+		silentMillinats:  l.SilentMillinats,
 	}
 }
 
@@ -77,11 +77,12 @@
 		Good:             c.good,
 		Failed:           c.failed,
 		Unreachable:      c.unreachable,
-		GoodUs:           uint64(c.goodTime.Microseconds()),
+		GoodSlownessPpm:  c.goodSlowness,
 		Requests:         c.requests,
 		Retries:          c.retries,
 		Shed:             c.shed,
 		LateErrors:       c.lateErrors,
 		StaleConnections: c.staleConnections,
+		SilentMillinats:  c.silentMillinats,
 	}
 }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -83,6 +82,10 @@
 	Group string
 	// Exclude are servers already tried.
 	Exclude []string
+	// Asked is when the request came to this host, and Deadline when its caller
+	// gives up.
+	Asked    time.Time
+	Deadline time.Time
 }
 
 // Placement is a request's place at a server until Finish.
@@ -97,17 +100,35 @@
 	// request, 0 for no bound.
 	MaxIdle time.Duration
 
-	key   key
-	group string
+	key     key
+	group   string
+	pending *pending
 }
 
 // Pick returns the server that costs least, or a typed error if all are full
 // or none may be used.
 func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Placement, error) {
-	var best *world.BackendView
-	var bestRow *server
-	bestCost := math.Inf(1)
-	eligible := 0
+	best := t.choose(now, view, req)
+	svc := t.service(req.Service)
+	svc.known = true
+	if best.server == nil {
+		return nil, t.none(req, best.eligible)
+	}
+	return t.take(now, svc, best, req), nil
+}
+
+// choice is the server that costs least, nil if there is none, and how many
+// might have had the request.
+type choice struct {
+	server   *world.BackendView
+	row      *server
+	cost     float64
+	eligible int
+}
+
+// choose compares the servers that may have a request.
+func (t *Table) choose(now time.Time, view *world.ServiceView, req Request) choice {
+	best := choice{cost: math.Inf(1)}
 	svc := t.service(req.Service)
 	var spent float64 // part of the retry allowance; matters to idempotent requests only
 	if req.Idempotent {
@@ -117,40 +138,46 @@
 	failure := t.failureCost(req, spent)
 	for i := range view.Backends {
 		b := &view.Backends[i]
-		if slices.Contains(req.Exclude, b.ID) || b.IdempotentOnly && !req.Idempotent {
+		if req.excludes(b.ID) || b.IdempotentOnly && !req.Idempotent {
 			continue
 		}
-		eligible++
+		best.eligible++
 		s := t.row(now, key{req.Service, b.ID}, b)
 		load := s.load(now)
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		cost := t.cost(now, svc, s, b, load, req) + failure*s.spell.failure(now)
+		cost := t.cost(now, svc, s, b, load, req) + failure*s.failure(now, svc)
 		if b.DataCentre == req.DataCentre {
-			cost -= s.breadthGain(now, need)
+			cost -= s.breadthGain(now, svc, need)
 		}
-		if cost < bestCost {
-			best, bestRow, bestCost = b, s, cost
+		if cost < best.cost {
+			best.server, best.row, best.cost = b, s, cost
 		}
 	}
-	svc.known = true
-	if best == nil {
-		return nil, t.none(req, eligible)
-	}
-	load := bestRow.load(now)
-	bestRow.inFlight++
-	bestRow.dirty = true
-	bestRow.lastSent = now
-	svc.noteSent(now, t.conf.Retry.Window, bestRow, req)
-	return &Placement{
-		Server:  *best,
-		Belief:  bestRow.spell.now(now),
+	return best
+}
+
+// take gives a request its place at the chosen server.
+func (t *Table) take(now time.Time, svc *service, best choice, req Request) *Placement {
+	s := best.row
+	load := s.load(now)
+	waiting := &pending{since: now, estimate: s.estimate(now, svc, t.usual(svc, req.Group), load), slowness: s.slowness}
+	placement := &Placement{
+		Server:  *best.server,
+		Belief:  s.belief(now, svc),
 		Load:    load,
 		MaxIdle: svc.maxIdle(now, req),
-		key:     key{req.Service, best.ID},
+		key:     key{req.Service, best.server.ID},
 		group:   req.Group,
-	}, nil
+		pending: waiting,
+	}
+	s.inFlight++
+	s.pending = append(s.pending, waiting)
+	s.dirty = true
+	s.lastSent = now
+	svc.noteSent(now, t.conf.Retry.Window, s, req)
+	return placement
 }
 
 func (t *Table) none(req Request, eligible int) error {
@@ -162,19 +189,24 @@
 
 // RetryAfter is when a refused request should come back: one request's time.
 func (t *Table) RetryAfter(service string) time.Duration {
-	return t.service(service).speed
+	return t.service(service).usual
 }
 
 // cost is the expected cost of a choice.
 func (t *Table) cost(now time.Time, svc *service, s *server, b *world.BackendView, load float64, req Request) float64 {
 	rule := t.conf.Cost
 	slots := float64(max(b.Slots, 1))
-	cost := rule.lateness(s.expected(now, svc, load, slots), req.Objective)
+	cost := rule.lateness(s.estimate(now, svc, t.usual(svc, req.Group), load).expected, req.Objective)
 	cost += spread*load/slots + jitter*t.conf.Random.Float64() + lowWeight*(1-b.Weight)
-	if b.DataCentre != req.DataCentre {
-		return cost + s.pathCost(now) + rule.OtherDataCentre + rule.PerMegabyte*t.sizes[req.Group]/bytesPerMegabyte
+	return cost + s.pathCost(now) + t.crossing(b, req)
+}
+
+// crossing is the cost of going to another data centre, 0 for a server of this one.
+func (t *Table) crossing(b *world.BackendView, req Request) float64 {
+	if b.DataCentre == req.DataCentre {
+		return 0
 	}
-	return cost + s.pathCost(now)
+	return t.conf.Cost.OtherDataCentre + t.conf.Cost.PerMegabyte*t.bytes(req.Group)/bytesPerMegabyte
 }
 
 // failureCost is the cost of a failed try: the request is lost, unless it can
@@ -188,19 +220,6 @@
 	return rule.IdempotentFailure + spent*(rule.Failure-rule.IdempotentFailure)
 }
 
-// expected is the expected time to an answer.
-func (s *server) expected(now time.Time, svc *service, load, slots float64) time.Duration {
-	speed := s.speed
-	if speed == 0 {
-		speed = svc.speed
-	}
-	if now.Before(s.coldUntil) {
-		speed = time.Duration(coldFactor * float64(speed))
-	}
-	waiting := max(load+1-slots, 0) / slots
-	return time.Duration(float64(speed) * (1 + waiting))
-}
-
 // lateness is the cost of an answer that is expected to take some time.
 func (r CostRule) lateness(expected, objective time.Duration) float64 {
 	if objective <= 0 {
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -4,7 +4,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"io/fs"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,12 +26,18 @@
 		"time": {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
 		"rand": {"Rand"},
 	}
-	sources := func(info fs.FileInfo) bool { return !strings.HasSuffix(info.Name(), "_test.go") }
-	packages, err := parser.ParseDir(token.NewFileSet(), ".", sources, 0)
+	names, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, file := range packages["policy"].Files {
+	for _, name := range names {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
 		for _, spec := range file.Imports {
 			if path, _ := strconv.Unquote(spec.Path.Value); !slices.Contains(allowedImports, path) {
 				t.Errorf("%s imports %s", name, path)
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -12,12 +12,12 @@
 // Changes returns what the other hosts of the data centre must be told, and
 // what all hosts must be: the servers that failed. Both are told once; what
 // was told before is repeated by Refresh and by the next change.
-func (t *Table) Changes() (near, failing []*peerpb.BackendLoad) {
+func (t *Table) Changes(now time.Time) (near, failing []*peerpb.BackendLoad) {
 	for k, s := range t.servers {
 		if !s.dirty && !s.failing {
 			continue
 		}
-		row := s.report(k)
+		row := s.report(now, k)
 		if s.dirty {
 			near = append(near, row)
 		}
@@ -59,8 +59,9 @@
 	return &peerpb.BackendLoad{Service: row.Service, Backend: row.Backend, Failed: row.Failed, Unreachable: row.Unreachable}
 }
 
-func (s *server) report(k key) *peerpb.BackendLoad {
+func (s *server) report(now time.Time, k key) *peerpb.BackendLoad {
 	row := s.counts.row(k)
+	row.OldestMs = uint32(s.oldestAge(now).Milliseconds())
 	row.InFlight = uint32(max(s.inFlight, 0))
 	row.ToldLoad = s.toldNow
 	s.toldNow = 0
@@ -121,13 +122,31 @@
 	p.counts = next
 	p.at = now
 	if near {
-		p.inFlight = int(l.InFlight)
+		t.learnWaiting(now, k, s, p, l)
 		if l.ToldLoad > 0 {
 			s.learnLoad(now, int(l.ToldLoad)-1)
 		}
 	}
 }
 
+// learnWaiting takes what requests of another host wait at a server. How long the
+// oldest was expected to take is estimated from the load that is known here and
+// the usual time of the service: its route is not told.
+func (t *Table) learnWaiting(now time.Time, k key, s *server, p *peerLoad, l *peerpb.BackendLoad) {
+	oldest := now.Add(-time.Duration(l.OldestMs) * time.Millisecond)
+	began := p.inFlight == 0 || oldest.Sub(p.oldest) > otherRequest
+	p.inFlight = int(l.InFlight)
+	p.oldest = oldest
+	if p.inFlight > 0 && began {
+		svc := t.service(k.service)
+		p.expected = s.estimate(now, svc, svc.usual, s.load(now)-1).expected
+	}
+}
+
+// otherRequest is by how much the oldest request of a host must have begun later
+// for it to be another one; reports are some milliseconds under way.
+const otherRequest = 20 * time.Millisecond
+
 // maxNews bounds the outcomes taken from one datagram: more are a backlog,
 // whose order and time are lost.
 const maxNews = 4
@@ -148,7 +167,10 @@
 	if is.unreachable > was.unreachable {
 		s.spell.unreachable(now)
 	}
+	if is.silentMillinats > was.silentMillinats {
+		s.learnSilence(now, min(float64(is.silentMillinats-was.silentMillinats)/1000, maxSilence))
+	}
 	if good > 0 {
-		s.learnSpeed((is.goodTime - was.goodTime) / time.Duration(good))
+		s.learnSlowness(float64(is.goodSlowness-was.goodSlowness) / 1e6 / float64(good))
 	}
 }
--- /dev/null
+++ b/internal/policy/routes.go
@@ -0,0 +1,95 @@
+package policy
+
+import "time"
+
+// Routes of one service may differ in their work a hundredfold, so that one usual
+// time for all says nothing about any: what is expected of a request, and with it
+// whether it is overdue, goes by the answers to its own route. How much slower than
+// others a server is, is one figure for all routes.
+const (
+	// routeGain is the least weight of one answer in the usual time and size of a
+	// route; the first ones weigh more.
+	routeGain = 0.05
+	// slownessGain is the weight of one answer in the slowness of a server.
+	slownessGain = 0.2
+	// leastSlowness and mostSlowness bound what one answer can say of a server.
+	leastSlowness = 0.05
+	mostSlowness  = 20.0
+)
+
+// route is what this host knows of the good answers to one route.
+type route struct {
+	answers int
+	usual   time.Duration // to the header, at an idle server of usual speed
+	bytes   float64       // of the body
+}
+
+// learn notes a good answer.
+func (r *route) learn(atIdle time.Duration, bytes float64) {
+	r.answers++
+	gain := max(1/float64(r.answers), routeGain)
+	r.usual += time.Duration(gain * float64(atIdle-r.usual))
+	r.bytes += gain * (bytes - r.bytes)
+}
+
+// route returns the row of a route, made if absent.
+func (t *Table) route(group string) *route {
+	r, ok := t.routes[group]
+	if !ok {
+		r = &route{}
+		t.routes[group] = r
+	}
+	return r
+}
+
+// usual is the usual time of a request's route, that of its service if the route
+// has had no answer here.
+func (t *Table) usual(svc *service, group string) time.Duration {
+	if r, ok := t.routes[group]; ok && r.answers > 0 {
+		return r.usual
+	}
+	return svc.usual
+}
+
+// bytes is the usual size of an answer to a route, 0 if unknown.
+func (t *Table) bytes(group string) float64 {
+	if r, ok := t.routes[group]; ok {
+		return r.bytes
+	}
+	return 0
+}
+
+// learnSlowness notes how slow answers were, 1 for the usual time.
+func (s *server) learnSlowness(ratio float64) {
+	ratio = min(max(ratio, leastSlowness), mostSlowness)
+	s.slowness += slownessGain * (ratio - s.slowness)
+}
+
+// estimate is how long a request takes to its header at a server, queue included.
+type estimate struct {
+	// atUsual is the time at a server of usual speed, expected that at this one.
+	atUsual  time.Duration
+	expected time.Duration
+	// work is the part of atUsual that is the request's own.
+	work time.Duration
+}
+
+// estimate goes by the usual time of the request's route, by the queue that is
+// ahead of it, and by the server's slowness.
+func (s *server) estimate(now time.Time, svc *service, usual time.Duration, load float64) estimate {
+	e := estimate{work: max(usual, time.Microsecond)}
+	e.atUsual = e.work + time.Duration(float64(svc.usual)*s.queued(load))
+	slowness := s.slowness
+	if now.Before(s.coldUntil) {
+		slowness *= coldFactor
+	}
+	e.expected = time.Duration(float64(e.atUsual) * slowness)
+	return e
+}
+
+// queued is how many requests must end at a server before one more begins, for
+// each slot.
+func (s *server) queued(load float64) float64 {
+	slots := float64(max(s.slots, 1))
+	return max(load+1-slots, 0) / slots
+}
--- /dev/null
+++ b/internal/policy/silence.go
@@ -0,0 +1,104 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// A server in a spell may not fail requests but leave them unanswered. Then a
+// failure shows only when a request's time is over, a second and more later, and
+// all that are sent there meanwhile are lost with it. So a request that goes
+// unanswered is evidence already while it waits, the more the fewer answers of its
+// service take so long. Its answer takes that back: the evidence is computed from
+// the requests that wait now, and nothing of it is kept.
+//
+// Weighed: a fixed multiple of the usual time as a verdict (cuts requests that are
+// only slow, and says nothing before); telling hosts of each step of the evidence
+// (a datagram a step). Hosts tell the age of their oldest request with what they
+// tell anyway, and each computes the rest.
+const (
+	// maxSilence bounds the log odds from requests that wait: they may wait for one
+	// cause, such as one long request before them.
+	maxSilence = 4.0
+	// hangGain is the weight of one failure in the share of failures that are
+	// silent, hangPrior that share before any.
+	hangGain  = 0.1
+	hangPrior = 0.5
+	// overdue is the evidence, in log odds, from which a server that has a request
+	// waiting counts as failing now: 8 to 1.
+	overdue = 2.08
+)
+
+// pending is a request at a server that has no answer yet.
+type pending struct {
+	since    time.Time
+	estimate         // when it was sent
+	slowness float64 // of the server then
+}
+
+// hang is the chance that a request at a server in a spell is left unanswered.
+func (svc *service) hang() float64 { return failInSpell * svc.silentShare }
+
+// learnFailure notes whether a failure was silent.
+func (svc *service) learnFailure(silent bool) {
+	target := 0.0
+	if silent {
+		target = 1
+	}
+	svc.silentShare += hangGain * (target - svc.silentShare)
+}
+
+// silenceOf is the evidence for a spell, in log odds, of a request that has gone
+// unanswered for some time.
+func (svc *service) silenceOf(age, expected time.Duration) float64 {
+	sound := svc.times.beyondAfter(age, expected)
+	if age <= 0 {
+		sound = 1
+	}
+	hang := svc.hang()
+	return math.Log((hang + (1-hang)*sound) / sound)
+}
+
+// silence is the evidence of all requests that wait at a server.
+func (s *server) silence(now time.Time, svc *service) float64 {
+	total := 0.0
+	for _, p := range s.pending {
+		total += svc.silenceOf(now.Sub(p.since), p.expected)
+	}
+	for _, peer := range s.peers {
+		if peer.inFlight > 0 && now.Sub(peer.at) < peerExpiry {
+			total += svc.silenceOf(now.Sub(peer.oldest), peer.expected)
+		}
+	}
+	return min(total, maxSilence)
+}
+
+// belief is the belief that a server is in a spell, with the evidence of the
+// requests that wait there.
+func (s *server) belief(now time.Time, svc *service) float64 {
+	p := s.spell.now(now)
+	odds := math.Exp(s.silence(now, svc))
+	return p * odds / (p*odds + 1 - p)
+}
+
+// failure is the chance that the next request at a server fails.
+func (s *server) failure(now time.Time, svc *service) float64 {
+	return failSound + (failInSpell-failSound)*s.belief(now, svc)
+}
+
+// removePending forgets a request that has ended.
+func (s *server) removePending(p *pending) {
+	if i := slices.Index(s.pending, p); i >= 0 {
+		s.pending = slices.Delete(s.pending, i, i+1)
+	}
+}
+
+// oldestAge is how long this host's oldest request waits at a server.
+func (s *server) oldestAge(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, p := range s.pending {
+		age = max(age, now.Sub(p.since))
+	}
+	return age
+}
--- a/internal/policy/spell.go
+++ b/internal/policy/spell.go
@@ -59,13 +59,8 @@
 	s.at = now
 }
 
-func (s *spell) failed(now time.Time)      { s.observe(now, failInSpell/quickFailSound) }
-func (s *spell) lateError(now time.Time)   { s.observe(now, lateErrorFactor) }
-func (s *spell) good(now time.Time)        { s.observe(now, (1-failInSpell)/(1-failSound)) }
-func (s *spell) unreachable(now time.Time) { s.observe(now, unreachableFactor) }
-
-// failure is the probability that the next request fails.
-func (s *spell) failure(now time.Time) float64 {
-	p := s.now(now)
-	return failSound + (failInSpell-failSound)*p
-}
+func (s *spell) failed(now time.Time)                  { s.observe(now, failInSpell/quickFailSound) }
+func (s *spell) lateError(now time.Time)               { s.observe(now, lateErrorFactor) }
+func (s *spell) good(now time.Time)                    { s.observe(now, (1-failInSpell)/(1-failSound)) }
+func (s *spell) silent(now time.Time, logOdds float64) { s.observe(now, math.Exp(logOdds)) }
+func (s *spell) unreachable(now time.Time)             { s.observe(now, unreachableFactor) }
--- a/internal/policy/stats.go
+++ b/internal/policy/stats.go
@@ -27,7 +27,7 @@
 		}
 		row.Servers++
 		row.InFlight += s.inFlight
-		if s.spell.now(now) > inSpell {
+		if s.belief(now, t.service(k.service)) > inSpell {
 			row.Failing++
 		}
 	}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -27,13 +27,10 @@
 	// toldHalfLife is how fast the load that a server told loses its weight: a
 	// request takes some 250 ms.
 	toldHalfLife = 200 * time.Millisecond
-	// speedGain is the weight of one answer in the usual time of a server, and
-	// serviceGain in that of its service.
-	speedGain   = 0.2
+	// serviceGain is the weight of one answer in the usual time of a service.
 	serviceGain = 0.05
-	sizeGain    = 0.2
-	// defaultSpeed is the time of a request before any answer.
-	defaultSpeed = 250 * time.Millisecond
+	// defaultUsual is the time of a request before any answer.
+	defaultUsual = 250 * time.Millisecond
 	// pathHold is how long a server that this host cannot reach is avoided here,
 	// doubled for each further failure up to maxPathHold.
 	pathHold    = 500 * time.Millisecond
@@ -64,7 +61,10 @@
 	Unreachable
 	// Shed: the server refused the request for lack of room.
 	Shed
-	// Neutral: nothing was learnt, as when the caller went away.
+	// Abandoned: given up without an answer, because another server's copy won or
+	// the caller went away.
+	Abandoned
+	// Neutral: nothing was learnt.
 	Neutral
 )
 
@@ -75,12 +75,17 @@
 	inFlight int
 	at       time.Time
 	counts   counts
+	// oldest is since when the oldest of inFlight waits, expected how long it was
+	// expected to take.
+	oldest   time.Time
+	expected time.Duration
 }
 
 // server is one row of the table.
 type server struct {
 	spell    spell
 	inFlight int
+	pending  []*pending // of inFlight, this host's
 	counts   counts
 	peers    map[string]*peerLoad
 
@@ -90,12 +95,14 @@
 	// toldNow is the load that the server told this host since its last report,
 	// plus 1; 0 for nothing told.
 	toldNow uint32
-	// speed is the usual time to the header of an answer, 0 if unknown.
-	speed time.Duration
+	// slowness is the time of its answers against what is usual for their routes.
+	slowness float64
 	// failedAt is when a request last failed there, at any host.
 	failedAt time.Time
 	// lastSent is when a host of this data centre last sent a request there.
 	lastSent time.Time
+	// slots are how many requests it works on at a time, 0 if unknown here.
+	slots int
 	// coldUntil is until when a new server is slow.
 	coldUntil time.Time
 	// pathFailures in a row from this host; avoided until pathUntil.
@@ -109,7 +116,12 @@
 
 // service is what is known of a service as a whole.
 type service struct {
-	speed time.Duration // usual time to the header of a good answer
+	// usual is the usual time to the header of a good answer at an idle server,
+	// whatever its route. times is how answers spread about their expected time,
+	// silentShare the part of failures without an answer.
+	usual       time.Duration
+	times       times
+	silentShare float64
 	// known is set once this host has seen the service's servers: those that it
 	// sees later have just started.
 	known bool
@@ -145,8 +157,8 @@
 	started  time.Time
 	servers  map[key]*server
 	services map[string]*service
-	lives    map[string]uint64  // of the other hosts, by name
-	sizes    map[string]float64 // bytes of an answer, by route group
+	lives    map[string]uint64 // of the other hosts, by name
+	routes   map[string]*route // by Request.Group
 }
 
 // NewTable returns an empty table of a host that started at now.
@@ -157,7 +169,7 @@
 		servers:  make(map[key]*server),
 		services: make(map[string]*service),
 		lives:    make(map[string]uint64),
-		sizes:    make(map[string]float64),
+		routes:   make(map[string]*route),
 	}
 }
 
@@ -165,7 +177,7 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{speed: defaultSpeed, near: make(map[string]counts)}
+		svc = &service{usual: defaultUsual, times: newTimes(), silentShare: hangPrior, near: make(map[string]counts)}
 		t.services[name] = svc
 	}
 	return svc
@@ -175,10 +187,16 @@
 func (t *Table) row(now time.Time, k key, view *world.BackendView) *server {
 	s, ok := t.servers[k]
 	if ok {
+		if view != nil {
+			s.slots = view.Slots
+		}
 		return s
 	}
-	s = &server{peers: make(map[string]*peerLoad)}
+	s = &server{slowness: 1, peers: make(map[string]*peerLoad)}
 	s.spell = spell{probability: stationary, at: now}
+	if view != nil {
+		s.slots = view.Slots
+	}
 	if view != nil && t.service(k.service).known {
 		s.spell.probability = newServer
 		s.coldUntil = now.Add(view.Warmup)
@@ -197,9 +215,13 @@
 	// Bytes is the size of a good answer's body.
 	Bytes int64
 	// Reused is whether a failed request was sent on a connection that had been
-	// used before, and Took the time until it broke.
+	// used before, and Took the time until it broke or was given up.
 	Reused bool
 	Took   time.Duration
+	// TimedOut is set for a failed request that had no answer when its time was over.
+	TimedOut bool
+	// slowness is FirstByte against what is usual for the route and the queue.
+	slowness float64
 }
 
 // Finish ends a request that Pick placed. It must be called once a placement.
@@ -210,48 +232,56 @@
 		return
 	}
 	s.inFlight--
+	s.removePending(p.pending)
 	s.dirty = true
 	svc := t.service(k.service)
+	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
+	silence := 0.0
+	if done.TimedOut || done.Outcome == Abandoned {
+		silence = svc.silenceOf(done.Took, p.pending.expected)
+	}
 	switch {
-	case done.Outcome == Failed && done.FirstByte > s.quickError(svc):
+	case done.TimedOut && silence < overdue:
+		done.Outcome = Abandoned // it had too little time to say much
+	case done.Outcome == Failed && done.FirstByte > quickError(p):
 		done.Outcome = lateError
-	case done.Outcome == Failed && done.Reused && done.Took < s.quickError(svc):
+	case done.Outcome == Failed && done.Reused && done.Took < quickError(p):
 		done.Outcome = staleConnection
 		svc.staleAt = now
 	}
-	s.learnOutcome(now, done)
+	if done.Outcome == Failed {
+		svc.learnFailure(done.TimedOut)
+	}
+	s.learnOutcome(now, done, silence)
 	svc.totals.add(done)
 	svc.dirty = true
 	svc.noteOutcome(now, done.Outcome)
 	if done.Outcome == Good && done.FirstByte > 0 {
-		s.learnSpeed(done.FirstByte)
-		svc.speed += time.Duration(serviceGain * float64(done.FirstByte-svc.speed))
+		svc.times.add(float64(done.FirstByte) / float64(p.pending.expected))
+		s.learnSlowness(done.slowness)
+		atIdle := time.Duration(done.slowness * float64(p.pending.work))
+		t.route(p.group).learn(atIdle, float64(done.Bytes))
+		svc.usual += time.Duration(serviceGain * float64(atIdle-svc.usual))
 	}
 	if done.Load != nil {
 		load := done.Load.Running + done.Load.Waiting
 		s.learnLoad(now, load)
 		s.toldNow = uint32(load) + 1
 	}
-	if done.Outcome == Good {
-		t.learnSize(p.group, float64(done.Bytes))
-	}
-}
-
-func (t *Table) learnSize(group string, bytes float64) {
-	size, known := t.sizes[group]
-	if !known {
-		size = bytes
-	}
-	t.sizes[group] = size + sizeGain*(bytes-size)
 }
 
-func (s *server) learnOutcome(now time.Time, done Done) {
+// learnOutcome takes an outcome; silence is the evidence, in log odds, of the time
+// that the request waited in vain.
+func (s *server) learnOutcome(now time.Time, done Done, silence float64) {
 	s.counts.add(done)
 	switch done.Outcome {
 	case Good:
 		s.spell.good(now)
 		s.pathFailures = 0
 		s.pathUntil = time.Time{}
+	case Abandoned:
+		s.counts.silentMillinats += uint64(1000 * max(silence, 0))
+		s.learnSilence(now, silence)
 	case Failed:
 		s.spell.failed(now)
 		s.failedAt = now
@@ -267,22 +297,19 @@
 	}
 }
 
-// quickError is the time up to which an error comes too soon to be the
-// request's own: the server did not work on it. Servers in a spell of failures
-// answer errors at once; an error that belongs to a request takes its work.
-func (s *server) quickError(svc *service) time.Duration {
-	speed := s.speed
-	if speed == 0 {
-		speed = svc.speed
+// learnSilence takes the evidence of a request that was given up unanswered.
+func (s *server) learnSilence(now time.Time, silence float64) {
+	s.spell.silent(now, silence)
+	if silence > overdue {
+		s.failedAt = now
 	}
-	return time.Duration(QuickErrorShare * float64(speed))
 }
 
-func (s *server) learnSpeed(took time.Duration) {
-	if s.speed == 0 {
-		s.speed = took
-	}
-	s.speed += time.Duration(speedGain * float64(took-s.speed))
+// quickError is the time up to which an error comes too soon to be the
+// request's own: the server did not work on it. Servers in a spell of failures
+// answer errors at once; an error that belongs to a request takes its work.
+func quickError(p *Placement) time.Duration {
+	return time.Duration(QuickErrorShare * float64(p.pending.work) * p.pending.slowness)
 }
 
 // learnLoad keeps what the told load exceeds the known one by: requests of
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -207,10 +207,10 @@
 	receiver, _ := newTable()
 	v := view(1)
 	use(t, sender, now, v, "b0", Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
-	near, _ := sender.Changes()
+	near, _ := sender.Changes(now)
 	receiver.Report(now, "h2", 1, near, true)
 	use(t, sender, now, v, "b0", Done{Outcome: Failed, FirstByte: 200 * time.Millisecond})
-	near, failing := sender.Changes()
+	near, failing := sender.Changes(now)
 	if len(failing) != 0 {
 		t.Errorf("hosts of other data centres are told of %v", failing)
 	}
@@ -241,9 +241,9 @@
 	receiver, _ := newTable()
 	v := view(2)
 	use(t, sender, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
-	sender.Changes() // lost
+	sender.Changes(now) // lost
 	use(t, sender, now, v, "b1", Done{Outcome: Good, FirstByte: time.Millisecond})
-	near, _ := sender.Changes()
+	near, _ := sender.Changes(now)
 	receiver.Report(now, "h2", 1, near, true)
 	if got := receiver.service("s").requests.sum(now, receiver.conf.Retry.Window); got != 2 {
 		t.Errorf("%d requests known, want 2", got)
@@ -337,8 +337,8 @@
 	v.Backends[1].DataCentre = "dc2"
 	use(t, table, now, v, "b1", Done{Outcome: Good, FirstByte: 100 * time.Millisecond})
 	use(t, table, now, v, "b0", Done{Outcome: Failed})
-	table.learnSize("large", 100_000)
-	table.learnSize("small", 500)
+	table.route("large").learn(100*time.Millisecond, 100_000)
+	table.route("small").learn(100*time.Millisecond, 500)
 	if lease := mustPick(t, table, now, v, Request{Idempotent: true, Group: "large"}); lease.Server.ID != "b0" {
 		t.Errorf("a large answer is fetched from %s", lease.Server.DataCentre)
 	}
@@ -368,11 +368,11 @@
 	v := view(2)
 	use(t, table, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
 	use(t, table, now, v, "b1", Done{Outcome: Failed})
-	near, far := table.Changes()
+	near, far := table.Changes(now)
 	if len(near) != 3 || len(far) != 1 || far[0].Backend != "b1" || far[0].Failed != 1 || far[0].Requests != 0 {
 		t.Errorf("near %v, far %v", near, far)
 	}
-	if near, far = table.Changes(); len(near)+len(far) != 0 {
+	if near, far = table.Changes(now); len(near)+len(far) != 0 {
 		t.Errorf("told again without a change: %v, %v", near, far)
 	}
 }
@@ -431,14 +431,14 @@
 	neighbour, _ := newTable()
 	v := view(1)
 	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond, Load: &protocol.Load{Running: 3, Waiting: 6}})
-	near, _ := hearer.Changes()
+	near, _ := hearer.Changes(now)
 	neighbour.Report(now, "h2", 1, near, true)
 	row := neighbour.servers[key{"s", "b0"}]
 	if load := row.load(now); load < 7 {
 		t.Errorf("load %.1f at the neighbour, want about 8 of the 9 told", load)
 	}
 	use(t, hearer, now, v, "b0", Done{Outcome: Good, FirstByte: time.Millisecond})
-	near, _ = hearer.Changes()
+	near, _ = hearer.Changes(now)
 	neighbour.Report(now.Add(5*toldHalfLife), "h2", 1, near, true)
 	if load := row.load(now.Add(5 * toldHalfLife)); load > 1 {
 		t.Errorf("load %.1f later, though the server told nothing since", load)
