A load replay in simulated time; requests make room while a queue stands; mechanisms can be left out

experiment/replay drives the policy without sockets or sleeps: servers with slots, queues, tails, spells and sheds, hosts that tell each other, callers with routes and bursts. Admission: while a quarter of a service's answers in the data centre are late, a request that more likely would be late too is refused at once; less urgent ones earlier.

--- /dev/null
+++ b/experiment/replay/replay_test.go
@@ -0,0 +1,168 @@
+package replay
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/policy"
+)
+
+// seeds are played of each pattern; the verdict is the same each time.
+const seeds = 3
+
+// played are the results of patterns by name and what is left out: several tests
+// compare with the same one.
+var played sync.Map
+
+type summary struct {
+	all    RouteResult
+	routes map[string]*RouteResult
+}
+
+// play adds up some seeds of a pattern, all routes and each one.
+func play(t *testing.T, name string, without ...policy.Mechanism) (all RouteResult, routes map[string]*RouteResult) {
+	t.Helper()
+	once, _ := played.LoadOrStore(fmt.Sprint(name, without), sync.OnceValues(func() (*summary, error) {
+		return playSeeds(name, without)
+	}))
+	sum, err := once.(func() (*summary, error))()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sum.all, sum.routes
+}
+
+func playSeeds(name string, without []policy.Mechanism) (*summary, error) {
+	pattern, err := Load(name)
+	if err != nil {
+		return nil, err
+	}
+	sum := newResult(pattern)
+	for seed := range uint64(seeds) {
+		sum.add(Run(pattern, Config{Seed: seed + 1, Without: without}))
+	}
+	s := &summary{all: sum.Total(), routes: make(map[string]*RouteResult)}
+	for _, route := range sum.Routes {
+		s.routes[route.Route] = route
+	}
+	return s, nil
+}
+
+// Idempotent requests that hang at their first server are served by a copy.
+func TestSecondCopies(t *testing.T) {
+	t.Parallel()
+	_, with := play(t, "hangs")
+	_, without := play(t, "hangs", policy.MechanismCopies)
+	for _, route := range []string{"lookup", "download"} {
+		got, before := with[route].Unserved(), without[route].Unserved()
+		if got > 0.6*before {
+			t.Errorf("%s: %.3f unserved with copies, %.3f without", route, got, before)
+		}
+		if sent := float64(with[route].Copies) / float64(with[route].Asked); sent > 0.2 {
+			t.Errorf("%s: copies of %.2f of the requests, more than the retry allowance", route, sent)
+		}
+	}
+}
+
+// While more comes than the servers can carry, refusing keeps answers in time; a
+// spike that is gone again soon is served nearly as without.
+func TestStandingQueue(t *testing.T) {
+	t.Parallel()
+	with, _ := play(t, "overload")
+	without, _ := play(t, "overload", policy.MechanismStanding)
+	if with.Goodput() < 1.05*without.Goodput() {
+		t.Errorf("overload: goodput %.3f, without refusing %.3f", with.Goodput(), without.Goodput())
+	}
+	if with.HeldInVain > without.HeldInVain*4/5 {
+		t.Errorf("overload: requests held in vain for %s, without refusing %s", with.HeldInVain, without.HeldInVain)
+	}
+	with, _ = play(t, "spikes")
+	without, _ = play(t, "spikes", policy.MechanismStanding)
+	if with.Goodput() < 0.98*without.Goodput() || with.Unserved() > 1.15*without.Unserved() {
+		t.Errorf("spikes: goodput %.3f and %.3f unserved, without refusing %.3f and %.3f",
+			with.Goodput(), with.Unserved(), without.Goodput(), without.Unserved())
+	}
+	if calm, _ := play(t, "hangs"); calm.Refused > calm.Asked/1000 {
+		t.Errorf("%d requests refused without overload", calm.Refused)
+	}
+}
+
+// In overload the less urgent kind makes room, and is still served.
+func TestPriorities(t *testing.T) {
+	t.Parallel()
+	_, routes := play(t, "priorities")
+	urgent, other := routes["booking"], routes["export"]
+	if urgent.Goodput() < other.Goodput() || urgent.Unserved() > other.Unserved() {
+		t.Errorf("the more urgent kind has goodput %.3f and %.3f unserved, the other %.3f and %.3f",
+			urgent.Goodput(), urgent.Unserved(), other.Goodput(), other.Unserved())
+	}
+	if other.Goodput() < 0.5 {
+		t.Errorf("the less urgent kind starves: goodput %.3f", other.Goodput())
+	}
+}
+
+// What is overdue goes by the route, so that short requests do not make long ones
+// look overdue.
+func TestUsualTimesByRoute(t *testing.T) {
+	t.Parallel()
+	_, with := play(t, "mixed")
+	_, without := play(t, "mixed", policy.MechanismRoutes)
+	if got, before := with["lookup"].Copies, without["lookup"].Copies; float64(got) > 0.8*float64(before) {
+		t.Errorf("%d copies with usual times by route, %d with one for the service", got, before)
+	}
+	if got, before := with["lookup"].Goodput(), without["lookup"].Goodput(); got < 0.99*before {
+		t.Errorf("goodput %.3f with usual times by route, %.3f with one for the service", got, before)
+	}
+}
+
+// What hosts learn guides the others.
+func TestSharing(t *testing.T) {
+	t.Parallel()
+	with, _ := play(t, "hangs")
+	for mechanism, atLeast := range map[policy.Mechanism]float64{
+		policy.MechanismSpells:   2,
+		policy.MechanismOutcomes: 1.4,
+		policy.MechanismLoads:    1.4,
+	} {
+		without, _ := play(t, "hangs", mechanism)
+		if without.Unserved() < atLeast*with.Unserved() {
+			t.Errorf("without %s %.3f unserved, with it %.3f", mechanism, without.Unserved(), with.Unserved())
+		}
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("overload")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := Run(pattern, Config{Seed: 7}), Run(pattern, Config{Seed: 7})
+	if !reflect.DeepEqual(first.Seconds, second.Seconds) {
+		t.Error("two runs of one seed differ")
+	}
+	if other := Run(pattern, Config{Seed: 8}); reflect.DeepEqual(first.Seconds, other.Seconds) {
+		t.Error("two seeds give the same run")
+	}
+}
+
+func TestBadPatternsNameTheRemedy(t *testing.T) {
+	for text, remedy := range map[string]string{
+		"hosts: many": "experiment/replay/patterns",
+		"hots: 3":     "experiment/replay/patterns",
+		"hosts: 3\ndata_centres: 1\nlength: 1s\nservices: [{name: s, servers: [1, 2], slots: 1}]":                                                               "`servers`",
+		"hosts: 3\ndata_centres: 1\nlength: 1s\nservices: [{name: s, servers: [1], slots: 1, spells: {share: 0.5, mean: 1s, kind: odd}}]":                       "`kind`",
+		"hosts: 3\ndata_centres: 1\nlength: 1s\nservices: [{name: s, servers: [1], slots: 1}]\nroutes: [{name: r, service: x}]":                                 "`service`",
+		"hosts: 3\ndata_centres: 1\nlength: 1s\nservices: [{name: s, servers: [1], slots: 1}]\nroutes: [{name: r, service: s, rate: 1}]":                        "`work.mean`",
+		"data_centres: 1\nlength: 1s\nservices: [{name: s, servers: [1], slots: 1}]\nroutes: [{name: r, service: s, rate: 1, work: {mean: 1s}, objective: 1s}]": "`timeout`",
+	} {
+		_, err := Parse([]byte(text))
+		if errs.KindOf(err) != errs.KindConfig || !strings.Contains(err.Error(), remedy) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/experiment/replay/result.go
@@ -0,0 +1,154 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// outcome is what a caller got.
+type outcome int
+
+const (
+	served  outcome = iota
+	refused         // not run, and told so
+	failed          // may have run, or ran and failed
+)
+
+// lateWorth is what an answer after the objective is worth, against 1 for one in
+// time: as the users' new customer counts it.
+const lateWorth = 0.1
+
+// RouteResult is what the callers of one route got.
+type RouteResult struct {
+	Route string
+	// Asked are all requests; of these InTime and Late were served, Refused not run,
+	// and Failed the rest.
+	Asked, InTime, Late, Refused, Failed int
+	// Copies are second copies sent, Sends all requests sent to servers.
+	Copies int
+	// HeldInVain is the time for which requests were kept that were then not served.
+	HeldInVain time.Duration
+	// times of the served, in microseconds
+	times *hdrhistogram.Histogram
+}
+
+// Second is what became of the requests that came within one second.
+type Second struct{ Asked, InTime, Late, Refused, Failed int }
+
+// Result of a replay.
+type Result struct {
+	Routes  []*RouteResult
+	Seconds []Second
+	reasons map[string]int
+}
+
+const longestMicroseconds = 60_000_000
+
+func newResult(p *Pattern) *Result {
+	r := &Result{
+		Seconds: make([]Second, int(time.Duration(p.Length)/time.Second)+1),
+		reasons: make(map[string]int),
+	}
+	for _, route := range p.Routes {
+		r.Routes = append(r.Routes, &RouteResult{Route: route.Name, times: hdrhistogram.New(1, longestMicroseconds, 3)})
+	}
+	return r
+}
+
+// note counts a request that has ended.
+func (r *Result) note(q *request, o outcome) {
+	took := q.host.fleet.clock.now - q.asked
+	second := &r.Seconds[int(q.asked/time.Second)]
+	route := r.route(q.route.Name)
+	route.Asked++
+	route.Copies += q.copies
+	second.Asked++
+	switch {
+	case o == served && took <= time.Duration(q.route.Objective):
+		route.InTime++
+		second.InTime++
+	case o == served:
+		route.Late++
+		second.Late++
+	case o == refused:
+		route.Refused++
+		second.Refused++
+	default:
+		route.Failed++
+		second.Failed++
+	}
+	if o != served {
+		route.HeldInVain += took
+		return
+	}
+	_ = route.times.RecordValue(max(took.Microseconds(), 1)) // within range: a request has a timeout
+}
+
+func (r *Result) route(name string) *RouteResult {
+	for _, route := range r.Routes {
+		if route.Route == name {
+			return route
+		}
+	}
+	return nil
+}
+
+// add adds another run of the same pattern.
+func (r *Result) add(other *Result) {
+	for i, route := range other.Routes {
+		r.Routes[i].add(route)
+	}
+	for i, s := range other.Seconds {
+		r.Seconds[i].add(s)
+	}
+	for reason, n := range other.reasons {
+		r.reasons[reason] += n
+	}
+}
+
+func (s *Second) add(other Second) {
+	s.Asked += other.Asked
+	s.InTime += other.InTime
+	s.Late += other.Late
+	s.Refused += other.Refused
+	s.Failed += other.Failed
+}
+
+// Total adds all routes.
+func (r *Result) Total() RouteResult {
+	total := RouteResult{Route: "all", times: hdrhistogram.New(1, longestMicroseconds, 3)}
+	for _, route := range r.Routes {
+		total.add(route)
+	}
+	return total
+}
+
+func (r *RouteResult) add(other *RouteResult) {
+	r.Asked += other.Asked
+	r.InTime += other.InTime
+	r.Late += other.Late
+	r.Refused += other.Refused
+	r.Failed += other.Failed
+	r.Copies += other.Copies
+	r.HeldInVain += other.HeldInVain
+	r.times.Merge(other.times)
+}
+
+// Goodput is the worth of all answers by that of all requests served in time.
+func (r *RouteResult) Goodput() float64 {
+	return (float64(r.InTime) + lateWorth*float64(r.Late)) / float64(max(r.Asked, 1))
+}
+
+// Unserved is the share of requests that got no answer of a server's.
+func (r *RouteResult) Unserved() float64 {
+	return float64(r.Refused+r.Failed) / float64(max(r.Asked, 1))
+}
+
+// LateShare is the share of requests served after their objective.
+func (r *RouteResult) LateShare() float64 { return float64(r.Late) / float64(max(r.Asked, 1)) }
+
+// Quantile is the time within which a share of the served were answered.
+func (r *RouteResult) Quantile(share float64) time.Duration {
+	return time.Duration(r.times.ValueAtQuantile(100*share)) * time.Microsecond
+}
--- /dev/null
+++ b/experiment/replay/server.go
@@ -0,0 +1,180 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// errorAfter is how soon a server in a spell of errors answers.
+const errorAfter = 3 * time.Millisecond
+
+// reply is how a server's work on a request ended.
+type reply int
+
+const (
+	replyGood reply = iota
+	replyError
+	replyShed
+)
+
+// job is a request at a server.
+type job struct {
+	route *Route
+	// deadline is when the server gives up, by what it was told.
+	deadline time.Duration
+	done     func(reply)
+	end      *timer
+	over     bool
+}
+
+// server is a backend server with slots and a queue.
+type server struct {
+	id         string
+	dataCentre int
+	service    *Service
+	clock      *clock
+	random     *rand.Rand
+	running    int
+	queue      []*job
+	inSpell    bool
+	faults     []Fault // those that come to this server
+}
+
+func newServer(service *Service, dataCentre, number int, c *clock, random *rand.Rand) *server {
+	s := &server{
+		id:         fmt.Sprintf("%s-%d-%d", service.Name, dataCentre, number),
+		dataCentre: dataCentre,
+		service:    service,
+		clock:      c,
+		random:     random,
+	}
+	for _, f := range service.Faults {
+		if random.Float64() < f.Share {
+			s.faults = append(s.faults, f)
+		}
+	}
+	if service.Spells.Share > 0 {
+		s.inSpell = random.Float64() < service.Spells.Share
+		s.nextSpell()
+	}
+	return s
+}
+
+// nextSpell schedules the end of a spell, or of the time between two.
+func (s *server) nextSpell() {
+	mean := float64(s.service.Spells.Mean)
+	if !s.inSpell {
+		mean *= (1 - s.service.Spells.Share) / s.service.Spells.Share
+	}
+	length := distuv.Exponential{Rate: 1 / mean, Src: s.random}.Rand()
+	s.clock.after(time.Duration(length), func() {
+		s.inSpell = !s.inSpell
+		s.nextSpell()
+	})
+}
+
+// trouble draws what a request meets that begins now, "" for nothing.
+func (s *server) trouble() (kind string, factor float64) {
+	for _, f := range s.faults {
+		if s.clock.now >= time.Duration(f.From) && s.clock.now < time.Duration(f.From+f.For) {
+			if f.Kind == KindSlow {
+				return KindSlow, f.Factor
+			}
+			if s.random.Float64() < f.Fails {
+				return f.Kind, 1
+			}
+		}
+	}
+	if s.inSpell && s.random.Float64() < s.service.Spells.Fails {
+		return s.service.Spells.Kind, 1
+	}
+	return "", 1
+}
+
+// take begins a request, queues it or sheds it.
+func (s *server) take(j *job) {
+	switch {
+	case s.running < s.service.Slots:
+		s.begin(j)
+	case len(s.queue) < s.service.Queue:
+		s.queue = append(s.queue, j)
+	default:
+		j.over = true
+		j.done(replyShed)
+	}
+}
+
+func (s *server) begin(j *job) {
+	kind, factor := s.trouble()
+	left := j.deadline - s.clock.now
+	if kind == KindShed || left <= 0 {
+		j.over = true
+		j.done(replyShed)
+		s.next()
+		return
+	}
+	s.running++
+	result := replyGood
+	work := time.Duration(factor * float64(draw(j.route.Work, s.random)))
+	switch {
+	case kind == KindErrors:
+		work, result = errorAfter, replyError
+	case kind == KindHang:
+		work = math.MaxInt64
+	case s.random.Float64() < j.route.OwnErrors:
+		result = replyError
+	}
+	if work > left {
+		work, result = left, replyError
+	}
+	j.end = s.clock.after(work, func() { s.finish(j, result) })
+}
+
+func (s *server) finish(j *job, result reply) {
+	j.over = true
+	s.running--
+	j.done(result)
+	s.next()
+}
+
+func (s *server) next() {
+	for s.running < s.service.Slots && len(s.queue) > 0 {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.begin(j)
+	}
+}
+
+// cancel ends a request whose sender has left.
+func (s *server) cancel(j *job) {
+	if j.over {
+		return
+	}
+	j.over = true
+	if i := slices.Index(s.queue, j); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+		return
+	}
+	if j.end == nil {
+		return // still on its way here
+	}
+	j.end.stopped = true
+	s.running--
+	s.next()
+}
+
+// draw draws a request's work.
+func draw(w Work, random *rand.Rand) time.Duration {
+	// the mean of a log-normal distribution is exp(mu + sigma^2/2)
+	mu := math.Log(float64(w.Mean)) - w.Spread*w.Spread/2
+	work := distuv.LogNormal{Mu: mu, Sigma: w.Spread, Src: random}.Rand()
+	if random.Float64() < w.Tail {
+		work *= w.TailFactor
+	}
+	return time.Duration(work)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,7 +240,8 @@
 	}, d.clock, &effects{d: d}, now)
 	if !*d.settings.Forwarding {
 		d.balance = balance.NewTable(time.Now, policy.Config{
-			Cost: policy.DefaultCostRule(),
+			Cost:    policy.DefaultCostRule(),
+			Without: d.settings.Policy.Without,
 			Retry: policy.RetryRule{
 				Share:   d.settings.Retry.FleetShare,
 				Reserve: d.settings.Retry.FleetReserve,
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -105,6 +105,7 @@
 		Last:       x.ran+x.waiting+1 >= x.req.attempts(),
 		Fleet:      x.fleet(),
 		Exclude:    x.tried,
+		Priority:   x.req.Priority,
 		Asked:      x.start,
 		Deadline:   x.req.Deadline,
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -68,6 +68,8 @@
 	Attempts int
 	// Objective is the route's latency objective, 0 for none.
 	Objective time.Duration
+	// Priority is the rank in overload, 0 the highest.
+	Priority int
 	// Group names requests with answers of about one size: their route.
 	Group string
 	// ForwardedBy is the entry host, on an owner.
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// slowAfter makes a request worth a line of its own. It is the usual latency
+	// slowAfter makes a request worth a line of its own, if its route has no latency
 	// objective.
 	slowAfter = time.Second
 	// sampleOneIn is how many plain requests there are for each line about one.
@@ -92,11 +92,19 @@
 	return true
 }
 
+// slowAfter is the time from which on a served request counts as slow.
+func (r *Request) slowAfter() time.Duration {
+	if r.Objective > 0 {
+		return r.Objective
+	}
+	return slowAfter
+}
+
 // logRequest writes the line about a request that has its final answer.
 func (x *exchange) logRequest(refusal *Refusal) {
 	now := time.Now()
 	took := now.Sub(x.start)
-	plain := refusal == nil && x.status < 500 && len(x.trace.tries) == 1 && took < slowAfter
+	plain := refusal == nil && x.status < 500 && len(x.trace.tries) == 1 && took < x.req.slowAfter()
 	if !x.d.requestLog.wants(now, plain) {
 		return
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -159,6 +159,7 @@
 	req.Attempts = match.Attempts
 	req.Group = match.Group
 	req.Objective = match.Objective
+	req.Priority = match.Priority
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	req.Caller = r.Header.Get(f.conf.IdentityHeader)
--- /dev/null
+++ b/internal/policy/admission.go
@@ -0,0 +1,87 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
+)
+
+// While more comes than the servers can carry, a queue of any length is full, and
+// all that is served is late: each request waits for work that is itself too late
+// to be worth much. The same number can be served in time if the queue is kept
+// short. A queue that is gone again soon is to be served: there nothing is gained
+// by turning requests away. What tells the two apart is whether the queue stands, as
+// in CoDel (Nichols and Jacobson, "Controlling Queue Delay", ACM Queue 2012): not
+// its length, but for how long no server could have answered in time.
+//
+// Weighed, in replays (docs/DECISIONS.md): a bound on the queue at all times (turns
+// spikes away that could be served), and none (all late for as long as it lasts).
+const (
+	// standingLate is the chance of a late answer above which a request is refused
+	// while the queue stands: then it more likely costs others their time than gains
+	// by its own.
+	standingLate = 0.5
+	// standingShare is the share of late answers from which on a queue stands,
+	// lateWindow (in buckets of troubleWindow: 1 s) the time over which they are
+	// counted, in this data centre, and standingLeast how many must have come. Refusing
+	// holds the share near this figure: below it, requests are admitted again.
+	standingShare = 0.25
+	lateBuckets   = windowBuckets / 2
+	standingLeast = 10
+	// lessUrgent is the part of standingShare and of standingLate from which on
+	// requests are refused that are less urgent than others of the service: they make
+	// room first.
+	lessUrgent = 0.5
+	// priorityFor is how long after a request its priority counts for the others.
+	priorityFor = 2 * time.Second
+	// hopeless is the chance of no answer in time at all, above which a request is
+	// refused at any time: it would only hold up others.
+	hopeless = 0.9
+)
+
+// admit refuses a request that would be answered too late to be of use, by the
+// best server that there is for it.
+func (t *Table) admit(now time.Time, svc *service, best choice, req Request) error {
+	if !t.has(MechanismStanding) || req.Deadline.IsZero() {
+		return nil
+	}
+	expected := best.row.estimate(now, svc, t.usual(svc, req.Group), best.row.load(now)).expected
+	if svc.times.beyondAfter(req.left(now), expected) > hopeless {
+		return errs.New(errs.KindQueueFull, "no backend server of "+req.Service+" can answer before the request's deadline", "repeat the request after the time in Retry-After, or allow more time")
+	}
+	if !req.First {
+		return nil
+	}
+	strictness := 1.0
+	if svc.moreUrgent(now, req.Priority) {
+		strictness = lessUrgent
+	}
+	late := svc.times.beyondAfter(req.objectiveLeft(now), expected)
+	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
+		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" stands: the answer would be late", "repeat the request after the time in Retry-After")
+	}
+	return nil
+}
+
+// lateShare is the share of late ones among the newest answers of this data centre,
+// 0 where there are too few to tell.
+func (svc *service) lateShare(now time.Time) float64 {
+	late := svc.late.newest(now, troubleWindow, lateBuckets)
+	served := svc.served.newest(now, troubleWindow, lateBuckets)
+	if served < standingLeast {
+		return 0
+	}
+	return float64(late) / float64(served)
+}
+
+func (svc *service) notePriority(now time.Time, priority int) { svc.priorities[priority] = now }
+
+// moreUrgent reports whether requests of a higher rank have lately come.
+func (svc *service) moreUrgent(now time.Time, priority int) bool {
+	for other, last := range svc.priorities {
+		if other < priority && now.Sub(last) < priorityFor {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -84,7 +84,7 @@
 // breadthRule returns which servers must be in use, and what part of them.
 func (t *Table) breadthRule(now time.Time, req Request, spent float64) (breadth, float64) {
 	switch {
-	case t.service(req.Service).troubled(now):
+	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
 		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
 	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
 		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
@@ -108,10 +108,13 @@
 }
 
 // noteOutcome counts an outcome of this host's own.
-func (svc *service) noteOutcome(now time.Time, outcome Outcome) {
-	switch outcome {
+func (svc *service) noteOutcome(now time.Time, done Done) {
+	switch done.Outcome {
 	case Good:
 		svc.served.add(now, troubleWindow, 1)
+		if done.late {
+			svc.late.add(now, troubleWindow, 1)
+		}
 	case Failed, Shed, lateError, staleConnection:
 		svc.unserved.add(now, troubleWindow, 1)
 	}
--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -17,8 +17,8 @@
 
 // maxIdle is for how long a connection may have been idle that carries a
 // request, 0 for no bound.
-func (svc *service) maxIdle(now time.Time, req Request) time.Duration {
-	if req.Idempotent || svc.staleAt.IsZero() || now.Sub(svc.staleAt) > staleFor {
+func (t *Table) maxIdle(now time.Time, svc *service, req Request) time.Duration {
+	if !t.has(MechanismIdleConnections) || req.Idempotent || svc.staleAt.IsZero() || now.Sub(svc.staleAt) > staleFor {
 		return 0
 	}
 	return staleIdle
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -35,6 +35,9 @@
 // if not, when to ask again; 0 for never. tried are the servers that it has had,
 // that of p included.
 func (t *Table) Review(now time.Time, view *world.ServiceView, req Request, p *Placement) (copyNow bool, after time.Duration) {
+	if !t.has(MechanismCopies) {
+		return false, 0
+	}
 	svc := t.service(req.Service)
 	age := now.Sub(p.pending.since)
 	usual := p.pending.expected
--- a/internal/policy/counts.go
+++ b/internal/policy/counts.go
@@ -9,6 +9,7 @@
 	good, failed, unreachable, shed uint64
 	lateErrors, staleConnections    uint64
 	requests, retries               uint64
+	late                            uint64 // of good, after the objective
 	goodSlowness                    uint64 // of good answers, in millionths
 	silentMillinats                 uint64 // evidence of requests given up, in thousandths of log odds
 }
@@ -19,6 +20,9 @@
 	case Good:
 		c.good++
 		c.goodSlowness += uint64(1e6 * done.slowness)
+		if done.late {
+			c.late++
+		}
 	case Failed:
 		c.failed++
 	case lateError:
@@ -42,6 +46,7 @@
 		staleConnections: l.StaleConnections,
 		requests:         l.Requests,
 		retries:          l.Retries,
+		late:             l.Late,
 		goodSlowness:     l.GoodSlownessPpm,
 		silentMillinats:  l.SilentMillinats,
 	}
@@ -80,6 +85,7 @@
 		GoodSlownessPpm:  c.goodSlowness,
 		Requests:         c.requests,
 		Retries:          c.retries,
+		Late:             c.late,
 		Shed:             c.shed,
 		LateErrors:       c.lateErrors,
 		StaleConnections: c.staleConnections,
--- /dev/null
+++ b/internal/policy/mechanisms.go
@@ -0,0 +1,52 @@
+package policy
+
+import "slices"
+
+// Mechanism is a part of the policy that can be left out, to measure what it is
+// worth: in a replay by --without, on a host by the setting `policy.without`.
+type Mechanism string
+
+// Mechanisms.
+const (
+	// MechanismSpells is the belief that a server fails, from outcomes.
+	MechanismSpells Mechanism = "spells"
+	// MechanismSilence is evidence from requests that wait, silence.go.
+	MechanismSilence Mechanism = "silence"
+	// MechanismCopies are second copies of idempotent requests, copies.go.
+	MechanismCopies Mechanism = "copies"
+	// MechanismOutcomes is what other hosts tell of outcomes.
+	MechanismOutcomes Mechanism = "shared-outcomes"
+	// MechanismLoads is what other hosts tell of their requests in flight.
+	MechanismLoads Mechanism = "shared-loads"
+	// MechanismToldLoad is the load that servers tell.
+	MechanismToldLoad Mechanism = "told-load"
+	// MechanismBreadth keeps servers in use, breadth.go.
+	MechanismBreadth Mechanism = "breadth"
+	// MechanismTrouble uses nearly all servers while many requests are unserved.
+	MechanismTrouble Mechanism = "trouble"
+	// MechanismDataCentre prefers servers of the own data centre.
+	MechanismDataCentre Mechanism = "own-data-centre"
+	// MechanismColdStart expects new servers to be slow.
+	MechanismColdStart Mechanism = "cold-start"
+	// MechanismIdleConnections is connections.go.
+	MechanismIdleConnections Mechanism = "idle-connections"
+	// MechanismRoutes are usual times by route, routes.go.
+	MechanismRoutes Mechanism = "route-times"
+	// MechanismYoungHosts bounds what a host that has just started sends again.
+	MechanismYoungHosts Mechanism = "young-hosts"
+
+	// MechanismStanding refuses requests while a queue stands, admission.go.
+	MechanismStanding Mechanism = "standing-queue"
+)
+
+// Mechanisms lists all that can be left out.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		MechanismSpells, MechanismSilence, MechanismCopies, MechanismOutcomes, MechanismLoads,
+		MechanismToldLoad, MechanismBreadth, MechanismTrouble, MechanismDataCentre,
+		MechanismColdStart, MechanismIdleConnections, MechanismRoutes, MechanismYoungHosts, MechanismStanding,
+	}
+}
+
+// has reports whether a mechanism is in use.
+func (t *Table) has(m Mechanism) bool { return !slices.Contains(t.conf.Without, m) }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -80,6 +80,8 @@
 	Fleet Fleet
 	// Group names requests with answers of about one size, such as a route.
 	Group string
+	// Priority is the rank in overload, 0 the highest.
+	Priority int
 	// Exclude are servers already tried.
 	Exclude []string
 	// Asked is when the request came to this host, and Deadline when its caller
@@ -103,6 +105,8 @@
 	key     key
 	group   string
 	pending *pending
+	// objectiveAt is when the request's latency objective is over.
+	objectiveAt time.Time
 }
 
 // Pick returns the server that costs least, or a typed error if all are full
@@ -114,6 +118,10 @@
 	if best.server == nil {
 		return nil, t.none(req, best.eligible)
 	}
+	svc.notePriority(now, req.Priority)
+	if err := t.admit(now, svc, best, req); err != nil {
+		return nil, err
+	}
 	return t.take(now, svc, best, req), nil
 }
 
@@ -148,7 +156,7 @@
 			continue
 		}
 		cost := t.cost(now, svc, s, b, load, req) + failure*s.failure(now, svc)
-		if b.DataCentre == req.DataCentre {
+		if b.DataCentre == req.DataCentre && t.has(MechanismBreadth) {
 			cost -= s.breadthGain(now, svc, need)
 		}
 		if cost < best.cost {
@@ -167,10 +175,12 @@
 		Server:  *best.server,
 		Belief:  s.belief(now, svc),
 		Load:    load,
-		MaxIdle: svc.maxIdle(now, req),
+		MaxIdle: t.maxIdle(now, svc, req),
 		key:     key{req.Service, best.server.ID},
 		group:   req.Group,
 		pending: waiting,
+
+		objectiveAt: now.Add(req.objectiveLeft(now)),
 	}
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
@@ -203,7 +213,7 @@
 
 // crossing is the cost of going to another data centre, 0 for a server of this one.
 func (t *Table) crossing(b *world.BackendView, req Request) float64 {
-	if b.DataCentre == req.DataCentre {
+	if b.DataCentre == req.DataCentre || !t.has(MechanismDataCentre) {
 		return 0
 	}
 	return t.conf.Cost.OtherDataCentre + t.conf.Cost.PerMegabyte*t.bytes(req.Group)/bytesPerMegabyte
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -15,7 +15,7 @@
 // bring the same decisions, on a host and in a replay.
 func TestNoClockLockOrSocket(t *testing.T) {
 	allowedImports := []string{
-		"math", "math/rand/v2", "slices", "time",
+		"cmp", "math", "math/rand/v2", "slices", "time",
 		"github.com/pearshelf/pearshelf/internal/api/peerpb",
 		"github.com/pearshelf/pearshelf/internal/errs",
 		"github.com/pearshelf/pearshelf/internal/protocol",
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -32,9 +34,16 @@
 			svc.dirty = false
 		}
 	}
+	slices.SortFunc(near, byServer)
+	slices.SortFunc(failing, byServer)
 	return near, failing
 }
 
+// byServer orders reports, so that the same calls bring the same reports.
+func byServer(a, b *peerpb.BackendLoad) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
+}
+
 // Refresh marks all servers with requests of this host to be told again, and
 // forgets those that nothing has been heard of for long. It reports whether
 // there is something to tell.
@@ -115,13 +124,15 @@
 	if next.before(p.counts) {
 		return // an older datagram that came late
 	}
-	s.learnPeer(now, p.counts, next)
+	if t.has(MechanismOutcomes) {
+		s.learnPeer(now, p.counts, next)
+	}
 	if near && (!known || next.requests+next.retries > p.counts.requests+p.counts.retries) {
 		s.lastSent = now // a host tells of a server when it has just used it
 	}
 	p.counts = next
 	p.at = now
-	if near {
+	if near && t.has(MechanismLoads) {
 		t.learnWaiting(now, k, s, p, l)
 		if l.ToldLoad > 0 {
 			s.learnLoad(now, int(l.ToldLoad)-1)
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -67,6 +67,7 @@
 	svc.requests.add(now, length, int(is.requests-was.requests))
 	svc.retries.add(now, length, int(is.retries-was.retries))
 	svc.served.add(now, troubleWindow, int(is.good-was.good))
+	svc.late.add(now, troubleWindow, int(is.late-was.late))
 	svc.unserved.add(now, troubleWindow, int(is.unserved()-was.unserved()))
 }
 
@@ -94,7 +95,7 @@
 	rule := t.conf.Retry
 	age := now.Sub(t.started)
 	all := float64(max(fleet.All, fleet.Near, 1))
-	if age < rule.Window {
+	if age < rule.Window && t.has(MechanismYoungHosts) {
 		// A young host does not know what the others spent before its start, and
 		// may have spent itself before it was killed: it keeps to its own part, and
 		// its reserve grows with its age.
--- a/internal/policy/routes.go
+++ b/internal/policy/routes.go
@@ -10,6 +10,8 @@
 	// routeGain is the least weight of one answer in the usual time and size of a
 	// route; the first ones weigh more.
 	routeGain = 0.05
+	// priorRoute is how many answers the usual time of the service counts for.
+	priorRoute = 2
 	// slownessGain is the weight of one answer in the slowness of a server.
 	slownessGain = 0.2
 	// leastSlowness and mostSlowness bound what one answer can say of a server.
@@ -24,19 +26,20 @@
 	bytes   float64       // of the body
 }
 
-// learn notes a good answer.
+// learn notes a good answer. The first ones are weighed with what is usual for the
+// service: any of them may be an odd one.
 func (r *route) learn(atIdle time.Duration, bytes float64) {
 	r.answers++
-	gain := max(1/float64(r.answers), routeGain)
+	gain := max(1/float64(r.answers+priorRoute), routeGain)
 	r.usual += time.Duration(gain * float64(atIdle-r.usual))
-	r.bytes += gain * (bytes - r.bytes)
+	r.bytes += max(1/float64(r.answers), routeGain) * (bytes - r.bytes)
 }
 
 // route returns the row of a route, made if absent.
-func (t *Table) route(group string) *route {
+func (t *Table) route(svc *service, group string) *route {
 	r, ok := t.routes[group]
 	if !ok {
-		r = &route{}
+		r = &route{usual: svc.usual}
 		t.routes[group] = r
 	}
 	return r
@@ -45,7 +48,7 @@
 // usual is the usual time of a request's route, that of its service if the route
 // has had no answer here.
 func (t *Table) usual(svc *service, group string) time.Duration {
-	if r, ok := t.routes[group]; ok && r.answers > 0 {
+	if r, ok := t.routes[group]; ok && r.answers > 0 && t.has(MechanismRoutes) {
 		return r.usual
 	}
 	return svc.usual
--- a/internal/policy/silence.go
+++ b/internal/policy/silence.go
@@ -53,8 +53,8 @@
 // unanswered for some time.
 func (svc *service) silenceOf(age, expected time.Duration) float64 {
 	sound := svc.times.beyondAfter(age, expected)
-	if age <= 0 {
-		sound = 1
+	if age <= 0 || sound > 0.999 {
+		return 0 // no time at all has passed, by what is usual
 	}
 	hang := svc.hang()
 	return math.Log((hang + (1-hang)*sound) / sound)
@@ -62,21 +62,27 @@
 
 // silence is the evidence of all requests that wait at a server.
 func (s *server) silence(now time.Time, svc *service) float64 {
-	total := 0.0
+	if !svc.uses.silence {
+		return 0
+	}
+	total := int64(0) // in millionths: the sum must not depend on the order
 	for _, p := range s.pending {
-		total += svc.silenceOf(now.Sub(p.since), p.expected)
+		total += int64(1e6 * svc.silenceOf(now.Sub(p.since), p.expected))
 	}
 	for _, peer := range s.peers {
 		if peer.inFlight > 0 && now.Sub(peer.at) < peerExpiry {
-			total += svc.silenceOf(now.Sub(peer.oldest), peer.expected)
+			total += int64(1e6 * svc.silenceOf(now.Sub(peer.oldest), peer.expected))
 		}
 	}
-	return min(total, maxSilence)
+	return min(float64(total)/1e6, maxSilence)
 }
 
 // belief is the belief that a server is in a spell, with the evidence of the
 // requests that wait there.
 func (s *server) belief(now time.Time, svc *service) float64 {
+	if !svc.uses.spells {
+		return stationary
+	}
 	p := s.spell.now(now)
 	odds := math.Exp(s.silence(now, svc))
 	return p * odds / (p*odds + 1 - p)
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -134,13 +134,21 @@
 	staleAt time.Time
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
+	// late of served, for admission.
+	late window
+	// priorities are the ranks of its requests, and when one last came.
+	priorities map[int]time.Time
 	// totals are this host's counts over all servers, near those that the hosts
 	// of this data centre last told.
 	totals counts
 	near   map[string]counts
 	dirty  bool
+	uses   evidence
 }
 
+// evidence is what a belief goes by.
+type evidence struct{ spells, silence bool }
+
 // Config of a Table.
 type Config struct {
 	Cost  CostRule
@@ -148,6 +156,8 @@
 	// Random breaks ties between servers of equal cost. Hosts must not share a
 	// seed, or those with equal views choose alike.
 	Random *rand.Rand
+	// Without leaves mechanisms out, to measure what they are worth.
+	Without []Mechanism
 }
 
 // Table is what one host knows of all services. It is not safe for concurrent
@@ -177,7 +187,8 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{usual: defaultUsual, times: newTimes(), silentShare: hangPrior, near: make(map[string]counts)}
+		svc = &service{usual: defaultUsual, times: newTimes(), silentShare: hangPrior, near: make(map[string]counts), priorities: make(map[int]time.Time)}
+		svc.uses = evidence{spells: t.has(MechanismSpells), silence: t.has(MechanismSilence)}
 		t.services[name] = svc
 	}
 	return svc
@@ -197,7 +208,7 @@
 	if view != nil {
 		s.slots = view.Slots
 	}
-	if view != nil && t.service(k.service).known {
+	if view != nil && t.service(k.service).known && t.has(MechanismColdStart) {
 		s.spell.probability = newServer
 		s.coldUntil = now.Add(view.Warmup)
 	}
@@ -220,8 +231,10 @@
 	Took   time.Duration
 	// TimedOut is set for a failed request that had no answer when its time was over.
 	TimedOut bool
-	// slowness is FirstByte against what is usual for the route and the queue.
+	// slowness is FirstByte against what is usual for the route and the queue, late
+	// whether the answer came after the objective.
 	slowness float64
+	late     bool
 }
 
 // Finish ends a request that Pick placed. It must be called once a placement.
@@ -236,6 +249,7 @@
 	s.dirty = true
 	svc := t.service(k.service)
 	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
+	done.late = now.After(p.objectiveAt)
 	silence := 0.0
 	if done.TimedOut || done.Outcome == Abandoned {
 		silence = svc.silenceOf(done.Took, p.pending.expected)
@@ -252,18 +266,21 @@
 	if done.Outcome == Failed {
 		svc.learnFailure(done.TimedOut)
 	}
+	if !t.has(MechanismSpells) {
+		silence = 0
+	}
 	s.learnOutcome(now, done, silence)
 	svc.totals.add(done)
 	svc.dirty = true
-	svc.noteOutcome(now, done.Outcome)
+	svc.noteOutcome(now, done)
 	if done.Outcome == Good && done.FirstByte > 0 {
 		svc.times.add(float64(done.FirstByte) / float64(p.pending.expected))
 		s.learnSlowness(done.slowness)
 		atIdle := time.Duration(done.slowness * float64(p.pending.work))
-		t.route(p.group).learn(atIdle, float64(done.Bytes))
+		t.route(svc, p.group).learn(atIdle, float64(done.Bytes))
 		svc.usual += time.Duration(serviceGain * float64(atIdle-svc.usual))
 	}
-	if done.Load != nil {
+	if done.Load != nil && t.has(MechanismToldLoad) {
 		load := done.Load.Running + done.Load.Waiting
 		s.learnLoad(now, load)
 		s.toldNow = uint32(load) + 1
--- a/internal/policy/times.go
+++ b/internal/policy/times.go
@@ -30,7 +30,10 @@
 // of the time expected when the request was sent.
 type times struct {
 	weights [ratioBuckets]float64
-	total   float64
+	// above is the sum of the weights of higher buckets: it is asked for far more
+	// often than an answer comes.
+	above [ratioBuckets]float64
+	total float64
 }
 
 func newTimes() times {
@@ -41,52 +44,55 @@
 		t.total += t.weights[i]
 	}
 	scale := priorAnswers / t.total
-	t.total = 0
 	for i := range t.weights {
 		t.weights[i] *= scale
 		if i > ratioBuckets/2 {
 			t.weights[i] += priorAnswers * priorTail / (ratioBuckets / 2)
 		}
-		t.total += t.weights[i]
 	}
+	t.sum()
 	return t
 }
 
+// sum adds up the weights.
+func (t *times) sum() {
+	t.total = 0
+	for i := ratioBuckets - 1; i >= 0; i-- {
+		t.above[i] = t.total
+		t.total += t.weights[i]
+	}
+}
+
+// bucketsPerE is the number of buckets for a factor of e.
+var bucketsPerE = 1 / math.Log(ratioStep)
+
 func ratioBucket(ratio float64) int {
 	if ratio <= ratioLeast {
 		return 0
 	}
-	return min(int(math.Log(ratio/ratioLeast)/math.Log(ratioStep)), ratioBuckets-1)
+	return min(int(math.Log(ratio/ratioLeast)*bucketsPerE), ratioBuckets-1)
 }
 
 // add notes an answer that took ratio times what was expected.
 func (t *times) add(ratio float64) {
 	t.weights[ratioBucket(ratio)]++
-	t.total++
-	if t.total < 2*timesMemory {
-		return
-	}
-	t.total = 0
-	for i := range t.weights {
-		t.weights[i] /= 2
-		t.total += t.weights[i]
+	if t.total+1 >= 2*timesMemory {
+		for i := range t.weights {
+			t.weights[i] /= 2
+		}
 	}
+	t.sum()
 }
 
 // beyond is the share of answers that take longer than a ratio, above 0.
 func (t *times) beyond(ratio float64) float64 {
-	sum := 0.0
-	for i := ratioBuckets - 1; i > ratioBucket(ratio); i-- {
-		sum += t.weights[i]
-	}
-	return max(sum/t.total, 1/(2*t.total))
+	return max(t.above[ratioBucket(ratio)]/t.total, 1/(2*t.total))
 }
 
 // quantile is the ratio that a share of the answers stays below.
 func (t *times) quantile(share float64) float64 {
-	sum := 0.0
-	for i, w := range t.weights {
-		if sum += w; sum >= share*t.total {
+	for i, above := range t.above {
+		if above <= (1-share)*t.total {
 			return ratioLeast * math.Pow(ratioStep, float64(i+1))
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -156,6 +157,13 @@
 	Window       config.Duration `yaml:"window"`
 }
 
+// Policy is how hosts that pick directly decide.
+type Policy struct {
+	// Without names mechanisms that are left out, to measure what they are worth; see
+	// policy.Mechanisms. Default: none.
+	Without []policy.Mechanism `yaml:"without"`
+}
+
 // Backend is how this host deals with backend servers.
 type Backend struct {
 	// DialTimeout bounds the start of a connection. Default: 1s.
@@ -178,6 +186,7 @@
 	Platform   Platform `yaml:"platform"`
 	Timing     Timing   `yaml:"timing"`
 	Retry      Retry    `yaml:"retry"`
+	Policy     Policy   `yaml:"policy"`
 	Backend    Backend  `yaml:"backend"`
 	// Forwarding sends requests to the owner hosts of their service. Default:
 	// true. If false, every host picks by itself and the hosts tell each other
@@ -316,6 +325,11 @@
 	if s.Caller.MaxHeaderBytes < 1<<10 || s.Caller.MaxHeaderBytes > 1<<20 {
 		c.addf("caller.max_header_bytes", "%d is outside 1024 to 1048576", s.Caller.MaxHeaderBytes)
 	}
+	for _, m := range s.Policy.Without {
+		if !slices.Contains(policy.Mechanisms(), m) {
+			c.addf("policy.without", "%q is no mechanism; use some of %v", m, policy.Mechanisms())
+		}
+	}
 	if s.Retry.FleetShare < 0 || s.Retry.FleetShare > 1 {
 		c.addf("retry.fleet_share", "%g is outside 0 to 1", s.Retry.FleetShare)
 	}
