--- a/cmd/pearshelf-bench/main.go
+++ b/cmd/pearshelf-bench/main.go
@@ -33,6 +33,7 @@
 	Standins  standinsCommand  `cmd:"" help:"Platform and backend servers for daemons started by hand, until a signal."`
 	Scale     scaleCommand     `cmd:"" help:"Cost of each control mechanism up to the target's size, with bounds as ratios."`
 	Soak      soakCommand      `cmd:"" help:"Real daemons as processes under random faults from outside; checks every promise."`
+	Replay    replayCommand    `cmd:"" help:"A load pattern against the policy in simulated time, beside the best that any fleet could do."`
 	Latency   latencyCommand   `cmd:"" help:"Added time against a direct call, in the same run."`
 }
 
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -43,7 +43,8 @@
 	f.addServers()
 	f.addHosts(conf)
 	for i := range pattern.Routes {
-		f.call(&pattern.Routes[i], rand.New(rand.NewPCG(conf.Seed, uint64(i)+100)))
+		random := rand.New(rand.NewPCG(conf.Seed, uint64(i)+100))
+		f.arrive(&pattern.Routes[i], random, func(route *Route) { f.hosts[random.IntN(len(f.hosts))].serve(route) })
 	}
 	f.clock.run(time.Duration(pattern.Length) + settle)
 	return f.result
@@ -56,18 +57,27 @@
 	for i := range f.pattern.Services {
 		service := &f.pattern.Services[i]
 		view := &world.ServiceView{}
-		for dataCentre, n := range service.Servers {
-			for number := range n {
-				random := rand.New(rand.NewPCG(f.seed, uint64(len(f.servers))+10_000))
-				s := newServer(service, dataCentre, number, f.clock, random)
-				f.servers[s.id] = s
-				view.Backends = append(view.Backends, backendView(s))
-			}
+		for _, s := range f.serversOf(service) {
+			view.Backends = append(view.Backends, backendView(s))
 		}
 		f.views[service.Name] = view
 	}
 }
 
+// serversOf makes the servers of a service.
+func (f *fleet) serversOf(service *Service) []*server {
+	var all []*server
+	for dataCentre, n := range service.Servers {
+		for number := range n {
+			random := rand.New(rand.NewPCG(f.seed, uint64(len(f.servers))+10_000))
+			s := newServer(service, dataCentre, number, f.clock, random)
+			f.servers[s.id] = s
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
 func (f *fleet) addHosts(conf Config) {
 	settings := policy.Config{
 		Cost: policy.DefaultCostRule(),
@@ -85,8 +95,8 @@
 	}
 }
 
-// call sends a route's requests, one after another at random times, to random hosts.
-func (f *fleet) call(route *Route, random *rand.Rand) {
+// arrive calls take for each request of a route, at random times.
+func (f *fleet) arrive(route *Route, random *rand.Rand, take func(*Route)) {
 	var next func()
 	wait := func() {
 		rate := route.Rate * f.pattern.factor(route.Name, f.clock.now)
@@ -97,7 +107,7 @@
 		if f.clock.now >= time.Duration(f.pattern.Length) {
 			return
 		}
-		f.hosts[random.IntN(len(f.hosts))].serve(route)
+		take(route)
 		wait()
 	}
 	wait()
