--- /dev/null
+++ b/e2e/copies_test.go
@@ -0,0 +1,79 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/standin/backend"
+	"github.com/pearshelf/pearshelf/standin/fleet"
+)
+
+var _ = Describe("hosts that pick directly, and a server that leaves requests unanswered", func() {
+	direct := func(c *fleet.Config) {
+		c.Settings = func(i int, s *settings.Settings) {
+			quick(i, s)
+			forwarding := false
+			s.Forwarding = &forwarding
+			s.Retry = settings.Retry{FleetShare: 1, FleetReserve: 1000, Window: config.Duration(patience)}
+		}
+	}
+
+	// hanging starts a fleet whose most used server hangs, once usual times are known.
+	hanging := func() (f *fleet.Fleet, url string, hung *backend.Server) {
+		f = start(1, []config.Service{shop(3)}, direct)
+		url = "http://" + f.Hosts[0].CallerAddress()
+		for i := range 60 {
+			mustCall("GET", url+"/shop/read/"+fmt.Sprint(i), "")
+		}
+		for _, b := range f.Backends["shop"] {
+			if hung == nil || b.Served() > hung.Served() {
+				hung = b
+			}
+		}
+		hung.SetFaults(backend.Faults{Hang: true})
+		return f, url, hung
+	}
+
+	It("serves idempotent requests by a copy, long before their time is over", func() {
+		_, url, hung := hanging()
+		before := hung.Served()
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				r, err := call("GET", url+"/shop/read/"+fmt.Sprint(i), "", "Pearshelf-Timeout-Ms", "20000")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(r.outcome()).To(Equal("complete"))
+				Expect(r.body).To(ContainSubstring("request=" + r.header.Get("Pearshelf-Request-Id") + " "))
+			})
+		}
+		wg.Wait()
+		Expect(hung.Served()).To(BeNumerically(">", before))
+		// those that lost were cancelled: nothing is left at the server
+		Eventually(hung.InUse, patience).Should(BeZero())
+	})
+
+	It("sends no second copy of a non-idempotent request", func() {
+		f, url, hung := hanging()
+		before := hung.Served()
+		var wg sync.WaitGroup
+		for i := range 30 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				r, err := call("POST", url+"/shop/order", "x", "Idempotency-Key", fmt.Sprint("copy-", i), "Pearshelf-Timeout-Ms", "1500")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(r.outcome()).To(BeElementOf("complete", "unknown"))
+			})
+		}
+		wg.Wait()
+		Expect(hung.Served()).To(BeNumerically(">", before))
+		for i := range 30 {
+			Expect(runs(f, fmt.Sprint("copy-", i))).To(BeNumerically("<=", 1))
+		}
+	})
+})
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -32,8 +32,11 @@
 	// requests are refused that are less urgent than others of the service: they make
 	// room first.
 	lessUrgent = 0.5
-	// priorityFor is how long after a request its priority counts for the others.
-	priorityFor = 2 * time.Second
+	// priorityWindow is the time over which requests are counted by their priority: a
+	// host has a few a second of a service. Less urgent requests make room where more
+	// than urgentShare of all are more urgent; a few of these need no room made.
+	priorityWindow = 10 * time.Second
+	urgentShare    = 0.2
 	// hopeless is the chance of no answer in time at all, above which a request is
 	// refused at any time: it would only hold up others.
 	hopeless = 0.9
@@ -74,14 +77,24 @@
 	return float64(late) / float64(served)
 }
 
-func (svc *service) notePriority(now time.Time, priority int) { svc.priorities[priority] = now }
+func (svc *service) notePriority(now time.Time, priority int) {
+	w, ok := svc.priorities[priority]
+	if !ok {
+		w = &window{}
+		svc.priorities[priority] = w
+	}
+	w.add(now, priorityWindow, 1)
+}
 
-// moreUrgent reports whether requests of a higher rank have lately come.
+// moreUrgent reports whether many of the newest requests are of a higher rank.
 func (svc *service) moreUrgent(now time.Time, priority int) bool {
-	for other, last := range svc.priorities {
-		if other < priority && now.Sub(last) < priorityFor {
-			return true
+	urgent, all := 0, 0
+	for other, w := range svc.priorities {
+		n := w.sum(now, priorityWindow)
+		all += n
+		if other < priority {
+			urgent += n
 		}
 	}
-	return false
+	return float64(urgent) > urgentShare*float64(all)
 }
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -136,8 +136,8 @@
 	served, unserved window
 	// late of served, for admission.
 	late window
-	// priorities are the ranks of its requests, and when one last came.
-	priorities map[int]time.Time
+	// priorities counts this host's requests by rank.
+	priorities map[int]*window
 	// totals are this host's counts over all servers, near those that the hosts
 	// of this data centre last told.
 	totals counts
@@ -187,7 +187,7 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{usual: defaultUsual, times: newTimes(), silentShare: hangPrior, near: make(map[string]counts), priorities: make(map[int]time.Time)}
+		svc = &service{usual: defaultUsual, times: newTimes(), silentShare: hangPrior, near: make(map[string]counts), priorities: make(map[int]*window)}
 		svc.uses = evidence{spells: t.has(MechanismSpells), silence: t.has(MechanismSilence)}
 		t.services[name] = svc
 	}
