--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -22,10 +22,12 @@
 	fleet      *fleet
 	table      *policy.Table
 	telling    bool
+	cuttable   bool // one of those that a cut takes
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
 	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f}
+	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.table = policy.NewTable(epoch.Add(-hostAge), conf)
 	return h
@@ -48,7 +50,7 @@
 			if other.dataCentre == h.dataCentre {
 				loads, isNear = near, true
 			}
-			if other == h || len(loads) == 0 || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
+			if other == h || len(loads) == 0 || h.isCut() || other.isCut() || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
 				continue
 			}
 			h.fleet.clock.after(h.fleet.delay(h.dataCentre, other.dataCentre), func() {
@@ -58,6 +60,13 @@
 	})
 }
 
+// isCut reports whether the host hears of no other now.
+func (h *host) isCut() bool {
+	cut := h.fleet.pattern.Network.Cut
+	now := h.fleet.clock.now
+	return h.cuttable && now >= time.Duration(cut.From) && now < time.Duration(cut.From+cut.For)
+}
+
 func (h *host) refresh() {
 	if h.table.Refresh(h.fleet.clock.time()) {
 		h.tell()
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -44,6 +44,16 @@
 	Far  config.Duration `yaml:"far"`
 	// Loss is the share of messages between hosts that are lost.
 	Loss float64 `yaml:"loss"`
+	// Cut hosts serve callers and reach servers, but neither hear of other hosts nor
+	// are heard.
+	Cut Cut `yaml:"cut"`
+}
+
+// Cut is a time in which some hosts hear of no other.
+type Cut struct {
+	From  config.Duration `yaml:"from"`
+	For   config.Duration `yaml:"for"`
+	Share float64         `yaml:"share"` // of the hosts
 }
 
 // Retry is the fleet's retry allowance.
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -32,11 +32,13 @@
 	// requests are refused that are less urgent than others of the service: they make
 	// room first.
 	lessUrgent = 0.5
-	// priorityWindow is the time over which requests are counted by their priority: a
-	// host has a few a second of a service. Less urgent requests make room where more
-	// than urgentShare of all are more urgent; a few of these need no room made.
+	// priorityWindow is the time over which the work of requests is added up by their
+	// priority: a host has a few a second of a service. Less urgent requests make room
+	// where more than urgentShare of the work is more urgent; less needs no room made.
 	priorityWindow = 10 * time.Second
 	urgentShare    = 0.2
+	// knownAnswers of a route are needed before its work counts.
+	knownAnswers = 3
 	// hopeless is the chance of no answer in time at all, above which a request is
 	// refused at any time: it would only hold up others.
 	hopeless = 0.9
@@ -77,16 +79,23 @@
 	return float64(late) / float64(served)
 }
 
-func (svc *service) notePriority(now time.Time, priority int) {
+// notePriority adds a request's usual work to that of its rank. What a route takes is
+// known only after some answers; until then its requests do not count.
+func (t *Table) notePriority(now time.Time, svc *service, req Request) {
+	r, known := t.routes[req.Group]
+	if !known || r.answers < knownAnswers {
+		return
+	}
+	priority := req.Priority
 	w, ok := svc.priorities[priority]
 	if !ok {
 		w = &window{}
 		svc.priorities[priority] = w
 	}
-	w.add(now, priorityWindow, 1)
+	w.add(now, priorityWindow, int(r.usual.Milliseconds()))
 }
 
-// moreUrgent reports whether many of the newest requests are of a higher rank.
+// moreUrgent reports whether much of the newest work is of a higher rank.
 func (svc *service) moreUrgent(now time.Time, priority int) bool {
 	urgent, all := 0, 0
 	for other, w := range svc.priorities {
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -118,7 +118,7 @@
 	if best.server == nil {
 		return nil, t.none(req, best.eligible)
 	}
-	svc.notePriority(now, req.Priority)
+	t.notePriority(now, svc, req)
 	if err := t.admit(now, svc, best, req); err != nil {
 		return nil, err
 	}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -24,9 +24,10 @@
 	// peerExpiry is how long another host's in-flight count holds without news.
 	// Counts are told again each RefreshEvery.
 	peerExpiry = 1600 * time.Millisecond
-	// toldHalfLife is how fast the load that a server told loses its weight: a
-	// request takes some 250 ms.
-	toldHalfLife = 200 * time.Millisecond
+	// toldHalfLife is how fast the load that a server told loses its weight. A request
+	// takes some 250 ms, but what others send, whom this host does not hear, goes on:
+	// in replays 400 and 800 ms served more than 200 where load is at its worst.
+	toldHalfLife = 600 * time.Millisecond
 	// serviceGain is the weight of one answer in the usual time of a service.
 	serviceGain = 0.05
 	// defaultUsual is the time of a request before any answer.
@@ -136,7 +137,7 @@
 	served, unserved window
 	// late of served, for admission.
 	late window
-	// priorities counts this host's requests by rank.
+	// priorities is the usual work of this host's requests by rank, in milliseconds.
 	priorities map[int]*window
 	// totals are this host's counts over all servers, near those that the hosts
 	// of this data centre last told.
