--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -86,6 +86,7 @@
 	expiry  *timer
 	over    bool
 	copies  int
+	returns int // how often the caller has come back
 }
 
 // flight is one send of a request.
@@ -242,10 +243,26 @@
 		r.end(failed)
 		return
 	}
-	r.host.fleet.result.reasons[string(kind)]++
+	f := r.host.fleet
+	f.result.reasons[string(kind)]++
+	after := r.host.table.RetryAfter(r.route.Service)
+	if r.returns < r.route.Returns && f.clock.now+after < r.deadline() {
+		r.returns++
+		f.clock.after(after, r.comeBack)
+		return
+	}
 	r.end(refused)
 }
 
+// comeBack is the caller's next try, at another host.
+func (r *request) comeBack() {
+	if r.over {
+		return
+	}
+	r.host = r.host.fleet.anyHost()
+	r.place()
+}
+
 // end notes what the caller got, and gives up what is still under way.
 func (r *request) end(o outcome) {
 	r.over = true
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -119,6 +119,9 @@
 	Priority   int             `yaml:"priority"`
 	// OwnErrors is the share of requests that fail by themselves, after their work.
 	OwnErrors float64 `yaml:"own_errors"`
+	// Returns is how often a refused caller comes back, when it is told to and within
+	// its timeout; its objective counts from its first try.
+	Returns int `yaml:"returns"`
 }
 
 // Work is the distribution of a request's work: log-normal, with a tail.
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -113,6 +113,9 @@
 	wait()
 }
 
+// anyHost is the host that a caller comes to.
+func (f *fleet) anyHost() *host { return f.hosts[f.random.IntN(len(f.hosts))] }
+
 // delay is one way between two data centres.
 func (f *fleet) delay(a, b int) time.Duration {
 	if a == b {
