A queue stands from three in ten late answers over 2 s on; refused is what would be late by seven in ten

Cause: over 1 s and from a quarter on also spikes of 300 ms counted as standing queues; at even odds of being late more was refused than saved.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -18,15 +18,14 @@
 // spikes away that could be served), and none (all late for as long as it lasts).
 const (
 	// standingLate is the chance of a late answer above which a request is refused
-	// while the queue stands: then it more likely costs others their time than gains
-	// by its own.
-	standingLate = 0.5
-	// standingShare is the share of late answers from which on a queue stands,
-	// lateWindow (in buckets of troubleWindow: 1 s) the time over which they are
-	// counted, in this data centre, and standingLeast how many must have come. Refusing
-	// holds the share near this figure: below it, requests are admitted again.
-	standingShare = 0.25
-	lateBuckets   = windowBuckets / 2
+	// while the queue stands. In replays 0.5 refused more than it saved: a late answer
+	// is worth more than none.
+	standingLate = 0.7
+	// standingShare is the share of late answers in troubleWindow, in this data centre,
+	// from which on a queue stands, and standingLeast how many must have come. Refusing
+	// holds the share near this figure: below it, requests are admitted again. In
+	// replays 0.25, and half of the window, refused requests of 300 ms spikes too.
+	standingShare = 0.3
 	standingLeast = 10
 	// lessUrgent is the part of standingShare and of standingLate from which on
 	// requests are refused that are less urgent than others of the service: they make
@@ -71,8 +70,8 @@
 // lateShare is the share of late ones among the newest answers of this data centre,
 // 0 where there are too few to tell.
 func (svc *service) lateShare(now time.Time) float64 {
-	late := svc.late.newest(now, troubleWindow, lateBuckets)
-	served := svc.served.newest(now, troubleWindow, lateBuckets)
+	late := svc.late.sum(now, troubleWindow)
+	served := svc.served.sum(now, troubleWindow)
 	if served < standingLeast {
 		return 0
 	}
