--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -24,8 +24,8 @@
 	// standingShare is the share of late answers in troubleWindow, in this data centre,
 	// from which on a queue stands, and standingLeast how many must have come. Refusing
 	// holds the share near this figure: below it, requests are admitted again. In
-	// replays 0.25, and half of the window, refused requests of 300 ms spikes too.
-	standingShare = 0.3
+	// replays 0.25 and 0.3, or half of the window, refused requests of short spikes too.
+	standingShare = 0.5
 	standingLeast = 10
 	// lessUrgent is the part of standingShare and of standingLate from which on
 	// requests are refused that are less urgent than others of the service: they make
