--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -122,10 +122,13 @@
 
 // mustBeUsed reports whether nothing recent speaks against a server.
 func (s *server) mustBeUsed(now time.Time, svc *service, need breadth) bool {
-	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after || s.silence(now, svc) > overdue {
+	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after {
 		return false
 	}
-	return need.anyBelief || s.belief(now, svc) < inSpell
+	if need.anyBelief {
+		return s.silence(now, svc) <= overdue
+	}
+	return s.belief(now, svc) < inSpell
 }
 
 // breadthGain is what a request gains by going to a server that has had none
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -94,6 +94,7 @@
 	}
 	t.lives[host] = life
 	for _, s := range t.servers {
+		s.setInFlight(s.peers[host], 0)
 		delete(s.peers, host)
 	}
 	for _, svc := range t.services {
@@ -146,7 +147,7 @@
 func (t *Table) learnWaiting(now time.Time, k key, s *server, p *peerLoad, l *peerpb.BackendLoad) {
 	oldest := now.Add(-time.Duration(l.OldestMs) * time.Millisecond)
 	began := p.inFlight == 0 || oldest.Sub(p.oldest) > otherRequest
-	p.inFlight = int(l.InFlight)
+	s.setInFlight(p, int(l.InFlight))
 	p.oldest = oldest
 	if p.inFlight > 0 && began {
 		svc := t.service(k.service)
@@ -154,6 +155,21 @@
 	}
 }
 
+// setInFlight keeps busy in step with what a peer has in flight; p may be nil.
+func (s *server) setInFlight(p *peerLoad, n int) {
+	if p == nil {
+		return
+	}
+	switch {
+	case p.inFlight == 0 && n > 0:
+		s.busy = append(s.busy, p)
+	case p.inFlight > 0 && n == 0:
+		i := slices.Index(s.busy, p)
+		s.busy = slices.Delete(s.busy, i, i+1)
+	}
+	p.inFlight = n
+}
+
 // otherRequest is by how much the oldest request of a host must have begun later
 // for it to be another one; reports are some milliseconds under way.
 const otherRequest = 20 * time.Millisecond
--- a/internal/policy/silence.go
+++ b/internal/policy/silence.go
@@ -65,12 +65,15 @@
 	if !svc.uses.silence {
 		return 0
 	}
+	if len(s.pending)+len(s.busy) == 0 {
+		return 0
+	}
 	total := int64(0) // in millionths: the sum must not depend on the order
 	for _, p := range s.pending {
 		total += int64(1e6 * svc.silenceOf(now.Sub(p.since), p.expected))
 	}
-	for _, peer := range s.peers {
-		if peer.inFlight > 0 && now.Sub(peer.at) < peerExpiry {
+	for _, peer := range s.busy {
+		if now.Sub(peer.at) < peerExpiry {
 			total += int64(1e6 * svc.silenceOf(now.Sub(peer.oldest), peer.expected))
 		}
 	}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -89,6 +89,9 @@
 	pending  []*pending // of inFlight, this host's
 	counts   counts
 	peers    map[string]*peerLoad
+	// busy are those of peers that have a request in flight: few, where peers are
+	// all hosts. Each pick looks at them for each server.
+	busy []*peerLoad
 
 	// toldExcess is the load beyond what is known here, as told at toldAt.
 	toldExcess float64
@@ -340,7 +343,7 @@
 // known is the number of requests in flight from this host and those it hears.
 func (s *server) known(now time.Time) int {
 	total := s.inFlight
-	for _, p := range s.peers {
+	for _, p := range s.busy {
 		if now.Sub(p.at) < peerExpiry {
 			total += p.inFlight
 		}
