--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -16,7 +16,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -38,37 +37,6 @@
 	maxPathHold = 4 * time.Second
 )
 
-// QuickErrorShare of a server's usual time ends what counts as an error at once.
-// On calm days of both deployments errors in a spell took under 0.05 of it, nine
-// in ten of the others over 0.2.
-const QuickErrorShare = 0.12
-
-// Outcome is what became of one request at a backend server.
-type Outcome int
-
-// Outcomes.
-const (
-	// Good: a whole answer that is no error of the server.
-	Good Outcome = iota
-	// Failed: an error, a reset, a wrong, cut or missing answer.
-	Failed
-	// lateError: an error after the usual time of a request's work. The table
-	// tells it from Failed itself.
-	lateError
-	// staleConnection: a connection that had been idle broke as soon as a request
-	// was sent on it. The table tells it from Failed itself.
-	staleConnection
-	// Unreachable: no connection could be made.
-	Unreachable
-	// Shed: the server refused the request for lack of room.
-	Shed
-	// Abandoned: given up without an answer, because another server's copy won or
-	// the caller went away.
-	Abandoned
-	// Neutral: nothing was learnt.
-	Neutral
-)
-
 type key struct{ service, backend string }
 
 // peerLoad is what another host last told of a server.
@@ -220,119 +188,6 @@
 	return s
 }
 
-// Done is the end of one request that Pick gave a server.
-type Done struct {
-	Outcome Outcome
-	// FirstByte is the time to the header of an answer, 0 if there was none.
-	FirstByte time.Duration
-	// Load is what the server told, nil if nothing.
-	Load *protocol.Load
-	// Bytes is the size of a good answer's body.
-	Bytes int64
-	// Reused is whether a failed request was sent on a connection that had been
-	// used before, and Took the time until it broke or was given up.
-	Reused bool
-	Took   time.Duration
-	// TimedOut is set for a failed request that had no answer when its time was over.
-	TimedOut bool
-	// slowness is FirstByte against what is usual for the route and the queue, late
-	// whether the answer came after the objective.
-	slowness float64
-	late     bool
-}
-
-// Finish ends a request that Pick placed. It must be called once a placement.
-func (t *Table) Finish(now time.Time, p *Placement, done Done) {
-	k := p.key
-	s, ok := t.servers[k]
-	if !ok {
-		return
-	}
-	s.inFlight--
-	s.removePending(p.pending)
-	s.dirty = true
-	svc := t.service(k.service)
-	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
-	done.late = now.After(p.objectiveAt)
-	silence := 0.0
-	if done.TimedOut || done.Outcome == Abandoned {
-		silence = svc.silenceOf(done.Took, p.pending.expected)
-	}
-	switch {
-	case done.TimedOut && silence < overdue:
-		done.Outcome = Abandoned // it had too little time to say much
-	case done.Outcome == Failed && done.FirstByte > quickError(p):
-		done.Outcome = lateError
-	case done.Outcome == Failed && done.Reused && done.Took < quickError(p):
-		done.Outcome = staleConnection
-		svc.staleAt = now
-	}
-	if done.Outcome == Failed {
-		svc.learnFailure(done.TimedOut)
-	}
-	if !t.has(MechanismSpells) {
-		silence = 0
-	}
-	s.learnOutcome(now, done, silence)
-	svc.totals.add(done)
-	svc.dirty = true
-	svc.noteOutcome(now, done)
-	if done.Outcome == Good && done.FirstByte > 0 {
-		svc.times.add(float64(done.FirstByte) / float64(p.pending.expected))
-		s.learnSlowness(done.slowness)
-		atIdle := time.Duration(done.slowness * float64(p.pending.work))
-		t.route(svc, p.group).learn(atIdle, float64(done.Bytes))
-		svc.usual += time.Duration(serviceGain * float64(atIdle-svc.usual))
-	}
-	if done.Load != nil && t.has(MechanismToldLoad) {
-		load := done.Load.Running + done.Load.Waiting
-		s.learnLoad(now, load)
-		s.toldNow = uint32(load) + 1
-	}
-}
-
-// learnOutcome takes an outcome; silence is the evidence, in log odds, of the time
-// that the request waited in vain.
-func (s *server) learnOutcome(now time.Time, done Done, silence float64) {
-	s.counts.add(done)
-	switch done.Outcome {
-	case Good:
-		s.spell.good(now)
-		s.pathFailures = 0
-		s.pathUntil = time.Time{}
-	case Abandoned:
-		s.counts.silentMillinats += uint64(1000 * max(silence, 0))
-		s.learnSilence(now, silence)
-	case Failed:
-		s.spell.failed(now)
-		s.failedAt = now
-		s.failing = true
-	case lateError, staleConnection:
-		s.spell.lateError(now)
-	case Unreachable:
-		s.spell.unreachable(now)
-		s.failing = true
-		hold := pathHold << min(s.pathFailures, 8)
-		s.pathFailures++
-		s.pathUntil = now.Add(min(hold, maxPathHold))
-	}
-}
-
-// learnSilence takes the evidence of a request that was given up unanswered.
-func (s *server) learnSilence(now time.Time, silence float64) {
-	s.spell.silent(now, silence)
-	if silence > overdue {
-		s.failedAt = now
-	}
-}
-
-// quickError is the time up to which an error comes too soon to be the
-// request's own: the server did not work on it. Servers in a spell of failures
-// answer errors at once; an error that belongs to a request takes its work.
-func quickError(p *Placement) time.Duration {
-	return time.Duration(QuickErrorShare * float64(p.pending.work) * p.pending.slowness)
-}
-
 // learnLoad keeps what the told load exceeds the known one by: requests of
 // hosts that this one does not hear.
 func (s *server) learnLoad(now time.Time, load int) {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,7 +59,7 @@
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
 mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
 mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
-mutant "errors after work" internal/policy/table.go 's/done.FirstByte > quickError(p)/false/' ./internal/policy
+mutant "errors after work" internal/policy/outcome.go 's/done.FirstByte > quickError(p)/false/' ./internal/policy
 mutant "broken idle connections" internal/policy/retries.go 's/if is.staleConnections > was.staleConnections {/if false {/' ./internal/policy
 mutant "bound of idle time" internal/upstream/idle.go 's/if maxIdle > 0 \&\& idle > maxIdle {/if false {/' ./internal/upstream
 mutant "refused writes" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream
@@ -75,8 +75,8 @@
 mutant "young hosts spend their own" internal/policy/retries.go 's/if age < rule.Window \&\& /if false \&\& /' ./internal/policy
 mutant "waiting requests are evidence" internal/policy/silence.go 's/	return min(float64(total)\/1e6, maxSilence)/	return 0/' ./internal/policy
 mutant "evidence of neighbours" internal/policy/silence.go 's/if peer.inFlight > 0 \&\& /if false \&\& /' ./internal/policy
-mutant "abandoned requests are evidence" internal/policy/table.go 's/s.learnSilence(now, silence)/_ = silence/' ./internal/policy
-mutant "short deadlines say nothing" internal/policy/table.go 's/case done.TimedOut \&\& silence < overdue:/case false:/' ./internal/policy
+mutant "abandoned requests are evidence" internal/policy/outcome.go 's/s.learnSilence(now, done.silence)/_ = done.silence/' ./internal/policy
+mutant "short deadlines say nothing" internal/policy/outcome.go 's/case done.TimedOut \&\& done.silence < overdue:/case false:/' ./internal/policy
 mutant "copies of reads" internal/policy/copies.go 's/	if !t.has(MechanismCopies) {/	if true {/' ./e2e -ginkgo.focus "by a copy"
 mutant "no copies of writes" internal/dispatch/copies.go 's/ \&\& x.req.Idempotent \&\& / \&\& /' ./e2e -ginkgo.focus "no second copy"
 mutant "usual times by route" internal/policy/routes.go 's/ok \&\& r.answers > 0 \&\& /ok \&\& false \&\& /' ./internal/policy
