--- a/internal/policy/silence.go
+++ b/internal/policy/silence.go
@@ -25,6 +25,10 @@
 	// silent, hangPrior that share before any.
 	hangGain  = 0.1
 	hangPrior = 0.5
+	// slowService is the share of late answers of a service at which requests that
+	// wait say nothing any more: then it is the load that keeps them. Below it the
+	// evidence counts in part.
+	slowService = 0.15
 	// overdue is the evidence, in log odds, from which a server that has a request
 	// waiting counts as failing now: 8 to 1.
 	overdue = 2.08
@@ -77,7 +81,17 @@
 			total += int64(1e6 * svc.silenceOf(now.Sub(peer.oldest), peer.expected))
 		}
 	}
-	return min(float64(total)/1e6, maxSilence)
+	return min(float64(total)/1e6, maxSilence) * svc.calm(now)
+}
+
+// calm is 1 where answers of a service come in time, and 0 where so many are late
+// that waiting says nothing of one server.
+func (svc *service) calm(now time.Time) float64 {
+	if !now.Equal(svc.calmAt) { // each pick asks for each server
+		svc.calmAt = now
+		svc.calmNow = max(1-svc.lateShare(now)/slowService, 0)
+	}
+	return svc.calmNow
 }
 
 // belief is the belief that a server is in a spell, with the evidence of the
--- a/internal/policy/silence_test.go
+++ b/internal/policy/silence_test.go
@@ -162,3 +162,23 @@
 		t.Errorf("share of late answers %.2f later, want 0", share)
 	}
 }
+
+// Where the whole service is slow it is the load that keeps requests, and none of
+// its servers is suspected for it.
+func TestSlowServiceIsNoEvidence(t *testing.T) {
+	table, now := newTable()
+	v := view(1)
+	warm(t, table, now, v)
+	mustPick(t, table, now, v, Request{First: true})
+	svc, row := table.service("s"), table.servers[key{"s", "b0"}]
+	later := now.Add(4 * work)
+	if row.silence(later, svc) < overdue {
+		t.Fatalf("evidence %.2f of a request that waits four times the usual time", row.silence(later, svc))
+	}
+	table.Report(later, "h2", 7, []*peerpb.BackendLoad{{Service: "s"}}, true)
+	table.Report(later, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Good: 100, Late: 40}}, true)
+	later = later.Add(time.Millisecond)
+	if evidence := row.silence(later, svc); evidence > 0.1 {
+		t.Errorf("evidence %.2f while answers of the service are late", evidence)
+	}
+}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -116,6 +116,9 @@
 	near   map[string]counts
 	dirty  bool
 	uses   evidence
+	// calmNow is calm as of calmAt.
+	calmNow float64
+	calmAt  time.Time
 }
 
 // evidence is what a belief goes by.
