Nothing is refused by a usual time that no answer could put right

Found by reading: a request that no server can answer in time is refused by what its route usually takes. Where that was wrong, as of a route without an answer yet or one learnt in a bad time, all its requests were refused for ever. It now takes three answers, the newest from the last 5 s.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -12,7 +12,7 @@
 // short. A queue that is gone again soon is to be served: there nothing is gained
 // by turning requests away. What tells the two apart is whether the queue stands, as
 // in CoDel (Nichols and Jacobson, "Controlling Queue Delay", ACM Queue 2012): not
-// its length, but for how long no server could have answered in time.
+// its length, but for how long answers have been late.
 //
 // Weighed, in replays (docs/DECISIONS.md): a bound on the queue at all times (turns
 // spikes away that could be served), and none (all late for as long as it lasts).
@@ -36,8 +36,6 @@
 	// where more than urgentShare of the work is more urgent; less needs no room made.
 	priorityWindow = 10 * time.Second
 	urgentShare    = 0.2
-	// knownAnswers of a route are needed before its work counts.
-	knownAnswers = 3
 	// hopeless is the chance of no answer in time at all, above which a request is
 	// refused at any time: it would only hold up others.
 	hopeless = 0.9
@@ -50,7 +48,7 @@
 		return nil
 	}
 	expected := best.row.estimate(now, svc, t.usual(svc, req.Group), best.row.load(now)).expected
-	if svc.times.beyondAfter(req.left(now), expected) > hopeless {
+	if t.knownNow(now, req.Group) != nil && svc.times.beyondAfter(req.left(now), expected) > hopeless {
 		return errs.New(errs.KindQueueFull, "no backend server of "+req.Service+" can answer before the request's deadline", "repeat the request after the time in Retry-After, or allow more time")
 	}
 	if !req.First {
@@ -81,15 +79,14 @@
 // notePriority adds a request's usual work to that of its rank. What a route takes is
 // known only after some answers; until then its requests do not count.
 func (t *Table) notePriority(now time.Time, svc *service, req Request) {
-	r, known := t.routes[req.Group]
-	if !known || r.answers < knownAnswers {
+	r := t.knownNow(now, req.Group)
+	if r == nil {
 		return
 	}
-	priority := req.Priority
-	w, ok := svc.priorities[priority]
+	w, ok := svc.priorities[req.Priority]
 	if !ok {
 		w = &window{}
-		svc.priorities[priority] = w
+		svc.priorities[req.Priority] = w
 	}
 	w.add(now, priorityWindow, int(r.usual.Milliseconds()))
 }
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -91,7 +91,7 @@
 	svc.totals.add(done)
 	svc.noteOutcome(now, done)
 	if done.Outcome == Good && done.FirstByte > 0 {
-		t.learnTimes(s, svc, p, done)
+		t.learnTimes(now, s, svc, p, done)
 	}
 	if done.Load != nil && t.has(MechanismToldLoad) {
 		load := done.Load.Running + done.Load.Waiting
@@ -115,11 +115,11 @@
 }
 
 // learnTimes takes the time of a good answer.
-func (t *Table) learnTimes(s *server, svc *service, p *Placement, done Done) {
+func (t *Table) learnTimes(now time.Time, s *server, svc *service, p *Placement, done Done) {
 	svc.times.add(float64(done.FirstByte) / float64(p.pending.expected))
 	s.learnSlowness(done.slowness)
 	atIdle := time.Duration(done.slowness * float64(p.pending.work))
-	t.route(svc, p.group).learn(atIdle, float64(done.Bytes))
+	t.route(svc, p.group).learn(now, atIdle, float64(done.Bytes))
 	svc.usual += time.Duration(serviceGain * float64(atIdle-svc.usual))
 }
 
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -48,6 +48,7 @@
 // forgets those that nothing has been heard of for long. It reports whether
 // there is something to tell.
 func (t *Table) Refresh(now time.Time) (dirty bool) {
+	t.forgetRoutes(now)
 	for k, s := range t.servers {
 		if s.inFlight > 0 {
 			s.dirty = true
--- a/internal/policy/routes.go
+++ b/internal/policy/routes.go
@@ -12,6 +12,11 @@
 	routeGain = 0.05
 	// priorRoute is how many answers the usual time of the service counts for.
 	priorRoute = 2
+	// knownAnswers are needed before requests are refused, or make room, by the usual
+	// time of a route, and the newest must have come within knownFor: what is refused
+	// brings no answer, so that a wrong figure would never be put right.
+	knownAnswers = 3
+	knownFor     = 5 * time.Second
 	// slownessGain is the weight of one answer in the slowness of a server.
 	slownessGain = 0.2
 	// leastSlowness and mostSlowness bound what one answer can say of a server.
@@ -22,14 +27,16 @@
 // route is what this host knows of the good answers to one route.
 type route struct {
 	answers int
+	newest  time.Time     // when the newest came
 	usual   time.Duration // to the header, at an idle server of usual speed
 	bytes   float64       // of the body
 }
 
 // learn notes a good answer. The first ones are weighed with what is usual for the
 // service: any of them may be an odd one.
-func (r *route) learn(atIdle time.Duration, bytes float64) {
+func (r *route) learn(now time.Time, atIdle time.Duration, bytes float64) {
 	r.answers++
+	r.newest = now
 	gain := max(1/float64(r.answers+priorRoute), routeGain)
 	r.usual += time.Duration(gain * float64(atIdle-r.usual))
 	r.bytes += max(1/float64(r.answers), routeGain) * (bytes - r.bytes)
@@ -54,6 +61,25 @@
 	return svc.usual
 }
 
+// knownNow returns a route whose usual time is known by answers of late, nil if it
+// is not.
+func (t *Table) knownNow(now time.Time, group string) *route {
+	r, ok := t.routes[group]
+	if !ok || r.answers < knownAnswers || now.Sub(r.newest) > knownFor {
+		return nil
+	}
+	return r
+}
+
+// forgetRoutes drops routes without an answer for long: they may be gone.
+func (t *Table) forgetRoutes(now time.Time) {
+	for group, r := range t.routes {
+		if now.Sub(r.newest) > forgetAfter {
+			delete(t.routes, group)
+		}
+	}
+}
+
 // bytes is the usual size of an answer to a route, 0 if unknown.
 func (t *Table) bytes(group string) float64 {
 	if r, ok := t.routes[group]; ok {
--- a/internal/policy/silence_test.go
+++ b/internal/policy/silence_test.go
@@ -140,6 +140,14 @@
 	v := view(1)
 	warm(t, table, now, v)
 	req := Request{Service: "s", DataCentre: "dc1", First: true, Asked: now, Deadline: now.Add(work / 8), Objective: time.Second}
+	if _, err := table.Pick(now.Add(2*knownFor), v, req); err != nil {
+		t.Errorf("no answer of late: %v: what is refused brings no answer that could put the usual time right", err)
+	}
+	unknown := req
+	unknown.Group = "new"
+	if _, err := table.Pick(now, v, unknown); err != nil {
+		t.Errorf("a route without any answer: %v", err)
+	}
 	if _, err := table.Pick(now, v, req); errs.KindOf(err) != errs.KindQueueFull {
 		t.Errorf("an eighth of the usual time left: %v, want %s", err, errs.KindQueueFull)
 	}
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -337,8 +337,8 @@
 	v.Backends[1].DataCentre = "dc2"
 	use(t, table, now, v, "b1", Done{Outcome: Good, FirstByte: 100 * time.Millisecond})
 	use(t, table, now, v, "b0", Done{Outcome: Failed})
-	table.route(table.service("s"), "large").learn(100*time.Millisecond, 100_000)
-	table.route(table.service("s"), "small").learn(100*time.Millisecond, 500)
+	table.route(table.service("s"), "large").learn(now, 100*time.Millisecond, 100_000)
+	table.route(table.service("s"), "small").learn(now, 100*time.Millisecond, 500)
 	if lease := mustPick(t, table, now, v, Request{Idempotent: true, Group: "large"}); lease.Server.ID != "b0" {
 		t.Errorf("a large answer is fetched from %s", lease.Server.DataCentre)
 	}
