A claim that arrives behind its release is not granted

Several claims each held a part of the hosts and had given up: a claim whose call timed out can still wait in a busy host when its release comes, is granted then, and is held for 15 minutes. Hosts now remember a release whose claim has not arrived. Ruled out: a copy that ran and whose answer was lost (0 runs at the servers).

--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -19,6 +19,11 @@
 // sweepEvery is how many grants pass between sweeps of expired claims.
 const sweepEvery = 1024
 
+// overtakenFor is how long at least a release is remembered whose claim has not
+// arrived: a request between hosts gives up after releaseTimeout, and may then still
+// wait in a busy host.
+const overtakenFor = 10 * time.Second
+
 // Key identifies a request of a service over repeats by the caller.
 type Key struct {
 	Service string
@@ -36,9 +41,12 @@
 	startedAt time.Time
 	now       func() time.Time
 
-	mu     sync.Mutex
-	held   map[Key]claim
-	grants int
+	mu   sync.Mutex
+	held map[Key]claim
+	// released are claims by identity that were released before they arrived, until
+	// when that is remembered.
+	released map[string]time.Time
+	grants   int
 }
 
 // NewTable returns an empty table of a host that starts now. The clock is a
@@ -49,6 +57,7 @@
 		startedAt: now(),
 		now:       now,
 		held:      make(map[Key]claim),
+		released:  make(map[string]time.Time),
 	}
 }
 
@@ -58,6 +67,9 @@
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Before(t.released[requestID]) {
+		return peerpb.ClaimResponse_DECISION_ABSTAIN, ""
+	}
 	held, ok := t.held[key]
 	if ok && now.Before(held.expires) {
 		if held.requestID == requestID {
@@ -81,6 +93,9 @@
 	defer t.mu.Unlock()
 	held, ok := t.held[key]
 	if !ok || held.requestID != requestID {
+		if len(t.released) < MaxClaims {
+			t.released[requestID] = now.Add(max(t.horizon, overtakenFor))
+		}
 		return
 	}
 	if !finished {
@@ -107,4 +122,9 @@
 			delete(t.held, key)
 		}
 	}
+	for id, expires := range t.released {
+		if !now.Before(expires) {
+			delete(t.released, id)
+		}
+	}
 }
