--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -75,7 +75,7 @@
 mutant "young hosts spend their own" internal/policy/retries.go 's/if age < rule.Window \&\& /if false \&\& /' ./internal/policy
 mutant "waiting requests are evidence" internal/policy/silence.go 's/	return min(float64(total)\/1e6, maxSilence).*/	return 0/' ./internal/policy
 mutant "slow services say nothing" internal/policy/silence.go 's/, maxSilence) \* svc.calm(now)/, maxSilence)/' ./internal/policy
-mutant "evidence of neighbours" internal/policy/silence.go 's/if peer.inFlight > 0 \&\& /if false \&\& /' ./internal/policy
+mutant "evidence of neighbours" internal/policy/silence.go 's/		if now.Sub(peer.at) < peerExpiry {/		if false {/' ./internal/policy
 mutant "abandoned requests are evidence" internal/policy/outcome.go 's/s.learnSilence(now, done.silence)/_ = done.silence/' ./internal/policy
 mutant "short deadlines say nothing" internal/policy/outcome.go 's/case done.TimedOut \&\& done.silence < overdue:/case false:/' ./internal/policy
 mutant "copies of reads" internal/policy/copies.go 's/	if !t.has(MechanismCopies) {/	if true {/' ./e2e -ginkgo.focus "by a copy"
