--- /dev/null
+++ b/experiment/loops/loops.go
@@ -0,0 +1,348 @@
+// Package loops runs the control loops of a whole fleet in one process and in
+// simulated time: membership, gossip, full comparisons, documents and readers, by the
+// same code as the daemon, without sockets or goroutines. It counts what each host
+// sends and how long the fleet takes to agree, at sizes that no machine holds as
+// processes.
+package loops
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/experiment/simtime"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/engine"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	// seeds is how many hosts every host knows from its settings.
+	seeds = 3
+	// sizeOfCall is what a synchronous call adds to the bytes of its messages.
+	sizeOfCall = 400
+	// storeDelay is one answer of the platform.
+	storeDelay = 8 * time.Millisecond
+)
+
+// Config of a Fleet.
+type Config struct {
+	Hosts       int
+	DataCentres int
+	// Near is one way within a data centre, Far between two.
+	Near, Far time.Duration
+	// StartWithin is the time in which all hosts start.
+	StartWithin time.Duration
+	// Loss is the share of datagrams that are lost.
+	Loss float64
+	Seed uint64
+	// Documents are what the platform holds, by key, at revision 1.
+	Documents map[string][]byte
+}
+
+// Traffic is what a host sent.
+type Traffic struct {
+	Datagrams, Calls int
+	Bytes            int
+}
+
+// Fleet is all hosts of a simulation.
+type Fleet struct {
+	conf    Config
+	clock   simtime.Clock
+	random  *rand.Rand
+	hosts   []*Host
+	at      map[string]*Host // by peer address
+	Fetches int              // reads of the platform
+}
+
+// New returns a fleet whose hosts start within conf.StartWithin.
+func New(conf Config) *Fleet {
+	f := &Fleet{conf: conf, random: rand.New(rand.NewPCG(conf.Seed, 1)), at: make(map[string]*Host)}
+	for n := range conf.Hosts {
+		h := &Host{fleet: f, number: n, dataCentre: n % conf.DataCentres}
+		f.hosts = append(f.hosts, h)
+		f.at[h.address()] = h
+		f.clock.After(time.Duration(f.random.Float64()*float64(conf.StartWithin)), h.Start)
+	}
+	return f
+}
+
+// Run moves the time on.
+func (f *Fleet) Run(d time.Duration) { f.clock.Run(f.clock.Now + d) }
+
+// Now is the simulated time since the beginning.
+func (f *Fleet) Now() time.Duration { return f.clock.Now }
+
+// Hosts returns all hosts, running or not.
+func (f *Fleet) Hosts() []*Host { return f.hosts }
+
+// RunUntil moves the time on until done holds, looked at every step, or limit is over;
+// it reports whether done holds.
+func (f *Fleet) RunUntil(limit, step time.Duration, done func() bool) bool {
+	for end := f.clock.Now + limit; f.clock.Now < end; {
+		if done() {
+			return true
+		}
+		f.Run(step)
+	}
+	return done()
+}
+
+// Agreed reports whether every running host knows just the running ones as live.
+func (f *Fleet) Agreed() bool {
+	running := 0
+	for _, h := range f.hosts {
+		if h.Running() {
+			running++
+		}
+	}
+	for _, h := range f.hosts {
+		if h.Running() && h.engine.Snapshot().LiveHosts != running {
+			return false
+		}
+	}
+	return running > 0
+}
+
+// Ready returns how many hosts have a configuration in force.
+func (f *Fleet) Ready() int {
+	ready := 0
+	for _, h := range f.hosts {
+		if h.Running() && h.engine.Ready() {
+			ready++
+		}
+	}
+	return ready
+}
+
+// Sent sums what all hosts sent.
+func (f *Fleet) Sent() Traffic {
+	var total Traffic
+	for _, h := range f.hosts {
+		total.Datagrams += h.Sent.Datagrams
+		total.Calls += h.Sent.Calls
+		total.Bytes += h.Sent.Bytes
+	}
+	return total
+}
+
+// delay is one way between two hosts.
+func (f *Fleet) delay(a, b *Host) time.Duration {
+	if a.dataCentre == b.dataCentre {
+		return f.conf.Near
+	}
+	return f.conf.Far
+}
+
+// Host is one host: it runs, is stopped without notice, and runs again with an empty
+// memory.
+type Host struct {
+	fleet      *Fleet
+	number     int
+	dataCentre int
+	life       int // grows with every start and stop
+	engine     *engine.Engine
+	// Cut hosts send and hear nothing.
+	Cut  bool
+	Sent Traffic
+}
+
+func (h *Host) name() string    { return fmt.Sprintf("h%04d", h.number) }
+func (h *Host) address() string { return fmt.Sprintf("10.0.%d.%d:7000", h.number/250, h.number%250+1) }
+
+// DataCentre is the number of the host's data centre.
+func (h *Host) DataCentre() int { return h.dataCentre }
+
+// Running reports whether the host runs.
+func (h *Host) Running() bool { return h.engine != nil }
+
+// Snapshot is the host's newest view.
+func (h *Host) Snapshot() *world.Snapshot { return h.engine.Snapshot() }
+
+// Stop ends the host without notice.
+func (h *Host) Stop() {
+	h.life++
+	h.engine = nil
+}
+
+// Start runs the host with an empty memory.
+func (h *Host) Start() {
+	h.life++
+	now := h.fleet.clock.Time()
+	self := world.Identity{Host: h.name(), Address: h.address(), DataCentre: fmt.Sprint("dc", h.dataCentre)}
+	seed := h.fleet.conf.Seed<<32 + uint64(h.number)<<8 + uint64(h.life)
+	var known []string
+	for _, other := range h.fleet.hosts[:min(seeds, len(h.fleet.hosts))] {
+		known = append(known, other.address())
+	}
+	h.engine = engine.New(engine.Config{
+		Self:         self,
+		Tick:         settings.DefaultTick,
+		Freshness:    settings.DefaultFreshness,
+		Seeds:        known,
+		Documents:    []string{world.KeyPublished, world.KeyDiscovered},
+		DirectAfter:  time.Millisecond,
+		DirectSpread: 150 * time.Millisecond,
+		Seed:         seed,
+		Membership: membership.Config{
+			Host:           self.Host,
+			Address:        self.Address,
+			DataCentre:     self.DataCentre,
+			ProbeInterval:  settings.DefaultProbeInterval,
+			ProbeTimeout:   settings.DefaultProbeTimeout,
+			GossipInterval: settings.DefaultGossipInterval,
+			Seed:           seed,
+		},
+	}, &hlc.Clock{}, &effects{host: h, life: h.life}, now)
+	h.tick(h.life)
+}
+
+// tick steps the control loop as often as the daemon does.
+func (h *Host) tick(life int) {
+	h.in(0, life, func(now time.Time) {
+		h.engine.Step(now)
+		h.in(settings.DefaultTick, life, func(time.Time) { h.tick(life) })
+	})
+}
+
+// in gives the control loop an input after some time, if the host still lives its life.
+func (h *Host) in(after time.Duration, life int, input func(now time.Time)) {
+	h.fleet.clock.After(after, func() {
+		if h.engine != nil && h.life == life {
+			h.engine.Input(h.fleet.clock.Time(), input)
+		}
+	})
+}
+
+// reach calls do at the host with an address, one way later, unless the way is cut.
+func (h *Host) reach(address string, do func(to *Host, now time.Time)) {
+	to, ok := h.fleet.at[address]
+	if !ok || h.Cut || to.Cut {
+		return
+	}
+	h.fleet.clock.After(h.fleet.delay(h, to), func() {
+		if to.engine != nil && !to.Cut {
+			to.engine.Input(h.fleet.clock.Time(), func(now time.Time) { do(to, now) })
+		}
+	})
+}
+
+func (h *Host) count(messages ...proto.Message) {
+	for _, m := range messages {
+		h.Sent.Bytes += proto.Size(m)
+	}
+}
+
+// effects does what a host's control loop wants done.
+type effects struct {
+	host *Host
+	life int
+}
+
+// Send delivers datagrams.
+func (e *effects) Send(packets []membership.Packet) {
+	h := e.host
+	for _, p := range packets {
+		raw, err := proto.Marshal(p.Datagram)
+		if err != nil {
+			panic(err)
+		}
+		h.Sent.Datagrams++
+		h.Sent.Bytes += len(raw)
+		if h.fleet.random.Float64() < h.fleet.conf.Loss {
+			continue
+		}
+		h.reach(p.To, func(to *Host, now time.Time) {
+			d := &peerpb.Datagram{}
+			if err := proto.Unmarshal(raw, d); err != nil {
+				panic(err)
+			}
+			to.engine.Datagram(now, h.address(), d)
+		})
+	}
+}
+
+// Fetch gets a document from another host or the platform.
+func (e *effects) Fetch(f world.Fetch) {
+	h := e.host
+	if len(f.Peers) > 0 {
+		h.Sent.Calls++
+		req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
+		h.reach(f.Peers[0], func(to *Host, _ time.Time) {
+			resp := to.engine.AnswerDocument(req)
+			to.Sent.Bytes += sizeOfCall
+			to.count(resp)
+			if resp.Revision <= f.After {
+				return
+			}
+			to.reach(h.address(), func(_ *Host, now time.Time) { h.engine.Document(now, f.Key, resp.Revision, resp.Document) })
+		})
+		return
+	}
+	if !f.Platform {
+		return
+	}
+	h.fleet.Fetches++
+	h.in(storeDelay, e.life, func(now time.Time) {
+		if raw, ok := h.fleet.conf.Documents[f.Key]; ok && f.After < 1 {
+			h.engine.Document(now, f.Key, 1, raw)
+		}
+	})
+}
+
+// SyncWith compares full states with the host at an address.
+func (e *effects) SyncWith(address string) {
+	h := e.host
+	if h.engine == nil {
+		return
+	}
+	h.Sent.Calls++
+	h.Sent.Bytes += sizeOfCall
+	e.ask(address, &peerpb.SyncRequest{From: h.name(), Digest: h.engine.Digest()}, func(resp *peerpb.SyncResponse, now time.Time) {
+		if !resp.Same {
+			state := h.engine.State(now)
+			h.Sent.Calls++
+			h.count(state)
+			e.ask(address, state, func(*peerpb.SyncResponse, time.Time) {})
+		}
+		h.engine.Merge(now, resp.Members, resp.Registers, resp.Clock)
+		h.engine.Synced()
+	})
+}
+
+// ask makes a synchronous comparison and hands its answer to take.
+func (e *effects) ask(address string, req *peerpb.SyncRequest, take func(resp *peerpb.SyncResponse, now time.Time)) {
+	h := e.host
+	h.reach(address, func(to *Host, now time.Time) {
+		resp := to.engine.AnswerSync(now, req)
+		to.count(resp)
+		to.reach(h.address(), func(_ *Host, now time.Time) {
+			if h.life == e.life {
+				take(resp, now)
+			}
+		})
+	})
+}
+
+// Reading answers the watch of a reader, as a quiet platform does each second.
+func (e *effects) Reading(reader bool) {
+	if reader && !e.host.Cut {
+		e.host.in(storeDelay, e.life, func(now time.Time) { e.host.engine.PlatformAnswered(now) })
+	}
+}
+
+// Probe, Event, StopRequested and Ticked do nothing here.
+func (e *effects) Probe(world.Probe)                  {}
+func (e *effects) Event(event.Event)                  {}
+func (e *effects) StopRequested()                     {}
+func (e *effects) Ticked(time.Duration, *world.World) {}
+
+// Interface guard.
+var _ engine.Effects = (*effects)(nil)
--- /dev/null
+++ b/experiment/loops/loops_test.go
@@ -0,0 +1,117 @@
+package loops
+
+import (
+	"testing"
+	"time"
+)
+
+func newFleet(hosts int, seed uint64) *Fleet {
+	return New(Config{
+		Hosts: hosts, DataCentres: 5, Near: 200 * time.Microsecond, Far: 1400 * time.Microsecond,
+		StartWithin: 300 * time.Millisecond, Loss: 0.002, Seed: seed,
+		Documents: map[string][]byte{"services/published": []byte("services: []\n"), "backends": []byte("backends: []\n")},
+	})
+}
+
+const step = 100 * time.Millisecond
+
+// agree fails the test unless all running hosts know each other in time.
+func agree(t *testing.T, f *Fleet, what string, limit time.Duration) {
+	t.Helper()
+	begin := f.Now()
+	if !f.RunUntil(limit, step, f.Agreed) {
+		t.Fatalf("%s: hosts do not agree within %s", what, limit)
+	}
+	t.Logf("%s: %d hosts agree after %s", what, len(f.Hosts()), f.Now()-begin)
+}
+
+// Hundreds of hosts that start at once know each other and have a configuration within
+// seconds, and what that costs each does not grow faster than the hosts.
+func TestAllStartAtOnce(t *testing.T) {
+	perHost := make(map[int]float64)
+	for _, hosts := range []int{60, 240} {
+		f := newFleet(hosts, 1)
+		agree(t, f, "start", 2500*time.Millisecond)
+		f.Run(time.Second)
+		if ready := f.Ready(); ready != hosts {
+			t.Errorf("%d of %d hosts are ready", ready, hosts)
+		}
+		f.Run(6 * time.Second)
+		perHost[hosts] = float64(f.Sent().Bytes) / float64(hosts)
+		t.Logf("%d hosts: %.0f bytes each, %d reads of the platform", hosts, perHost[hosts], f.Fetches)
+	}
+	if perHost[240] > 1.5*4*perHost[60] {
+		t.Errorf("the start costs a host %.0f bytes at 60 hosts and %.0f at 240", perHost[60], perHost[240])
+	}
+}
+
+// A fleet at rest sends the same a host whatever its size.
+func TestRestDoesNotGrow(t *testing.T) {
+	rest := make(map[int]float64)
+	for _, hosts := range []int{60, 240} {
+		f := newFleet(hosts, 2)
+		agree(t, f, "start", 2500*time.Millisecond)
+		f.Run(15 * time.Second)
+		before := f.Sent()
+		f.Run(20 * time.Second)
+		rest[hosts] = float64(f.Sent().Bytes-before.Bytes) / 20 / float64(hosts)
+	}
+	t.Logf("bytes a host and second: %.0f and %.0f", rest[60], rest[240])
+	if rest[240] > 1.5*rest[60] {
+		t.Errorf("at rest a host sends %.0f bytes a second at 60 hosts and %.0f at 240", rest[60], rest[240])
+	}
+}
+
+// All hosts lose power and start again.
+func TestAllRestart(t *testing.T) {
+	f := newFleet(200, 3)
+	agree(t, f, "start", 2500*time.Millisecond)
+	for _, h := range f.Hosts() {
+		h.Stop()
+	}
+	f.Run(2 * time.Second)
+	for _, h := range f.Hosts() {
+		h.Start()
+	}
+	agree(t, f, "restart", 2500*time.Millisecond)
+}
+
+// A third of the hosts is stopped without notice and replaced.
+func TestThirdReplaced(t *testing.T) {
+	f := newFleet(200, 4)
+	agree(t, f, "start", 2500*time.Millisecond)
+	f.Run(5 * time.Second)
+	third := f.Hosts()[len(f.Hosts())*2/3:]
+	for _, h := range third {
+		h.Stop()
+	}
+	f.Run(2 * time.Second)
+	for _, h := range third {
+		h.Start()
+	}
+	agree(t, f, "replaced", 3*time.Second)
+}
+
+// A data centre that is cut off is held for dead, serves on by itself, and is known
+// again after the heal.
+func TestDataCentreCut(t *testing.T) {
+	f := newFleet(100, 5)
+	agree(t, f, "start", 2500*time.Millisecond)
+	f.Run(5 * time.Second)
+	cut := func(is bool) {
+		for _, h := range f.Hosts() {
+			if h.DataCentre() == 4 {
+				h.Cut = is
+			}
+		}
+	}
+	cut(true)
+	f.Run(30 * time.Second)
+	for _, h := range f.Hosts() {
+		if h.DataCentre() != 4 && h.Snapshot().LiveHosts > 82 {
+			t.Fatalf("a host holds %d for live while 20 of 100 are cut off", h.Snapshot().LiveHosts)
+		}
+	}
+	cut(false)
+	agree(t, f, "healed", 40*time.Second)
+}
--- a/experiment/replay/bound.go
+++ b/experiment/replay/bound.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"math/rand/v2"
 	"time"
+
+	"github.com/pearshelf/pearshelf/experiment/simtime"
 )
 
 // Bound plays a pattern with one central queue for each service that knows at each
@@ -15,7 +17,7 @@
 	f := &fleet{
 		pattern: pattern,
 		seed:    seed,
-		clock:   &clock{},
+		clock:   &simtime.Clock{},
 		random:  rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*server),
 		result:  newResult(pattern),
@@ -32,7 +34,7 @@
 	for i := range pattern.Routes {
 		f.arrive(&pattern.Routes[i], rand.New(rand.NewPCG(seed, uint64(i)+100)), queues[pattern.Routes[i].Service].take)
 	}
-	f.clock.run(time.Duration(pattern.Length) + settle)
+	f.clock.Run(time.Duration(pattern.Length) + settle)
 	return f.result
 }
 
@@ -47,7 +49,7 @@
 }
 
 func (q *centralQueue) take(route *Route) {
-	heap.Push(&q.hopeful, &request{host: &host{fleet: q.fleet}, route: route, asked: q.fleet.clock.now})
+	heap.Push(&q.hopeful, &request{host: &host{fleet: q.fleet}, route: route, asked: q.fleet.clock.Now})
 	q.begin()
 }
 
@@ -57,7 +59,7 @@
 	for len(q.hopeful)+len(q.late) > 0 {
 		s := q.free()
 		if s == nil {
-			q.fleet.clock.after(lookAgain, q.begin)
+			q.fleet.clock.After(lookAgain, q.begin)
 			return
 		}
 		from := &q.hopeful
@@ -70,7 +72,7 @@
 
 func (q *centralQueue) run(s *server, r *request) {
 	work := draw(r.route.Work, q.random)
-	if work > r.deadline()-q.fleet.clock.now {
+	if work > r.deadline()-q.fleet.clock.Now {
 		q.fleet.result.note(r, refused)
 		return
 	}
@@ -79,7 +81,7 @@
 		o = failed
 	}
 	s.running++
-	q.fleet.clock.after(work, func() {
+	q.fleet.clock.After(work, func() {
 		s.running--
 		q.fleet.result.note(r, o)
 		q.begin()
@@ -92,7 +94,7 @@
 // sort moves what will be late behind what can be in time, and drops what can no
 // longer be served.
 func (q *centralQueue) sort() {
-	soonest := func(r *request) time.Duration { return q.fleet.clock.now + time.Duration(r.route.Work.Mean) }
+	soonest := func(r *request) time.Duration { return q.fleet.clock.Now + time.Duration(r.route.Work.Mean) }
 	for len(q.hopeful) > 0 && q.hopeful[0].objective() < soonest(q.hopeful[0]) {
 		heap.Push(&q.late, heap.Pop(&q.hopeful))
 	}
@@ -113,7 +115,7 @@
 // faulty reports whether a fault that fails requests is at the server now.
 func (s *server) faulty() bool {
 	for _, f := range s.faults {
-		if f.Kind != KindSlow && s.clock.now >= time.Duration(f.From) && s.clock.now < time.Duration(f.From+f.For) {
+		if f.Kind != KindSlow && s.clock.Now >= time.Duration(f.From) && s.clock.Now < time.Duration(f.From+f.For) {
 			return f.Share < 1 // where all servers fail, there is no better one
 		}
 	}
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -6,9 +6,11 @@
 	"slices"
 	"time"
 
+	"github.com/pearshelf/pearshelf/experiment/simtime"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -21,6 +23,8 @@
 	dataCentre int
 	fleet      *fleet
 	table      *policy.Table
+	sharing    *sharing.Fleet
+	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
 	cuttable   bool // one of those that a cut takes
 }
@@ -29,49 +33,83 @@
 	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
-	h.table = policy.NewTable(epoch.Add(-hostAge), conf)
+	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	return h
 }
 
 // hostAge is how old hosts are when traffic starts, beyond any window of theirs.
 const hostAge = time.Minute
 
+// join gives the host its place among all hosts, and its subsets of the servers.
+func (h *host) join() {
+	var others []sharing.Host
+	for _, other := range h.fleet.hosts {
+		if other != h {
+			others = append(others, other.shared())
+		}
+	}
+	h.sharing = sharing.NewFleet(h.fleet.sharing, h.shared(), others)
+	h.views = make(map[string]*world.ServiceView, len(h.fleet.views))
+	for name, all := range h.fleet.views {
+		view := *all
+		for _, b := range all.Backends {
+			if h.sharing.Uses(all.Sharing, b.ID) {
+				view.Subset = append(view.Subset, b)
+			}
+		}
+		h.views[name] = &view
+	}
+}
+
+func (h *host) shared() sharing.Host {
+	return sharing.Host{Name: h.name, Address: h.name, DataCentre: dataCentreName(h.dataCentre)}
+}
+
 // tell tells other hosts what changed, a little later.
 func (h *host) tell() {
 	if h.telling {
 		return
 	}
 	h.telling = true
-	h.fleet.clock.after(tellAfter, func() {
+	h.fleet.clock.After(tellAfter, func() {
 		h.telling = false
-		near, failing := h.table.Changes(h.fleet.clock.time())
-		for _, other := range h.fleet.hosts {
-			loads, isNear := failing, false
-			if other.dataCentre == h.dataCentre {
-				loads, isNear = near, true
-			}
-			if other == h || len(loads) == 0 || h.isCut() || other.isCut() || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
-				continue
-			}
-			h.fleet.clock.after(h.fleet.delay(h.dataCentre, other.dataCentre), func() {
-				other.table.Report(h.fleet.clock.time(), h.name, 1, loads, isNear)
-			})
+		near, failing := h.table.Changes(h.fleet.clock.Time())
+		h.sendAll(h.sharing.Near(near, h.fleet.sharedService))
+		h.sendAll(h.sharing.Far(failing, h.fleet.sharedService))
+	})
+}
+
+func (h *host) sendAll(messages []sharing.Message) {
+	for _, m := range messages {
+		for _, address := range m.To {
+			h.send(h.fleet.byName[address], m)
 		}
+	}
+}
+
+// send delivers a message after its way, unless it is lost.
+func (h *host) send(other *host, m sharing.Message) {
+	h.fleet.result.Messages++
+	if h.isCut() || other.isCut() || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
+		return
+	}
+	h.fleet.clock.After(h.fleet.delay(h.dataCentre, other.dataCentre), func() {
+		other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Near)
 	})
 }
 
 // isCut reports whether the host hears of no other now.
 func (h *host) isCut() bool {
 	cut := h.fleet.pattern.Network.Cut
-	now := h.fleet.clock.now
+	now := h.fleet.clock.Now
 	return h.cuttable && now >= time.Duration(cut.From) && now < time.Duration(cut.From+cut.For)
 }
 
 func (h *host) refresh() {
-	if h.table.Refresh(h.fleet.clock.time()) {
+	if h.table.Refresh(h.fleet.clock.Time()) {
 		h.tell()
 	}
-	h.fleet.clock.after(policy.RefreshEvery, h.refresh)
+	h.fleet.clock.After(policy.RefreshEvery, h.refresh)
 }
 
 // request is a caller's request on its way, as dispatch keeps it.
@@ -83,7 +121,7 @@
 	ran     int
 	arrived int
 	flights []*flight
-	expiry  *timer
+	expiry  *simtime.Timer
 	over    bool
 	copies  int
 	returns int // how often the caller has come back
@@ -100,8 +138,8 @@
 
 // serve takes a request from a caller.
 func (h *host) serve(route *Route) {
-	r := &request{host: h, route: route, asked: h.fleet.clock.now}
-	r.expiry = h.fleet.clock.after(time.Duration(route.Timeout), r.expire)
+	r := &request{host: h, route: route, asked: h.fleet.clock.Now}
+	r.expiry = h.fleet.clock.After(time.Duration(route.Timeout), r.expire)
 	r.place()
 }
 
@@ -119,11 +157,11 @@
 		First:      r.arrived == 0 && waiting == 0,
 		Repeat:     r.arrived > 0 || waiting > 0,
 		Last:       r.ran+waiting+1 >= r.attempts(),
-		Fleet:      policy.Fleet{Near: f.pattern.Hosts / f.pattern.DataCentres, All: f.pattern.Hosts},
+		Fleet:      policy.Fleet{Near: r.host.sharing.SegmentSize(), All: f.pattern.Hosts},
 		Exclude:    r.tried,
 		Priority:   r.route.Priority,
-		Asked:      epoch.Add(r.asked),
-		Deadline:   epoch.Add(r.deadline()),
+		Asked:      simtime.Epoch.Add(r.asked),
+		Deadline:   simtime.Epoch.Add(r.deadline()),
 	}
 }
 
@@ -132,7 +170,7 @@
 // place sends the request to the server that the policy picks.
 func (r *request) place() {
 	f := r.host.fleet
-	placement, err := r.host.table.Pick(f.clock.time(), f.views[r.route.Service], r.policyRequest())
+	placement, err := r.host.table.Pick(f.clock.Time(), r.host.views[r.route.Service], r.policyRequest())
 	if err != nil {
 		if len(r.flights) == 0 {
 			r.refuse(errs.KindOf(err))
@@ -147,12 +185,13 @@
 
 func (r *request) send(placement *policy.Placement) {
 	f := r.host.fleet
-	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.now}
+	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now}
 	fl.job = &job{route: r.route, deadline: r.deadline()}
 	delay := f.delay(r.host.dataCentre, fl.server.dataCentre)
-	fl.job.done = func(result reply) { f.clock.after(delay, func() { r.answered(fl, result) }) }
+	fl.job.done = func(result reply) { f.clock.After(delay, func() { r.answered(fl, result) }) }
 	r.flights = append(r.flights, fl)
-	f.clock.after(delay, func() {
+	f.result.Runs[fl.server.id]++
+	f.clock.After(delay, func() {
 		if !fl.job.over {
 			fl.server.take(fl.job)
 		}
@@ -166,18 +205,18 @@
 	if !r.route.Idempotent || r.ran+2 > r.attempts() || r.over || len(r.flights) != 1 || r.flights[0] != first {
 		return
 	}
-	view := f.views[r.route.Service]
+	view := r.host.views[r.route.Service]
 	req := r.policyRequest()
 	req.Exclude = append(slices.Clone(r.tried), first.placement.Server.ID)
-	copyNow, after := r.host.table.Review(f.clock.time(), view, req, first.placement)
+	copyNow, after := r.host.table.Review(f.clock.Time(), view, req, first.placement)
 	switch {
 	case copyNow:
-		if placement, err := r.host.table.Pick(f.clock.time(), view, req); err == nil {
+		if placement, err := r.host.table.Pick(f.clock.Time(), view, req); err == nil {
 			r.copies++
 			r.send(placement)
 		}
 	case after > 0:
-		f.clock.after(after, func() { r.review(first) })
+		f.clock.After(after, func() { r.review(first) })
 	}
 }
 
@@ -189,7 +228,7 @@
 	}
 	r.flights = slices.Delete(r.flights, i, i+1)
 	r.arrived++
-	took := r.host.fleet.clock.now - fl.sent
+	took := r.host.fleet.clock.Now - fl.sent
 	load := &protocol.Load{Running: fl.server.running, Waiting: len(fl.server.queue)}
 	switch result {
 	case replyGood:
@@ -218,7 +257,7 @@
 	}
 	mayRun := r.route.Idempotent || r.ran == 0
 	f := r.host.fleet
-	if !mayRun || r.ran >= r.attempts() || !r.host.table.AllowRetry(f.clock.time(), r.route.Service, r.policyRequest().Fleet) {
+	if !mayRun || r.ran >= r.attempts() || !r.host.table.AllowRetry(f.clock.Time(), r.route.Service, r.policyRequest().Fleet) {
 		r.end(otherwise)
 		return
 	}
@@ -232,7 +271,7 @@
 	}
 	for _, fl := range r.flights {
 		fl.server.cancel(fl.job)
-		r.finish(fl, policy.Done{Outcome: policy.Failed, TimedOut: true, Took: r.host.fleet.clock.now - fl.sent})
+		r.finish(fl, policy.Done{Outcome: policy.Failed, TimedOut: true, Took: r.host.fleet.clock.Now - fl.sent})
 	}
 	r.flights = nil
 	r.end(failed)
@@ -246,9 +285,9 @@
 	f := r.host.fleet
 	f.result.reasons[string(kind)]++
 	after := r.host.table.RetryAfter(r.route.Service)
-	if r.returns < r.route.Returns && f.clock.now+after < r.deadline() {
+	if r.returns < r.route.Returns && f.clock.Now+after < r.deadline() {
 		r.returns++
-		f.clock.after(after, r.comeBack)
+		f.clock.After(after, r.comeBack)
 		return
 	}
 	r.end(refused)
@@ -266,17 +305,17 @@
 // end notes what the caller got, and gives up what is still under way.
 func (r *request) end(o outcome) {
 	r.over = true
-	r.expiry.stopped = true
+	r.expiry.Stop()
 	for _, fl := range r.flights {
 		fl.server.cancel(fl.job)
-		r.finish(fl, policy.Done{Outcome: policy.Abandoned, Took: r.host.fleet.clock.now - fl.sent})
+		r.finish(fl, policy.Done{Outcome: policy.Abandoned, Took: r.host.fleet.clock.Now - fl.sent})
 	}
 	r.flights = nil
 	r.host.fleet.result.note(r, o)
 }
 
 func (r *request) finish(fl *flight, done policy.Done) {
-	r.host.table.Finish(r.host.fleet.clock.time(), fl.placement, done)
+	r.host.table.Finish(r.host.fleet.clock.Time(), fl.placement, done)
 	r.host.tell()
 }
 
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -6,7 +6,9 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"github.com/pearshelf/pearshelf/experiment/simtime"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -15,15 +17,19 @@
 	Seed uint64
 	// Without leaves mechanisms of the policy out.
 	Without []policy.Mechanism
+	// Sharing is how wide subsets are, the daemon's own rule if zero.
+	Sharing sharing.Rule
 }
 
 // fleet is all that takes part in a replay.
 type fleet struct {
 	pattern *Pattern
 	seed    uint64
-	clock   *clock
+	sharing sharing.Rule
+	clock   *simtime.Clock
 	random  *rand.Rand
 	hosts   []*host
+	byName  map[string]*host
 	servers map[string]*server
 	views   map[string]*world.ServiceView
 	result  *Result
@@ -31,12 +37,17 @@
 
 // Run plays a pattern once. The same pattern and configuration give the same result.
 func Run(pattern *Pattern, conf Config) *Result {
+	if conf.Sharing == (sharing.Rule{}) {
+		conf.Sharing = sharing.DefaultRule()
+	}
 	f := &fleet{
+		sharing: conf.Sharing,
 		pattern: pattern,
 		seed:    conf.Seed,
-		clock:   &clock{},
+		clock:   &simtime.Clock{},
 		random:  rand.New(rand.NewPCG(conf.Seed, 1)),
 		servers: make(map[string]*server),
+		byName:  make(map[string]*host),
 		views:   make(map[string]*world.ServiceView),
 		result:  newResult(pattern),
 	}
@@ -46,7 +57,7 @@
 		random := rand.New(rand.NewPCG(conf.Seed, uint64(i)+100))
 		f.arrive(&pattern.Routes[i], random, func(route *Route) { f.hosts[random.IntN(len(f.hosts))].serve(route) })
 	}
-	f.clock.run(time.Duration(pattern.Length) + settle)
+	f.clock.Run(time.Duration(pattern.Length) + settle)
 	return f.result
 }
 
@@ -57,9 +68,12 @@
 	for i := range f.pattern.Services {
 		service := &f.pattern.Services[i]
 		view := &world.ServiceView{}
+		dataCentres := make(map[string]string)
 		for _, s := range f.serversOf(service) {
 			view.Backends = append(view.Backends, backendView(s))
+			dataCentres[s.id] = dataCentreName(s.dataCentre)
 		}
+		view.Sharing = sharing.NewService(dataCentres)
 		f.views[service.Name] = view
 	}
 }
@@ -91,20 +105,24 @@
 	for n := range f.pattern.Hosts {
 		h := newHost(f, n, settings)
 		f.hosts = append(f.hosts, h)
+		f.byName[h.name] = h
 		h.refresh()
 	}
+	for _, h := range f.hosts {
+		h.join()
+	}
 }
 
 // arrive calls take for each request of a route, at random times.
 func (f *fleet) arrive(route *Route, random *rand.Rand, take func(*Route)) {
 	var next func()
 	wait := func() {
-		rate := route.Rate * f.pattern.factor(route.Name, f.clock.now)
+		rate := route.Rate * f.pattern.factor(route.Name, f.clock.Now)
 		gap := distuv.Exponential{Rate: rate, Src: random}.Rand()
-		f.clock.after(time.Duration(gap*float64(time.Second)), next)
+		f.clock.After(time.Duration(gap*float64(time.Second)), next)
 	}
 	next = func() {
-		if f.clock.now >= time.Duration(f.pattern.Length) {
+		if f.clock.Now >= time.Duration(f.pattern.Length) {
 			return
 		}
 		take(route)
@@ -113,6 +131,9 @@
 	wait()
 }
 
+// sharedService is a service's servers on their rings.
+func (f *fleet) sharedService(name string) *sharing.Service { return f.views[name].Sharing }
+
 // anyHost is the host that a caller comes to.
 func (f *fleet) anyHost() *host { return f.hosts[f.random.IntN(len(f.hosts))] }
 
--- a/experiment/replay/replay_test.go
+++ b/experiment/replay/replay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 )
 
 // seeds are played of each pattern; the verdict is the same each time.
@@ -153,3 +154,45 @@
 		}
 	}
 }
+
+// Hundreds of hosts: subsets serve as well as if all hosts shared all servers, at a
+// fraction of the messages, and load no server more.
+func TestSubsets(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"large", "large-burst"} {
+		pattern, err := Load(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		everyone := sharing.Rule{Hosts: pattern.Hosts, Servers: 1}
+		subsets, all := Run(pattern, Config{Seed: 1}), Run(pattern, Config{Seed: 1, Sharing: everyone})
+		got, before := subsets.Total(), all.Total()
+		t.Logf("%s: goodput %.4f, %.4f with everyone; unserved %.4f, %.4f; messages %d, %d; busiest server %.2f, %.2f of the mean",
+			name, got.Goodput(), before.Goodput(), got.Unserved(), before.Unserved(), subsets.Messages, all.Messages, subsets.busiest(), all.busiest())
+		if got.Goodput() < before.Goodput()-0.005 || got.Unserved() > 1.05*before.Unserved() {
+			t.Errorf("%s: goodput %.4f and %.4f unserved, with everyone %.4f and %.4f", name, got.Goodput(), got.Unserved(), before.Goodput(), before.Unserved())
+		}
+		if subsets.Messages > all.Messages/4 {
+			t.Errorf("%s: %d messages, with everyone %d", name, subsets.Messages, all.Messages)
+		}
+		if subsets.busiest() > 1.1*all.busiest() {
+			t.Errorf("%s: the busiest server gets %.2f times the mean, with everyone %.2f", name, subsets.busiest(), all.busiest())
+		}
+	}
+}
+
+// busiest is the most that a server was sent, against the mean of its service.
+func (r *Result) busiest() float64 {
+	sum, count := make(map[string]int), make(map[string]int)
+	service := func(server string) string { return strings.SplitN(server, "-", 2)[0] }
+	for server, n := range r.Runs {
+		sum[service(server)] += n
+		count[service(server)]++
+	}
+	most := 0.0
+	for server, n := range r.Runs {
+		mean := float64(sum[service(server)]) / float64(count[service(server)])
+		most = max(most, float64(n)/mean)
+	}
+	return most
+}
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -40,6 +40,10 @@
 type Result struct {
 	Routes  []*RouteResult
 	Seconds []Second
+	// Messages are the datagrams that hosts told each other.
+	Messages int
+	// Runs is how often each server was sent a request.
+	Runs    map[string]int
 	reasons map[string]int
 }
 
@@ -48,6 +52,7 @@
 func newResult(p *Pattern) *Result {
 	r := &Result{
 		Seconds: make([]Second, int(time.Duration(p.Length)/time.Second)+1),
+		Runs:    make(map[string]int),
 		reasons: make(map[string]int),
 	}
 	for _, route := range p.Routes {
@@ -58,7 +63,7 @@
 
 // note counts a request that has ended.
 func (r *Result) note(q *request, o outcome) {
-	took := q.host.fleet.clock.now - q.asked
+	took := q.host.fleet.clock.Now - q.asked
 	second := &r.Seconds[int(q.asked/time.Second)]
 	route := r.route(q.route.Name)
 	route.Asked++
@@ -102,6 +107,10 @@
 	for i, s := range other.Seconds {
 		r.Seconds[i].add(s)
 	}
+	r.Messages += other.Messages
+	for server, n := range other.Runs {
+		r.Runs[server] += n
+	}
 	for reason, n := range other.reasons {
 		r.reasons[reason] += n
 	}
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"github.com/pearshelf/pearshelf/experiment/simtime"
 )
 
 // errorAfter is how soon a server in a spell of errors answers.
@@ -28,7 +30,7 @@
 	// deadline is when the server gives up, by what it was told.
 	deadline time.Duration
 	done     func(reply)
-	end      *timer
+	end      *simtime.Timer
 	over     bool
 }
 
@@ -37,7 +39,7 @@
 	id         string
 	dataCentre int
 	service    *Service
-	clock      *clock
+	clock      *simtime.Clock
 	random     *rand.Rand
 	running    int
 	queue      []*job
@@ -45,7 +47,7 @@
 	faults     []Fault // those that come to this server
 }
 
-func newServer(service *Service, dataCentre, number int, c *clock, random *rand.Rand) *server {
+func newServer(service *Service, dataCentre, number int, c *simtime.Clock, random *rand.Rand) *server {
 	s := &server{
 		id:         fmt.Sprintf("%s-%d-%d", service.Name, dataCentre, number),
 		dataCentre: dataCentre,
@@ -72,7 +74,7 @@
 		mean *= (1 - s.service.Spells.Share) / s.service.Spells.Share
 	}
 	length := distuv.Exponential{Rate: 1 / mean, Src: s.random}.Rand()
-	s.clock.after(time.Duration(length), func() {
+	s.clock.After(time.Duration(length), func() {
 		s.inSpell = !s.inSpell
 		s.nextSpell()
 	})
@@ -81,7 +83,7 @@
 // trouble draws what a request meets that begins now, "" for nothing.
 func (s *server) trouble() (kind string, factor float64) {
 	for _, f := range s.faults {
-		if s.clock.now >= time.Duration(f.From) && s.clock.now < time.Duration(f.From+f.For) {
+		if s.clock.Now >= time.Duration(f.From) && s.clock.Now < time.Duration(f.From+f.For) {
 			if f.Kind == KindSlow {
 				return KindSlow, f.Factor
 			}
@@ -111,7 +113,7 @@
 
 func (s *server) begin(j *job) {
 	kind, factor := s.trouble()
-	left := j.deadline - s.clock.now
+	left := j.deadline - s.clock.Now
 	if kind == KindShed || left <= 0 {
 		j.over = true
 		j.done(replyShed)
@@ -132,7 +134,7 @@
 	if work > left {
 		work, result = left, replyError
 	}
-	j.end = s.clock.after(work, func() { s.finish(j, result) })
+	j.end = s.clock.After(work, func() { s.finish(j, result) })
 }
 
 func (s *server) finish(j *job, result reply) {
@@ -163,7 +165,7 @@
 	if j.end == nil {
 		return // still on its way here
 	}
-	j.end.stopped = true
+	j.end.Stop()
 	s.running--
 	s.next()
 }
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -103,7 +103,7 @@
 // Send sends datagrams.
 func (f *effects) Send(packets []membership.Packet) {
 	for _, p := range packets {
-		f.d.datagrams.Send(p.To, p.Datagram)
+		f.d.datagrams.Send(p.Datagram, p.To)
 	}
 }
 
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -11,6 +11,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 )
 
 const (
@@ -21,12 +22,10 @@
 	// case a datagram was lost. What is told are counts, so that a repeat changes
 	// nothing.
 	repeatAfter = 60 * time.Millisecond
-	// loadsPerDatagram keeps a datagram below common MTUs, at some 50 bytes each.
-	loadsPerDatagram = 20
 )
 
-// loadReporter tells other hosts what this one does at backend servers: the
-// hosts of its data centre everything, all others the failures.
+// loadReporter tells other hosts what this one does at the backend servers that they
+// use too.
 type loadReporter struct {
 	d     *Daemon
 	table *balance.Table
@@ -50,40 +49,29 @@
 
 func (l *loadReporter) tell() {
 	near, failing := l.table.Changes()
-	l.tellPeers(near, true)
+	snap := l.d.engine.Snapshot()
+	service := snap.SharedService
+	l.send(snap.Sharing.Near(near, service))
 	if len(failing) == 0 {
 		return
 	}
-	l.tellPeers(failing, false)
+	l.send(snap.Sharing.Far(failing, service))
 	time.AfterFunc(repeatAfter, func() {
 		if l.d.ctx.Err() == nil {
-			l.tellPeers(near, true)
+			l.send(snap.Sharing.Near(near, service))
 		}
 	})
 }
 
-// tellPeers tells the hosts of this data centre, or if near is false those of the
-// others: bytes to them are dear, so that they hear of failures only, and once.
-func (l *loadReporter) tellPeers(loads []*peerpb.BackendLoad, near bool) {
-	snap := l.d.engine.Snapshot()
-	for _, p := range snap.Peers {
-		if (p.DataCentre == snap.Self.DataCentre) == near {
-			l.send(p.Address, loads, near)
-		}
-	}
-}
-
-func (l *loadReporter) send(address string, loads []*peerpb.BackendLoad, near bool) {
-	for len(loads) > 0 {
-		n := min(len(loads), loadsPerDatagram)
-		l.d.datagrams.Send(address, &peerpb.Datagram{
+func (l *loadReporter) send(messages []sharing.Message) {
+	for _, m := range messages {
+		l.d.datagrams.Send(&peerpb.Datagram{
 			Kind:  peerpb.Datagram_KIND_LOAD,
 			From:  l.d.settings.Host,
 			Life:  l.table.Life(),
-			Loads: loads[:n],
-			Near:  near,
-		})
-		loads = loads[n:]
+			Loads: m.Loads,
+			Near:  m.Near,
+		}, m.To...)
 	}
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -213,7 +213,7 @@
 
 // fleet is how many hosts share the retry allowance.
 func (x *exchange) fleet() policy.Fleet {
-	return policy.Fleet{Near: x.snap.NearHosts, All: x.snap.FleetSize}
+	return policy.Fleet{Near: x.snap.Sharing.SegmentSize(), All: x.snap.FleetSize}
 }
 
 // try sends the request to one server. done is whether the caller has been
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -8,6 +8,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -21,9 +22,9 @@
 	hostListRevision  uint64
 	hosts             int
 	revisions         map[string]uint64
-	peers             []world.PeerView
-	peersVersion      uint64
-	nearHosts         int
+	sharing           *sharing.Fleet
+	hostsVersion      uint64
+	liveHosts         int
 	fleetSize         int
 }
 
@@ -36,9 +37,9 @@
 }
 
 func (v *viewBuilder) build(w *world.World, ready bool) *world.Snapshot {
+	v.buildFleet(w)
 	v.buildServices(w)
 	v.buildClaimants(w)
-	v.buildPeers(w)
 	v.buildRevisions(w)
 	return &world.Snapshot{
 		Self:            w.Self,
@@ -49,8 +50,8 @@
 		Distrust:        w.Distrust,
 		Routes:          v.routes,
 		Services:        v.services,
-		Peers:           v.peers,
-		NearHosts:       v.nearHosts,
+		LiveHosts:       v.liveHosts,
+		Sharing:         v.sharing,
 		FleetSize:       v.fleetSize,
 		Claimants:       v.claimants,
 		ClaimantAddress: v.claimantAddresses,
@@ -107,6 +108,14 @@
 		}
 	}
 	v.addOwners(w, svc, view)
+	if !v.forwarding {
+		dataCentres := make(map[string]string, len(view.Backends))
+		for i := range view.Backends {
+			dataCentres[view.Backends[i].ID] = view.Backends[i].DataCentre
+		}
+		view.Sharing = sharing.NewService(dataCentres)
+		v.chooseSubset(view)
+	}
 	return view
 }
 
@@ -166,25 +175,47 @@
 	}
 }
 
-// buildPeers lists the other live hosts.
-func (v *viewBuilder) buildPeers(w *world.World) {
-	if v.peersVersion == w.HostsVersion && v.fleetSize > 0 {
+// buildFleet places the live hosts, and this host's subsets among them.
+func (v *viewBuilder) buildFleet(w *world.World) {
+	if v.hostsVersion == w.HostsVersion && v.fleetSize > 0 {
 		return
 	}
-	v.peersVersion = w.HostsVersion
-	v.peers = nil
-	v.nearHosts = 1
-	for _, name := range w.HostNames() {
-		h := w.Hosts[name]
-		if !h.Live() || name == w.Self.Host {
-			continue
+	v.hostsVersion = w.HostsVersion
+	var others []sharing.Host
+	for name, h := range w.Hosts {
+		if h.Live() && name != w.Self.Host {
+			others = append(others, sharing.Host{Name: name, Address: h.Address, DataCentre: h.DataCentre})
 		}
-		v.peers = append(v.peers, world.PeerView{Host: name, Address: h.Address, DataCentre: h.DataCentre})
-		if h.DataCentre == w.Self.DataCentre {
-			v.nearHosts++
+	}
+	self := sharing.Host{Name: w.Self.Host, Address: w.Self.Address, DataCentre: w.Self.DataCentre}
+	v.sharing = sharing.NewFleet(sharing.DefaultRule(), self, others)
+	v.liveHosts = len(others) + 1
+	v.fleetSize = max(v.fleetSize, v.liveHosts)
+	v.chooseSubsets()
+}
+
+// chooseSubsets renews the subsets after a change of hosts.
+func (v *viewBuilder) chooseSubsets() {
+	if v.forwarding {
+		return
+	}
+	next := make(map[string]*world.ServiceView, len(v.services))
+	for name, view := range v.services {
+		renewed := *view
+		v.chooseSubset(&renewed)
+		next[name] = &renewed
+	}
+	v.services = next
+}
+
+// chooseSubset picks the servers that this host uses.
+func (v *viewBuilder) chooseSubset(view *world.ServiceView) {
+	view.Subset = make([]world.BackendView, 0, len(view.Subset))
+	for _, b := range view.Backends {
+		if v.sharing.Uses(view.Sharing, b.ID) {
+			view.Subset = append(view.Subset, b)
 		}
 	}
-	v.fleetSize = max(v.fleetSize, len(v.peers)+1)
 }
 
 // buildClaimants lists the hosts that keep idempotency keys: the platform's
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -93,17 +94,26 @@
 	return &Datagrams{conn: conn, sealer: sealer}, nil
 }
 
-// Send sends one datagram; a lost one is like any lost datagram.
-func (d *Datagrams) Send(to string, datagram *peerpb.Datagram) {
-	at, err := netip.ParseAddrPort(to)
+// Send encodes a datagram once and sends it to each of some addresses; a lost one is
+// like any lost datagram.
+func (d *Datagrams) Send(datagram *peerpb.Datagram, to ...string) {
+	raw, err := proto.Marshal(datagram)
 	if err != nil {
+		klog.V(2).InfoS("datagram does not encode", "kind", datagram.Kind, "err", err)
 		return
 	}
-	raw, err := proto.Marshal(datagram)
+	sealed := d.sealer.seal(raw)
+	for _, address := range to {
+		d.sendTo(address, sealed)
+	}
+}
+
+func (d *Datagrams) sendTo(address string, sealed []byte) {
+	at, err := netip.ParseAddrPort(address)
 	if err != nil {
+		klog.V(2).InfoS("datagram has no address", "peer", address, "err", err)
 		return
 	}
-	sealed := d.sealer.seal(raw)
 	if _, err := d.conn.WriteToUDPAddrPort(sealed, at); err == nil {
 		d.sentBytes.Add(uint64(len(sealed)))
 	}
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -55,14 +55,16 @@
 	after time.Duration
 }
 
-// breadth looks at this data centre's servers. spent is the part of the retry
+// breadth looks at this data centre's servers in the subset: each server is in the
+// subsets of hosts that look after it. spent is the part of the retry
 // allowance that is spent.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request, spent float64) breadth {
 	need, share := t.breadthRule(now, req, spent)
 	svc := t.service(req.Service)
 	candidates, used := 0, 0
-	for i := range view.Backends {
-		b := &view.Backends[i]
+	servers := view.Candidates()
+	for i := range servers {
+		b := &servers[i]
 		if b.DataCentre != req.DataCentre {
 			continue
 		}
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -102,11 +102,12 @@
 	return t.conf.Cost.Late*late + (t.conf.Cost.Failure-t.conf.Cost.Late)*lost
 }
 
-// busy is the part of the slots of this data centre that have a request, 1 at most.
+// busy is the part of the slots of the subset in this data centre that have a request, 1 at most.
 func (t *Table) busy(now time.Time, view *world.ServiceView, req Request) float64 {
 	load, slots := 0.0, 0
-	for i := range view.Backends {
-		b := &view.Backends[i]
+	servers := view.Candidates()
+	for i := range servers {
+		b := &servers[i]
 		if b.DataCentre != req.DataCentre {
 			continue
 		}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -56,6 +56,10 @@
 	queuePerSlot = 4
 	// coldFactor is how much slower a server is just after its start.
 	coldFactor = 2.0
+	// overflowCost is the cost of the best server of the subset, in requests lost, above
+	// which the others are compared too. A server of which nothing is known costs about
+	// as much, for the chance that it is in a spell.
+	overflowCost = 0.35
 	// blocked is the cost of a server that this host cannot reach now.
 	blocked = 1000.0
 
@@ -134,7 +138,8 @@
 	eligible int
 }
 
-// choose compares the servers that may have a request.
+// choose compares the servers that may have a request: those of this host's subset,
+// and all others besides where none of the subset is likely to serve it.
 func (t *Table) choose(now time.Time, view *world.ServiceView, req Request) choice {
 	best := choice{cost: math.Inf(1)}
 	svc := t.service(req.Service)
@@ -142,28 +147,51 @@
 	if req.Idempotent {
 		spent = t.spentAllowance(now, req.Service, req.Fleet)
 	}
-	need := t.breadth(now, view, req, spent)
-	failure := t.failureCost(req, spent)
-	for i := range view.Backends {
-		b := &view.Backends[i]
-		if req.excludes(b.ID) || b.IdempotentOnly && !req.Idempotent {
+	weigh := weighing{
+		now:     now,
+		svc:     svc,
+		req:     req,
+		need:    t.breadth(now, view, req, spent),
+		failure: t.failureCost(req, spent),
+	}
+	t.weigh(weigh, view.Candidates(), &best)
+	if view.Subset != nil && len(view.Subset) < len(view.Backends) && best.cost > overflowCost {
+		best.eligible = 0
+		t.weigh(weigh, view.Backends, &best)
+	}
+	return best
+}
+
+// weighing is what servers are compared by.
+type weighing struct {
+	now     time.Time
+	svc     *service
+	req     Request
+	need    breadth
+	failure float64 // the cost of a failed try
+}
+
+// weigh puts the server that costs least in best, if it costs less.
+func (t *Table) weigh(w weighing, servers []world.BackendView, best *choice) {
+	for i := range servers {
+		b := &servers[i]
+		if w.req.excludes(b.ID) || b.IdempotentOnly && !w.req.Idempotent {
 			continue
 		}
 		best.eligible++
-		s := t.row(now, key{req.Service, b.ID}, b)
-		load := s.load(now)
+		s := t.row(w.now, key{w.req.Service, b.ID}, b)
+		load := s.load(w.now)
 		if load >= float64(b.Slots*queuePerSlot) {
 			continue
 		}
-		cost := t.cost(now, svc, s, b, load, req) + failure*s.failure(now, svc)
-		if b.DataCentre == req.DataCentre && t.has(MechanismBreadth) {
-			cost -= s.breadthGain(now, svc, need)
+		cost := t.cost(w.now, w.svc, s, b, load, w.req) + w.failure*s.failure(w.now, w.svc)
+		if b.DataCentre == w.req.DataCentre && t.has(MechanismBreadth) {
+			cost -= s.breadthGain(w.now, w.svc, w.need)
 		}
 		if cost < best.cost {
 			best.server, best.row, best.cost = b, s, cost
 		}
 	}
-	return best
 }
 
 // take gives a request its place at the chosen server.
--- /dev/null
+++ b/internal/sharing/sharing_test.go
@@ -0,0 +1,238 @@
+package sharing
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
+
+// site is hosts and servers by data centre.
+type site struct {
+	hosts   []Host
+	service *Service
+	servers []string
+}
+
+func newSite(hosts, servers []int) *site {
+	s := &site{}
+	of := make(map[string]string)
+	for dc, n := range hosts {
+		for i := range n {
+			name := fmt.Sprintf("h%d-%d", dc, i)
+			s.hosts = append(s.hosts, Host{Name: name, Address: name, DataCentre: fmt.Sprint("dc", dc)})
+		}
+	}
+	for dc, n := range servers {
+		for i := range n {
+			name := fmt.Sprintf("b%d-%d", dc, i)
+			of[name] = fmt.Sprint("dc", dc)
+			s.servers = append(s.servers, name)
+		}
+	}
+	s.service = NewService(of)
+	return s
+}
+
+// fleet is the view of one host that knows some hosts.
+func fleet(hosts []Host, i int) *Fleet {
+	return NewFleet(DefaultRule(), hosts[i], slices.Concat(hosts[:i], hosts[i+1:]))
+}
+
+// uses returns a host's subset.
+func (s *site) uses(f *Fleet) map[string]bool {
+	subset := make(map[string]bool)
+	for _, server := range s.servers {
+		if f.Uses(s.service, server) {
+			subset[server] = true
+		}
+	}
+	return subset
+}
+
+// Each server is in the subsets of about as many hosts of each data centre, whatever
+// hosts are left, down to one.
+func TestEveryServerIsUsed(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, hosts := range [][]int{{88, 99, 87, 87, 84}, {12, 12, 12}, {220, 220, 220}, {1}, {3, 0, 40}} {
+		s := newSite(hosts, []int{86, 90, 11, 10, 13}[:len(hosts)])
+		for _, left := range []int{len(s.hosts), max(len(s.hosts)/2, 1), max(len(s.hosts)/10, 1), 1} {
+			random.Shuffle(len(s.hosts), func(i, j int) { s.hosts[i], s.hosts[j] = s.hosts[j], s.hosts[i] })
+			s.checkUses(t, s.hosts[:left])
+		}
+	}
+}
+
+func (s *site) checkUses(t *testing.T, hosts []Host) {
+	t.Helper()
+	users := make(map[string]map[string]int) // by server and data centre of the host
+	for i, h := range hosts {
+		for server := range s.uses(fleet(hosts, i)) {
+			if users[server] == nil {
+				users[server] = make(map[string]int)
+			}
+			users[server][h.DataCentre]++
+		}
+	}
+	for _, server := range s.servers {
+		if len(users[server]) == 0 {
+			t.Fatalf("of %d hosts none uses %s", len(hosts), server)
+		}
+	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(users[s.servers[0]])) {
+		least, most := len(hosts), 0
+		for _, server := range s.servers {
+			if s.service.of[server] == s.service.of[s.servers[0]] {
+				least, most = min(least, users[server][dataCentre]), max(most, users[server][dataCentre])
+			}
+		}
+		if most > least+1 {
+			t.Errorf("%d hosts: servers have %d to %d users in %s", len(hosts), least, most, dataCentre)
+		}
+	}
+}
+
+// Hosts of a small fleet use everything and tell everybody.
+func TestSmallFleetSharesAll(t *testing.T) {
+	s := newSite([]int{12, 12, 12}, []int{5, 6, 5})
+	f := fleet(s.hosts, 0)
+	if got := len(s.uses(f)); got != len(s.servers) {
+		t.Errorf("uses %d of %d servers", got, len(s.servers))
+	}
+	if f.SegmentSize() != 12 {
+		t.Errorf("shares its allowance with %d hosts, want 12", f.SegmentSize())
+	}
+	if near := f.Audience(s.service, "b0-0", "dc0"); len(near) != 11 {
+		t.Errorf("%d hosts are told, want 11", len(near))
+	}
+}
+
+// Who is told of a server are just the hosts whose subsets hold it, as these compute it.
+func TestAudienceIsWhoUsesAServer(t *testing.T) {
+	s := newSite([]int{88, 99, 87}, []int{86, 11, 46})
+	f := fleet(s.hosts, 5)
+	for _, server := range []string{"b0-3", "b1-0", "b1-10", "b2-45"} {
+		for _, dataCentre := range []string{"dc0", "dc1", "dc2"} {
+			var users []string
+			for i, h := range s.hosts {
+				if i != 5 && h.DataCentre == dataCentre && fleet(s.hosts, i).Uses(s.service, server) {
+					users = append(users, h.Name)
+				}
+			}
+			told := f.Audience(s.service, server, dataCentre)
+			slices.Sort(told)
+			slices.Sort(users)
+			if !slices.Equal(told, users) {
+				t.Errorf("%s in %s: told %v, used by %v", server, dataCentre, told, users)
+			}
+		}
+	}
+}
+
+// Segments are disjoint, cover all hosts, and are of about one size.
+func TestSegmentsAreDisjoint(t *testing.T) {
+	for _, n := range []int{1, 7, 8, 15, 16, 35, 88, 220} {
+		s := newSite([]int{n}, []int{n})
+		for i, h := range s.hosts {
+			f := fleet(s.hosts, i)
+			if size := f.SegmentSize(); size > n || n >= 8 && (size < 8 || size > 16) {
+				t.Fatalf("%d hosts: a segment of %d", n, size)
+			}
+			for j := range s.hosts {
+				mine := i == j || slices.Contains(f.Segment(), s.hosts[j].Address)
+				theirs := i == j || slices.Contains(fleet(s.hosts, j).Segment(), h.Address)
+				if mine != theirs {
+					t.Fatalf("%d hosts: %s and %s do not agree on their segment", n, h.Name, s.hosts[j].Name)
+				}
+			}
+		}
+	}
+}
+
+// When hosts come and go, subsets move by little: what is kept of the connections and
+// the evidence of a host.
+func TestSubsetsMoveByLittle(t *testing.T) {
+	s := newSite([]int{88, 88, 88, 88, 88}, []int{86, 86, 86, 86, 86})
+	random := rand.New(rand.NewPCG(2, 2))
+	shuffled := slices.Clone(s.hosts)
+	random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	replaced := slices.Clone(shuffled)
+	for i := range len(replaced) / 10 {
+		replaced[len(replaced)-1-i].Name += "-new"
+	}
+	without := slices.DeleteFunc(slices.Clone(shuffled), func(h Host) bool { return h.DataCentre == "dc4" })
+	for name, change := range map[string]struct {
+		before, after []Host
+		kept          float64
+	}{
+		"one in ten replaced":   {shuffled, replaced, 0.7},
+		"a data centre is lost": {shuffled, without, 1},
+		"twice as many":         {shuffled[:len(shuffled)/2], shuffled, 0.35}, // subsets are half as wide then
+	} {
+		if kept := s.kept(change.before, change.after); kept < change.kept {
+			t.Errorf("%s: a host keeps %.2f of its subset, want %.2f", name, kept, change.kept)
+		}
+	}
+}
+
+// kept is the part of the subsets before a change that hosts still use after it, on
+// average over hosts that stay.
+func (s *site) kept(before, after []Host) float64 {
+	held, kept := 0, 0
+	for i, h := range before[:60] {
+		j := slices.Index(after, h)
+		if j < 0 {
+			continue
+		}
+		now := s.uses(fleet(after, j))
+		for server := range s.uses(fleet(before, i)) {
+			held++
+			if now[server] {
+				kept++
+			}
+		}
+	}
+	return float64(kept) / float64(held)
+}
+
+// Receivers that are told alike get one message; each is told of what it uses only.
+func TestMessages(t *testing.T) {
+	s := newSite([]int{88, 88}, []int{86, 86})
+	f := fleet(s.hosts, 0)
+	service := func(name string) *Service {
+		if name != "seats" {
+			return nil
+		}
+		return s.service
+	}
+	loads := []*peerpb.BackendLoad{{Service: "seats", Backend: "b0-1"}, {Service: "seats"}, {Service: "gone", Backend: "b0-2"}}
+	told := make(map[string][]*peerpb.BackendLoad)
+	for _, m := range f.Near(loads, service) {
+		if !m.Near || len(m.Loads) == 0 {
+			t.Errorf("message %+v", m)
+		}
+		for _, to := range m.To {
+			if told[to] != nil {
+				t.Errorf("%s is told twice", to)
+			}
+			told[to] = m.Loads
+		}
+	}
+	audience := f.Audience(s.service, "b0-1", "dc0")
+	for to, got := range told {
+		if slices.Contains(got, loads[0]) != slices.Contains(audience, to) || slices.Contains(got, loads[1]) != slices.Contains(f.Segment(), to) {
+			t.Errorf("%s is told %v", to, got)
+		}
+	}
+	if len(told) < max(len(audience), len(f.Segment())) {
+		t.Errorf("%d hosts are told", len(told))
+	}
+	for _, m := range f.Far(loads[:1], service) {
+		if m.Near || !slices.Equal(m.To, slices.Sorted(slices.Values(f.Audience(s.service, "b0-1", "dc1")))) {
+			t.Errorf("far message %+v", m)
+		}
+	}
+}
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
+	"github.com/pearshelf/pearshelf/internal/sharing"
 )
 
 // BackendView is a backend server in rotation.
@@ -24,13 +25,6 @@
 	Node           rendezvous.Node
 }
 
-// PeerView is another live host.
-type PeerView struct {
-	Host       string
-	Address    string
-	DataCentre string
-}
-
 // OwnerView is an owner host in this host's data centre.
 type OwnerView struct {
 	Host    string
@@ -39,8 +33,12 @@
 
 // ServiceView is what the request path knows of a service.
 type ServiceView struct {
-	Config   *config.Service
+	Config *config.Service
+	// Backends are the servers in rotation. Where hosts pick directly, Subset are those
+	// that this host uses unless none of them serves, and Sharing says who else does.
 	Backends []BackendView
+	Subset   []BackendView
+	Sharing  *sharing.Service
 	// Owners in this data centre, other than this host, in rank order; the
 	// first ActiveOwners of them are active.
 	Owners       []OwnerView
@@ -54,6 +52,14 @@
 	SharesSlots bool
 }
 
+// Candidates are the servers to which this host sends first.
+func (v *ServiceView) Candidates() []BackendView {
+	if v.Subset != nil {
+		return v.Subset
+	}
+	return v.Backends
+}
+
 // Snapshot is an immutable view for the request path.
 type Snapshot struct {
 	Self Identity
@@ -68,10 +74,10 @@
 	Distrust bool
 	Routes   *route.Table
 	Services map[string]*ServiceView
-	// Peers are the other live hosts.
-	Peers []PeerView
-	// NearHosts are the live hosts of this data centre, this one included.
-	NearHosts int
+	// LiveHosts is the number of live hosts, this one included.
+	LiveHosts int
+	// Sharing says with which of them this host shares what it knows of servers.
+	Sharing *sharing.Fleet
 	// FleetSize is the largest number of hosts that were live at a time.
 	FleetSize int
 	// Claimants are the hosts among which idempotency keys are spread, with
@@ -80,3 +86,13 @@
 	Claimants       []rendezvous.Node
 	ClaimantAddress map[string]string
 }
+
+// SharedService returns a service's servers on their rings, nil if there is no such
+// service.
+func (s *Snapshot) SharedService(name string) *sharing.Service {
+	view, ok := s.Services[name]
+	if !ok {
+		return nil
+	}
+	return view.Sharing
+}
