--- a/experiment/loops/loops_test.go
+++ b/experiment/loops/loops_test.go
@@ -115,3 +115,45 @@
 	cut(false)
 	agree(t, f, "healed", 40*time.Second)
 }
+
+// restart stops all hosts and starts those that come back within 300 ms.
+func restart(f *Fleet, comesBack func(h *Host) bool) (hosts int) {
+	for _, h := range f.Hosts() {
+		h.Stop()
+	}
+	f.Run(500 * time.Millisecond)
+	for i, h := range f.Hosts() {
+		if comesBack(h) {
+			hosts++
+			f.clock.After(time.Duration(i%7)*50*time.Millisecond, h.Start)
+		}
+	}
+	return hosts
+}
+
+// All hosts are killed and start again within 0.3 s: they are ready 0.1 s later, and few
+// of them ask the platform, whatever their number. Where the hosts that all know from
+// their settings do not come back, others ask in their place.
+func TestFewAskThePlatform(t *testing.T) {
+	for _, hosts := range []int{36, 240} {
+		for _, knownComeBack := range []bool{true, false} {
+			f := newFleet(hosts, 6)
+			agree(t, f, "start", 2500*time.Millisecond)
+			back := restart(f, func(h *Host) bool { return knownComeBack || h.number >= seeds })
+			before, begin := f.Fetches, f.Now()
+			f.RunUntil(2*time.Second, 10*time.Millisecond, func() bool { return f.Ready() == back })
+			took, reads := f.Now()-begin, f.Fetches-before
+			t.Logf("%d hosts, known ones back %v: %d ready after %s, %d reads", hosts, knownComeBack, f.Ready(), took, reads)
+			limit := 450 * time.Millisecond
+			if !knownComeBack {
+				limit = 900 * time.Millisecond
+			}
+			if took > limit {
+				t.Errorf("%d hosts, known ones back %v: %d of %d ready after %s", hosts, knownComeBack, f.Ready(), back, took)
+			}
+			if knownComeBack && reads > 12 {
+				t.Errorf("%d hosts: %d reads of the platform", hosts, reads)
+			}
+		}
+	}
+}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -127,7 +127,11 @@
 	f.d.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(f.d.ctx, callTimeout)
 		defer cancel()
-		if f.fetchFromPeers(ctx, fetch) || !fetch.Platform {
+		if f.fetchFromPeers(ctx, fetch) {
+			return
+		}
+		if !fetch.Platform {
+			f.d.engine.Post(func(now time.Time) { f.d.engine.FetchedNothing(now, fetch.Key) })
 			return
 		}
 		value, err := f.d.platform.Get(ctx, fetch.Key, fetch.After)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,6 +105,7 @@
 	ready     bool
 	whenReady chan struct{} // closed once this host is ready
 	known     []string      // addresses of other hosts, as of this tick
+	headTold  bool          // another host has told of a revision since the last tick
 }
 
 // New returns an engine that starts at now.
@@ -132,6 +133,7 @@
 		Seed:         conf.Seed,
 		DirectAfter:  conf.DirectAfter,
 		DirectSpread: conf.DirectSpread,
+		First:        slices.Contains(conf.Seeds, conf.Self.Address),
 		StandIn:      conf.Documents != nil,
 	})
 	e.systems = []world.System{placement.System{}, e.documents}
@@ -206,7 +208,7 @@
 // wait for a tick on each.
 func (e *Engine) urgent() bool {
 	w := e.world
-	return e.conf.Documents != nil && (len(w.Out.Fetches) > 0 || w.HeadsChanged || w.ServicesChanged)
+	return e.conf.Documents != nil && (len(w.Out.Fetches) > 0 || w.HeadsChanged || w.ServicesChanged || e.headTold)
 }
 
 // Post queues an input; it reports false if the inbox is full.
@@ -242,6 +244,7 @@
 // Step runs one tick.
 func (e *Engine) Step(now time.Time) {
 	e.noticePause(now)
+	e.headTold = false
 	e.known = e.knownAddresses()
 	e.world.Settled = e.settled(now)
 	e.expireRegisters(now)
@@ -294,6 +297,10 @@
 
 // touched marks the rows that a changed register concerns.
 func (e *Engine) touched(r *peerpb.Register) {
+	if configsync.IsHead(r) {
+		e.headTold = true
+		return
+	}
 	if service, ok := verdict.ServiceOf(r); ok {
 		e.markDirty(service)
 		return
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// FetchedNothing notes that a fetch of a document ended without it.
+func (e *Engine) FetchedNothing(now time.Time, key string) {
+	configsync.FetchedNothing(e.world, now, key)
+}
+
 // PlatformAnswered notes that the platform has answered this host's watch.
 func (e *Engine) PlatformAnswered(now time.Time) { e.documents.Answered(now) }
 
@@ -122,17 +127,19 @@
 	}
 }
 
-// AnswerDocument answers a host that asks for a document newer than it holds.
-func (e *Engine) AnswerDocument(req *peerpb.DocumentRequest) *peerpb.DocumentResponse {
+// AnswerDocument answers a host that asks for a document newer than it holds. coming is
+// set if this host has none but is fetching it.
+func (e *Engine) AnswerDocument(now time.Time, req *peerpb.DocumentRequest) (resp *peerpb.DocumentResponse, coming bool) {
 	doc, ok := e.world.Documents[req.Key]
 	if !ok {
-		return &peerpb.DocumentResponse{}
+		return &peerpb.DocumentResponse{}, false
 	}
-	resp := &peerpb.DocumentResponse{Revision: doc.Revision}
+	resp = &peerpb.DocumentResponse{Revision: doc.Revision}
 	if doc.Revision > req.After {
 		resp.Document = doc.Raw
+		return resp, false
 	}
-	return resp
+	return resp, now.Before(doc.Fetching)
 }
 
 // Synced notes that a peer has answered a full comparison.
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,6 +37,7 @@
 	}
 	doc.Revision = revision
 	doc.Raw = raw
+	doc.Fetching = now.Add(ChangeGap)
 	doc.RefusedReason = ""
 	w.HeadsChanged = true
 	w.Record(now, event.ConfigApplied, "", "", fmt.Sprintf("%s revision %d", key, revision))
@@ -53,6 +55,9 @@
 // HeadKey returns the register key that announces a document's revision.
 func HeadKey(key string) string { return headPrefix + key }
 
+// IsHead reports whether a register announces a document's revision.
+func IsHead(r *peerpb.Register) bool { return strings.HasPrefix(r.Key, headPrefix) }
+
 // announce tells the fleet of a revision unless it is already known.
 func announce(w *world.World, now time.Time, key string, revision uint64) {
 	if w.Registers.Stamp(HeadKey(key)).GetRevision() >= revision {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -5,6 +5,7 @@
 package configsync
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -21,6 +22,20 @@
 	// FetchRetry is how long one fetch may take before another is started. A
 	// parent that does not have the document yet is asked again after it.
 	FetchRetry = 200 * time.Millisecond
+	// FirstFetchRetry is the same for a document that this host holds no revision of:
+	// where all hosts start at once, hosts with a small part of a core take that long for
+	// it, and asking again makes them slower.
+	FirstFetchRetry = 600 * time.Millisecond
+	// ChangeGap is the least time between two revisions of a document that a host fetches
+	// from others. Backend servers that start together make hundreds of revisions within
+	// two seconds, and each takes a host some 3 ms of a whole core at 720 servers.
+	ChangeGap = 200 * time.Millisecond
+	// OthersReadFor is for how long after its start a host that has heard of others with
+	// documents leaves it to them to ask the platform for one that nobody has yet; then
+	// readers are chosen.
+	OthersReadFor = 2 * time.Second
+	// AskAgainAfter is the pause after a fetch that brought nothing.
+	AskAgainAfter = 50 * time.Millisecond
 	// HolderAfter fetches from the parent without success, the announced holder
 	// is asked instead; AnyAfter fetches from a holder, any host; PlatformAfter,
 	// the platform.
@@ -57,6 +72,9 @@
 	// costs reads when the whole fleet restarts.
 	DirectAfter  time.Duration
 	DirectSpread time.Duration
+	// First is set on hosts that others know from their settings: they ask the platform
+	// at once, and the others DirectSpread later, when they may have heard of them.
+	First bool
 	// StandIn lets hosts stand in for a reader that is not heard or gets no
 	// answers. Without it, readers change with the membership only.
 	StandIn bool
@@ -75,7 +93,7 @@
 func New(now time.Time, conf Config) *System {
 	rng := rand.New(rand.NewPCG(conf.Seed, seedStream))
 	s := &System{conf: conf, rng: rng}
-	s.directAt = now.Add(conf.DirectAfter + jitter(rng, conf.DirectSpread))
+	s.directAt = now.Add(conf.DirectAfter + s.firstSpread())
 	s.nextPoll = now.Add(jitter(rng, PollEvery))
 	s.standIn = takeOver{heard: now.Add(startGrace), fresh: now}
 	return s
@@ -88,6 +106,22 @@
 	return time.Duration(rng.Int64N(int64(d)))
 }
 
+// crowd is the number of hosts up to which few ask the platform at a start of all at
+// once.
+const crowd = 1000
+
+// firstSpread draws how much later than DirectAfter a new host asks the platform itself.
+// Few draw an early time, each next moment more: those that ask first tell the others
+// before these ask, whatever their number (timer suppression, as in Nonnenmacher and
+// Biersack, "Optimal multicast feedback", 1998).
+func (s *System) firstSpread() time.Duration {
+	if s.conf.First || s.conf.DirectSpread <= 0 {
+		return 0
+	}
+	part := math.Log(1+s.rng.Float64()*(crowd-1)) / math.Log(crowd)
+	return s.conf.DirectSpread + time.Duration(part*float64(s.conf.DirectSpread))
+}
+
 // IsReader reports whether this host watches the platform. A new host
 // knows few others and would often be one: a restarted fleet would then
 // read everything once a host.
@@ -191,7 +225,7 @@
 	if lacksRequired(w) && !now.Before(s.directAt) {
 		s.directAt = now.Add(max(s.conf.DirectAfter, RepeatDirectAfter) + jitter(s.rng, s.conf.DirectSpread))
 		for _, key := range w.Polled {
-			if w.Document(key).Revision == 0 {
+			if doc := w.Document(key); doc.Revision == 0 && !s.fromPeers(w, now, doc) {
 				w.Out.Fetches = append(w.Out.Fetches, world.Fetch{Key: key, Platform: true})
 			}
 		}
@@ -207,6 +241,15 @@
 	}
 }
 
+// fromPeers reports whether a document that this host lacks is to be had from others:
+// one has announced it, or the platform has none yet and others look.
+func (s *System) fromPeers(w *world.World, now time.Time, doc *world.Document) bool {
+	if w.Registers.Stamp(HeadKey(doc.Key)) != nil {
+		return doc.Attempts <= HolderAfter
+	}
+	return !s.conf.First && len(w.Registers.Prefix(headPrefix)) > 0 && now.Sub(w.StartedAt) < OthersReadFor
+}
+
 // fetchPlan says where to look for a document.
 type fetchPlan struct {
 	holder   string // host that announced it, may be empty
@@ -223,7 +266,7 @@
 	if now.Before(doc.Fetching) {
 		return
 	}
-	doc.Fetching = now.Add(FetchRetry)
+	doc.Fetching = now.Add(retryAfter(doc))
 	doc.Attempts++
 	f := world.Fetch{Key: doc.Key, After: doc.Revision, Platform: plan.platform || doc.Attempts > PlatformAfter}
 	if !plan.platform {
@@ -233,17 +276,34 @@
 	w.Out.Fetches = append(w.Out.Fetches, f)
 }
 
+func retryAfter(doc *world.Document) time.Duration {
+	if doc.Revision == 0 {
+		return FirstFetchRetry
+	}
+	return FetchRetry
+}
+
+// FetchedNothing notes that a fetch ended without the document.
+func FetchedNothing(w *world.World, now time.Time, key string) {
+	if doc := w.Document(key); doc.Fetching.After(now.Add(AskAgainAfter)) {
+		doc.Fetching = now.Add(AskAgainAfter)
+	}
+}
+
 // sources returns the parent in the tree, and the holder where the tree gives
 // no parent or the parent gives nothing. Readers ask the holder, so that the
-// holder serves the readers only. A holder may have been replaced and have
-// forgotten the document: later attempts ask any other host too.
+// holder serves the readers only; so do hosts that hold nothing yet, if their parent does
+// not either. A holder may have been replaced and have forgotten the document: later
+// attempts ask any other host too.
 func (s *System) sources(w *world.World, doc *world.Document, plan fetchPlan) []string {
-	above := parent(w, doc.Key)
-	if above != nil && doc.Attempts <= HolderAfter && !plan.near {
-		return []string{above.Address}
-	}
 	var addresses []string
-	if h, ok := w.Hosts[plan.holder]; ok && plan.holder != w.Self.Host && h.Live() {
+	if above := parent(w, doc.Key); above != nil && doc.Attempts <= HolderAfter && !plan.near {
+		addresses = append(addresses, above.Address)
+		if doc.Revision > 0 {
+			return addresses
+		}
+	}
+	if h, ok := w.Hosts[plan.holder]; ok && plan.holder != w.Self.Host && h.Live() && !slices.Contains(addresses, h.Address) {
 		addresses = append(addresses, h.Address)
 	}
 	if len(addresses) == 0 || doc.Attempts > AnyAfter {
