A host that hangs does not keep others from a document

Two sound hosts had version 10 more than 3 s after it was acknowledged. Ruled out: the readers (others of the same data centre had it 1.7 s after it) and the news of it.

Each peer of a fetch has 500 ms of its own; the parent is asked twice; from the third try on the announcing host and any other take turns in being asked first.

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -19,6 +19,7 @@
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
 	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -42,10 +43,16 @@
 	// Loss is the share of datagrams that are lost.
 	Loss float64
 	Seed uint64
-	// Documents are what the platform holds, by key, at revision 1.
+	// Documents are what the platform holds at first, by key.
 	Documents map[string][]byte
 }
 
+// document is what the platform holds of a key.
+type document struct {
+	revision uint64
+	raw      []byte
+}
+
 // Traffic is what a host sent.
 type Traffic struct {
 	Datagrams, Calls int
@@ -54,17 +61,21 @@
 
 // Fleet is all hosts of a simulation.
 type Fleet struct {
-	conf    Config
-	clock   simtime.Clock
-	random  *rand.Rand
-	hosts   []*Host
-	at      map[string]*Host // by peer address
-	Fetches int              // reads of the platform
+	conf      Config
+	clock     simtime.Clock
+	random    *rand.Rand
+	hosts     []*Host
+	at        map[string]*Host // by peer address
+	documents map[string]document
+	Fetches   int // reads of the platform
 }
 
 // New returns a fleet whose hosts start within conf.StartWithin.
 func New(conf Config) *Fleet {
-	f := &Fleet{conf: conf, random: rand.New(rand.NewPCG(conf.Seed, 1)), at: make(map[string]*Host)}
+	f := &Fleet{conf: conf, random: rand.New(rand.NewPCG(conf.Seed, 1)), at: make(map[string]*Host), documents: make(map[string]document)}
+	for key, raw := range conf.Documents {
+		f.documents[key] = document{revision: 1, raw: raw}
+	}
 	for n := range conf.Hosts {
 		h := &Host{fleet: f, number: n, dataCentre: n % conf.DataCentres}
 		f.hosts = append(f.hosts, h)
@@ -74,6 +85,19 @@
 	return f
 }
 
+// Publish gives the platform a new revision of a document; hosts that read it hear of it
+// by their watches.
+func (f *Fleet) Publish(key string, raw []byte) uint64 {
+	doc := document{revision: f.documents[key].revision + 1, raw: raw}
+	f.documents[key] = doc
+	for _, h := range f.hosts {
+		if h.Running() && h.reading && !h.TurnedAway {
+			h.in(storeDelay, h.life, func(now time.Time) { h.engine.Document(now, key, doc.revision, doc.raw) })
+		}
+	}
+	return doc.revision
+}
+
 // Run moves the time on.
 func (f *Fleet) Run(d time.Duration) { f.clock.Run(f.clock.Now + d) }
 
@@ -149,8 +173,13 @@
 	dataCentre int
 	life       int // grows with every start and stop
 	engine     *engine.Engine
+	reading    bool
 	// Cut hosts send and hear nothing.
-	Cut  bool
+	Cut bool
+	// TurnedAway hosts get no answer from the platform.
+	TurnedAway bool
+	// Slow is how much later than others the host sends and hears.
+	Slow time.Duration
 	Sent Traffic
 }
 
@@ -227,7 +256,7 @@
 	if !ok || h.Cut || to.Cut {
 		return
 	}
-	h.fleet.clock.After(h.fleet.delay(h, to), func() {
+	h.fleet.clock.After(h.fleet.delay(h, to)+h.Slow+to.Slow, func() {
 		if to.engine != nil && !to.Cut {
 			to.engine.Input(h.fleet.clock.Time(), func(now time.Time) { do(to, now) })
 		}
@@ -280,9 +309,12 @@
 		return
 	}
 	h.fleet.Fetches++
+	if h.TurnedAway {
+		return
+	}
 	h.in(storeDelay, e.life, func(now time.Time) {
-		if raw, ok := h.fleet.conf.Documents[f.Key]; ok && f.After < 1 {
-			h.engine.Document(now, f.Key, 1, raw)
+		if doc, ok := h.fleet.documents[f.Key]; ok && f.After < doc.revision {
+			h.engine.Document(now, f.Key, doc.revision, doc.raw)
 		}
 	})
 }
@@ -294,32 +326,46 @@
 	waitStep = 10 * time.Millisecond
 )
 
-// askDocument asks another host for a document.
+// askDocument asks the first of some hosts for a document, and the next if that one has
+// none or does not answer in time.
 func (e *effects) askDocument(f world.Fetch) {
 	h := e.host
 	h.Sent.Calls++
-	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
-	var answer func(to *Host, now time.Time, waited int)
-	answer = func(to *Host, now time.Time, waited int) {
-		resp, coming := to.engine.AnswerDocument(now, req)
-		if coming && waited < waits {
-			to.in(waitStep, to.life, func(now time.Time) { answer(to, now, waited+1) })
+	ended := false
+	end := func(now time.Time, resp *peerpb.DocumentResponse) {
+		if ended {
 			return
 		}
-		to.Sent.Bytes += sizeOfCall
-		to.count(resp)
-		to.reach(h.address(), func(_ *Host, now time.Time) {
-			if resp.Revision > f.After {
-				h.engine.Document(now, f.Key, resp.Revision, resp.Document)
-			} else if len(f.Peers) > 1 {
-				f.Peers = f.Peers[1:]
-				e.askDocument(f)
-			} else {
-				h.engine.FetchedNothing(now, f.Key)
-			}
+		ended = true
+		switch {
+		case resp != nil && resp.Revision > f.After:
+			h.engine.Document(now, f.Key, resp.Revision, resp.Document)
+		case len(f.Peers) > 1:
+			f.Peers = f.Peers[1:]
+			e.askDocument(f)
+		default:
+			h.engine.FetchedNothing(now, f.Key)
+		}
+	}
+	h.in(configsync.PeerTimeout, e.life, func(now time.Time) { end(now, nil) })
+	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
+	h.reach(f.Peers[0], func(to *Host, now time.Time) {
+		to.answerDocument(now, req, 0, func(resp *peerpb.DocumentResponse) {
+			to.reach(h.address(), func(_ *Host, now time.Time) { end(now, resp) })
 		})
+	})
+}
+
+// answerDocument answers once the host has the document or waits for it no longer.
+func (h *Host) answerDocument(now time.Time, req *peerpb.DocumentRequest, waited int, answer func(*peerpb.DocumentResponse)) {
+	resp, coming := h.engine.AnswerDocument(now, req)
+	if coming && waited < waits {
+		h.in(waitStep, h.life, func(now time.Time) { h.answerDocument(now, req, waited+1, answer) })
+		return
 	}
-	h.reach(f.Peers[0], func(to *Host, now time.Time) { answer(to, now, 0) })
+	h.Sent.Bytes += sizeOfCall
+	h.count(resp)
+	answer(resp)
 }
 
 // SyncWith compares full states with the host at an address.
@@ -358,8 +404,15 @@
 
 // Reading answers the watch of a reader, as a quiet platform does each second.
 func (e *effects) Reading(reader bool) {
-	if reader && !e.host.Cut {
-		e.host.in(storeDelay, e.life, func(now time.Time) { e.host.engine.PlatformAnswered(now) })
+	h := e.host
+	if reader && !h.reading { // a new watch brings what is newer
+		for _, key := range []string{world.KeyPublished, world.KeyDiscovered} {
+			e.Fetch(world.Fetch{Key: key, After: h.Snapshot().Revisions[key], Platform: true})
+		}
+	}
+	h.reading = reader
+	if reader && !h.Cut && !h.TurnedAway {
+		h.in(storeDelay, e.life, func(now time.Time) { h.engine.PlatformAnswered(now) })
 	}
 }
 
--- a/experiment/loops/loops_test.go
+++ b/experiment/loops/loops_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 func newFleet(hosts int, seed uint64) *Fleet {
@@ -157,3 +159,45 @@
 		}
 	}
 }
+
+// A configuration is in force soon on all hosts that are neither slow nor cut off, while
+// the platform turns a third of the hosts away and one in eight is so slow that it hardly
+// answers: among these are hosts on the way to others, and soon the host that announced
+// the revision.
+func TestConfigurationDespiteSlowHosts(t *testing.T) {
+	const hardlyAnswers = 5 * time.Second
+	for seed := range uint64(3) {
+		f := newFleet(240, 10+seed)
+		agree(t, f, "start", 2500*time.Millisecond)
+		f.Run(5 * time.Second)
+		for _, h := range f.Hosts() {
+			h.TurnedAway = f.random.Float64() < 0.35
+			if f.random.Float64() < 0.12 {
+				h.Slow = hardlyAnswers
+			}
+		}
+		f.Run(5 * time.Second)
+		revision := f.Publish(world.KeyPublished, []byte("services: []\nroutes: []\n"))
+		f.Run(40 * time.Millisecond)
+		for _, h := range f.Hosts() {
+			if h.reading {
+				h.Slow = hardlyAnswers
+			}
+		}
+		lacking := func() (count int) {
+			for _, h := range f.Hosts() {
+				if h.Slow == 0 && h.Snapshot().Revisions[world.KeyPublished] < revision {
+					count++
+				}
+			}
+			return count
+		}
+		begin := f.Now()
+		f.RunUntil(10*time.Second, step, func() bool { return lacking() == 0 })
+		took := f.Now() - begin
+		t.Logf("seed %d: in force after %s", seed, took)
+		if took > 900*time.Millisecond {
+			t.Errorf("seed %d: in force on all sound hosts after %s", seed, took)
+		}
+	}
+}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -20,6 +20,7 @@
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -125,15 +126,15 @@
 // Fetch gets a document from peers, or from the platform.
 func (f *effects) Fetch(fetch world.Fetch) {
 	f.d.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(f.d.ctx, callTimeout)
-		defer cancel()
-		if f.fetchFromPeers(ctx, fetch) {
+		if f.fetchFromPeers(fetch) {
 			return
 		}
 		if !fetch.Platform {
 			f.d.engine.Post(func(now time.Time) { f.d.engine.FetchedNothing(now, fetch.Key) })
 			return
 		}
+		ctx, cancel := context.WithTimeout(f.d.ctx, callTimeout)
+		defer cancel()
 		value, err := f.d.platform.Get(ctx, fetch.Key, fetch.After)
 		f.d.metrics.PlatformCall(err)
 		if err == nil && value != nil {
@@ -142,21 +143,32 @@
 	})
 }
 
-func (f *effects) fetchFromPeers(ctx context.Context, fetch world.Fetch) bool {
+// fetchFromPeers asks one peer after the other, each for PeerTimeout: one that hangs must
+// not keep the next from being asked.
+func (f *effects) fetchFromPeers(fetch world.Fetch) bool {
 	for _, address := range fetch.Peers {
-		resp, err := f.d.clients.Peer(address).Document(ctx, &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After})
-		if err != nil {
-			klog.V(3).InfoS("document not had from peer", "key", fetch.Key, "peer", address, "err", err)
-			continue
-		}
-		if resp.Revision > fetch.After {
-			f.d.publishDocument(fetch.Key, resp.Revision, resp.Document)
+		if f.fetchFrom(address, fetch) {
 			return true
 		}
 	}
 	return false
 }
 
+func (f *effects) fetchFrom(address string, fetch world.Fetch) bool {
+	ctx, cancel := context.WithTimeout(f.d.ctx, configsync.PeerTimeout)
+	defer cancel()
+	resp, err := f.d.clients.Peer(address).Document(ctx, &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After})
+	if err != nil {
+		klog.V(3).InfoS("document not had from peer", "key", fetch.Key, "peer", address, "err", err)
+		return false
+	}
+	if resp.Revision <= fetch.After {
+		return false
+	}
+	f.d.publishDocument(fetch.Key, resp.Revision, resp.Document)
+	return true
+}
+
 // Probe checks a backend server.
 func (f *effects) Probe(p world.Probe) {
 	f.d.wg.Go(func() {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -26,6 +26,9 @@
 	// where all hosts start at once, hosts with a small part of a core take that long for
 	// it, and asking again makes them slower.
 	FirstFetchRetry = 600 * time.Millisecond
+	// PeerTimeout is how long one host may take to answer with a document, before the next
+	// one of a fetch is asked.
+	PeerTimeout = 500 * time.Millisecond
 	// ChangeGap is the least time between two revisions of a document that a host fetches
 	// from others. Backend servers that start together make hundreds of revisions within
 	// two seconds, and each takes a host some 3 ms of a whole core at 720 servers.
@@ -39,7 +42,7 @@
 	// HolderAfter fetches from the parent without success, the announced holder
 	// is asked instead; AnyAfter fetches from a holder, any host; PlatformAfter,
 	// the platform.
-	HolderAfter   = 5
+	HolderAfter   = 2
 	AnyAfter      = 2
 	PlatformAfter = 10
 	// DirectAfter is when a new host without an index asks the platform
@@ -309,6 +312,9 @@
 	if len(addresses) == 0 || doc.Attempts > AnyAfter {
 		addresses = append(addresses, s.anyOther(w)...)
 	}
+	if doc.Attempts > AnyAfter && doc.Attempts%2 == 1 { // the holder may hang as the parent did
+		slices.Reverse(addresses)
+	}
 	return addresses
 }
 
