One copy of how long a document is waited for; the allowance is summed once for a copy

Found by reading the whole change: experiment/loops repeated the daemon's constants of a host that lets an asker wait (now configsync.DocumentWait and DocumentRecheck), and whether a copy is worth it summed the windows of all hosts that share the allowance three times, now twice (retriesUsed answers both questions).

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -319,13 +319,6 @@
 	})
 }
 
-// waits and waitStep are how often and when a host looks again for a document that it is
-// fetching itself, as the daemon does.
-const (
-	waits    = 15
-	waitStep = 10 * time.Millisecond
-)
-
 // askDocument asks the first of some hosts for a document, and the next if that one has
 // none or does not answer in time.
 func (e *effects) askDocument(f world.Fetch) {
@@ -350,17 +343,17 @@
 	h.in(configsync.PeerTimeout, e.life, func(now time.Time) { end(now, nil) })
 	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
 	h.reach(f.Peers[0], func(to *Host, now time.Time) {
-		to.answerDocument(now, req, 0, func(resp *peerpb.DocumentResponse) {
+		to.answerDocument(now, req, now.Add(configsync.DocumentWait), func(resp *peerpb.DocumentResponse) {
 			to.reach(h.address(), func(_ *Host, now time.Time) { end(now, resp) })
 		})
 	})
 }
 
 // answerDocument answers once the host has the document or waits for it no longer.
-func (h *Host) answerDocument(now time.Time, req *peerpb.DocumentRequest, waited int, answer func(*peerpb.DocumentResponse)) {
+func (h *Host) answerDocument(now time.Time, req *peerpb.DocumentRequest, until time.Time, answer func(*peerpb.DocumentResponse)) {
 	resp, coming := h.engine.AnswerDocument(now, req)
-	if coming && waited < waits {
-		h.in(waitStep, h.life, func(now time.Time) { h.answerDocument(now, req, waited+1, answer) })
+	if coming && now.Before(until) {
+		h.in(configsync.DocumentRecheck, h.life, func(now time.Time) { h.answerDocument(now, req, until, answer) })
 		return
 	}
 	h.Sent.Bytes += sizeOfCall
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -18,26 +19,17 @@
 	return resp, err
 }
 
-const (
-	// documentWait is how long an asker waits for a document that this host is fetching
-	// itself: it asks again after configsync.FetchRetry. At a start of all hosts each
-	// step of the tree then takes one fetch instead of a retry.
-	documentWait = 150 * time.Millisecond
-	// documentRecheck is how often such a document is looked for.
-	documentRecheck = 10 * time.Millisecond
-)
-
 // Document returns a platform document if this host holds a newer one, or gets one
 // while the asker waits.
 func (s *peerService) Document(ctx context.Context, req *peerpb.DocumentRequest) (*peerpb.DocumentResponse, error) {
-	for give := time.Now().Add(documentWait); ; {
+	for give := time.Now().Add(configsync.DocumentWait); ; {
 		var resp *peerpb.DocumentResponse
 		var coming bool
 		err := s.d.engine.Do(ctx, func(_ *world.World, now time.Time) { resp, coming = s.d.engine.AnswerDocument(now, req) })
 		if err != nil || !coming || time.Now().After(give) {
 			return resp, err
 		}
-		wait(ctx, documentRecheck)
+		wait(ctx, configsync.DocumentRecheck)
 	}
 }
 
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -57,7 +57,8 @@
 
 // worthCopy compares the loss that a copy saves with its cost.
 func (t *Table) worthCopy(now time.Time, view *world.ServiceView, req Request, p *Placement) bool {
-	if !t.AllowRetry(now, req.Service, req.Fleet) {
+	used := t.retriesUsed(now, req.Service, req.Fleet)
+	if !used.allowsOne() {
 		return false
 	}
 	req.Repeat = true
@@ -69,7 +70,7 @@
 	waiting := t.lossWaiting(now, svc, req, p)
 	expected := best.row.estimate(now, svc, t.usual(svc, req.Group), best.row.load(now)).expected
 	other := t.loss(svc, best.row.failure(now, svc), expected, req.objectiveLeft(now), req.left(now))
-	spent := t.spentAllowance(now, req.Service, req.Fleet)
+	spent := used.spent()
 	busy := t.busy(now, view, req)
 	cost := copyWork + copyLoad*busy*busy + copySpent*spent*spent + t.crossing(best.server, req)
 	return waiting*(1-other) > cost
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -102,14 +102,12 @@
 
 // AllowRetry reports whether a request of a service may be sent again.
 func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
-	used := t.retriesUsed(now, name, fleet)
-	return float64(used.retries+1) <= max(used.allowance, 1) // one in a window always is
+	return t.retriesUsed(now, name, fleet).allowsOne()
 }
 
 // spentAllowance is the part of the retry allowance that is spent, 0 to 1.
 func (t *Table) spentAllowance(now time.Time, name string, fleet Fleet) float64 {
-	used := t.retriesUsed(now, name, fleet)
-	return min(float64(used.retries)/max(used.allowance, 1), 1)
+	return t.retriesUsed(now, name, fleet).spent()
 }
 
 // retriesUsed is how many requests were sent again in the last window, and how
@@ -119,6 +117,12 @@
 	allowance float64
 }
 
+// allowsOne reports whether one more may be sent; one in a window always is.
+func (u retriesUsed) allowsOne() bool { return float64(u.retries+1) <= max(u.allowance, 1) }
+
+// spent is the part of the allowance that is spent, 0 to 1.
+func (u retriesUsed) spent() float64 { return min(float64(u.retries)/max(u.allowance, 1), 1) }
+
 func (t *Table) retriesUsed(now time.Time, name string, fleet Fleet) retriesUsed {
 	svc := t.service(name)
 	rule := t.conf.Retry
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -29,6 +29,12 @@
 	// PeerTimeout is how long one host may take to answer with a document, before the next
 	// one of a fetch is asked.
 	PeerTimeout = 500 * time.Millisecond
+	// DocumentWait is how long an asker waits for a document that the host it asks is
+	// fetching itself, which looks for it each DocumentRecheck: it asks again after
+	// FetchRetry. At a start of all hosts each step of the tree then takes one fetch
+	// instead of a retry.
+	DocumentWait    = 150 * time.Millisecond
+	DocumentRecheck = 10 * time.Millisecond
 	// ChangeGap is the least time between two revisions of a document that a host fetches
 	// from others. Backend servers that start together make hundreds of revisions within
 	// two seconds, and each takes a host some 3 ms of a whole core at 720 servers.
