--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -25,14 +25,15 @@
 	CA      string           `help:"CA certificate of the hosts, PEM." type:"path"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Show     statement      `cmd:"" help:"List a table: hosts, services, backends, routes, directives or documents. Example: show backends where service=checkout and state=ejected"`
-	Drain    statement      `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
-	Undrain  statement      `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
-	Stop     statement      `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
-	Set      statement      `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
-	Timeline timeline       `cmd:"" help:"Events of all hosts in causal order."`
-	Explain  explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
-	Config   struct {
+	Show      statement      `cmd:"" help:"List a table: hosts, services, backends, routes, customers, directives or documents. Example: show backends where service=checkout and state=ejected"`
+	Drain     statement      `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
+	Undrain   statement      `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
+	Stop      statement      `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
+	Set       statement      `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
+	Timeline  timeline       `cmd:"" help:"Events of all hosts in causal order."`
+	Explain   explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
+	KeyDigest keyDigest      `cmd:"" help:"Print the digest of a customer's key for key_digests; the key is read from standard input. Example: pearshelf key-digest < key.txt"`
+	Config    struct {
 		Check checkConfig `cmd:"" help:"Check a shard document before it is published."`
 		Diff  diffConfig  `cmd:"" help:"Show hosts whose revisions differ from the newest."`
 		Wait  waitConfig  `cmd:"" help:"Wait until every host has the newest revisions."`
@@ -71,6 +72,11 @@
 	return app.Explain(e.Request, e.Logs, os.Stdin)
 }
 
+type keyDigest struct{}
+
+// Run prints the digest of a key without a fleet.
+func (keyDigest) Run(app *operator.App) error { return app.KeyDigest(os.Stdin) }
+
 type checkConfig struct {
 	File string `arg:"" help:"Document to check." type:"existingfile"`
 }
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +30,7 @@
 	"services":   listServices,
 	"backends":   listBackends,
 	"routes":     listRoutes,
+	"customers":  listCustomers,
 	"directives": listDirectives,
 	"documents":  listDocuments,
 }
@@ -120,6 +122,24 @@
 	return t
 }
 
+// listCustomers shows what the configuration says of customers, without their keys.
+func listCustomers(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"customer", "keys", "priority", "per_second", "burst", "document"}}
+	for _, document := range slices.Sorted(maps.Keys(w.Customers)) {
+		for _, c := range w.Customers[document] {
+			priority := "route's"
+			if c.Priority != nil {
+				priority = strconv.Itoa(*c.Priority)
+			}
+			t.rows = append(t.rows, []string{
+				c.Name, strconv.Itoa(len(c.KeyDigests)), priority,
+				strconv.FormatFloat(c.PerSecond, 'g', -1, 64), strconv.FormatFloat(c.Burst, 'g', -1, 64), document,
+			})
+		}
+	}
+	return t
+}
+
 func listDirectives(w *world.World, _ time.Time) table {
 	t := table{columns: []string{"kind", "target", "value", "actor", "from", "at", "version"}}
 	for _, r := range directive.All(w.Registers) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,6 +120,8 @@
 	// Objective is the latency objective, the time in which an answer is worth
 	// most to the caller. Default: none.
 	Objective Duration `yaml:"objective" json:"objective,omitempty"`
+	// Public routes need no customer's key.
+	Public bool `yaml:"public" json:"public,omitempty"`
 }
 
 // Share is one service's part of a split route.
@@ -129,14 +131,6 @@
 	Weight int `yaml:"weight" json:"weight,omitempty"`
 }
 
-// Limit bounds the requests of each caller.
-type Limit struct {
-	// PerSecond is the sustained rate over the whole fleet, 0 for no limit.
-	PerSecond float64 `yaml:"per_second" json:"per_second,omitempty"`
-	// Burst is how many requests may come at once. Default: PerSecond.
-	Burst int `yaml:"burst" json:"burst,omitempty"`
-}
-
 // Probe is the request that checks a backend server.
 type Probe struct {
 	// Path of a GET. Default: /healthz. A path that does real work finds gray
@@ -164,8 +158,6 @@
 	SessionAffinity bool `yaml:"session_affinity" json:"session_affinity,omitempty"`
 	// AllowMissingEcho accepts answers without the request ID.
 	AllowMissingEcho bool `yaml:"allow_missing_echo" json:"allow_missing_echo,omitempty"`
-	// CallerLimit bounds each caller's rate. Default: none.
-	CallerLimit Limit `yaml:"caller_limit" json:"caller_limit,omitempty"`
 	// Probe checks suspect and ejected backend servers.
 	Probe Probe `yaml:"probe" json:"probe,omitempty"`
 	// Routes lead to the service.
@@ -179,6 +171,9 @@
 	Services []Service `yaml:"services" json:"services,omitempty"`
 	// Routes lead to the services named in their Split.
 	Routes []Route `yaml:"routes" json:"routes,omitempty"`
+	// Customers are those who may ask for anything but public routes. Default: none,
+	// and nobody needs a key.
+	Customers []Customer `yaml:"customers" json:"customers,omitempty"`
 }
 
 // Discovered is the value of the backends key: the backend servers that have
@@ -333,6 +328,7 @@
 		backends += len(svc.Backends)
 	}
 	c.sharedRoutes(doc.Routes, names)
+	c.customers(doc.Customers)
 	if backends > MaxBackendsPerShard {
 		c.addf("document has %d backend servers, allowed are %d", backends, MaxBackendsPerShard)
 	}
@@ -412,9 +408,6 @@
 	if svc.Detection != DetectionFast && svc.Detection != DetectionCareful {
 		c.addf("%s.detection: %q must be %s", at, svc.Detection, allowedDetectionText)
 	}
-	if svc.CallerLimit.PerSecond < 0 || svc.CallerLimit.Burst < 0 {
-		c.addf("%s.caller_limit: must not be negative", at)
-	}
 	if !strings.HasPrefix(svc.Probe.Path, "/") {
 		c.addf("%s.probe.path: %q must start with /", at, svc.Probe.Path)
 	}
@@ -466,9 +459,6 @@
 	if s.Probe.Path == "" {
 		s.Probe.Path = DefaultProbePath
 	}
-	if s.CallerLimit.Burst == 0 {
-		s.CallerLimit.Burst = max(1, int(s.CallerLimit.PerSecond))
-	}
 	slots := 0
 	for i := range s.Backends {
 		if s.Backends[i].Slots == 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/frontend"
 	"github.com/pearshelf/pearshelf/internal/hlc"
-	"github.com/pearshelf/pearshelf/internal/limits"
 	"github.com/pearshelf/pearshelf/internal/membership"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/peer"
@@ -271,7 +270,6 @@
 		Backends: d.backends,
 		Owners:   d.owners,
 		Claims:   claims.NewCoordinator(d.settings.Host, d.claims, d.clients, time.Duration(d.settings.Timing.ClaimTimeout)),
-		Limits:   limits.NewCallers(),
 		Observer: d.observer,
 		Events:   d.events,
 		Metrics:  d.metrics,
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -23,7 +23,6 @@
 
 func (d *Daemon) makeServers() error {
 	front := frontend.New(frontend.Config{
-		IdentityHeader:  d.settings.Caller.IdentityHeader,
 		Protocol:        d.protocol,
 		ReadyApart:      d.listeners.ready != nil,
 		WhenReady:       d.engine.WhenReady(),
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,6 @@
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
-	"github.com/pearshelf/pearshelf/internal/limits"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/slots"
@@ -53,7 +52,6 @@
 	backends *upstream.Transport
 	owners   *upstream.Transport
 	claims   *claims.Coordinator
-	limits   *limits.Callers
 	observer Observer
 	events   event.Recorder
 	metrics  *metrics.Metrics
@@ -77,7 +75,6 @@
 	Backends *upstream.Transport
 	Owners   *upstream.Transport
 	Claims   *claims.Coordinator
-	Limits   *limits.Callers
 	Observer Observer
 	Events   event.Recorder
 	Metrics  *metrics.Metrics
@@ -93,7 +90,6 @@
 		backends: parts.Backends,
 		owners:   parts.Owners,
 		claims:   parts.Claims,
-		limits:   parts.Limits,
 		observer: parts.Observer,
 		events:   parts.Events,
 		metrics:  parts.Metrics,
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -93,11 +93,6 @@
 
 // admit refuses at once what cannot be served.
 func (x *exchange) admit() error {
-	limit := x.view.Config.CallerLimit
-	ok, retryAfter := x.d.limits.Allow(x.start, x.req.Service, x.req.Caller, limit, x.view.OwnerCount)
-	if !ok {
-		return notRun(errs.New(errs.KindCallerLimit, "the caller's rate limit is reached", "repeat the request after the time in Retry-After"), retryAfter)
-	}
 	if x.d.balance == nil && x.state.pool.Full(x.view) {
 		return notRun(errs.New(errs.KindQueueFull, "all slots of "+x.req.Service+" are busy and its queue is full", "repeat the request after the time in Retry-After"), x.retryAfter())
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -40,8 +40,8 @@
 	h.Set(HeaderForwardedBy, x.snap.Self.Host)
 	h.Set(HeaderService, x.req.Service)
 	h.Set(HeaderIdempotent, strconv.FormatBool(x.req.Idempotent))
-	if x.req.Caller != "" {
-		h.Set(HeaderCaller, x.req.Caller)
+	if x.req.Customer != "" {
+		h.Set(protocol.HeaderCustomer, x.req.Customer)
 	}
 	if x.req.Explicit {
 		h.Set(HeaderTimeout, deadlineMs(x.req.Deadline))
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -40,14 +40,10 @@
 const defaultRetryAfter = time.Second
 
 func notRun(err *errs.Error, retryAfter time.Duration) *Refusal {
-	status := http.StatusServiceUnavailable
-	if err.Kind == errs.KindCallerLimit {
-		status = http.StatusTooManyRequests
-	}
 	if retryAfter <= 0 {
 		retryAfter = defaultRetryAfter
 	}
-	return &Refusal{Outcome: OutcomeNotRun, Status: status, RetryAfter: retryAfter, Err: err}
+	return &Refusal{Outcome: OutcomeNotRun, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Err: err}
 }
 
 func unknown(err *errs.Error) *Refusal {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -30,7 +31,6 @@
 	HeaderForwardedBy = "Pearshelf-Forwarded-By"
 	HeaderService     = "Pearshelf-Service"
 	HeaderIdempotent  = "Pearshelf-Idempotent"
-	HeaderCaller      = "Pearshelf-Caller"
 	HeaderKind        = "Pearshelf-Kind" // errs.Kind of a refusal
 )
 
@@ -57,9 +57,13 @@
 	Idempotent bool
 	// Key is the caller's own identity of the request, may be empty.
 	Key string
-	// Session and Caller may be empty.
+	// Session may be empty.
 	Session string
-	Caller  string
+	// Customer is the name of the one whose key the caller has, empty for none. It is
+	// settled once, when the request arrives, and goes with each of its sends.
+	Customer string
+	// HideKey keeps the caller's Authorization header here: it is a customer's key.
+	HideKey bool
 	// Deadline is for the answer's header, and for the whole answer if the
 	// caller set it (Explicit).
 	Deadline time.Time
@@ -112,6 +116,8 @@
 	kept     []byte
 	isKept   bool
 	consumed bool
+	// trailer is called at the end of the caller's own stream.
+	trailer func()
 }
 
 // keep reads a small body into memory, so that it can be sent again.
@@ -154,7 +160,11 @@
 
 func (r *consumingReader) Read(p []byte) (int, error) {
 	r.body.consumed = true
-	return r.body.source.Read(p)
+	n, err := r.body.source.Read(p)
+	if err == io.EOF && r.body.trailer != nil {
+		r.body.trailer()
+	}
+	return n, err
 }
 
 func (r *consumingReader) Close() error { return nil }
@@ -175,13 +185,17 @@
 		Header:        r.in.Header.Clone(),
 		Body:          body,
 		ContentLength: r.body.length,
-		Trailer:       r.in.Trailer,
+		Trailer:       r.trailer(marks),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
 	stripHopByHop(out.Header)
 	stripOwn(out.Header)
+	r.hideCustomer(out.Header, marks)
+	if r.Customer != "" {
+		out.Header.Set(marks.Customer, r.Customer)
+	}
 	if r.Session != "" {
 		out.Header.Set(HeaderSession, r.Session)
 	}
@@ -193,6 +207,39 @@
 	return out.WithContext(ctx), nil
 }
 
+// hideCustomer removes the customer's key, and whatever the caller sent under the name
+// of the header that names the customer.
+func (r *Request) hideCustomer(h http.Header, marks *protocol.Protocol) {
+	for name := range h {
+		if sameHeader(name, marks.Customer) || r.HideKey && sameHeader(name, customer.HeaderAuthorization) {
+			delete(h, name)
+		}
+	}
+}
+
+// sameHeader compares names as the most careless of backend servers may: in any case,
+// and with an underscore for a hyphen, as gateway interfaces do (RFC 3875, 4.1.18).
+func sameHeader(a, b string) bool {
+	return len(a) == len(b) && strings.EqualFold(strings.ReplaceAll(a, "_", "-"), strings.ReplaceAll(b, "_", "-"))
+}
+
+// trailer returns the trailer fields that are passed on, which have values once the
+// body was read to its end.
+func (r *Request) trailer(marks *protocol.Protocol) http.Header {
+	if len(r.in.Trailer) == 0 {
+		return nil
+	}
+	passed := r.in.Trailer.Clone()
+	stripOwn(passed)
+	r.hideCustomer(passed, marks)
+	r.body.trailer = func() {
+		for name := range passed {
+			passed[name] = r.in.Trailer[name]
+		}
+	}
+	return passed
+}
+
 // deadlineMs is the time left, at least 1 ms.
 func deadlineMs(deadline time.Time) string {
 	return strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/sharing"
@@ -17,6 +18,7 @@
 	forwarding        bool
 	routes            *route.Table
 	services          map[string]*world.ServiceView
+	customers         *customer.Table
 	claimants         []rendezvous.Node
 	claimantAddresses map[string]string
 	hostListRevision  uint64
@@ -33,6 +35,7 @@
 		forwarding: forwarding,
 		routes:     route.Build(nil, nil),
 		services:   make(map[string]*world.ServiceView),
+		customers:  customer.Build(nil),
 	}
 }
 
@@ -50,6 +53,7 @@
 		Distrust:        w.Distrust,
 		Routes:          v.routes,
 		Services:        v.services,
+		Customers:       v.customers,
 		LiveHosts:       v.liveHosts,
 		Sharing:         v.sharing,
 		FleetSize:       v.fleetSize,
@@ -77,6 +81,7 @@
 	v.services = next
 	if w.ServicesChanged {
 		v.buildRoutes(w)
+		v.buildCustomers(w)
 	}
 	w.ServicesChanged = false
 }
@@ -93,6 +98,16 @@
 	v.routes = route.Build(configs, shared)
 }
 
+func (v *viewBuilder) buildCustomers(w *world.World) {
+	var entries []customer.Entry
+	for _, customers := range w.Customers {
+		for i := range customers {
+			entries = append(entries, customers[i].Entry())
+		}
+	}
+	v.customers = customer.Build(entries)
+}
+
 func (v *viewBuilder) serviceView(w *world.World, svc *world.Service) *world.ServiceView {
 	active := svc.Active()
 	position := slices.Index(active, w.Self.Host)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/oklog/ulid/v2"
 
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/metrics"
@@ -38,10 +39,17 @@
 	Serve(w http.ResponseWriter, req *dispatch.Request) error
 }
 
+// Limiter bounds what customers ask of all hosts together.
+type Limiter interface {
+	// Allow takes one request of a customer off its limit. If the limit is reached it
+	// returns false and when the request may come back.
+	Allow(ctx context.Context, name string, limit customer.Limit) (ok bool, retryAfter time.Duration)
+}
+
 // Config of a Frontend.
 type Config struct {
-	// IdentityHeader names the header that identifies a caller.
-	IdentityHeader string
+	// Limiter bounds customers.
+	Limiter Limiter
 	// Protocol is what callers speak.
 	Protocol *protocol.Protocol
 	// WhenReady is closed once the first configuration is in force.
@@ -162,7 +170,9 @@
 	req.Priority = match.Priority
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
-	req.Caller = r.Header.Get(f.conf.IdentityHeader)
+	if err := f.identify(req, r, snap, match); err != nil {
+		return err
+	}
 	if req.Session == "" && f.conf.Protocol.Sessions {
 		req.Session = ulid.Make().String()
 	}
@@ -173,6 +183,9 @@
 		return err
 	}
 	req.Bound(match.Timeout)
+	if err := f.limit(r.Context(), req, snap); err != nil {
+		return err
+	}
 	return f.dispatch(w, req)
 }
 
@@ -201,7 +214,7 @@
 	req.Idempotent = r.Header.Get(dispatch.HeaderIdempotent) == "true" && f.idempotentHere(snap, r, req.Service)
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
-	req.Caller = r.Header.Get(dispatch.HeaderCaller)
+	req.Customer = r.Header.Get(protocol.HeaderCustomer)
 	req.ForwardedBy = r.Header.Get(dispatch.HeaderForwardedBy)
 	left, err := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
 	if err != nil || req.Service == "" || id == "" {
--- a/internal/frontend/idle.go
+++ b/internal/frontend/idle.go
@@ -45,3 +45,14 @@
 	_ io.ReadCloser       = (*idleReader)(nil)
 	_ http.ResponseWriter = (*idleWriter)(nil)
 )
+
+// discard reads the body to its end, and reports whether that came within wait.
+func (r *idleReader) discard(wait time.Duration) bool {
+	if r.control.SetReadDeadline(time.Now().Add(wait)) != nil {
+		return false
+	}
+	if _, err := io.Copy(io.Discard, r.ReadCloser); err != nil {
+		return false
+	}
+	return r.control.SetReadDeadline(time.Time{}) == nil
+}
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/errs"
 )
@@ -26,17 +28,18 @@
 
 // proxyErrors are the error types of Proxy-Status (RFC 9209, 2.3).
 var proxyErrors = map[errs.Kind]string{
-	errs.KindDialFailed:   "connection_refused",
-	errs.KindDeadline:     "http_response_timeout",
-	errs.KindBroken:       "connection_terminated",
-	errs.KindNoBackend:    "destination_unavailable",
-	errs.KindNoRoute:      "destination_not_found",
-	errs.KindQueueFull:    "connection_limit_reached",
-	errs.KindQueueTimeout: "connection_limit_reached",
-	errs.KindShed:         "destination_unavailable",
-	errs.KindWrongAnswer:  "http_protocol_error",
-	errs.KindBadRequest:   "http_request_error",
-	errs.KindCallerLimit:  "http_request_denied",
+	errs.KindDialFailed:    "connection_refused",
+	errs.KindDeadline:      "http_response_timeout",
+	errs.KindBroken:        "connection_terminated",
+	errs.KindNoBackend:     "destination_unavailable",
+	errs.KindNoRoute:       "destination_not_found",
+	errs.KindQueueFull:     "connection_limit_reached",
+	errs.KindQueueTimeout:  "connection_limit_reached",
+	errs.KindShed:          "destination_unavailable",
+	errs.KindWrongAnswer:   "http_protocol_error",
+	errs.KindBadRequest:    "http_request_error",
+	errs.KindCustomerLimit: "http_request_denied",
+	errs.KindUnknownKey:    "http_request_denied",
 }
 
 const proxyErrorDefault = "proxy_internal_response"
@@ -59,9 +62,13 @@
 	if IsForwarded(r) {
 		h.Set(dispatch.HeaderKind, string(refusal.Err.Kind))
 	}
+	if refusal.Status == http.StatusUnauthorized {
+		h.Set(customer.HeaderChallenge, customer.Challenge)
+	}
 	if refusal.RetryAfter > 0 {
 		h.Set("Retry-After", f.conf.Protocol.FormatRetryAfter(refusal.RetryAfter))
 	}
+	settleBody(w, r)
 	w.WriteHeader(refusal.Status)
 	body := problem{
 		Type:      problemTypePrefix + string(refusal.Err.Kind),
@@ -77,6 +84,26 @@
 	}
 }
 
+// refusedBodyWait is how long a refusal waits for the rest of a body. A short body comes
+// with its head and leaves the connection usable; the rest of a long or slow one is not
+// waited for.
+const refusedBodyWait = 20 * time.Millisecond
+
+// settleBody takes what is there of the body of a refused request. If that is not all,
+// the answer goes out before the rest, which the server would otherwise read first, and
+// the connection ends with it.
+func settleBody(w http.ResponseWriter, r *http.Request) {
+	guarded, ok := r.Body.(*idleReader)
+	if !ok || r.ProtoMajor != 1 || r.ContentLength == 0 {
+		return
+	}
+	if !dispatch.IsStreamed(r) && guarded.discard(refusedBodyWait) {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = guarded.control.EnableFullDuplex() // without it, the body goes first
+}
+
 func proxyStatus(kind errs.Kind) string {
 	name, ok := proxyErrors[kind]
 	if !ok {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/peer"
@@ -191,6 +192,24 @@
 	return a.print(t)
 }
 
+// KeyDigest prints the digest of the customer's key that in holds. A key is read from a
+// file or pipe, not from the command line, which others on the machine can see.
+func (a *App) KeyDigest(in io.Reader) error {
+	raw, err := io.ReadAll(io.LimitReader(in, keyLimitBytes))
+	if err != nil {
+		return errs.Wrap(err, errs.KindStatement, "key cannot be read", "give the key on standard input")
+	}
+	key := strings.TrimSpace(string(raw))
+	if key == "" || strings.ContainsAny(key, " ,\t\n") {
+		return errs.New(errs.KindStatement, "standard input holds no key", "give one key, a word without spaces or commas, on standard input")
+	}
+	_, err = fmt.Fprintln(a.conf.Out, customer.DigestOf(key))
+	return err
+}
+
+// keyLimitBytes bounds what is read of a key.
+const keyLimitBytes = 4096
+
 // CheckConfig checks a shard document.
 func (a *App) CheckConfig(path string) error {
 	raw, err := os.ReadFile(path)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -18,6 +18,7 @@
 	HeaderNotRun    = "Pearshelf-Not-Run"
 	HeaderDraining  = "Pearshelf-Draining"
 	HeaderLoad      = "Pearshelf-Load"
+	HeaderCustomer  = "Pearshelf-Customer"
 )
 
 // Load is what a backend server says of its own load.
@@ -46,6 +47,9 @@
 	// Target names the backend server that a request is meant for; another one
 	// at the same address refuses it.
 	Target string
+	// Customer names the customer to the backend server. What a caller sends under
+	// that name never arrives there.
+	Customer string
 	// PlainBodies is whether an answer with a Content-Encoding cannot be the
 	// backend server's own, because no caller asks for one.
 	PlainBodies bool
@@ -70,6 +74,7 @@
 		Timeout:          HeaderTimeout,
 		Deadline:         HeaderDeadline,
 		NotRun:           HeaderNotRun,
+		Customer:         HeaderCustomer,
 		Draining:         HeaderDraining,
 		Load:             HeaderLoad,
 		ParseLoad:        parseOwnLoad,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -25,6 +25,8 @@
 	Objective time.Duration
 	// Priority is the rank in overload, 0 the highest.
 	Priority int
+	// Public routes need no customer's key.
+	Public bool
 }
 
 type rule struct {
@@ -84,6 +86,7 @@
 			Attempts:   r.Attempts,
 			Objective:  time.Duration(r.Objective),
 			Priority:   r.Priority,
+			Public:     r.Public,
 		},
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,6 @@
 	DefaultBodyIdleLimit   = 30 * time.Second
 	DefaultEventRing       = 8192
 	MaxBufferBytes         = 16 << 20
-	DefaultCallerHeader    = "X-Caller-ID"
 	DefaultDirectAfter     = 2 * time.Second
 	DefaultDirectSpread    = 3 * time.Second
 )
@@ -63,9 +62,6 @@
 	ReadyListen string `yaml:"ready_listen"`
 	// TLS is optional.
 	TLS TLS `yaml:"tls"`
-	// IdentityHeader names the header that identifies a caller to the limits.
-	// Default: X-Caller-ID.
-	IdentityHeader string `yaml:"identity_header"`
 	// MaxHeaderBytes bounds a request's header. Default: 65536.
 	MaxHeaderBytes int `yaml:"max_header_bytes"`
 	// ReadHeaderTimeout bounds the time for a header. Default: 5s.
@@ -219,7 +215,6 @@
 
 // SetDefaults fills in what the file left out.
 func (s *Settings) SetDefaults() {
-	setString(&s.Caller.IdentityHeader, DefaultCallerHeader)
 	setString(&s.Peer.Advertise, s.Peer.Listen)
 	setString(&s.Platform.Kind, PlatformDocuments)
 	setDuration(&s.Platform.DirectAfter, DefaultDirectAfter)
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -98,6 +98,13 @@
 			w.ServicesChanged = true
 		}
 	}
+	for key := range w.Customers {
+		if _, listed := index.Shards[shardOf(key)]; !listed {
+			delete(w.Customers, key)
+			delete(w.SharedRoutes, key)
+			w.ServicesChanged = true
+		}
+	}
 	w.Index = index
 	for shard := range index.Shards {
 		w.Document(world.KeyShardPrefix + shard)
@@ -130,6 +137,9 @@
 			return errs.New(errs.KindConfig, fmt.Sprintf("service %q is already declared in %s", name, held.Document), "declare each service in one shard")
 		}
 	}
+	if err := checkCustomers(w, key, doc.Customers); err != nil {
+		return err
+	}
 	for name, svc := range w.Services {
 		if svc.Document == key && !listed[name] {
 			delete(w.Services, name)
@@ -139,10 +149,35 @@
 		applyService(w, now, key, &doc.Services[i])
 	}
 	w.SharedRoutes[key] = doc.Routes
+	w.Customers[key] = doc.Customers
 	w.ServicesChanged = true
 	return nil
 }
 
+// checkCustomers refuses customers that another document has, by name or by key.
+func checkCustomers(w *world.World, document string, customers []config.Customer) error {
+	names := make(map[string]bool)
+	keys := make(map[string]bool)
+	for key, others := range w.Customers {
+		if key == document {
+			continue
+		}
+		for i := range others {
+			names[others[i].Name] = true
+			for _, digest := range others[i].KeyDigests {
+				keys[digest] = true
+			}
+		}
+	}
+	for i := range customers {
+		shared := slices.ContainsFunc(customers[i].KeyDigests, func(digest string) bool { return keys[digest] })
+		if names[customers[i].Name] || shared {
+			return errs.New(errs.KindConfig, fmt.Sprintf("customer %q or a key of it is in another document too", customers[i].Name), "declare each customer in one shard")
+		}
+	}
+	return nil
+}
+
 // applyDiscovered replaces the registered backend servers.
 func applyDiscovered(w *world.World, now time.Time, raw []byte) error {
 	found, faults, err := config.ParseDiscovered(raw)
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/sharing"
@@ -74,6 +75,8 @@
 	Distrust bool
 	Routes   *route.Table
 	Services map[string]*ServiceView
+	// Customers are those who may use routes that are not public.
+	Customers *customer.Table
 	// LiveHosts is the number of live hosts, this one included.
 	LiveHosts int
 	// Sharing says with which of them this host shares what it knows of servers.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -216,6 +216,8 @@
 	Services map[string]*Service
 	// SharedRoutes are the routes that name their services, by document.
 	SharedRoutes map[string][]config.Route
+	// Customers are those of all documents, by document.
+	Customers map[string][]config.Customer
 	// Discovered are the registered backend servers by service; they serve the
 	// services whose configuration lists none.
 	Discovered map[string][]config.Backend
@@ -266,6 +268,7 @@
 		Documents:     make(map[string]*Document),
 		Services:      make(map[string]*Service),
 		SharedRoutes:  make(map[string][]config.Route),
+		Customers:     make(map[string][]config.Customer),
 		Absent:        make(map[string]AbsentBackend),
 		ActiveReaders: DefaultActiveReaders,
 		Required:      []string{KeyIndex},
