--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -94,6 +94,16 @@
 	// Warmup is how much longer the server is slow after its start, as of when
 	// it was published. Default: 0.
 	Warmup Duration `yaml:"warmup" json:"warmup,omitempty"`
+	// Started is when the server's process started, in Unix milliseconds. A change is a
+	// restart under the same ID: nothing that was known of the server holds. Default: 0,
+	// not told.
+	Started int64 `yaml:"started" json:"started,omitempty"`
+}
+
+// SameProcess reports whether two entries of a server are of one process, as far as they
+// tell.
+func (b *Backend) SameProcess(other *Backend) bool {
+	return b.Address == other.Address && (b.Started == other.Started || b.Started == 0 || other.Started == 0)
 }
 
 // Route maps requests to the service.
@@ -238,8 +248,7 @@
 	sound := found.Backends[:0]
 	for i, b := range found.Backends {
 		before := len(check.faults)
-		check.backend(fmt.Sprintf("backends[%d]", i), b.Backend, ids)
-		check.word(fmt.Sprintf("backends[%d].service", i), b.Service)
+		check.discovered(fmt.Sprintf("backends[%d]", i), b, ids)
 		if len(check.faults) == before {
 			sound = append(sound, b)
 		}
@@ -436,6 +445,18 @@
 	c.between(at+".slots", b.Slots, 1, MaxSlots)
 }
 
+func (c *checker) discovered(at string, b DiscoveredBackend, ids map[string]bool) {
+	c.backend(at, b.Backend, ids)
+	c.word(at+".service", b.Service)
+}
+
+// Check returns the faults of one entry.
+func (b DiscoveredBackend) Check() error {
+	check := &checker{}
+	check.discovered("backend", b, make(map[string]bool))
+	return check.err()
+}
+
 func (c *checker) duration(at string, d Duration) {
 	value := time.Duration(d)
 	if value < minDuration || value > MaxTimeout {
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -147,6 +147,7 @@
 		Address:        b.Config.Address,
 		DataCentre:     b.Config.DataCentre,
 		Warmup:         time.Duration(b.Config.Warmup),
+		Started:        b.Config.Started,
 		Slots:          b.Config.Slots,
 		Share:          share,
 		IdempotentOnly: b.Rotation.IdempotentOnly,
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -84,6 +84,9 @@
 	hang := svc.hang()
 	belief := 0.0
 	if s, known := t.servers[p.key]; known {
+		if s.process != p.process {
+			return 1 // the process that had it is gone
+		}
 		belief = s.belief(now, svc)
 	}
 	never := belief * hang / (hang + (1-hang)*unanswered)
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -71,10 +71,15 @@
 		return
 	}
 	svc := t.service(p.key.service)
+	svc.dirty = true
+	if p.process != s.process { // says nothing of the process that has the ID now
+		svc.totals.add(done)
+		svc.noteOutcome(now, done)
+		return
+	}
 	s.inFlight--
 	s.removePending(p.pending)
 	s.dirty = true
-	svc.dirty = true
 	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
 	done.late = now.After(p.objectiveAt)
 	if done.TimedOut || done.Outcome == Abandoned {
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -107,6 +107,7 @@
 	MaxIdle time.Duration
 
 	key     key
+	process int // of the server, see server
 	group   string
 	pending *pending
 	// objectiveAt is when the request's latency objective is over.
@@ -205,6 +206,7 @@
 		Load:    load,
 		MaxIdle: t.maxIdle(now, svc, req),
 		key:     key{req.Service, best.server.ID},
+		process: s.process,
 		group:   req.Group,
 		pending: waiting,
 
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -81,6 +81,11 @@
 	pathFailures int
 	pathUntil    time.Time
 
+	// started is when its process started, in Unix milliseconds, 0 if not told, and
+	// process counts the processes seen under the server's ID.
+	started int64
+	process int
+
 	// dirty: others of the data centre must be told. failing: all hosts.
 	dirty   bool
 	failing bool
@@ -172,7 +177,7 @@
 	s, ok := t.servers[k]
 	if ok {
 		if view != nil {
-			s.slots = view.Slots
+			t.refreshRow(now, s, view)
 		}
 		return s
 	}
@@ -180,15 +185,45 @@
 	s.spell = spell{probability: stationary, at: now}
 	if view != nil {
 		s.slots = view.Slots
+		s.started = view.Started
 	}
-	if view != nil && t.service(k.service).known && t.has(MechanismColdStart) {
-		s.spell.probability = newServer
-		s.coldUntil = now.Add(view.Warmup)
+	if view != nil && t.service(k.service).known {
+		t.startCold(now, s, view)
 	}
 	t.servers[k] = s
 	return s
 }
 
+// startCold holds a server for one that has just started.
+func (t *Table) startCold(now time.Time, s *server, view *world.BackendView) {
+	if t.has(MechanismColdStart) {
+		s.spell.probability = newServer
+		s.coldUntil = now.Add(view.Warmup)
+	}
+}
+
+// refreshRow takes what the configuration says of a server now. If its process has started
+// again, nothing that was learnt of the earlier one holds; counts go on, because other
+// hosts learn from their growth.
+func (t *Table) refreshRow(now time.Time, s *server, view *world.BackendView) {
+	s.slots = view.Slots
+	if view.Started == 0 || view.Started == s.started {
+		return
+	}
+	again := s.started != 0
+	s.started = view.Started
+	if !again {
+		return
+	}
+	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent}
+	fresh.spell = spell{probability: stationary, at: now}
+	for _, peer := range s.peers {
+		peer.inFlight = 0
+	}
+	t.startCold(now, fresh, view)
+	*s = *fresh
+}
+
 // learnLoad keeps what the told load exceeds the known one by: requests of
 // hosts that this one does not hear.
 func (s *server) learnLoad(now time.Time, load int) {
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -244,7 +244,7 @@
 		return &world.BackendServer{Config: conf, Since: now}
 	}
 	held := svc.Backend(conf.ID)
-	if held == nil || held.Config.Address != conf.Address {
+	if held == nil || !held.Config.SameProcess(&conf) {
 		// A server that joins a running service is cold: it gets a slow start.
 		// Where hosts pick directly, the balancer knows about cold servers.
 		state := world.BackendTrial
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -19,6 +19,8 @@
 	// Warmup is how much longer the server is slow after its start, as of when
 	// it was published.
 	Warmup time.Duration
+	// Started is when its process started, in Unix milliseconds, 0 if not told.
+	Started int64
 	// Share is how many of the slots are this host's own; see SharesSlots.
 	Share          int
 	IdempotentOnly bool
