--- a/experiment/quotas/quotas_test.go
+++ b/experiment/quotas/quotas_test.go
@@ -47,6 +47,10 @@
 		f.Kill(9*s, 0.55, 2*s)
 	}, 0.03, 0.98},
 	{"all hosts start again", func(f *quotas.Fleet) { f.Kill(8*s, 1, s) }, 0.02, 0.9},
+	{"all hosts start again while the largest sends more", func(f *quotas.Fleet) {
+		f.Hot(6*s, 0, 7.5, 8*s)
+		f.Kill(9*s, 1, s)
+	}, 0.03, 0.98},
 }
 
 // In each pattern what is within a limit is served, and what all hosts send together
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -63,10 +63,10 @@
 	assumedHosts = 32
 	// youngBucket is how full the bucket of a new home is, which does not know what was
 	// spent before.
-	youngBucket = 0.3
+	youngBucket = 0.6
 	// steadyFor without a change of hosts makes sure that no other host was a customer's
 	// home within the users' windows of some seconds.
-	steadyFor = 10 * time.Second
+	steadyFor = 6 * time.Second
 	// youngFor is how long a new home takes hosts' word for their parts at an earlier one.
 	youngFor = 3 * time.Second
 	// partMargin is by how much hosts apart from the rest may exceed their part, which is
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -140,7 +140,7 @@
 func (t *Table) takeAlone(now time.Time, s *served) Verdict {
 	part := t.partAlone(now, s)
 	size := 1.0
-	if s.part > 0 {
+	if s.part > 0 || !t.fleet.Settled {
 		size = leastAlone
 	}
 	s.alone.refill(now, s.limit.PerSecond*part, math.Max(capacity(s.limit)*part, size))
