--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -98,6 +98,14 @@
 	return &Lease{Placement: placement, table: t}, true
 }
 
+// NoteLimited counts a request that was refused beyond its customer's limit.
+func (t *Table) NoteLimited(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.NoteLimited(t.clock(), service)
+	t.notify()
+}
+
 // RetryAfter is when a refused request should come back.
 func (t *Table) RetryAfter(service string) time.Duration {
 	t.mu.Lock()
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -109,6 +110,9 @@
 
 // Refused notes a request that was refused before it came to a Dispatcher.
 func (d *Dispatcher) Refused(req *Request, refusal *Refusal, took time.Duration) {
+	if refusal.Err.Kind == errs.KindCustomerLimit && d.balance != nil {
+		d.balance.NoteLimited(req.Service)
+	}
 	d.logLine(req, false, refusal, refusal.Status, took, &trace{})
 }
 
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -45,6 +45,13 @@
 	troubleUse = 0.95
 	// troubleFailure is recentFailure in such a time.
 	troubleFailure = time.Second
+	// limitedShare is the part of a service's requests that are refused beyond their
+	// customers' limits from which on servers that are believed to fail are used too: the
+	// users' rule counts such requests as unserved, and speaks of a tenth. limitedUse is
+	// the part of the servers that must be in use then; less than in trouble, because here
+	// all that are sound serve, and what goes to the others is lost.
+	limitedShare = 0.06
+	limitedUse   = 0.9
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
 )
@@ -91,6 +98,8 @@
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
 		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
+	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
+		return breadth{anyBelief: true, after: recentFailure}, limitedUse
 	case req.Idempotent && !req.Last && t.has(MechanismTrials):
 		return breadth{after: recentFailure}, idempotentShare // doubted servers get trials
 	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
@@ -114,6 +123,23 @@
 	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)+troubleChance
 }
 
+// muchLimited reports whether many requests of this data centre are beyond their customers'
+// limits.
+func (svc *service) muchLimited(now time.Time) bool {
+	limited := svc.limited.sum(now, troubleWindow)
+	total := limited + svc.served.sum(now, troubleWindow) + svc.unserved.sum(now, troubleWindow)
+	return total >= troubleLeast && float64(limited) > limitedShare*float64(total)
+}
+
+// NoteLimited counts a request of a service that this host refused beyond its customer's
+// limit.
+func (t *Table) NoteLimited(now time.Time, name string) {
+	svc := t.service(name)
+	svc.limited.add(now, troubleWindow, 1)
+	svc.totals.limited++
+	svc.dirty = true
+}
+
 // noteOutcome counts an outcome of this host's own.
 func (svc *service) noteOutcome(now time.Time, done Done) {
 	switch done.Outcome {
--- a/internal/policy/breadth_test.go
+++ b/internal/policy/breadth_test.go
@@ -33,3 +33,33 @@
 		t.Errorf("%d of %d servers used", len(used), servers)
 	}
 }
+
+// While many requests are refused beyond their customers' limits, servers that are believed
+// to fail are used too, also by requests that run once.
+func TestLimitedTimesUseDoubtedServers(t *testing.T) {
+	for _, limited := range []int{0, 40} {
+		table, now := newTable()
+		v := view(10)
+		for _, id := range []string{"b0", "b1", "b2"} {
+			for range 2 {
+				use(t, table, now, v, id, Done{Outcome: Failed, FirstByte: time.Millisecond})
+			}
+		}
+		now = now.Add(recentFailure + 100*time.Millisecond)
+		for range limited {
+			table.NoteLimited(now, "s")
+		}
+		doubted := 0
+		for range 60 {
+			p := mustPick(t, table, now, v, Request{First: true})
+			if p.Server.ID <= "b2" {
+				doubted++
+			}
+			table.Finish(now, p, Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
+			now = now.Add(10 * time.Millisecond)
+		}
+		if used := doubted > 1; used != (limited > 0) {
+			t.Errorf("%d refused beyond limits: %d of 60 requests went to doubted servers", limited, doubted)
+		}
+	}
+}
--- a/internal/policy/counts.go
+++ b/internal/policy/counts.go
@@ -10,6 +10,7 @@
 	lateErrors, staleConnections    uint64
 	requests, retries               uint64
 	late                            uint64 // of good, after the objective
+	limited                         uint64 // refused here, beyond their customers' limits
 	goodSlowness                    uint64 // of good answers, in millionths
 	silentMillinats                 uint64 // evidence of requests given up, in thousandths of log odds
 }
@@ -49,6 +50,7 @@
 		late:             l.Late,
 		goodSlowness:     l.GoodSlownessPpm,
 		silentMillinats:  l.SilentMillinats,
+		limited:          l.Limited,
 	}
 }
 
@@ -90,5 +92,6 @@
 		LateErrors:       c.lateErrors,
 		StaleConnections: c.staleConnections,
 		SilentMillinats:  c.silentMillinats,
+		Limited:          c.limited,
 	}
 }
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -88,6 +88,7 @@
 	svc.served.add(now, troubleWindow, int(is.good-was.good))
 	svc.late.add(now, troubleWindow, int(is.late-was.late))
 	svc.unserved.add(now, troubleWindow, int(is.unserved()-was.unserved()))
+	svc.limited.add(now, troubleWindow, int(is.limited-was.limited))
 }
 
 // forgetNear drops hosts that have not been heard for long: they may be gone, or share
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -109,6 +109,8 @@
 	staleAt time.Time
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
+	// limited requests of this data centre, refused beyond their customers' limits.
+	limited window
 	// late of served, for admission.
 	late window
 	// priorities is the usual work of this host's requests by rank, in milliseconds.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -63,7 +63,7 @@
 	assumedHosts = 32
 	// youngBucket is how full the bucket of a new home is, which does not know what was
 	// spent before.
-	youngBucket = 0.6
+	youngBucket = 0.5
 	// steadyFor without a change of hosts makes sure that no other host was a customer's
 	// home within the users' windows of some seconds.
 	steadyFor = 6 * time.Second
