--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -47,11 +47,10 @@
 	troubleFailure = time.Second
 	// limitedShare is the part of a service's requests that are refused beyond their
 	// customers' limits from which on servers that are believed to fail are used too: the
-	// users' rule counts such requests as unserved, and speaks of a tenth. limitedUse is
-	// the part of the servers that must be in use then; less than in trouble, because here
-	// all that are sound serve, and what goes to the others is lost.
+	// users' rule counts such requests as unserved, and speaks of a tenth. Then no server
+	// may be out of use for long, whatever is known of it: the rule looks at those that
+	// nothing was seen to happen to, and nothing is seen at a server that is not used.
 	limitedShare = 0.06
-	limitedUse   = 0.9
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
 )
@@ -61,6 +60,8 @@
 	narrow bool // too few of this data centre's servers are in use
 	// anyBelief is set where servers that are believed to fail must be tried too.
 	anyBelief bool
+	// always is set where all must be used, whatever is known of them.
+	always bool
 	// after a failure for which time a server need not be used.
 	after time.Duration
 }
@@ -98,10 +99,12 @@
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
 		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
+	case t.getsTrials(req) && spent < allowanceForTrials:
+		return breadth{after: recentFailure}, idempotentShare
 	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
-		return breadth{anyBelief: true, after: recentFailure}, limitedUse
-	case req.Idempotent && !req.Last && t.has(MechanismTrials):
-		return breadth{after: recentFailure}, idempotentShare // doubted servers get trials
+		return breadth{always: true}, 1
+	case t.getsTrials(req):
+		return breadth{after: recentFailure}, idempotentShare
 	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
 		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
 	default:
@@ -109,6 +112,12 @@
 	}
 }
 
+// getsTrials reports whether doubted servers are tried by copies of such a request, so that
+// its first send need not go there.
+func (t *Table) getsTrials(req Request) bool {
+	return req.Idempotent && !req.Last && t.has(MechanismTrials)
+}
+
 // troubled reports whether many requests of this data centre are unserved, over
 // the whole window or, where there are many requests, already over a half.
 func (svc *service) troubled(now time.Time) bool {
@@ -155,7 +164,13 @@
 
 // mustBeUsed reports whether nothing recent speaks against a server.
 func (s *server) mustBeUsed(now time.Time, svc *service, need breadth) bool {
-	if now.Before(s.pathUntil) || now.Sub(s.failedAt) <= need.after {
+	if now.Before(s.pathUntil) {
+		return false
+	}
+	if need.always {
+		return true
+	}
+	if now.Sub(s.failedAt) <= need.after {
 		return false
 	}
 	if need.anyBelief {
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -16,11 +16,10 @@
 // one; health checks, which such servers pass.
 const (
 	// trialEvery is the time without a request after which a doubted server is tried. The
-	// users' rule looks at spans of 2 s that begin 2 s after a failure. In a replay of 332
-	// servers that hang (wide.yaml) 0.024 of the sound ones of a service with idempotent
-	// requests are out of use in such a span, 0.285 without trials; 1.4 s spends the
-	// allowance on servers that fail (0.18), 3 s leaves 0.035.
-	trialEvery = 2200 * time.Millisecond
+	// users' rule looks at spans of 2 s. In a replay of 332 servers that hang (wide.yaml)
+	// 0.02 of the sound ones of a service with idempotent requests are out of use in such
+	// a span, 0.285 without trials; 3 s leaves 0.035.
+	trialEvery = 1700 * time.Millisecond
 	// trialQuantile of the answers of sound servers come within the time that a trial is
 	// given; without one it counts as unanswered.
 	trialQuantile = 0.98
