--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -50,7 +50,8 @@
 	// users' rule counts such requests as unserved, and speaks of a tenth. Then no server
 	// may be out of use for long, whatever is known of it: the rule looks at those that
 	// nothing was seen to happen to, and nothing is seen at a server that is not used.
-	limitedShare = 0.06
+	// The part is low, because a host hears of few requests.
+	limitedShare = 0.03
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
 )
@@ -99,10 +100,8 @@
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
 		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
-	case t.getsTrials(req) && spent < allowanceForTrials:
-		return breadth{after: recentFailure}, idempotentShare
 	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
-		return breadth{always: true}, 1
+		return breadth{always: !t.getsTrials(req) || spent >= allowanceForTrials}, 1
 	case t.getsTrials(req):
 		return breadth{after: recentFailure}, idempotentShare
 	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
