--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -50,8 +50,7 @@
 	// users' rule counts such requests as unserved, and speaks of a tenth. Then no server
 	// may be out of use for long, whatever is known of it: the rule looks at those that
 	// nothing was seen to happen to, and nothing is seen at a server that is not used.
-	// The part is low, because a host hears of few requests.
-	limitedShare = 0.03
+	limitedShare = 0.06
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
 )
