--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,133 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+)
+
+var (
+	epoch = time.Unix(1_000_000_000, 0)
+	limit = customer.Limit{PerSecond: 10, Burst: 10}
+)
+
+// twoHosts returns the tables of a customer's home and of another host.
+func twoHosts(t *testing.T) (home, other *Table, name string) {
+	t.Helper()
+	nodes := []rendezvous.Node{rendezvous.NewNode("h1", ""), rendezvous.NewNode("h2", "")}
+	fleet := Fleet{Version: 1, Homes: nodes, Live: func(string) bool { return true }, Size: 2, Settled: true}
+	limits := func(string) (customer.Limit, bool) { return limit, true }
+	tables := map[string]*Table{"h1": NewTable("h1", limits), "h2": NewTable("h2", limits)}
+	for _, table := range tables {
+		table.SetFleet(epoch, fleet)
+	}
+	name = "fan"
+	at := rendezvous.Top(name, nodes, 1)[0]
+	home = tables[at]
+	delete(tables, at)
+	for _, table := range tables {
+		other = table
+	}
+	return home, other, name
+}
+
+// onlyUsage returns the one usage that a table wants to tell.
+func onlyUsage(t *testing.T, table *Table) *peerpb.CustomerUsage {
+	t.Helper()
+	messages := table.Messages()
+	if len(messages) != 1 || len(messages[0].Usages) != 1 {
+		t.Fatalf("%d messages, want one usage", len(messages))
+	}
+	return messages[0].Usages[0]
+}
+
+// A question that comes twice, because its answer was lost, takes its tokens once.
+func TestRepeatedQuestionIsGrantedOnce(t *testing.T) {
+	home, other, name := twoHosts(t)
+	var verdicts []Verdict
+	if _, now := other.Take(epoch, name, limit, func(v Verdict) { verdicts = append(verdicts, v) }); now {
+		t.Fatal("decided without the home")
+	}
+	first := onlyUsage(t, other)
+	home.Usages(epoch, other.self, 1, []*peerpb.CustomerUsage{first})
+	tokens := home.homes[name].tokens
+	home.Messages() // lost
+	later := epoch.Add(questionTimeout)
+	other.Tick(later)
+	again := onlyUsage(t, other)
+	if again.Ask != first.Ask {
+		t.Fatalf("the question is repeated as %d, was %d", again.Ask, first.Ask)
+	}
+	home.Usages(later, other.self, 1, []*peerpb.CustomerUsage{again})
+	if spent := tokens - home.homes[name].tokens; spent > 0 {
+		t.Errorf("the repeat took %.1f tokens", spent)
+	}
+	other.Grants(later, home.self, home.Messages()[0].Grants)
+	if len(verdicts) != 1 || !verdicts[0].OK {
+		t.Errorf("verdicts %v", verdicts)
+	}
+}
+
+// A home that does not answer is waited for once, and then gone on without.
+func TestHomeThatDoesNotAnswer(t *testing.T) {
+	_, other, name := twoHosts(t)
+	decided := 0
+	take := func(now time.Time) bool {
+		verdict, at := other.Take(now, name, limit, func(v Verdict) {
+			if v.OK {
+				decided++
+			}
+		})
+		if at && verdict.OK {
+			decided++
+		}
+		return at
+	}
+	if take(epoch) {
+		t.Fatal("decided without the home")
+	}
+	now := epoch
+	for range questionTries {
+		now = now.Add(questionTimeout)
+		other.Tick(now)
+	}
+	if decided != 1 {
+		t.Errorf("%d decided after the tries", decided)
+	}
+	if !take(now) {
+		t.Error("the next request waits for the home too")
+	}
+	if due := other.Due(); due.IsZero() || due.Sub(now) > probeEvery {
+		t.Errorf("the home is asked again at %s", due.Sub(now))
+	}
+}
+
+// Callers that are refused are told to come back one after another.
+func TestRefusedCallersComeBackInOrder(t *testing.T) {
+	home, _, name := twoHosts(t)
+	var last time.Duration
+	refused := 0
+	for range 60 {
+		verdict, now := home.Take(epoch, name, limit, nil)
+		if !now {
+			t.Fatal("the home asks itself")
+		}
+		if verdict.OK {
+			continue
+		}
+		refused++
+		if verdict.RetryAfter < last || verdict.RetryAfter <= 0 || verdict.RetryAfter > mostRetryAfter {
+			t.Errorf("refused after %s, the one before after %s", verdict.RetryAfter, last)
+		}
+		last = verdict.RetryAfter
+	}
+	if refused < 45 {
+		t.Errorf("%d of 60 refused at once, of a burst of 10", refused)
+	}
+	if wait := time.Duration(float64(refused) / limit.PerSecond * float64(time.Second)); last < wait/2 {
+		t.Errorf("the last is told %s; %d come at %.0f a second", last, refused, limit.PerSecond)
+	}
+}
