--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -52,9 +52,6 @@
 	refusedIn int64
 }
 
-// lookEvery is how often a home goes through its users.
-const lookEvery = 200 * time.Millisecond
-
 // homeOf returns this host's bucket of a customer, made if absent.
 func (t *Table) homeOf(now time.Time, name string, limit customer.Limit) *home {
 	h, ok := t.homes[name]
@@ -75,44 +72,6 @@
 	return h
 }
 
-// setPart changes the part of the limit that this home gives out. A new home begins with
-// few tokens, and more as it hears of more hosts: it does not know what was spent.
-func (h *home) setPart(now time.Time, part float64) {
-	if part > h.started && now.Sub(h.since) < youngFor {
-		h.tokens += math.Max(youngBucket*capacity(h.limit), 1) * (part - h.started)
-		h.started = part
-	}
-	h.part = part
-}
-
-// look goes through the users: it forgets those that are long gone, and works out which
-// part of the limit belongs to the hosts that this home hears. The part of a host that is
-// not heard stays what it was, however much the others use meanwhile.
-func (t *Table) look(now time.Time, h *home) {
-	h.lookedAt = now
-	h.credits = 0
-	var heard, kept, inherited float64
-	h.forgetUsers(now)
-	for _, name := range h.order {
-		u := h.users[name]
-		if t.keeps(now, name, u) {
-			kept += u.part
-		} else {
-			heard += u.use
-			inherited += u.inherited
-		}
-		if now.Before(u.until) {
-			h.credits += u.credit
-		}
-	}
-	h.setPart(now, t.partOf(now, h, kept, inherited))
-	for _, name := range h.order {
-		if u := h.users[name]; heard > 0 && !t.keeps(now, name, u) {
-			u.part = h.part * u.use / heard
-		}
-	}
-}
-
 // user returns the row of a host, made if absent or if it is of an earlier life.
 func (h *home) user(name string, life uint64) (u *user, made bool) {
 	u, known := h.users[name]
@@ -138,30 +97,6 @@
 	})
 }
 
-// keeps reports whether a host's part is kept back: it is not heard and may be out of
-// reach. One that is silent within reach serves the customer no more.
-func (t *Table) keeps(now time.Time, name string, u *user) bool {
-	if name == t.self || now.Sub(u.heard) <= silentAfter {
-		return false
-	}
-	return u.again && now.Sub(u.heard) <= 2*silentAfter || !t.fleet.Live(name)
-}
-
-// partOf is the part of the limit that this home gives out: all but what it keeps back, or
-// what the hosts that it hears had at an earlier home.
-func (t *Table) partOf(now time.Time, h *home, kept, inherited float64) float64 {
-	switch {
-	case t.hearsAll(h.name) || now.Sub(h.since) >= keptFor:
-		return math.Max(1-kept, 0)
-	case h.inheritedAt.IsZero():
-		return math.Min(t.fleet.reachable(), math.Max(1-kept, 0))
-	case now.Sub(h.inheritedAt) < keptFor:
-		return math.Min(partMargin*inherited, 1)
-	default:
-		return math.Max(1-kept, 0)
-	}
-}
-
 // Usages takes what another host tells of customers whose home this host is, and queues
 // the answer.
 func (t *Table) Usages(now time.Time, from string, life uint64, usages []*peerpb.CustomerUsage) {
@@ -210,22 +145,6 @@
 	return answer
 }
 
-// hearsAll reports whether this host hears as good as all hosts and is the customer's home
-// by its own list of them. A host that is asked by others alone may be behind: they know
-// of a cut that it has not noticed yet.
-func (t *Table) hearsAll(name string) bool {
-	return t.fleet.reachable() >= wholeFleet && t.homeName(name) == t.self
-}
-
-// inherit keeps the part that a host had at an earlier home, measured some time ago, as it
-// tells it with its first usage.
-func (h *home) inherit(now time.Time, u *user, part float64, age time.Duration) {
-	if now.Sub(h.since) < youngFor && part > 0 && age < keptFor {
-		u.inherited = part
-		h.inheritedAt = now.Add(-age)
-	}
-}
-
 // takeUpTo takes as many tokens as are wanted and there.
 func (h *home) takeUpTo(wanted uint32) uint32 {
 	granted := uint32(math.Min(float64(wanted), math.Max(math.Floor(h.tokens), 0)))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -69,9 +69,6 @@
 	steadyFor = 6 * time.Second
 	// youngFor is how long a new home takes hosts' word for their parts at an earlier one.
 	youngFor = 3 * time.Second
-	// partMargin is by how much hosts apart from the rest may exceed their part, which is
-	// an average over useWindow.
-	partMargin = 1.0
 	// wholeFleet is the part of the hosts whose presence counts as that of all.
 	wholeFleet = 0.95
 	// creditsAbove is the filling of the bucket above which credits are given, and
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 )
@@ -55,7 +54,7 @@
 	s := t.servedCustomer(now, name, limit)
 	s.lastRequest = now
 	switch {
-	case !t.fleet.Settled:
+	case !t.fleet.Settled: // homes are not known yet
 		return t.takeAlone(now, s), true
 	case s.home == t.self:
 		return t.takeAtHome(now, s), true
@@ -160,7 +159,7 @@
 	if s.part == 0 || now.Sub(s.heardAt) >= keptFor {
 		return 1 / hosts
 	}
-	return math.Min(partMargin*s.part+unheardShare/hosts, 1)
+	return math.Min(s.part+unheardShare/hosts, 1)
 }
 
 func (s *served) takeCredit(now time.Time) bool {
@@ -199,98 +198,6 @@
 	s.pausedUntil = now.Add(min(turn, mostPause))
 }
 
-// question asks the home for tokens for all requests that wait.
-func (t *Table) question(now time.Time, s *served) {
-	t.asks++
-	s.ask = t.asks
-	s.askedAt = now
-	s.askTries = 1
-	s.wanted = len(s.waiting)
-	t.tell(now, s)
-	t.dueBy(s.questionDue())
-}
-
-// tell sends a usage, with the question that is under way.
-func (t *Table) tell(now time.Time, s *served) {
-	usage := &peerpb.CustomerUsage{
-		Customer: s.name,
-		Spent:    s.spent,
-		Term:     s.term,
-		Use:      s.use.rate(now),
-		Ask:      s.ask,
-		Wanted:   uint32(s.wanted),
-	}
-	if age := now.Sub(s.heardAt); s.part > 0 && age < keptFor {
-		usage.Part = s.part
-		usage.PartAgeMs = uint32(age.Milliseconds())
-	}
-	if s.ask == 0 {
-		usage.Wanted = 0
-	}
-	if usage.Again = s.isOften(now); usage.Again {
-		s.usageAt = now.Add(usageEvery)
-	}
-	t.send(s.home, usage)
-}
-
-// send gathers the usages of one moment for one host.
-func (t *Table) send(to string, usage *peerpb.CustomerUsage) {
-	for i := range t.out {
-		if t.out[i].To == to && t.out[i].Grants == nil {
-			t.out[i].Usages = append(t.out[i].Usages, usage)
-			return
-		}
-	}
-	t.out = append(t.out, Message{To: to, Usages: []*peerpb.CustomerUsage{usage}})
-}
-
-// Grants takes the answers of a home.
-func (t *Table) Grants(now time.Time, from string, grants []*peerpb.CustomerGrant) {
-	for _, g := range grants {
-		if s, ok := t.served[g.Customer]; ok && s.home == from {
-			t.granted(now, s, g)
-		}
-	}
-}
-
-func (t *Table) granted(now time.Time, s *served, g *peerpb.CustomerGrant) {
-	s.heard(now, g.Part)
-	s.credit = float64(g.Credit)
-	s.creditUntil = now.Add(creditLife)
-	if g.Ask == 0 || g.Ask != s.ask {
-		return
-	}
-	s.ask = 0
-	refused := int(g.Granted) < s.wanted
-	if refused {
-		s.pause(now, time.Duration(g.PauseMs)*time.Millisecond)
-	}
-	s.settle(int(g.Granted), func() Verdict { return s.allowed(now) })
-	switch {
-	case refused:
-		s.settle(len(s.waiting), func() Verdict { return s.refused(now) })
-	case len(s.waiting) > 0: // came after the question
-		t.question(now, s)
-	}
-}
-
-// heard notes that the home answered.
-func (s *served) heard(now time.Time, part float64) {
-	s.unheard = false
-	s.heardAt = now
-	s.part = part
-}
-
-// settle decides the first n requests that wait.
-func (s *served) settle(n int, verdict func() Verdict) {
-	n = min(n, len(s.waiting))
-	decided := s.waiting[:n]
-	s.waiting = s.waiting[n:]
-	for _, done := range decided {
-		done(verdict())
-	}
-}
-
 // Tick does what the time calls for, and sets when it is due again.
 func (t *Table) Tick(now time.Time) {
 	t.due = time.Time{}
@@ -329,20 +236,6 @@
 	}
 }
 
-// repeatQuestion asks once more, and then decides without the home.
-func (t *Table) repeatQuestion(now time.Time, s *served) {
-	if s.askTries < questionTries && s.home != t.self {
-		s.askTries++
-		s.askedAt = now
-		t.tell(now, s)
-		return
-	}
-	s.ask = 0
-	s.unheard = true
-	s.usageAt = now.Add(probeEvery)
-	s.settle(len(s.waiting), func() Verdict { return t.takeAlone(now, s) })
-}
-
 // forget drops customers that nobody has asked for long, here and as their home.
 func (t *Table) forget(now time.Time) {
 	t.order = slices.DeleteFunc(t.order, func(s *served) bool {
