--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -131,3 +131,40 @@
 		t.Errorf("the last is told %s; %d come at %.0f a second", last, refused, limit.PerSecond)
 	}
 }
+
+// A home keeps back the part of a host that it no longer hears, however much the others
+// ask for: that host goes on at its part.
+func TestPartOfAHostOutOfReachIsKeptBack(t *testing.T) {
+	home, other, name := twoHosts(t)
+	now := epoch
+	grant := func(from string, wanted uint32) uint32 {
+		usage := &peerpb.CustomerUsage{Customer: name, Use: 3, Ask: uint64(now.Sub(epoch)), Wanted: wanted, Again: true}
+		home.Usages(now, from, 1, []*peerpb.CustomerUsage{usage})
+		granted := home.Messages()[0].Grants[0].Granted
+		return granted
+	}
+	step := func(froms ...string) (granted uint32) {
+		now = now.Add(500 * time.Millisecond)
+		for _, from := range froms {
+			granted += grant(from, 20)
+		}
+		return granted
+	}
+	for now.Sub(epoch) < keptFor+10*time.Second {
+		step(other.self, "h3")
+	}
+	fleet := home.fleet
+	fleet.Live = func(host string) bool { return host != "h3" }
+	home.SetFleet(now, fleet)
+	for range 8 { // until h3 counts as silent
+		step(other.self)
+	}
+	var granted uint32
+	const seconds = 10
+	for range 2 * seconds {
+		granted += step(other.self)
+	}
+	if most := uint32(0.6 * seconds * limit.PerSecond); granted > most || granted < most/2 {
+		t.Errorf("%d requests in %d s went to the half that is heard, of %.0f a second", granted, seconds, limit.PerSecond)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -93,6 +93,15 @@
 
 mutant "new host is no reader" internal/system/configsync/configsync.go 's/return w.Settled \&\& slices/return slices/' ./e2e -ginkgo.focus "all hosts restart"
 mutant "polls stretch" internal/system/configsync/configsync.go 's/max(hosts, PollHosts)/max(0, PollHosts)/' ./internal/system/configsync
+mutant "key stays here" internal/dispatch/request.go 's/r.HideKey \&\& sameHeader/false \&\& sameHeader/' ./platform -run TestServerIsToldTheCustomer
+mutant "customer is ours to name" internal/dispatch/request.go 's/sameHeader(name, marks.Customer) || /name == "" || /' ./platform -run TestServerIsToldTheCustomer
+mutant "trailers hide the customer" internal/dispatch/request.go 's/^	r.hideCustomer(passed, marks)$//' ./platform -run TestTrailers
+mutant "refusal before the body" internal/frontend/problem.go 's/^	settleBody(w, r)$//' ./platform -run TestUnknownKeyIsRefusedBefore -timeout 20s
+mutant "parts are kept back" internal/quota/part.go 's/kept += u.part/kept += 0/' ./internal/quota
+mutant "repeated question" internal/quota/home.go 's/told.Ask != 0 \&\& told.Ask == u.ask/false/' ./internal/quota
+mutant "trials" internal/policy/trial.go 's/^	return now.Sub(s.lastSent) > trialEvery.*/	return false/' ./experiment/replay -run TestTrials
+mutant "restart under the same ID" internal/policy/table.go 's/again := s.started != 0/again := false/' ./internal/policy
+mutant "entries of other writers" platform/configuration.go 's/if \*r.State != stateReady \&\& \*r.State != stateDraining {/if false {/' ./platform -run TestEntries
 
 echo "$survivors survivors"
 exit "$((survivors > 0))"
