--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -109,11 +109,11 @@
 }
 
 // Refused notes a request that was refused before it came to a Dispatcher.
-func (d *Dispatcher) Refused(req *Request, refusal *Refusal, took time.Duration) {
+func (d *Dispatcher) Refused(req *Request, refusal *Refusal) {
 	if refusal.Err.Kind == errs.KindCustomerLimit && d.balance != nil {
 		d.balance.NoteLimited(req.Service)
 	}
-	d.logLine(req, false, refusal, refusal.Status, took, &trace{})
+	d.logLine(req, false, refusal, refusal.Status, 0, &trace{})
 }
 
 func (d *Dispatcher) logLine(req *Request, plain bool, refusal *Refusal, status int, took time.Duration, tries *trace) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -83,7 +83,7 @@
 // cause names the reason by the last try and the outcome.
 func (l *Logs) cause(r line, tries []try) string {
 	if len(tries) == 0 {
-		return "it was sent to no server: " + r.fields["reason"]
+		return unsentCause(r)
 	}
 	last := decisive(tries)
 	kind, _, _ := strings.Cut(last.result, "/")
@@ -109,6 +109,18 @@
 	}
 }
 
+// unsentCause names the reason of a request that was sent to no server.
+func unsentCause(r line) string {
+	switch r.fields["status"] {
+	case "401":
+		return "no customer holds the key that it came with; it has not run"
+	case "429":
+		return "customer " + r.fields["customer"] + " was beyond its limit over all hosts (" + r.fields["reason"] + "); it has not run"
+	default:
+		return "it was sent to no server: " + r.fields["reason"]
+	}
+}
+
 func repeatNote(r line) string {
 	if r.fields["idempotent"] == "true" {
 		return "; it could be repeated, but its tries, its time or the retry allowance were spent"
--- a/internal/frontend/customer.go
+++ b/internal/frontend/customer.go
@@ -43,7 +43,7 @@
 
 // refused logs a refusal and returns it.
 func (f *Frontend) refused(req *dispatch.Request, refusal *dispatch.Refusal) error {
-	f.dispatcher.Refused(req, refusal, 0)
+	f.dispatcher.Refused(req, refusal)
 	f.metrics.Request(req.Service, string(refusal.Outcome), 0)
 	return refusal
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -38,7 +38,7 @@
 type Dispatcher interface {
 	Serve(w http.ResponseWriter, req *dispatch.Request) error
 	// Refused notes a request that was refused before Serve.
-	Refused(req *dispatch.Request, refusal *dispatch.Refusal, took time.Duration)
+	Refused(req *dispatch.Request, refusal *dispatch.Refusal)
 }
 
 // Limiter bounds what customers ask of all hosts together.
