--- a/experiment/quotas/quotas.go
+++ b/experiment/quotas/quotas.go
@@ -177,16 +177,6 @@
 	return f.customers[0]
 }
 
-func (f *Fleet) callersOf(a *account) float64 {
-	n := 0
-	for _, c := range f.callers {
-		if c.customer == a {
-			n++
-		}
-	}
-	return float64(max(n, 1))
-}
-
 // gap is the time to a caller's next request.
 func (f *Fleet) gap(c *caller) time.Duration {
 	each := c.customer.usual / (f.conf.PerSecond / float64(f.conf.Callers)) // callers expected
