--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -55,6 +55,3 @@
 
 // Named returns a customer by name, nil if there is none.
 func (t *Table) Named(name string) *Customer { return t.byName[name] }
-
-// Len returns the number of customers.
-func (t *Table) Len() int { return len(t.byName) }
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/policy"
@@ -61,8 +62,7 @@
 func (r *race) review(ctx context.Context, first *place) time.Duration {
 	x := r.x
 	x.refresh()
-	request := x.policyRequest()
-	request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], first.Server.ID)
+	request := x.requestBeside(first)
 	copyNow, after := x.d.balance.Review(x.view, request, first.lease)
 	switch {
 	case copyNow:
@@ -75,6 +75,13 @@
 	}
 }
 
+// requestBeside is the request for a send to another server while one has it.
+func (x *exchange) requestBeside(first *place) policy.Request {
+	request := x.policyRequest()
+	request.Exclude = slices.Concat(request.Exclude, []string{first.Server.ID})
+	return request
+}
+
 // copy sends the request to a second server.
 func (r *race) copy(ctx context.Context, request policy.Request) {
 	lease, err := r.x.d.balance.Pick(r.x.view, request)
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -13,9 +13,7 @@
 // trial sends a copy of the request to a doubted server, if one is due; see policy.Trial.
 func (r *race) trial(ctx context.Context, first *place) {
 	x := r.x
-	request := x.policyRequest()
-	request.Exclude = append(request.Exclude[:len(request.Exclude):len(request.Exclude)], first.Server.ID)
-	lease, due := x.d.balance.Trial(x.view, request)
+	lease, due := x.d.balance.Trial(x.view, x.requestBeside(first))
 	if !due {
 		return
 	}
--- a/internal/frontend/customer.go
+++ b/internal/frontend/customer.go
@@ -12,11 +12,11 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// identify settles once who the request's customer is, and refuses a request that needs
-// one and has none, before its body is read.
-func (f *Frontend) identify(req *dispatch.Request, r *http.Request, snap *world.Snapshot, match route.Match) error {
+// identify settles once who the request's customer is, nil for nobody, and refuses a request
+// that needs one and has none, before its body is read.
+func (f *Frontend) identify(req *dispatch.Request, r *http.Request, snap *world.Snapshot, match route.Match) (*customer.Customer, error) {
 	if snap.Customers.Empty() {
-		return nil
+		return nil, nil
 	}
 	req.HideKey = true
 	var holder *customer.Customer
@@ -29,11 +29,11 @@
 		if holder.Priority != nil {
 			req.Priority = *holder.Priority
 		}
-		return nil
+		return holder, nil
 	case match.Public:
-		return nil
+		return nil, nil
 	default:
-		return f.refused(req, &dispatch.Refusal{
+		return nil, f.refused(req, &dispatch.Refusal{
 			Outcome: dispatch.OutcomeNotRun,
 			Status:  http.StatusUnauthorized,
 			Err:     errs.New(errs.KindUnknownKey, "no customer holds the key of this request", "send one key of a customer as a bearer token; show customers lists customers"),
@@ -50,8 +50,7 @@
 
 // limit refuses at once what is beyond the customer's limit, before the body is read: it
 // takes no place in any queue and none of the retry allowance.
-func (f *Frontend) limit(ctx context.Context, req *dispatch.Request, snap *world.Snapshot) error {
-	holder := snap.Customers.Named(req.Customer)
+func (f *Frontend) limit(ctx context.Context, req *dispatch.Request, holder *customer.Customer) error {
 	if holder == nil || holder.Limit.None() {
 		return nil
 	}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -172,7 +172,8 @@
 	req.Priority = match.Priority
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
-	if err := f.identify(req, r, snap, match); err != nil {
+	holder, err := f.identify(req, r, snap, match)
+	if err != nil {
 		return err
 	}
 	if req.Session == "" && f.conf.Protocol.Sessions {
@@ -185,7 +186,7 @@
 		return err
 	}
 	req.Bound(match.Timeout)
-	if err := f.limit(r.Context(), req, snap); err != nil {
+	if err := f.limit(r.Context(), req, holder); err != nil {
 		return err
 	}
 	return f.dispatch(w, req)
