Sight: lines about requests tell the content and whether the server ended

A line named an ID and servers, so that hypotheses 1 (one request ends each server) and 2 (servers end by themselves) could not be told apart. It now has a label of what the request is (digest of method, host, target, caller, body) and, for a connection that broke, whether the server is alive, has ended, or is not to be known: one connection to its address, made once for all requests that break at one moment.

--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -25,13 +26,18 @@
 // patience bounds how long a condition may take; no proof depends on it.
 const patience = 30 * time.Second
 
-func TestE2E(t *testing.T) {
+// TestMain keeps the hosts' logs out of the tests' output.
+func TestMain(m *testing.M) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
 	if err := flags.Parse([]string{"-logtostderr=false", "-stderrthreshold=FATAL"}); err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
 	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+func TestE2E(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "pearshelf end to end")
 }
--- /dev/null
+++ b/internal/content/content.go
@@ -0,0 +1,86 @@
+// Package content tells whether two requests are the same one that came again: same
+// method, address, caller and body, whatever their IDs. It keeps a digest only, so that
+// neither path, body nor key can be read from it.
+package content
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+
+	"golang.org/x/crypto/blake2b"
+)
+
+// idBytes is the length of an ID: two requests of a year at 140,000 a second have the same
+// one by chance with a likelihood of 1e-13.
+const idBytes = 16
+
+// labelBytes of an ID are what logs show: enough to tell the requests of a day apart, too
+// little to try contents against it.
+const labelBytes = 4
+
+// domain keeps the digests apart from all others of the same bytes.
+var domain = []byte("pearshelf request content 1")
+
+// ID is a keyed BLAKE2b hash (RFC 7693).
+type ID [idBytes]byte
+
+// Request is what identifies a request.
+type Request struct {
+	Method string
+	Host   string
+	// Target is path and query as they came.
+	Target string
+	// Caller is who sent it: the customer's name where there is one, else the address.
+	Caller string
+	// Body is the whole body. It is left out of the ID of a Streamed request, whose body
+	// is passed on as it comes and is not known before it is sent.
+	Body     []byte
+	Streamed bool
+}
+
+// Of returns the ID of a request.
+func Of(r Request) ID {
+	hash, err := blake2b.New(idBytes, domain)
+	if err != nil {
+		panic(err) // length and domain are constants of this package
+	}
+	head := make([]byte, 0, 256)
+	for _, part := range [...]string{r.Method, r.Host, r.Target, r.Caller} {
+		head = binary.AppendUvarint(head, uint64(len(part)))
+		head = append(head, part...)
+	}
+	if r.Streamed {
+		head = append(head, 1)
+	} else {
+		head = append(head, 0)
+	}
+	_, _ = hash.Write(head) // a hash.Hash never fails
+	_, _ = hash.Write(r.Body)
+	var id ID
+	hash.Sum(id[:0])
+	return id
+}
+
+// Parse reads what String wrote.
+func Parse(text string) (ID, error) {
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(raw) != idBytes {
+		return ID{}, fmt.Errorf("%q is no ID of a request's content", text)
+	}
+	return ID(raw), nil
+}
+
+// String returns the whole ID in unpadded base64 (RFC 4648, 5).
+func (id ID) String() string { return base64.RawURLEncoding.EncodeToString(id[:]) }
+
+// Label returns the short form for logs.
+func (id ID) Label() string { return fmt.Sprintf("%x", id[:labelBytes]) }
+
+// FromBytes returns the ID that a message holds, and whether it is one.
+func FromBytes(raw []byte) (id ID, ok bool) {
+	if len(raw) != idBytes {
+		return ID{}, false
+	}
+	return ID(raw), true
+}
--- /dev/null
+++ b/internal/content/content_test.go
@@ -0,0 +1,63 @@
+package content
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestIDsTellContentsApart(t *testing.T) {
+	base := Request{Method: "GET", Host: "a.example", Target: "/x?y=1", Caller: "10.0.0.1", Body: []byte("b")}
+	others := map[string]Request{}
+	for name, change := range map[string]func(*Request){
+		"method":   func(r *Request) { r.Method = "POST" },
+		"host":     func(r *Request) { r.Host = "b.example" },
+		"query":    func(r *Request) { r.Target = "/x?y=2" },
+		"caller":   func(r *Request) { r.Caller = "10.0.0.2" },
+		"body":     func(r *Request) { r.Body = []byte("c") },
+		"streamed": func(r *Request) { r.Streamed = true },
+		"bounds":   func(r *Request) { r.Target, r.Caller = "/x?y=", "110.0.0.1" },
+	} {
+		r := base
+		change(&r)
+		others[name] = r
+	}
+	if Of(base) != Of(base) {
+		t.Error("the same content has two IDs")
+	}
+	for name, r := range others {
+		if Of(r) == Of(base) {
+			t.Errorf("another %s, the same ID", name)
+		}
+	}
+}
+
+func TestIDsSurviveTheirText(t *testing.T) {
+	id := Of(Request{Target: "/x"})
+	back, err := Parse(id.String())
+	if err != nil || back != id {
+		t.Errorf("%v, %v", back, err)
+	}
+	if again, ok := FromBytes(id[:]); !ok || again != id {
+		t.Error("bytes do not survive")
+	}
+	for _, bad := range []string{"", "x", id.String() + "A", strings.Repeat("!", 22)} {
+		if _, err := Parse(bad); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+}
+
+func BenchmarkOf(b *testing.B) {
+	for _, size := range []struct {
+		name  string
+		bytes int
+	}{{"0B", 0}, {"4KiB", 4 << 10}, {"64KiB", 64 << 10}} {
+		r := Request{Method: "POST", Host: "shop.example", Target: "/orders/4711?page=2", Caller: "10.0.0.1", Body: make([]byte, size.bytes)}
+		b.Run(size.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Of(r)
+			}
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	conf     Config
 	snapshot func() *world.Snapshot
 	backends *upstream.Transport
+	fates    *upstream.Fates
 	owners   *upstream.Transport
 	claims   *claims.Coordinator
 	observer Observer
@@ -88,6 +89,7 @@
 		conf:     conf,
 		snapshot: parts.Snapshot,
 		backends: parts.Backends,
+		fates:    upstream.NewFates(),
 		owners:   parts.Owners,
 		claims:   parts.Claims,
 		observer: parts.Observer,
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -33,6 +33,7 @@
 	if got.broken != nil {
 		answer.Discard()
 		lease.try.end("cut-short")
+		x.noteFate(lease)
 		x.tried = append(x.tried, lease.Server.ID)
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 		return false, unknown(x.whyBroken(ctx, got.broken))
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -92,6 +92,9 @@
 	x.written = true
 	x.ran++
 	x.arrived++
+	if typed.Kind == errs.KindBroken {
+		x.noteFate(lease)
+	}
 	lease.done.Reused = failure.Reused
 	lease.done.Took = lease.try.took
 	lease.done.TimedOut = typed.Kind == errs.KindDeadline
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -32,6 +32,8 @@
 	began  time.Time
 	took   time.Duration
 	result string
+	// fate is what became of the server where the connection broke, empty elsewhere.
+	fate string
 }
 
 // trace is what is logged of one request.
@@ -61,6 +63,9 @@
 			text.WriteString("; ")
 		}
 		text.WriteString(one.server + " " + one.result)
+		if one.fate != "" {
+			text.WriteString(" server=" + one.fate)
+		}
 		text.WriteString(" took=" + one.took.Round(time.Millisecond).String())
 		text.WriteString(" belief=" + strconv.FormatFloat(one.belief, 'f', 2, 64))
 		text.WriteString(" load=" + strconv.FormatFloat(one.load, 'f', 1, 64))
@@ -133,6 +138,7 @@
 		"request", req.ID,
 		"service", req.Service,
 		"customer", req.Customer,
+		"content", req.contentLabel(),
 		"idempotent", req.Idempotent,
 		"outcome", string(outcome),
 		"status", status,
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -58,6 +58,9 @@
 	Seed uint64
 	// Ran, if set, is called as each request begins to run.
 	Ran func(r *http.Request)
+	// EndsOn, if set, says which requests end the server while they run: its listener and
+	// all its connections close at once.
+	EndsOn func(r *http.Request) bool
 }
 
 // Server is a running stand-in.
@@ -73,6 +76,7 @@
 	served int
 	shed   int
 	runs   map[string]int // by idempotency key, or request ID without one
+	ended  bool
 }
 
 // Start runs a stand-in on loopback.
@@ -103,6 +107,21 @@
 // Close ends the stand-in at once.
 func (s *Server) Close() { _ = s.server.Close() }
 
+// end closes the stand-in as a crash of its process would.
+func (s *Server) end() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.Close()
+}
+
+// Ended reports whether a request has ended the server.
+func (s *Server) Ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 // SetFaults plants failures.
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
@@ -252,6 +271,9 @@
 		time.Sleep(p.service)
 	}
 	switch {
+	case s.conf.EndsOn != nil && s.conf.EndsOn(r):
+		s.end()
+		panic(http.ErrAbortHandler)
 	case p.reset:
 		panic(http.ErrAbortHandler)
 	case p.err:
