Requests that end the servers which run them are refused by all hosts

Cause: hosts knew a request by its ID alone. One that ends its server comes again under a new ID, through any host, and got all the servers that its route allows each time.

Ruled out: servers that end by themselves (the lines now tell the content that stood at each ended server); one arrival sent to many servers (no line has more than the route's).

Change: hosts whose connection breaks check whether the server has ended, and tell the homes of the request's content (keyed digest of method, host name, target, caller, body). Three servers put it under quarantine on all hosts. A whole answer clears it; servers that ended under one content count for no other; after the hold one host sends it once.

--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -25,10 +25,11 @@
 	CA      string           `help:"CA certificate of the hosts, PEM." type:"path"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Show      statement      `cmd:"" help:"List a table: hosts, services, backends, routes, customers, limits, directives or documents. Example: show backends where service=checkout and state=ejected"`
+	Show      statement      `cmd:"" help:"List a table: hosts, services, backends, routes, customers, limits, quarantine, directives or documents. Example: show backends where service=checkout and state=ejected"`
 	Drain     statement      `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
 	Undrain   statement      `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
 	Stop      statement      `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
+	Lift      statement      `cmd:"" help:"Let a request that ended servers be sent again. Example: lift quarantine 2ec3ba1107f34e6a9d1c5b8f3a7e6d21"`
 	Set       statement      `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
 	Timeline  timeline       `cmd:"" help:"Events of all hosts in causal order."`
 	Explain   explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -32,6 +32,8 @@
 type Engine interface {
 	Do(ctx context.Context, read func(w *world.World, now time.Time)) error
 	Write(now time.Time, r *peerpb.Register)
+	// Announce writes and tells all hosts at once.
+	Announce(now time.Time, r *peerpb.Register)
 }
 
 // Clients makes clients of other hosts.
--- a/internal/admin/command.go
+++ b/internal/admin/command.go
@@ -8,10 +8,12 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/directive"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/hlc"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/query"
 	"github.com/pearshelf/pearshelf/internal/system/rotation"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -61,6 +63,8 @@
 		return c.drain(s.Undrain, true)
 	case s.Stop != nil:
 		return c.stop(s.Stop)
+	case s.Lift != nil:
+		return c.lift(s.Lift)
 	default:
 		return c.setFloor(s.Set)
 	}
@@ -130,6 +134,25 @@
 	}, false, set.Expect)
 }
 
+// lift ends a quarantine on all hosts.
+func (c *command) lift(l *query.Lift) (*adminpb.QueryResponse, error) {
+	id, err := content.Parse(l.Content)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindStatement, "no content is named so", "show quarantine lists them")
+	}
+	if _, held := c.w.Registers.Get(quarantine.Key(id)); !held {
+		return nil, errs.New(errs.KindNotFound, "content "+l.Content+" is not in quarantine", "show quarantine lists what is")
+	}
+	r := quarantine.Lift(id)
+	c.server.engine.Announce(c.now, r)
+	c.w.Record(c.now, event.ContentCleared, "", "", l.Content+": lifted by "+c.actor)
+	return &adminpb.QueryResponse{Ticket: ticketOf(r)}, nil
+}
+
+func ticketOf(r *peerpb.Register) *adminpb.Ticket {
+	return &adminpb.Ticket{Key: r.Key, Revision: r.Stamp.Revision, Clock: r.Stamp.Clock, Host: r.Stamp.Host}
+}
+
 // write stores a directive if the field is still at the expected version.
 func (c *command) write(svc *world.Service, d *peerpb.Directive, undo bool, expect string) (*adminpb.QueryResponse, error) {
 	d.Actor = c.actor
@@ -146,12 +169,7 @@
 	}
 	c.server.engine.Write(c.now, r)
 	c.w.Record(c.now, event.DirectiveAccepted, serviceName(svc), "", c.text+" by "+c.actor)
-	return &adminpb.QueryResponse{Ticket: &adminpb.Ticket{
-		Key:      r.Key,
-		Revision: r.Stamp.Revision,
-		Clock:    r.Stamp.Clock,
-		Host:     r.Stamp.Host,
-	}}, nil
+	return &adminpb.QueryResponse{Ticket: ticketOf(r)}, nil
 }
 
 func serviceName(svc *world.Service) string {
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -11,6 +11,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/directive"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/query"
 	"github.com/pearshelf/pearshelf/internal/quota"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
@@ -32,6 +33,7 @@
 	"backends":   listBackends,
 	"routes":     listRoutes,
 	"customers":  listCustomers,
+	"quarantine": listQuarantine,
 	"directives": listDirectives,
 	"documents":  listDocuments,
 }
@@ -59,6 +61,26 @@
 	return resp, nil
 }
 
+// listQuarantine shows the contents that are refused, and why.
+func listQuarantine(w *world.World, now time.Time) table {
+	t := table{columns: []string{"content", "service", "state", "for", "trials", "servers"}}
+	for _, q := range quarantine.NewView(quarantine.InForce(w.Registers)).All() {
+		state, left := "held", q.Until.Sub(now)
+		if left <= 0 {
+			state, left = "on-trial", 0
+		}
+		var servers []string
+		for _, e := range q.Ends {
+			servers = append(servers, fmt.Sprintf("%s %s ago by %s", e.Server, now.Sub(e.At).Round(time.Second), e.Host))
+		}
+		t.rows = append(t.rows, []string{
+			q.Content.String(), q.Service, state, left.Round(time.Second).String(),
+			strconv.Itoa(q.Trials), strings.Join(servers, "; "),
+		})
+	}
+	return t
+}
+
 func listHosts(w *world.World, _ time.Time) table {
 	t := table{columns: []string{"host", "data_centre", "address", "state", "leaving", "reader"}}
 	for _, name := range w.HostNames() {
--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -4,8 +4,8 @@
 package content
 
 import (
-	"encoding/base64"
 	"encoding/binary"
+	"encoding/hex"
 	"fmt"
 
 	"golang.org/x/crypto/blake2b"
@@ -64,18 +64,18 @@
 
 // Parse reads what String wrote.
 func Parse(text string) (ID, error) {
-	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != idBytes {
 		return ID{}, fmt.Errorf("%q is no ID of a request's content", text)
 	}
 	return ID(raw), nil
 }
 
-// String returns the whole ID in unpadded base64 (RFC 4648, 5).
-func (id ID) String() string { return base64.RawURLEncoding.EncodeToString(id[:]) }
+// String returns the whole ID in hexadecimal.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
 
 // Label returns the short form for logs.
-func (id ID) Label() string { return fmt.Sprintf("%x", id[:labelBytes]) }
+func (id ID) Label() string { return hex.EncodeToString(id[:labelBytes]) }
 
 // FromBytes returns the ID that a message holds, and whether it is one.
 func FromBytes(raw []byte) (id ID, ok bool) {
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// receive takes a datagram: loads go to the balancer at once and customers' use to the
-// limiter, all others to the control loop.
+// receive takes a datagram: loads go to the balancer at once, customers' use to the limiter
+// and servers' ends to the quarantine, all others to the control loop.
 func (d *Daemon) receive(from string, payload []byte) {
 	datagram := &peerpb.Datagram{}
 	if err := proto.Unmarshal(payload, datagram); err != nil {
@@ -86,6 +86,8 @@
 	switch {
 	case datagram.Kind == peerpb.Datagram_KIND_QUOTA:
 		d.limiter.receive(datagram)
+	case datagram.Kind == peerpb.Datagram_KIND_SERVER_ENDS:
+		d.ending.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_LOAD && d.balance != nil:
 		d.balance.Report(datagram.From, datagram.Life, datagram.Loads, datagram.Near)
 	default:
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// quarantiner is the shell of package quarantine on a host: it holds the lock and the
+// clock, sends what the table has to tell and writes what it decides.
+type quarantiner struct {
+	d *Daemon
+	// watching mirrors Table.Watches, for requests that need no lock then.
+	watching atomic.Bool
+
+	mu       sync.Mutex
+	table    *quarantine.Table
+	snapshot *world.Snapshot // the one that the table knows
+	timer    *time.Timer
+}
+
+func newQuarantiner(d *Daemon) *quarantiner {
+	return &quarantiner{d: d, table: quarantine.NewTable(d.settings.Host)}
+}
+
+// Active implements dispatch.Quarantine.
+func (q *quarantiner) Active() bool {
+	return q.watching.Load() || !q.d.engine.Snapshot().Quarantine.Empty()
+}
+
+// Check implements dispatch.Quarantine.
+func (q *quarantiner) Check(id content.ID) (refused *quarantine.Quarantine, onTrial bool) {
+	held := q.d.engine.Snapshot().Quarantine.Get(id)
+	if held == nil {
+		return nil, false
+	}
+	if time.Now().After(held.Until) {
+		q.do(func(now time.Time) { onTrial = q.table.Trial(now, held) })
+	}
+	if onTrial {
+		klog.InfoS("content tried", "content", id.Label(), "service", held.Service, "trials", held.Trials, "host", q.d.settings.Host)
+		return nil, true
+	}
+	q.d.metrics.Quarantined(held.Service)
+	return held, false
+}
+
+// Ended implements dispatch.Quarantine.
+func (q *quarantiner) Ended(id content.ID, service, server string) {
+	q.d.metrics.ServerEnded(service)
+	q.do(func(now time.Time) {
+		q.table.Ended(now, id, quarantine.End{Service: service, Server: server, At: now})
+	})
+}
+
+// Served implements dispatch.Quarantine.
+func (q *quarantiner) Served(id content.ID) {
+	q.do(func(now time.Time) { q.table.Served(now, id) })
+}
+
+// receive takes what another host tells.
+func (q *quarantiner) receive(datagram *peerpb.Datagram) {
+	q.do(func(now time.Time) { q.table.Receive(now, datagram.From, datagram.Ends, datagram.Served) })
+}
+
+func (q *quarantiner) tick() {
+	if q.d.ctx.Err() == nil {
+		q.do(q.table.Tick)
+	}
+}
+
+// do works on the table and then does what came of it.
+func (q *quarantiner) do(work func(now time.Time)) {
+	now := time.Now()
+	q.mu.Lock()
+	snap := q.d.engine.Snapshot()
+	if snap != q.snapshot {
+		q.snapshot = snap
+		q.table.SetView(snap.Quarantine)
+		q.table.SetFleet(now, quarantine.Fleet{Version: snap.HostsVersion, Homes: snap.Homes})
+	}
+	work(now)
+	messages := q.table.Messages()
+	decisions := q.table.Decisions()
+	q.watching.Store(q.table.Watches())
+	q.schedule(now)
+	q.mu.Unlock()
+	q.send(snap, messages)
+	for _, decision := range decisions {
+		q.carryOut(decision)
+	}
+}
+
+// schedule sets the timer to when the table is due next.
+func (q *quarantiner) schedule(now time.Time) {
+	if q.timer != nil {
+		q.timer.Stop()
+	}
+	if due := q.table.Due(); !due.IsZero() {
+		q.timer = time.AfterFunc(due.Sub(now), q.tick)
+	}
+}
+
+func (q *quarantiner) send(snap *world.Snapshot, messages []quarantine.Message) {
+	for _, m := range messages {
+		address, known := snap.Sharing.Address(m.To)
+		if !known {
+			klog.V(3).InfoS("servers' ends not told: the host is not known", "peer", m.To)
+			continue
+		}
+		q.d.datagrams.Send(&peerpb.Datagram{
+			Kind:   peerpb.Datagram_KIND_SERVER_ENDS,
+			From:   q.d.settings.Host,
+			Ends:   m.Ends,
+			Served: m.Served,
+		}, address)
+	}
+}
+
+// carryOut tells all hosts of a decision.
+func (q *quarantiner) carryOut(decision quarantine.Decision) {
+	posted := q.d.engine.Post(func(now time.Time) {
+		if decision.Quarantine == nil {
+			q.d.engine.Announce(now, quarantine.Lift(decision.Cleared))
+			q.d.engine.Record(now, event.ContentCleared, "", decision.Cleared.String()+": answered")
+			return
+		}
+		q.announce(now, decision.Quarantine)
+	})
+	if !posted {
+		klog.InfoS("decision on a content dropped: the control loop is too slow", "cleared", decision.Quarantine == nil)
+	}
+}
+
+func (q *quarantiner) announce(now time.Time, decided *quarantine.Quarantine) {
+	r, err := decided.Register(now)
+	if err != nil {
+		klog.ErrorS(err, "content not put under quarantine", "content", decided.Content.Label())
+		return
+	}
+	q.d.engine.Announce(now, r)
+	ends := ""
+	for _, e := range decided.Ends {
+		ends += fmt.Sprintf(" %s/%s/%s", e.Server, now.Sub(e.At).Round(time.Millisecond), e.Host)
+	}
+	q.d.engine.Record(now, event.ContentQuarantined, decided.Service, fmt.Sprintf("%s for %s after %d trials; server/age/host:%s", decided.Content, decided.Until.Sub(now).Round(time.Second), decided.Trials, ends))
+}
+
+// Interface guard.
+var _ dispatch.Quarantine = (*quarantiner)(nil)
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -76,6 +76,7 @@
 	case answer.StatusCode >= http.StatusInternalServerError:
 		x.observe(lease, peerpb.Observation_KIND_FAILED, answer.FirstByte)
 	default:
+		x.noteServed(answer.StatusCode)
 		x.observe(lease, peerpb.Observation_KIND_GOOD, answer.FirstByte)
 	}
 }
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -28,7 +28,7 @@
 // mayCopy reports whether the request may be sent to a second server while the
 // first works on it.
 func (x *exchange) mayCopy(lease *place) bool {
-	return lease.lease != nil && x.req.Idempotent && x.req.body.isKept && x.ran+2 <= x.req.attempts()
+	return lease.lease != nil && !x.onTrial && x.req.Idempotent && x.req.body.isKept && x.ran+2 <= x.req.attempts()
 }
 
 // race sends the request to a server, and to a second one when the policy says so.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,10 +14,12 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/slots"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -45,6 +47,20 @@
 	Observe(o *peerpb.Observation)
 }
 
+// Quarantine knows which requests end servers, over all hosts.
+type Quarantine interface {
+	// Active reports whether any content is in quarantine or under suspicion here. As long
+	// as none is, requests need not be identified.
+	Active() bool
+	// Check returns the quarantine for which a content is refused now, nil if it may be
+	// sent. onTrial is set if it may be sent once, to one server.
+	Check(id content.ID) (refused *quarantine.Quarantine, onTrial bool)
+	// Ended takes that a server ended while it had a request.
+	Ended(id content.ID, service, server string)
+	// Served takes that a server has answered a request whole.
+	Served(id content.ID)
+}
+
 // Dispatcher serves requests. It is safe for concurrent use.
 type Dispatcher struct {
 	conf     Config
@@ -57,6 +73,7 @@
 	events   event.Recorder
 	metrics  *metrics.Metrics
 	balance  *balance.Table
+	ending   Quarantine
 	marks    *protocol.Protocol
 
 	requestLog requestLog
@@ -81,6 +98,8 @@
 	Metrics  *metrics.Metrics
 	// Balance picks servers where hosts pick directly, nil with owner hosts.
 	Balance *balance.Table
+	// Quarantine refuses requests that end servers.
+	Quarantine Quarantine
 }
 
 // New returns a dispatcher.
@@ -96,6 +115,7 @@
 		events:   parts.Events,
 		metrics:  parts.Metrics,
 		balance:  parts.Balance,
+		ending:   parts.Quarantine,
 		marks:    conf.Protocol,
 		services: make(map[string]*serviceState),
 	}
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -1,22 +1,38 @@
 package dispatch
 
 import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
 	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // content identifies the request by what it is, so that it is known when it comes again.
 // The body must have been read.
 func (r *Request) content() content.ID {
-	return content.Of(content.Request{
-		Method:   r.in.Method,
-		Host:     r.in.Host,
-		Target:   r.in.URL.RequestURI(),
-		Caller:   r.Caller,
-		Body:     r.body.kept,
-		Streamed: !r.body.isKept,
+	r.contentOnce.Do(func() {
+		r.contentID = content.Of(content.Request{
+			Method:   r.in.Method,
+			Host:     hostname(r.in.Host),
+			Target:   r.in.URL.RequestURI(),
+			Caller:   r.Caller,
+			Body:     r.body.kept,
+			Streamed: !r.body.isKept,
+		})
 	})
+	return r.contentID
 }
 
+// hostname is the name in a Host header, without the port, by which hosts may differ.
+func hostname(host string) string { return (&url.URL{Host: host}).Hostname() }
+
 // contentLabel is what logs show of the content, empty while the body has not been read.
 func (r *Request) contentLabel() string {
 	if !r.body.isKept && !r.body.streamed {
@@ -25,7 +41,51 @@
 	return r.content().Label()
 }
 
-// noteFate notes what became of a server whose connection broke while it had the request.
+// quarantined returns the refusal of a request that ends the servers which run it, nil for
+// any other.
+func (x *exchange) quarantined() *Refusal {
+	if !x.d.ending.Active() {
+		return nil
+	}
+	held, onTrial := x.d.ending.Check(x.req.content())
+	x.onTrial = x.onTrial || onTrial
+	if held == nil {
+		return nil
+	}
+	now := time.Now()
+	err := errs.New(errs.KindQuarantined, whyQuarantined(held, now), "mend what ends the servers; operators see show quarantine, and lift it")
+	return notRun(err, held.Until.Sub(now))
+}
+
+// whyQuarantined names the servers that ended, and who saw it.
+func whyQuarantined(held *quarantine.Quarantine, now time.Time) string {
+	var servers []string
+	for _, e := range held.Ends {
+		servers = append(servers, fmt.Sprintf("%s %s ago by %s", e.Server, now.Sub(e.At).Round(time.Millisecond), e.Host))
+	}
+	return fmt.Sprintf("%d servers ended under this request: %s", len(held.Ends), strings.Join(servers, ", "))
+}
+
+// noteFate finds out what became of a server whose connection broke while it had the
+// request, and tells where it has ended.
 func (x *exchange) noteFate(lease *place) {
-	lease.try.fate = x.d.fates.Of(lease.Server.Address).String()
+	fate := x.d.fates.Of(lease.Server.Address)
+	lease.try.fate = fate.String()
+	if fate == upstream.FateEnded && x.isEvidence(lease) {
+		x.d.ending.Ended(x.req.content(), x.req.Service, lease.Server.ID)
+	}
+}
+
+// isEvidence reports whether a server's end may be the request's doing: a server that was
+// leaving ends by itself, and a host that stood still saw the connection break long after.
+func (x *exchange) isEvidence(lease *place) bool {
+	return x.inRotation(lease.Server) && !world.Passed(time.Now(), x.d.snapshot().FreshUntil)
+}
+
+// noteServed clears the request of having ended servers, where anything is suspected: what
+// ends servers never gets a whole answer.
+func (x *exchange) noteServed(status int) {
+	if status < http.StatusInternalServerError && x.d.ending.Active() {
+		x.d.ending.Served(x.req.content())
+	}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -55,6 +55,9 @@
 	arrived int
 	// waiting counts the servers that have the request and have not answered yet.
 	waiting int
+	// onTrial is set for a request that may be sent to one server only, to see whether it
+	// ends it.
+	onTrial bool
 }
 
 // headerDeadline ends the context at the request's deadline. headerArrived
@@ -80,6 +83,9 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
+	if refusal := x.quarantined(); refusal != nil {
+		return refusal
+	}
 	claim, err := x.claim(ctx)
 	if err != nil {
 		return err
@@ -140,7 +146,7 @@
 		if x.written && !x.req.Idempotent {
 			return last
 		}
-		if !x.mayRetry() {
+		if !x.mayRetry() || x.quarantined() != nil {
 			return last
 		}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/protocol"
@@ -84,6 +86,9 @@
 
 	in   *http.Request
 	body *replayBody
+
+	contentOnce sync.Once
+	contentID   content.ID
 }
 
 // attempts is how many backend servers may run the request.
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -64,6 +64,7 @@
 	case answer.StatusCode >= http.StatusInternalServerError:
 		x.observe(lease, peerpb.Observation_KIND_FAILED, answer.FirstByte)
 	default:
+		x.noteServed(answer.StatusCode)
 		x.observe(lease, peerpb.Observation_KIND_GOOD, answer.FirstByte)
 	}
 	answer.Finish()
@@ -76,6 +77,7 @@
 	case !dialled:
 		x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
 	default:
+		x.noteFate(lease)
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,7 @@
 	"github.com/pearshelf/pearshelf/internal/gossip"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/system/detection"
 	"github.com/pearshelf/pearshelf/internal/system/placement"
@@ -209,6 +210,9 @@
 // wait for a tick on each.
 func (e *Engine) urgent() bool {
 	w := e.world
+	if w.QuarantineChanged {
+		return true // each arrival until then may end a server
+	}
 	return e.conf.Documents != nil && (len(w.Out.Fetches) > 0 || w.HeadsChanged || w.ServicesChanged || e.headTold)
 }
 
@@ -302,6 +306,10 @@
 		e.headTold = true
 		return
 	}
+	if quarantine.Is(r) {
+		e.world.QuarantineChanged = true
+		return
+	}
 	if service, ok := verdict.ServiceOf(r); ok {
 		e.markDirty(service)
 		return
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -56,6 +56,24 @@
 	e.touched(r)
 }
 
+// Announce stores a register of this host's and tells it to all live hosts at once, instead
+// of by gossip alone.
+func (e *Engine) Announce(now time.Time, r *peerpb.Register) {
+	e.Write(now, r)
+	var all []string
+	for name, h := range e.world.Hosts {
+		if h.Live() {
+			all = append(all, name)
+		}
+	}
+	e.world.Out.Urgent = append(e.world.Out.Urgent, world.Urgent{To: all, Register: r})
+}
+
+// Record adds an event of this host's.
+func (e *Engine) Record(now time.Time, n event.Number, service, detail string) {
+	e.world.Record(now, n, service, "", detail)
+}
+
 // mergeRegisters takes registers from another host and passes on the new ones.
 func (e *Engine) mergeRegisters(now time.Time, registers []*peerpb.Register) {
 	for _, r := range registers {
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -8,6 +8,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/sharing"
@@ -31,6 +32,7 @@
 	reachable         map[string]bool
 	liveHosts         int
 	fleetSize         int
+	quarantine        *quarantine.View
 }
 
 func newViewBuilder(forwarding bool) *viewBuilder {
@@ -39,6 +41,7 @@
 		routes:     route.Build(nil, nil),
 		services:   make(map[string]*world.ServiceView),
 		customers:  customer.Build(nil),
+		quarantine: quarantine.NewView(nil),
 	}
 }
 
@@ -47,6 +50,10 @@
 	v.buildServices(w)
 	v.buildClaimants(w)
 	v.buildRevisions(w)
+	if w.QuarantineChanged {
+		v.quarantine = quarantine.NewView(quarantine.InForce(w.Registers))
+		w.QuarantineChanged = false
+	}
 	return &world.Snapshot{
 		Self:            w.Self,
 		FreshUntil:      w.FreshUntil,
@@ -64,6 +71,7 @@
 		Settled:         w.Settled,
 		Sharing:         v.sharing,
 		FleetSize:       v.fleetSize,
+		Quarantine:      v.quarantine,
 		Claimants:       v.claimants,
 		ClaimantAddress: v.claimantAddresses,
 	}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -36,6 +36,7 @@
 	KindBroken        Kind = "answer-broken"
 	KindWrongAnswer   Kind = "wrong-answer"
 	KindDeadline      Kind = "deadline-exceeded"
+	KindQuarantined   Kind = "request-quarantined"
 	KindCanceled      Kind = "canceled"
 	KindBodyConsumed  Kind = "body-consumed"
 	KindNotConfigured Kind = "not-configured"
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	RequestDuplicate     Number = 602
 	DownloadResumed      Number = 603
 	ObservationsLost     Number = 604
+	ContentQuarantined   Number = 605
+	ContentCleared       Number = 606
 )
 
 var names = map[Number]string{
@@ -95,6 +97,8 @@
 	RequestDuplicate:     "request-duplicate",
 	DownloadResumed:      "download-resumed",
 	ObservationsLost:     "observations-lost",
+	ContentQuarantined:   "content-quarantined",
+	ContentCleared:       "content-cleared",
 }
 
 // String returns the name of the event kind.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,6 +21,8 @@
 	membersLive      prometheus.Gauge
 	platformCalls    *prometheus.CounterVec
 	limited          *prometheus.CounterVec
+	serverEnds       *prometheus.CounterVec
+	quarantined      *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -69,8 +71,16 @@
 			Name: "pearshelf_limited_requests_total",
 			Help: "Requests of customers that have a limit, by whether it let them.",
 		}, []string{"allowed"}),
+		serverEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_requests_at_ended_servers_total",
+			Help: "Requests whose backend server ended while it had them, by service.",
+		}, []string{"service"}),
+		quarantined: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_quarantined_requests_total",
+			Help: "Requests that were refused because servers end under them, by service.",
+		}, []string{"service"}),
 	}
-	reg.MustRegister(m.limited, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -93,6 +103,12 @@
 	}, func() float64 { return float64(dropped()) }))
 }
 
+// ServerEnded counts a request whose server ended while it had it.
+func (m *Metrics) ServerEnded(service string) { m.serverEnds.WithLabelValues(service).Inc() }
+
+// Quarantined counts a request that was refused because servers end under it.
+func (m *Metrics) Quarantined(service string) { m.quarantined.WithLabelValues(service).Inc() }
+
 // Added takes the time that the fleet added to a request on this host.
 func (m *Metrics) Added(service string, d time.Duration) {
 	m.added.WithLabelValues(service).Observe(d.Seconds())
--- /dev/null
+++ b/internal/quarantine/fleet_test.go
@@ -0,0 +1,395 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/register"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
+
+// fleet is hosts with their tables, and registers that reach each host that hears.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	hosts   map[string]*host
+	version uint64
+	clock   uint64
+	// lose is the share of messages that are lost.
+	lose float64
+	rng  *rand.Rand
+	// decided counts the decisions that were told.
+	decided int
+}
+
+type host struct {
+	name  string
+	table *Table
+	store *register.Store
+	// side tells which hosts hear each other.
+	side int
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, now: time.Unix(1000, 0), hosts: make(map[string]*host), rng: rand.New(rand.NewPCG(1, 2))}
+	for i := range n {
+		f.start(fmt.Sprintf("h%03d", i))
+	}
+	f.settle()
+	return f
+}
+
+// start adds a host that knows nothing, or replaces one.
+func (f *fleet) start(name string) {
+	f.hosts[name] = &host{name: name, table: NewTable(name), store: register.NewStore()}
+}
+
+// settle lets every host know which others it hears, and compare registers with them.
+func (f *fleet) settle() {
+	f.version++
+	for _, h := range f.hosts {
+		var homes []rendezvous.Node
+		for _, other := range f.hosts {
+			if other.side == h.side {
+				homes = append(homes, rendezvous.NewNode(other.name, ""))
+				for _, r := range other.store.All(f.now) {
+					h.store.Merge(f.now, r)
+				}
+			}
+		}
+		h.table.SetView(NewView(InForce(h.store)))
+		h.table.SetFleet(f.now, Fleet{Version: f.version, Homes: homes})
+	}
+	f.deliver()
+}
+
+// deliver carries what tables have to tell until there is nothing more.
+func (f *fleet) deliver() {
+	for again := true; again; {
+		again = false
+		for _, h := range f.hosts {
+			for _, m := range h.table.Messages() {
+				to, ok := f.hosts[m.To]
+				if !ok || to.side != h.side || f.rng.Float64() < f.lose {
+					continue
+				}
+				to.table.Receive(f.now, h.name, m.Ends, m.Served)
+				again = true
+			}
+			for _, d := range h.table.Decisions() {
+				f.tell(h, d)
+				again = true
+			}
+		}
+	}
+}
+
+func (f *fleet) tell(from *host, d Decision) {
+	var r *peerpb.Register
+	if d.Quarantine == nil {
+		r = Lift(d.Cleared)
+	} else {
+		f.decided++
+		var err error
+		if r, err = d.Quarantine.Register(f.now); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	f.clock++
+	r.Stamp = &peerpb.Stamp{Clock: f.clock, Host: from.name}
+	for _, h := range f.hosts {
+		if h.side == from.side {
+			h.store.Merge(f.now, r)
+			h.table.SetView(NewView(InForce(h.store)))
+		}
+	}
+}
+
+// pass lets time pass.
+func (f *fleet) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(min(50*time.Millisecond, end.Sub(f.now)))
+		for _, h := range f.hosts {
+			h.table.Tick(f.now)
+		}
+		f.deliver()
+	}
+}
+
+func (f *fleet) ended(host string, id content.ID, server string) {
+	f.hosts[host].table.Ended(f.now, id, End{Service: "shop", Server: server, At: f.now})
+	f.deliver()
+}
+
+func (f *fleet) served(host string, id content.ID) {
+	f.hosts[host].table.Served(f.now, id)
+	f.deliver()
+}
+
+// refusedBy counts the hosts that refuse a content.
+func (f *fleet) refusedBy(id content.ID) int {
+	n := 0
+	for _, h := range f.hosts {
+		if q := h.table.view.Get(id); q != nil && f.now.Before(q.Until) {
+			n++
+		}
+	}
+	return n
+}
+
+func idOf(name string) content.ID { return content.Of(content.Request{Target: name}) }
+
+// A content that ended three servers, each seen by another host, is refused by all hosts,
+// also by one that starts only then.
+func TestThreeEndsAtThreeHosts(t *testing.T) {
+	f := newFleet(t, 40)
+	bad := idOf("bad")
+	for i := range 3 {
+		if n := f.refusedBy(bad); n != 0 {
+			t.Fatalf("%d hosts refuse it after %d ends", n, i)
+		}
+		f.ended(fmt.Sprintf("h%03d", 7*i), bad, fmt.Sprint("s", i))
+	}
+	f.pass(500 * time.Millisecond)
+	if n := f.refusedBy(bad); n != 40 {
+		t.Errorf("%d of 40 hosts refuse it", n)
+	}
+	if f.decided != 1 {
+		t.Errorf("%d decisions were told to all hosts, one expected", f.decided)
+	}
+	f.start("h999")
+	f.settle()
+	if n := f.refusedBy(bad); n != 41 {
+		t.Errorf("%d of 41 hosts refuse it after a start", n)
+	}
+}
+
+// One server that ends counts once, however many hosts lose a connection to it.
+func TestOneServerCountsOnce(t *testing.T) {
+	f := newFleet(t, 10)
+	for i := range 10 {
+		f.ended(fmt.Sprintf("h%03d", i), idOf("popular"), "s1")
+	}
+	f.pass(time.Second)
+	if n := f.refusedBy(idOf("popular")); n != 0 {
+		t.Errorf("%d hosts refuse it", n)
+	}
+}
+
+// Half of all messages are lost; what is told again makes up for it.
+func TestLostMessages(t *testing.T) {
+	found := 0
+	const contents = 200
+	for i := range contents {
+		f := newFleet(t, 12)
+		f.rng = rand.New(rand.NewPCG(uint64(i), 3))
+		f.lose = 0.5
+		for j := range 3 {
+			f.ended(fmt.Sprintf("h%03d", j), idOf("bad"), fmt.Sprint("s", j))
+		}
+		f.pass(time.Second)
+		if f.refusedBy(idOf("bad")) == 12 {
+			found++
+		}
+	}
+	// a home lacks an end with a chance of 1/4, and of three homes one must have all three
+	// ends: 1-(1-(3/4)^3)^3 = 0.81, more where a witness is a home
+	if found < contents*3/4 {
+		t.Errorf("found %d of %d", found, contents)
+	}
+}
+
+// Hosts that were cut off refuse the content as soon as they hear others again.
+func TestCutOffHostsHearOfIt(t *testing.T) {
+	f := newFleet(t, 12)
+	for i := range 4 {
+		f.hosts[fmt.Sprintf("h%03d", i)].side = 1
+	}
+	f.settle()
+	for j := range 3 {
+		f.ended(fmt.Sprintf("h%03d", 4+j), idOf("bad"), fmt.Sprint("s", j))
+	}
+	f.pass(time.Second)
+	if n := f.refusedBy(idOf("bad")); n != 8 {
+		t.Fatalf("%d of the 8 hosts refuse it that hear each other", n)
+	}
+	for _, h := range f.hosts {
+		h.side = 0
+	}
+	f.settle()
+	if n := f.refusedBy(idOf("bad")); n != 12 {
+		t.Errorf("%d of 12 hosts refuse it", n)
+	}
+}
+
+// The homes of a content are killed between its ends: those who saw them tell the new homes.
+func TestHomesAreKilled(t *testing.T) {
+	f := newFleet(t, 20)
+	bad := idOf("bad")
+	homesNow := f.hosts["h000"].table.homesOf(bad)
+	var witnesses []string
+	for name := range f.hosts {
+		if name != homesNow[0] && name != homesNow[1] && name != homesNow[2] && len(witnesses) < 3 {
+			witnesses = append(witnesses, name)
+		}
+	}
+	f.ended(witnesses[0], bad, "s1")
+	f.ended(witnesses[1], bad, "s2")
+	f.pass(time.Second)
+	for _, home := range homesNow {
+		delete(f.hosts, home)
+	}
+	f.settle()
+	f.ended(witnesses[2], bad, "s3")
+	f.pass(time.Second)
+	if n := f.refusedBy(bad); n != 17 {
+		t.Errorf("%d of 17 hosts refuse it", n)
+	}
+}
+
+// A whole answer clears a content, also while it is in quarantine.
+func TestAnswerClears(t *testing.T) {
+	f := newFleet(t, 10)
+	popular := idOf("popular")
+	f.ended("h001", popular, "s1")
+	f.ended("h002", popular, "s2")
+	f.pass(10 * time.Millisecond)
+	f.served("h001", popular)
+	f.pass(10 * time.Millisecond)
+	f.ended("h003", popular, "s3")
+	f.ended("h004", popular, "s4")
+	f.pass(time.Second)
+	if n := f.refusedBy(popular); n != 0 {
+		t.Fatalf("%d hosts refuse what was answered between its ends", n)
+	}
+	f.ended("h005", popular, "s5")
+	f.pass(time.Second)
+	if n := f.refusedBy(popular); n != 10 {
+		t.Fatalf("%d of 10 hosts refuse it after three ends in a row", n)
+	}
+	f.served("h007", popular) // it was under way
+	f.pass(time.Second)
+	if n := f.refusedBy(popular); n != 0 {
+		t.Errorf("%d hosts refuse it after an answer", n)
+	}
+}
+
+// Servers that end under a content in quarantine count for no other content.
+func TestEndsAreExplainedOnce(t *testing.T) {
+	f := newFleet(t, 10)
+	bad, beside := idOf("bad"), idOf("beside")
+	for i := range 3 {
+		server := fmt.Sprint("s", i)
+		f.ended("h001", bad, server)
+		if i > 0 {
+			f.ended("h002", beside, server)
+		}
+	}
+	f.pass(time.Second)
+	f.ended("h003", beside, "s9") // ends by itself
+	f.pass(time.Second)
+	if f.refusedBy(bad) != 10 || f.refusedBy(beside) != 0 {
+		t.Errorf("refused by %d and %d hosts, 10 and 0 expected", f.refusedBy(bad), f.refusedBy(beside))
+	}
+}
+
+// When a hold is over one host sends the content once. If another server ends the next
+// hold is longer, if it is answered all hosts serve it.
+func TestTrials(t *testing.T) {
+	f := newFleet(t, 10)
+	bad := idOf("bad")
+	for i := range 3 {
+		f.ended("h001", bad, fmt.Sprint("s", i))
+	}
+	f.pass(firstHold - time.Second)
+	if n := f.trials(bad); n != 0 {
+		t.Fatalf("%d hosts may try it before the hold is over", n)
+	}
+	f.pass(2 * time.Second)
+	tried := f.triedBy(bad)
+	if len(tried) != 1 || f.trials(bad) != 0 {
+		t.Fatalf("tried by %v, and again by %d", tried, f.trials(bad))
+	}
+	f.ended(tried[0], bad, "s7")
+	f.pass(firstHold + time.Second)
+	if n := f.refusedBy(bad); n != 10 {
+		t.Fatalf("%d of 10 hosts refuse it in the second hold", n)
+	}
+	f.pass(firstHold * holdGrowth)
+	tried = f.triedBy(bad)
+	if len(tried) != 1 {
+		t.Fatalf("tried by %v after the second hold", tried)
+	}
+	f.served(tried[0], bad)
+	for _, h := range f.hosts {
+		if h.table.view.Get(bad) != nil {
+			t.Errorf("%s refuses what was answered on trial", h.name)
+		}
+	}
+}
+
+func (f *fleet) triedBy(id content.ID) []string {
+	var by []string
+	for _, h := range f.hosts {
+		if q := h.table.view.Get(id); q != nil && h.table.Trial(f.now, q) {
+			by = append(by, h.name)
+		}
+	}
+	return by
+}
+
+func (f *fleet) trials(id content.ID) int { return len(f.triedBy(id)) }
+
+// However many contents there are, memory and what is told to all hosts are bounded.
+func TestBounds(t *testing.T) {
+	f := newFleet(t, 1)
+	for i := range 2 * maxSuspects {
+		for j := range 3 {
+			f.ended("h000", idOf(fmt.Sprint(i)), fmt.Sprintf("s%d-%d", i, j))
+		}
+	}
+	if n := len(f.hosts["h000"].table.suspects); n > maxSuspects {
+		t.Errorf("%d contents are kept", n)
+	}
+	if f.decided > maxDecisions {
+		t.Errorf("%d decisions in one moment", f.decided)
+	}
+	f.pass(3 * time.Second)
+	if f.decided <= maxDecisions || f.decided > 4*maxDecisions {
+		t.Errorf("%d decisions after 3 s", f.decided)
+	}
+}
+
+// A register that came from another host says the same there.
+func TestRegisterKeepsAQuarantine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := &Quarantine{Content: idOf("bad"), Service: "shop", Until: now.Add(hold(2)), Trials: 2, Ends: []End{{Service: "shop", Server: "s1", At: now.Add(-time.Second), Host: "h1"}}}
+	r, err := q.Register(now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Stamp = &peerpb.Stamp{Clock: 1, Host: "h1"}
+	store := register.NewStore()
+	store.Merge(now, r)
+	got := InForce(store)
+	if len(got) != 1 || fmt.Sprint(*got[0]) != fmt.Sprint(*q) {
+		t.Errorf("got %v, want %v", got, *q)
+	}
+}
+
+// FuzzMessages: what other hosts send is read without a panic.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte("0123456789abcdef"), "s", uint32(1))
+	f.Add([]byte{}, "", uint32(0))
+	f.Fuzz(func(t *testing.T, raw []byte, server string, age uint32) {
+		table := NewTable("h1")
+		now := time.Unix(1000, 0)
+		table.Receive(now, "h2", []*peerpb.ServerEnd{{Content: raw, Server: server, AgeMs: age}}, [][]byte{raw, nil})
+		table.Tick(now.Add(time.Second))
+	})
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,10 +1,11 @@
 // Package query parses the operators' language:
 //
-//	show hosts|services|backends|routes|customers|limits|directives|documents [where f=v and g!=w]
+//	show hosts|services|backends|routes|customers|limits|quarantine|directives|documents [where f=v and g!=w]
 //	drain backend SERVICE/ID [expect VERSION]
 //	undrain backend SERVICE/ID [expect VERSION]
 //	stop host NAME
 //	set service NAME floor N [expect VERSION]
+//	lift quarantine CONTENT
 package query
 
 import (
@@ -23,11 +24,12 @@
 	Undrain *Target `parser:"| 'undrain' 'backend' @@"`
 	Stop    *Host   `parser:"| 'stop' 'host' @@"`
 	Set     *Set    `parser:"| 'set' 'service' @@"`
+	Lift    *Lift   `parser:"| 'lift' 'quarantine' @@"`
 }
 
 // Show lists rows of a table.
 type Show struct {
-	Table string      `parser:"@( 'hosts' | 'services' | 'backends' | 'routes' | 'customers' | 'limits' | 'directives' | 'documents' )"`
+	Table string      `parser:"@( 'hosts' | 'services' | 'backends' | 'routes' | 'customers' | 'limits' | 'quarantine' | 'directives' | 'documents' )"`
 	Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 }
 
@@ -57,6 +59,11 @@
 	Expect  string `parser:"( 'expect' @Word )?"`
 }
 
+// Lift ends the quarantine of a request's content.
+type Lift struct {
+	Content string `parser:"@Word"`
+}
+
 var parser = participle.MustBuild[Statement](
 	participle.Lexer(lexer.MustSimple([]lexer.SimpleRule{
 		{Name: "Word", Pattern: `[A-Za-z0-9_.:*-]+`},
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -82,6 +82,9 @@
 	return held.register, true
 }
 
+// Expiry returns when the register at a key is dropped, zero for never or none.
+func (s *Store) Expiry(key string) time.Time { return s.entries[key].expires }
+
 // Stamp returns the stamp at a key, also of a deletion, or nil.
 func (s *Store) Stamp(key string) *peerpb.Stamp {
 	held, ok := s.entries[key]
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -245,6 +245,9 @@
 	// Distrust is set while this host's own network looks faulty.
 	Distrust bool
 
+	// QuarantineChanged asks for a new view of the contents in quarantine.
+	QuarantineChanged bool
+
 	Out Outbox
 }
 
