The same request is known wherever it comes from

The content held the caller's network address.

Change: customer and credentials (Authorization, Cookie) instead of the address.

--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -1,6 +1,9 @@
 // Package content tells whether two requests are the same one that came again: same
-// method, address, caller and body, whatever their IDs. It keeps a digest only, so that
-// neither path, body nor key can be read from it.
+// method, target, body and credentials, whatever their IDs and wherever they come from. It
+// keeps a digest only, so that neither path, body nor key can be read from it.
+//
+// The network address of the caller is no part of it: one that comes again does so from any
+// machine of its sender, and through whatever stands before the hosts.
 package content
 
 import (
@@ -31,8 +34,10 @@
 	Host   string
 	// Target is path and query as they came.
 	Target string
-	// Caller is who sent it: the customer's name where there is one, else the address.
-	Caller string
+	// Customer is the name of the customer that sent it, empty for none, and Credentials
+	// what else it shows of who sent it, in the order in which it came.
+	Customer    string
+	Credentials []string
 	// Body is the whole body. It is left out of the ID of a Streamed request, whose body
 	// is passed on as it comes and is not known before it is sent.
 	Body     []byte
@@ -46,9 +51,12 @@
 		panic(err) // length and domain are constants of this package
 	}
 	head := make([]byte, 0, 256)
-	for _, part := range [...]string{r.Method, r.Host, r.Target, r.Caller} {
-		head = binary.AppendUvarint(head, uint64(len(part)))
-		head = append(head, part...)
+	for _, part := range [...]string{r.Method, r.Host, r.Target, r.Customer} {
+		head = appendPart(head, part)
+	}
+	head = binary.AppendUvarint(head, uint64(len(r.Credentials)))
+	for _, part := range r.Credentials {
+		head = appendPart(head, part)
 	}
 	if r.Streamed {
 		head = append(head, 1)
@@ -62,6 +70,12 @@
 	return id
 }
 
+// appendPart adds a text with its length, so that no two lists of texts are alike.
+func appendPart(head []byte, part string) []byte {
+	head = binary.AppendUvarint(head, uint64(len(part)))
+	return append(head, part...)
+}
+
 // Parse reads what String wrote.
 func Parse(text string) (ID, error) {
 	raw, err := hex.DecodeString(text)
--- a/internal/content/content_test.go
+++ b/internal/content/content_test.go
@@ -6,16 +6,18 @@
 )
 
 func TestIDsTellContentsApart(t *testing.T) {
-	base := Request{Method: "GET", Host: "a.example", Target: "/x?y=1", Caller: "10.0.0.1", Body: []byte("b")}
+	base := Request{Method: "GET", Host: "a.example", Target: "/x?y=1", Customer: "acme", Credentials: []string{"k1"}, Body: []byte("b")}
 	others := map[string]Request{}
 	for name, change := range map[string]func(*Request){
 		"method":   func(r *Request) { r.Method = "POST" },
 		"host":     func(r *Request) { r.Host = "b.example" },
 		"query":    func(r *Request) { r.Target = "/x?y=2" },
-		"caller":   func(r *Request) { r.Caller = "10.0.0.2" },
+		"customer": func(r *Request) { r.Customer = "other" },
+		"key":      func(r *Request) { r.Credentials = []string{"k2"} },
+		"keys":     func(r *Request) { r.Credentials = []string{"k", "1"} },
 		"body":     func(r *Request) { r.Body = []byte("c") },
 		"streamed": func(r *Request) { r.Streamed = true },
-		"bounds":   func(r *Request) { r.Target, r.Caller = "/x?y=", "110.0.0.1" },
+		"bounds":   func(r *Request) { r.Target, r.Customer = "/x?y=1a", "cme" },
 	} {
 		r := base
 		change(&r)
@@ -52,7 +54,7 @@
 		name  string
 		bytes int
 	}{{"0B", 0}, {"4KiB", 4 << 10}, {"64KiB", 64 << 10}} {
-		r := Request{Method: "POST", Host: "shop.example", Target: "/orders/4711?page=2", Caller: "10.0.0.1", Body: make([]byte, size.bytes)}
+		r := Request{Method: "POST", Host: "shop.example", Target: "/orders/4711?page=2", Customer: "acme", Body: make([]byte, size.bytes)}
 		b.Run(size.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -19,17 +21,27 @@
 func (r *Request) content() content.ID {
 	r.contentOnce.Do(func() {
 		r.contentID = content.Of(content.Request{
-			Method:   r.in.Method,
-			Host:     hostname(r.in.Host),
-			Target:   r.in.URL.RequestURI(),
-			Caller:   r.Caller,
-			Body:     r.body.kept,
-			Streamed: !r.body.isKept,
+			Method:      r.in.Method,
+			Host:        hostname(r.in.Host),
+			Target:      r.in.URL.RequestURI(),
+			Customer:    r.Customer,
+			Credentials: r.credentials(),
+			Body:        r.body.kept,
+			Streamed:    !r.body.isKept,
 		})
 	})
 	return r.contentID
 }
 
+// credentials are what a request shows of who sent it, beside the customer's key.
+func (r *Request) credentials() []string {
+	shown := slices.Clone(r.in.Header.Values("Cookie"))
+	if !r.HideKey {
+		shown = append(shown, r.in.Header.Values(customer.HeaderAuthorization)...)
+	}
+	return shown
+}
+
 // hostname is the name in a Host header, without the port, by which hosts may differ.
 func hostname(host string) string { return (&url.URL{Host: host}).Hostname() }
 
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -39,7 +39,6 @@
 	h.Set(protocol.HeaderDeadline, deadlineMs(x.req.Deadline))
 	h.Set(HeaderForwardedBy, x.snap.Self.Host)
 	h.Set(HeaderService, x.req.Service)
-	h.Set(HeaderCaller, x.req.Caller)
 	h.Set(HeaderIdempotent, strconv.FormatBool(x.req.Idempotent))
 	if x.req.Customer != "" {
 		h.Set(protocol.HeaderCustomer, x.req.Customer)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -34,7 +34,6 @@
 	HeaderService     = "Pearshelf-Service"
 	HeaderIdempotent  = "Pearshelf-Idempotent"
 	HeaderKind        = "Pearshelf-Kind" // errs.Kind of a refusal
-	HeaderCaller      = "Pearshelf-Caller"
 )
 
 const (
@@ -62,8 +61,6 @@
 	Key string
 	// Session may be empty.
 	Session string
-	// Caller is who connects: the customer's name where there is one, else the IP address.
-	Caller string
 	// Customer is the name of the one whose key the caller has, empty for none. It is
 	// settled once, when the request arrives, and goes with each of its sends.
 	Customer string
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"path"
 	"strconv"
@@ -177,7 +176,6 @@
 	if err != nil {
 		return err
 	}
-	req.Caller = callerOf(req, r)
 	if req.Session == "" && f.conf.Protocol.Sessions {
 		req.Session = ulid.Make().String()
 	}
@@ -221,7 +219,6 @@
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	req.Customer = r.Header.Get(protocol.HeaderCustomer)
 	req.ForwardedBy = r.Header.Get(dispatch.HeaderForwardedBy)
-	req.Caller = r.Header.Get(dispatch.HeaderCaller)
 	left, err := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
 	if err != nil || req.Service == "" || id == "" {
 		return refuse(http.StatusBadRequest, errs.KindBadRequest, "forwarded request lacks a header", "run one version of the daemon on all hosts")
@@ -286,18 +283,6 @@
 	return nil
 }
 
-// callerOf returns who connects: a customer has one name wherever it connects from.
-func callerOf(req *dispatch.Request, r *http.Request) string {
-	if req.Customer != "" {
-		return req.Customer
-	}
-	address, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr // a listener that gives no port
-	}
-	return address
-}
-
 func hostName(r *http.Request) string {
 	host, _, found := strings.Cut(r.Host, ":")
 	if found && strings.HasPrefix(r.Host, "[") {
