--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -64,6 +65,7 @@
 	Requests int
 	Served   int
 	Refused  int // told as not run
+	Ended    int // servers that the request ended which ends servers
 	Faults   map[string]int
 	Findings []Finding
 }
@@ -88,10 +90,13 @@
 		return nil, err
 	}
 	stop := s.startCallers(ctx)
+	stopEnding := s.startEndingCaller(ctx)
 	s.injectFaults(ctx)
+	stopEnding()
 	s.endFaults()
 	findings := s.checkRecovery(ctx)
 	stop()
+	findings = append(findings, s.checkEnds()...)
 	findings = append(findings, s.checkIdle(ctx)...)
 	findings = append(findings, s.journal.check(s.hosts)...)
 	return s.report(findings), nil
@@ -112,6 +117,7 @@
 	hosts        []*host
 	document     config.Document
 	version      int
+	ending       ending
 
 	ends sync.WaitGroup // of faults that end by themselves
 
@@ -171,7 +177,7 @@
 		id := fmt.Sprint("b", i+1)
 		server, err := backend.Start(backend.Config{
 			ID: id, Slots: serverSlots, ServiceTime: serviceTime, Seed: s.conf.Seed + uint64(i),
-			Download: make([]byte, downloadSize), Ran: s.journal.ran,
+			Download: make([]byte, downloadSize), Ran: func(r *http.Request) { s.ran(i, r) },
 		})
 		if err != nil {
 			return err
@@ -245,6 +251,7 @@
 func (s *soak) report(findings []Finding) *Report {
 	r := &Report{Seed: s.conf.Seed, Direct: s.direct, Faults: s.faults, Findings: findings}
 	r.Requests, r.Served, r.Refused = s.journal.counts()
+	r.Ended = s.ending.count()
 	return r
 }
 
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/upstream"
-	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // subject identifies the request by what it is and whose it is, so that it is known when it
@@ -118,7 +118,7 @@
 // isEvidence reports whether a server's end may be the request's doing: a server that was
 // leaving ends by itself, and a host that stood still saw the connection break long after.
 func (x *exchange) isEvidence(lease *place) bool {
-	return x.inRotation(lease.Server) && !world.Passed(time.Now(), x.d.snapshot().FreshUntil)
+	return x.inRotation(lease.Server) && x.d.snapshot().Fresh(time.Now(), boottime.Suspended())
 }
 
 // noteServed clears the request of having ended servers, where anything is suspected: what
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -64,7 +65,7 @@
 	if x.req.Idempotent {
 		return nil
 	}
-	if world.Passed(now, x.d.snapshot().FreshUntil) {
+	if !x.d.snapshot().Fresh(now, boottime.Suspended()) {
 		return errs.New(errs.KindStaleHost, "this host paused and its view is not fresh yet", "repeat the request after the time in Retry-After")
 	}
 	return nil
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/directive"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/gossip"
@@ -79,6 +80,9 @@
 	DirectSpread time.Duration
 	// Seed of all random choices.
 	Seed uint64
+	// Suspended returns for how long the machine has been suspended since it booted, nil
+	// for package boottime's.
+	Suspended func() time.Duration
 	// BeforeTick, if set, is called before each tick. Tests hold it to freeze a
 	// host.
 	BeforeTick func()
@@ -124,6 +128,10 @@
 		lastTick:  now,
 		whenReady: make(chan struct{}),
 	}
+	if e.conf.Suspended == nil {
+		e.conf.Suspended = boottime.Suspended
+	}
+	e.world.Suspended = e.conf.Suspended()
 	e.members = membership.New(conf.Membership, e, e.queue, now)
 	e.world.DirectPicking = !conf.Forwarding
 	if conf.Documents != nil {
@@ -271,11 +279,15 @@
 // noticePause marks the view stale when this process did not run for long, and
 // fresh again once another host has been heard since.
 func (e *Engine) noticePause(now time.Time) {
-	pause := world.Elapsed(e.lastTick, now)
+	suspended := e.conf.Suspended()
+	slept := suspended - e.world.Suspended
+	pause := max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+slept)
 	e.lastTick = now
+	e.world.Suspended = suspended
 	if pause > e.conf.Freshness {
 		e.wokeAt = now
-		e.world.Record(now, event.HostPaused, "", "", pause.Round(time.Millisecond).String())
+		e.world.FreshUntil = now.Add(-time.Nanosecond) // by the steady clock it may lie ahead
+		e.world.Record(now, event.HostPaused, "", "", pause.Round(time.Millisecond).String()+", of it suspended "+slept.Round(time.Millisecond).String())
 	}
 	if e.wokeAt.IsZero() {
 		return
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -29,10 +29,13 @@
 func (ignored) StopRequested()                     {}
 func (ignored) Ticked(time.Duration, *world.World) {}
 
-func newEngine() *engine.Engine {
+func newEngine() *engine.Engine { return newEngineWith(nil) }
+
+func newEngineWith(suspended func() time.Duration) *engine.Engine {
 	return engine.New(engine.Config{
-		Self: world.Identity{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1"},
-		Tick: 100 * time.Millisecond, Freshness: time.Second, Seeds: []string{"10.0.0.2:1"},
+		Suspended: suspended,
+		Self:      world.Identity{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1"},
+		Tick:      100 * time.Millisecond, Freshness: time.Second, Seeds: []string{"10.0.0.2:1"},
 		Membership: membership.Config{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1", ProbeInterval: time.Second, ProbeTimeout: 400 * time.Millisecond, GossipInterval: 100 * time.Millisecond},
 	}, &hlc.Clock{}, ignored{}, epoch)
 }
@@ -86,3 +89,33 @@
 		t.Fatal("stale although another host was heard")
 	}
 }
+
+// While a machine is suspended the steady clock stands still, and the time of day may be
+// set back at the same moment: neither shows the pause, CLOCK_BOOTTIME does.
+func TestSuspensionMakesTheViewStale(t *testing.T) {
+	for _, slept := range []time.Duration{3 * time.Second, time.Minute} {
+		suspended := 5 * time.Hour
+		e := newEngineWith(func() time.Duration { return suspended })
+		e.Merge(epoch, []*peerpb.Member{{Host: "h2", Address: "10.0.0.2:1", DataCentre: "dc1", Incarnation: 1}}, nil, 0)
+		now := epoch.Add(100 * time.Millisecond)
+		e.Step(now)
+		if !e.Snapshot().Fresh(now, suspended) {
+			t.Fatal("a view is stale at once")
+		}
+		suspended += slept
+		now = now.Add(100 * time.Millisecond)
+		if e.Snapshot().Fresh(now, suspended) {
+			t.Errorf("the view of before %s is fresh", slept)
+		}
+		e.Step(now)
+		if e.Snapshot().Fresh(now, suspended) {
+			t.Errorf("the view is fresh after %s, before another host was heard", slept)
+		}
+		later := now.Add(200 * time.Millisecond)
+		e.Datagram(later, "10.0.0.2:1", &peerpb.Datagram{Kind: peerpb.Datagram_KIND_GOSSIP, From: "h2"})
+		e.Step(later.Add(100 * time.Millisecond))
+		if !e.Snapshot().Fresh(later.Add(200*time.Millisecond), suspended) {
+			t.Errorf("the view is stale after %s although another host was heard", slept)
+		}
+	}
+}
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -57,6 +57,7 @@
 	return &world.Snapshot{
 		Self:            w.Self,
 		FreshUntil:      w.FreshUntil,
+		Suspended:       w.Suspended,
 		Revisions:       v.revisions,
 		Ready:           ready,
 		Leaving:         w.Leaving,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -17,6 +17,9 @@
 	known = 0.5
 )
 
+// endedUnder is in the reason of a request that was refused because it ends servers.
+const endedUnder = "servers ended under"
+
 // Report is what the logs say of a request.
 type Report struct {
 	Request string
@@ -98,6 +101,8 @@
 		return "server " + last.server + " did not answer in the time that the request had"
 	case kind == "canceled":
 		return "the caller went away before server " + last.server + " answered"
+	case last.fate == "ended":
+		return "server " + last.server + " ended while it had the request: it may have run; if that comes again at other servers, show quarantine has it" + repeatNote(r)
 	case kind == "answer-broken" || kind == "cut-short":
 		return "the connection to server " + last.server + " broke after the request was sent: it may have run" + repeatNote(r)
 	case kind == "wrong-answer":
@@ -116,9 +121,11 @@
 		return "no customer holds the key that it came with; it has not run"
 	case "429":
 		return "customer " + r.fields["customer"] + " was beyond its limit over all hosts (" + r.fields["reason"] + "); it has not run"
-	default:
-		return "it was sent to no server: " + r.fields["reason"]
 	}
+	if reason := r.fields["reason"]; strings.Contains(reason, endedUnder) {
+		return "refused, because " + reason + "; it has not run"
+	}
+	return "it was sent to no server: " + r.fields["reason"]
 }
 
 func repeatNote(r line) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,8 @@
 I0406 12:52:23.100000   14785 trace.go:110] "request" request="copied" service="checkout" idempotent=true outcome="complete" status=200 reason="" took="400ms" left="2.6s" version=4 servers=16 tries="b1 answered/200 took=400ms belief=0.01 load=1.0; b7 abandoned took=100ms belief=0.01 load=0.0" missed=0
 I0406 12:52:23.200000   14785 trace.go:110] "request" request="limited" service="checkout" customer="fan" idempotent=true outcome="not-run" status=429 reason="customer-limit: the limit of customer fan, 3 requests a second, is reached" took="0s" left="2.6s" version=4 servers=16 tries="" missed=0
 I0406 12:52:23.300000   14785 trace.go:110] "request" request="keyless" service="checkout" customer="" idempotent=true outcome="not-run" status=401 reason="unknown-key: no customer holds the key of this request" took="0s" left="0s" version=4 servers=16 tries="" missed=0
+I0406 12:52:23.400000   14785 trace.go:110] "request" request="ended" service="checkout" customer="" content="2ec3ba11" idempotent=false outcome="unknown" status=502 reason="connection broke: EOF" took="90ms" left="2.9s" version=4 servers=16 tries="b5 answer-broken server=ended took=90ms belief=0.01 load=1.0" missed=0
+I0406 12:52:23.500000   14785 trace.go:110] "request" request="held" service="checkout" customer="" content="2ec3ba11" idempotent=false outcome="not-run" status=503 reason="3 servers ended under this request: b5 4s ago by h1, b6 3s ago by h2, b8 1s ago by h1 (mend what ends the servers)" took="0s" left="2.9s" version=4 servers=16 tries="" missed=0
    2.1 h2 I0406 12:52:24.000000   14786 event.go:167] "host-started" event=101 host="h2" service="" backend="" detail="dc1"
 some other text
 `
@@ -41,6 +43,8 @@
 		"other":   {"known to fail (belief 0.90)"},
 		"limited": {"customer fan was beyond its limit", "3 requests a second", "has not run"},
 		"keyless": {"no customer holds the key", "has not run"},
+		"ended":   {"b5 ended while it had the request", "may have run", "must not run twice"},
+		"held":    {"refused, because 3 servers ended", "b6 3s ago by h2", "has not run"},
 		"gone":    {"no host has a line", "killed or cut off"},
 	} {
 		cause := l.Request(id).Cause
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -65,6 +65,7 @@
 	took   time.Duration
 	belief float64 // that the server was failing, when it was picked
 	load   float64 // requests that it had then
+	fate   string  // of a server whose connection broke: alive, ended or unknown
 }
 
 // abandoned reports whether the try was given up because another server answered.
@@ -89,6 +90,8 @@
 			switch name {
 			case "took":
 				t.took, _ = time.ParseDuration(text) // 0 where an older log has none
+			case "server":
+				t.fate = text
 			case "belief":
 				t.belief, _ = strconv.ParseFloat(text, 64) // likewise
 			case "load":
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -69,6 +69,9 @@
 	Self Identity
 	// FreshUntil is until when non-idempotent requests may be sent.
 	FreshUntil time.Time
+	// Suspended is for how long the machine had been suspended when this view was made;
+	// see package boottime.
+	Suspended time.Duration
 	// Revisions of the documents in force, by key.
 	Revisions map[string]uint64
 	// Ready is whether a configuration is in force.
@@ -103,6 +106,14 @@
 	ClaimantAddress map[string]string
 }
 
+// Fresh reports whether the view may be trusted for non-idempotent requests. suspended is
+// for how long the machine has been suspended by now: FreshUntil is a point of the steady
+// clock, which stood still meanwhile.
+func (s *Snapshot) Fresh(now time.Time, suspended time.Duration) bool {
+	slept := suspended - s.Suspended
+	return !Passed(now, s.FreshUntil) && now.Add(slept).Sub(s.FreshUntil) <= 0
+}
+
 // SharedService returns a service's servers on their rings, nil if there is no such
 // service.
 func (s *Snapshot) SharedService(name string) *sharing.Service {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -240,6 +240,8 @@
 	Leaving bool
 	// FreshUntil is until when the view may be trusted for non-idempotent work.
 	FreshUntil time.Time
+	// Suspended is for how long the machine has been suspended since it booted.
+	Suspended time.Duration
 	// StartedAt is when this process began.
 	StartedAt time.Time
 	// Distrust is set while this host's own network looks faulty.
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -19,7 +19,7 @@
 
 // Link relays to one target; others reach the target only through it.
 type Link struct {
-	tcp    net.Listener
+	tcp    net.Listener // under mu
 	udp    *net.UDPConn
 	target string
 
@@ -64,12 +64,38 @@
 }
 
 // Address is the address that others use.
-func (l *Link) Address() string { return l.tcp.Addr().String() }
+func (l *Link) Address() string { return l.listener().Addr().String() }
+
+func (l *Link) listener() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tcp
+}
+
+// Down refuses new connections and resets the open ones, as the machine of a process that
+// has ended does.
+func (l *Link) Down() {
+	l.listener().Close()
+	l.Reset()
+}
+
+// Up listens again after Down.
+func (l *Link) Up() error {
+	tcp, err := net.Listen("tcp", l.Address())
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.tcp = tcp
+	l.mu.Unlock()
+	go l.acceptTCP(tcp)
+	return nil
+}
 
 // Connect starts relaying to a target.
 func (l *Link) Connect(target string) {
 	l.target = target
-	go l.acceptTCP()
+	go l.acceptTCP(l.listener())
 	go l.relayUDP()
 }
 
@@ -145,7 +171,7 @@
 
 // Close ends the link.
 func (l *Link) Close() {
-	l.tcp.Close()
+	l.listener().Close()
 	l.udp.Close()
 	l.breakConns()
 	l.mu.Lock()
@@ -155,9 +181,9 @@
 	}
 }
 
-func (l *Link) acceptTCP() {
+func (l *Link) acceptTCP(tcp net.Listener) {
 	for {
-		conn, err := l.tcp.Accept()
+		conn, err := tcp.Accept()
 		if err != nil {
 			return
 		}
