--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -102,7 +102,7 @@
 	x.waiting++
 	to := x.toServer(place)
 	go func() {
-		f.result <- x.fetch(own, to)
+		f.result <- x.fetchApart(own, to)
 		r.results <- f
 	}()
 }
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"runtime/debug"
+
+	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
@@ -37,6 +40,18 @@
 	}
 }
 
+// fetchApart is fetch on a goroutine of its own. A request that makes it panic fails alone:
+// it comes again through other hosts, and would end each of them.
+func (x *exchange) fetchApart(ctx context.Context, to destination) (got fetched) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			klog.ErrorS(nil, "panic while a request was sent", "request", x.req.ID, "service", x.req.Service, "cause", cause, "stack", string(debug.Stack()))
+			got = fetched{failure: upstream.Interrupted()}
+		}
+	}()
+	return x.fetch(ctx, to)
+}
+
 // fetch sends the request once. It reads of the exchange only what does not
 // change while the request is under way, so that copies can be under way beside it.
 func (x *exchange) fetch(ctx context.Context, to destination) fetched {
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// A request that makes a host panic while it is sent apart from its handler fails alone.
+func TestPanicWhileSendingEndsNoHost(t *testing.T) {
+	in := httptest.NewRequest(http.MethodGet, "/x", nil)
+	req := NewRequest(in)
+	if err := req.body.keep(); err != nil {
+		t.Fatal(err)
+	}
+	x := &exchange{d: &Dispatcher{marks: protocol.Own()}, req: req}
+	got := x.fetchApart(context.Background(), destination{adjust: func(http.Header) { panic("planted") }})
+	if got.failure == nil || !got.failure.Written {
+		t.Errorf("got %+v, a failure that may have run expected", got)
+	}
+}
+
 // The same holds where this host itself refuses it in the end.
 func TestRefusalHereAfterAnOwnerBrokeOff(t *testing.T) {
 	for written, want := range map[bool]Outcome{true: OutcomeUnknown, false: OutcomeNotRun} {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -35,6 +35,7 @@
 	KindShed          Kind = "backend-server-shed"
 	KindBroken        Kind = "answer-broken"
 	KindWrongAnswer   Kind = "wrong-answer"
+	KindInternal      Kind = "host-failed"
 	KindDeadline      Kind = "deadline-exceeded"
 	KindQuarantined   Kind = "request-quarantined"
 	KindCanceled      Kind = "canceled"
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -29,7 +29,7 @@
 	if revision == doc.Refused {
 		return
 	}
-	if err := apply(w, now, key, raw); err != nil {
+	if err := applyGuarded(w, now, key, raw); err != nil {
 		doc.Refused = revision
 		doc.RefusedReason = err.Error()
 		w.Record(now, event.ConfigRefused, "", "", fmt.Sprintf("%s revision %d: %v", key, revision, err))
@@ -74,6 +74,17 @@
 	})
 }
 
+// applyGuarded refuses a document that makes this host panic: each host that reads it would
+// end, and again after each start.
+func applyGuarded(w *world.World, now time.Time, key string, raw []byte) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errs.New(errs.KindConfig, fmt.Sprintf("this host failed to read it: %v", cause), "publish an older version, and report the document")
+		}
+	}()
+	return apply(w, now, key, raw)
+}
+
 func apply(w *world.World, now time.Time, key string, raw []byte) error {
 	switch key {
 	case world.KeyIndex:
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -204,6 +204,12 @@
 	return body
 }
 
+// Interrupted is the failure of a request whose work broke off inside this host: a server may
+// have run it.
+func Interrupted() *Failure {
+	return &Failure{Written: true, Dialled: true, err: errs.New(errs.KindInternal, "this host failed while it sent the request", "ask for the outcome before repeating a non-idempotent request; see the host's log")}
+}
+
 // NotSent is the failure of a request that was never handed to a connection.
 func NotSent(err *errs.Error) *Failure {
 	return &Failure{Dialled: true, err: err}
