Quarantine: an answer is told once, a lift forgets, ends and wake-ups are bounded

Found in the reading: each answer to a content that once was a suspect was told to its homes for ten minutes; after a lift one end more was enough; a busy caller's ends grew without bound; each outcome looked through all rows for the next wake-up. A test each, but the last.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -26,6 +26,7 @@
 	table    *quarantine.Table
 	snapshot *world.Snapshot // the one that the table knows
 	timer    *time.Timer
+	timerFor time.Time // when the timer is due
 }
 
 func newQuarantiner(d *Daemon) *quarantiner {
@@ -119,12 +120,17 @@
 	}
 }
 
-// schedule sets the timer to when the table is due next.
+// schedule sets the timer to when the table is due next, where that has changed.
 func (q *quarantiner) schedule(now time.Time) {
+	due := q.table.Due()
+	if due.Equal(q.timerFor) {
+		return
+	}
 	if q.timer != nil {
 		q.timer.Stop()
 	}
-	if due := q.table.Due(); !due.IsZero() {
+	q.timerFor = due
+	if !due.IsZero() {
 		q.timer = time.AfterFunc(due.Sub(now), q.tick)
 	}
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -305,6 +305,63 @@
 	}
 }
 
+// What was answered is told once, not with each answer: a popular read comes often.
+func TestClearedOnce(t *testing.T) {
+	f := newFleet(t, 10)
+	f.ended("h001", idOf("popular"), "s1")
+	f.pass(200 * time.Millisecond)
+	f.served("h001", idOf("popular"))
+	before := f.sent
+	for range 100 {
+		f.served("h001", idOf("popular"))
+	}
+	if f.sent != before {
+		t.Errorf("%d bytes sent for answers that clear nothing", f.sent-before)
+	}
+	for _, h := range f.hosts {
+		if h.table.Watches() {
+			t.Errorf("%s still has evidence", h.name)
+		}
+	}
+}
+
+// After an operator has lifted a quarantine it takes as many ends as at first.
+func TestLiftForgets(t *testing.T) {
+	f := newFleet(t, 10)
+	bad := idOf("bad")
+	for i := range 3 {
+		f.ended("h001", bad, fmt.Sprint("s", i))
+	}
+	f.pass(time.Second)
+	f.tell(f.hosts["h002"], Decision{Cleared: bad})
+	f.pass(time.Second)
+	f.ended("h003", bad, "s7")
+	f.ended("h004", bad, "s8")
+	f.pass(time.Second)
+	if n := f.refusedBy(bad); n != 0 {
+		t.Errorf("%d hosts refuse it after two ends", n)
+	}
+	f.ended("h005", bad, "s9")
+	f.pass(time.Second)
+	if n := f.refusedBy(bad); n != 10 {
+		t.Errorf("%d of 10 hosts refuse it after three ends", n)
+	}
+}
+
+// A busy caller may be at many servers that end by themselves: what is kept is bounded.
+func TestEndsAreBounded(t *testing.T) {
+	table := NewTable("h1")
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		now = now.Add(time.Second / 10)
+		table.Ended(now, idOf("caller"), End{Scope: ScopeCaller, Server: fmt.Sprint("s", i), At: now})
+	}
+	s := table.suspects[idOf("caller")]
+	if len(s.ends) > maxEnds || len(s.own) > maxEnds {
+		t.Errorf("%d and %d ends are kept", len(s.ends), len(s.own))
+	}
+}
+
 // When a hold is over one host sends the content once. If another server ends the next
 // hold is longer, if it is answered all hosts serve it.
 func TestTrials(t *testing.T) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -42,8 +42,6 @@
 	own       []End
 	told      []string
 	tellAgain time.Time
-	// clearedAt is when the content was last answered; older ends do not count.
-	clearedAt time.Time
 	// decideAt is when this home decides, unless another has; zero if nothing is due.
 	decideAt time.Time
 	changed  time.Time
@@ -56,6 +54,10 @@
 	fleet    Fleet
 	view     *View
 	suspects map[content.ID]*suspect
+	// cleared is when contents were last answered that had been suspects; older ends of
+	// them do not count.
+	cleared map[content.ID]time.Time
+	due     time.Time
 	// trials are when this host, as first home, last let a content be tried; asked when it
 	// last asked another one, and granted until when it may send a content itself.
 	trials  map[content.ID]time.Time
@@ -75,6 +77,7 @@
 		self:     self,
 		fleet:    Fleet{Homes: []rendezvous.Node{rendezvous.NewNode(self, "")}},
 		suspects: make(map[content.ID]*suspect),
+		cleared:  make(map[content.ID]time.Time),
 		trials:   make(map[content.ID]time.Time),
 		asked:    make(map[content.ID]time.Time),
 		granted:  make(map[content.ID]time.Time),
@@ -94,8 +97,16 @@
 	}
 }
 
-// SetView tells of the contents in quarantine.
-func (t *Table) SetView(view *View) { t.view = view }
+// SetView tells of the contents in quarantine. What was known of one that is no longer, by
+// an operator's word, an answer or the time, counts no more.
+func (t *Table) SetView(view *View) {
+	for _, q := range t.view.All() {
+		if view.Get(q.Content) == nil {
+			delete(t.suspects, q.Content)
+		}
+	}
+	t.view = view
+}
 
 // Watches reports whether this host has evidence of any content: only then must it be told
 // of answers.
@@ -105,16 +116,16 @@
 func (t *Table) Ended(now time.Time, id content.ID, end End) {
 	end.Host = t.self
 	s := t.suspect(now, id)
-	s.own = append(s.own, end)
+	s.own = newest(append(s.own, end))
 	s.tellAgain = now.Add(tellAgainAfter)
+	t.dueBy(s.tellAgain)
 	t.tell(now, s, t.homesOf(id))
 	t.add(now, s, end)
 }
 
 // Served takes that a server has answered a request of a content whole.
 func (t *Table) Served(now time.Time, id content.ID) {
-	s, known := t.suspects[id]
-	if !known && t.view.Get(id) == nil {
+	if t.suspects[id] == nil && t.view.Get(id) == nil {
 		return
 	}
 	for _, home := range t.homesOf(id) {
@@ -122,10 +133,7 @@
 			t.out = append(t.out, Message{To: home, Served: [][]byte{id[:]}})
 		}
 	}
-	if known {
-		t.clear(now, s)
-	}
-	t.lift(id)
+	t.clear(now, id)
 }
 
 // Receive takes what another host tells.
@@ -136,11 +144,13 @@
 		if !known || !ok || told.Server == "" {
 			continue // not of this version of the daemon
 		}
-		t.add(now, t.suspect(now, id), End{Scope: scope, Service: told.Service, Server: told.Server, At: now.Add(-age(told)), Host: d.From})
+		end := End{Scope: scope, Service: told.Service, Server: told.Server, At: now.Add(-age(told)), Host: d.From}
+		if t.counts(now, id, end) {
+			t.add(now, t.suspect(now, id), end)
+		}
 	}
 	for _, id := range idsOf(d.Served) {
-		t.clear(now, t.suspect(now, id))
-		t.lift(id)
+		t.clear(now, id)
 	}
 	for _, id := range idsOf(d.TrialAsks) {
 		if q := t.view.Get(id); q != nil && t.grant(now, q) {
@@ -201,6 +211,7 @@
 		t.makeRoom()
 		s = &suspect{id: id}
 		t.suspects[id] = s
+		t.dueBy(now.Add(knownFor))
 	}
 	s.changed = now
 	return s
@@ -220,18 +231,24 @@
 	delete(t.suspects, oldest.id)
 }
 
+// counts reports whether an end is still evidence against a content.
+func (t *Table) counts(now time.Time, id content.ID, end End) bool {
+	cleared, known := t.cleared[id]
+	return now.Sub(end.At) <= knownFor && (!known || end.At.After(cleared))
+}
+
 // add notes the end of a server, once however many hosts tell of it.
 func (t *Table) add(now time.Time, s *suspect, end End) {
-	if !end.At.After(s.clearedAt) || now.Sub(end.At) > knownFor {
-		return
-	}
 	if slices.ContainsFunc(s.ends, end.same) {
 		return
 	}
-	s.ends = append(s.ends, end)
+	s.ends = newest(append(s.ends, end))
 	t.consider(now, s)
 }
 
+// newest keeps as many ends as are of use.
+func newest(ends []End) []End { return ends[max(len(ends)-maxEnds, 0):] }
+
 // consider makes a decision due where there is evidence for one.
 func (t *Table) consider(now time.Time, s *suspect) {
 	if !s.decideAt.IsZero() || !t.isDue(s) {
@@ -245,6 +262,7 @@
 		rank = homes // unless none of them does
 	}
 	s.decideAt = now.Add(time.Duration(rank) * rankDelay)
+	t.dueBy(s.decideAt)
 	t.decideIfDue(now, s)
 }
 
@@ -268,18 +286,18 @@
 	}
 	if !t.mayDecide(now) {
 		s.decideAt = t.second.Add(time.Second)
+		t.dueBy(s.decideAt)
 		return
 	}
 	trials := 0
 	if q := t.view.Get(s.id); q != nil {
 		trials = q.Trials + 1
 	}
-	ends := s.ends[max(len(s.ends)-maxEnds, 0):]
 	t.decisions = append(t.decisions, Decision{Quarantine: &Quarantine{
 		Content: s.id,
-		Scope:   ends[0].Scope,
-		Service: ends[len(ends)-1].Service,
-		Ends:    slices.Clone(ends),
+		Scope:   s.ends[0].Scope,
+		Service: s.ends[len(s.ends)-1].Service,
+		Ends:    slices.Clone(s.ends),
 		Until:   now.Add(hold(trials)),
 		Trials:  trials,
 	}})
@@ -295,17 +313,13 @@
 	return t.decided <= maxDecisions
 }
 
-// clear forgets the ends of a content that has been answered.
-func (t *Table) clear(now time.Time, s *suspect) {
-	s.clearedAt = now
-	s.ends = nil
-	s.own = nil
-	s.decideAt = time.Time{}
-	s.tellAgain = time.Time{}
-}
-
-// lift ends the quarantine of a content.
-func (t *Table) lift(id content.ID) {
+// clear forgets the ends of a content that has been answered, and ends its quarantine.
+func (t *Table) clear(now time.Time, id content.ID) {
+	delete(t.suspects, id)
+	if len(t.cleared) < maxSuspects {
+		t.cleared[id] = now
+		t.dueBy(now.Add(knownFor))
+	}
 	if t.view.Get(id) != nil {
 		t.decisions = append(t.decisions, Decision{Cleared: id})
 	}
@@ -343,8 +357,9 @@
 
 // Tick does what the time calls for.
 func (t *Table) Tick(now time.Time) {
+	t.due = time.Time{}
 	for id, s := range t.suspects {
-		if now.Sub(s.changed) > knownFor {
+		if now.Sub(s.changed) >= knownFor {
 			delete(t.suspects, id)
 			continue
 		}
@@ -353,7 +368,11 @@
 			s.tellAgain = time.Time{}
 			t.tell(now, s, t.homesOf(id))
 		}
+		t.dueBy(s.decideAt)
+		t.dueBy(s.tellAgain)
+		t.dueBy(s.changed.Add(knownFor))
 	}
+	forgetBefore(t.cleared, now.Add(-knownFor))
 	forgetBefore(t.trials, now.Add(-trialPause))
 	forgetBefore(t.asked, now.Add(-askAgain))
 	forgetBefore(t.granted, now)
@@ -369,16 +388,13 @@
 }
 
 // Due is when Tick must be called at the latest, zero for never.
-func (t *Table) Due() time.Time {
-	var due time.Time
-	for _, s := range t.suspects {
-		for _, at := range [...]time.Time{s.decideAt, s.tellAgain, s.changed.Add(knownFor)} {
-			if !at.IsZero() && (due.IsZero() || at.Before(due)) {
-				due = at
-			}
-		}
+func (t *Table) Due() time.Time { return t.due }
+
+// dueBy makes Tick due at a time, or earlier.
+func (t *Table) dueBy(at time.Time) {
+	if !at.IsZero() && (t.due.IsZero() || at.Before(t.due)) {
+		t.due = at
 	}
-	return due
 }
 
 // Messages returns what is to be sent, and forgets it.
