--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/pearshelf/pearshelf/internal/explain"
 	"github.com/pearshelf/pearshelf/internal/operator"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/internal/version"
@@ -33,6 +34,7 @@
 	Set       statement      `cmd:"" help:"Change a field of a service. Example: set service seatmap floor 5"`
 	Timeline  timeline       `cmd:"" help:"Events of all hosts in causal order."`
 	Explain   explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
+	Account   accountLogs    `cmd:"" help:"Why requests were not served, summed over the logs of the hosts. Example: account --by service logs/*.log"`
 	KeyDigest keyDigest      `cmd:"" help:"Print the digest of a customer's key for key_digests; the key is read from standard input. Example: pearshelf key-digest < key.txt"`
 	Config    struct {
 		Check checkConfig `cmd:"" help:"Check a shard document before it is published."`
@@ -73,6 +75,16 @@
 	return app.Explain(e.Request, e.Logs, os.Stdin)
 }
 
+type accountLogs struct {
+	By   string   `help:"Group by: cause, service, customer or second." enum:"cause,service,customer,second" default:"cause"`
+	Logs []string `arg:"" optional:"" help:"Logs of the hosts, each named after its host; standard input if none." type:"existingfile"`
+}
+
+// Run sums logs without a fleet.
+func (a *accountLogs) Run(app *operator.App) error {
+	return app.Account(explain.Grouping(a.By), a.Logs, os.Stdin)
+}
+
 type keyDigest struct{}
 
 // Run prints the digest of a key without a fleet.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
 const (
@@ -17,9 +15,6 @@
 	known = 0.5
 )
 
-// endedUnder is in the reason of a request that was refused because it ends servers.
-const endedUnder = "servers ended under"
-
 // Report is what the logs say of a request.
 type Report struct {
 	Request string
@@ -50,7 +45,7 @@
 	if reason := r.fields["reason"]; reason != "" {
 		report.Steps = append(report.Steps, "reason given: "+reason)
 	}
-	report.Cause = l.cause(r, tries)
+	report.Cause = l.cause(r, tries).Text
 	for _, t := range tries {
 		report.Around = append(report.Around, l.serverAround(r, t.server))
 	}
@@ -73,93 +68,21 @@
 	}
 }
 
-// decisive is the last try that was not given up for another one.
-func decisive(tries []try) try {
-	for _, t := range slices.Backward(tries) {
-		if !t.abandoned() {
-			return t
-		}
-	}
-	return tries[len(tries)-1]
-}
-
-// cause names the reason by the last try and the outcome.
-func (l *Logs) cause(r line, tries []try) string {
-	if len(tries) == 0 {
-		return unsentCause(r)
-	}
-	last := decisive(tries)
-	kind, _, _ := strings.Cut(last.result, "/")
-	switch {
-	case !last.failed():
-		return "server " + last.server + " answered it"
-	case kind == "not-run":
-		return l.shedCause(r, tries)
-	case kind == "dial-failed":
-		return "no connection to server " + last.server + " could be made from " + r.host + ", and no other server was tried in the time left"
-	case kind == "deadline-exceeded":
-		return "server " + last.server + " did not answer in the time that the request had"
-	case kind == "canceled":
-		return "the caller went away before server " + last.server + " answered"
-	case last.fate == "ended":
-		return "server " + last.server + " ended while it had the request: it may have run; if that comes again at other servers, show quarantine has it" + repeatNote(r)
-	case kind == "answer-broken" || kind == "cut-short":
-		return "the connection to server " + last.server + " broke after the request was sent: it may have run" + repeatNote(r)
-	case kind == "wrong-answer":
-		return "server " + last.server + " sent an answer that is not this request's" + repeatNote(r)
-	case strings.HasSuffix(last.result, "/504"):
-		return "server " + last.server + " gave up at the deadline"
-	default:
-		return l.errorCause(r, last) + repeatNote(r)
-	}
-}
-
-// unsentCause names the reason of a request that was sent to no server.
-func unsentCause(r line) string {
-	switch r.fields["status"] {
-	case "401":
-		return "no customer holds the key that it came with; it has not run"
-	case "429":
-		return "customer " + r.fields["customer"] + " was beyond its limit over all hosts (" + r.fields["reason"] + "); it has not run"
-	}
-	if reason := r.fields["reason"]; strings.Contains(reason, endedUnder) {
-		return "refused, because " + reason + "; it has not run"
-	}
-	return "it was sent to no server: " + r.fields["reason"]
-}
-
-func repeatNote(r line) string {
-	if r.fields["idempotent"] == "true" {
-		return "; it could be repeated, but its tries, its time or the retry allowance were spent"
-	}
-	return "; it must not run twice, so it was not sent again"
-}
-
-// errorCause tells a failing server from an error of the request's own.
-func (l *Logs) errorCause(r line, last try) string {
-	usual := l.usualTime(r.fields["service"])
-	if usual > 0 && float64(last.took) > policy.QuickErrorShare*float64(usual) {
-		return fmt.Sprintf("server %s worked on it for %s, about as long as usual (%s), and answered an error: most likely the request's own", last.server, last.took, usual)
-	}
-	if last.belief >= known {
-		return fmt.Sprintf("server %s was known to fail (belief %.2f) and was picked because the others were worse, full or not to be reached", last.server, last.belief)
+// usualTime is the median time of good answers of a service, 0 if the logs have
+// none.
+func (l *Logs) usualTime(service string) time.Duration {
+	if l.usual == nil {
+		l.usual = make(map[string]time.Duration)
 	}
-	return fmt.Sprintf("server %s failed it at once, and this host did not know yet that it was failing (belief %.2f): it was among the first requests to meet the spell", last.server, last.belief)
-}
-
-func (l *Logs) shedCause(r line, tries []try) string {
-	refused := 0
-	for _, t := range tries {
-		if strings.HasPrefix(t.result, "not-run") {
-			refused++
-		}
+	usual, known := l.usual[service]
+	if !known {
+		usual = l.medianTime(service)
+		l.usual[service] = usual
 	}
-	return fmt.Sprintf("overload: %d servers refused it without running it, and the fleet's retry allowance or its tries were spent; it has not run", refused)
+	return usual
 }
 
-// usualTime is the median time of good answers of a service, 0 if the logs have
-// none.
-func (l *Logs) usualTime(service string) time.Duration {
+func (l *Logs) medianTime(service string) time.Duration {
 	var times []time.Duration
 	for _, r := range l.requests {
 		if r.fields["service"] != service {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -1,6 +1,8 @@
 package explain_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -70,3 +72,30 @@
 		t.Errorf("steps of the refused request: %s", steps)
 	}
 }
+
+// Each request that was not served is counted once, by its cause.
+func TestAccount(t *testing.T) {
+	account := read(t).Account(explain.ByCause)
+	counted := map[explain.CauseKind][2]int{}
+	sum := 0
+	for _, row := range account.Rows {
+		counted[row.Cause] = [2]int{row.NotRun, row.Lost}
+		sum += row.NotRun + row.Lost
+	}
+	want := map[explain.CauseKind][2]int{
+		explain.CauseNewSpell:    {0, 1},
+		explain.CauseKnownSpell:  {0, 1},
+		explain.CauseOwnError:    {0, 1},
+		explain.CauseShed:        {1, 0},
+		explain.CauseLimit:       {1, 0},
+		explain.CauseUnknownKey:  {1, 0},
+		explain.CauseServerEnded: {0, 1},
+		explain.CauseQuarantined: {1, 0},
+	}
+	if !maps.Equal(counted, want) || sum != account.Unserved {
+		t.Errorf("counted %v of %d, want %v", counted, account.Unserved, want)
+	}
+	if rows := read(t).Account(explain.ByCustomer).Rows; !slices.ContainsFunc(rows, func(r explain.AccountRow) bool { return r.Group == "fan" && r.NotRun == 1 }) {
+		t.Errorf("no row of the customer: %v", rows)
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -107,6 +107,7 @@
 type Logs struct {
 	requests []line
 	events   []line
+	usual    map[string]time.Duration // by service
 }
 
 // Read adds a host's log. name is used where lines do not name their host.
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -1,9 +1,11 @@
 package operator
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -13,18 +15,55 @@
 // Explain prints what became of a request by the logs of the hosts: files named
 // after their hosts, or a stream if there are none.
 func (a *App) Explain(request string, files []string, stream io.Reader) error {
+	logs, err := readLogs(files, stream)
+	if err != nil {
+		return err
+	}
+	return a.print(explanation(logs.Request(request)))
+}
+
+func readLogs(files []string, stream io.Reader) (*explain.Logs, error) {
 	logs := &explain.Logs{}
 	if len(files) == 0 {
 		if err := logs.Read(stream, "-"); err != nil {
-			return errs.Wrap(err, errs.KindBadRequest, "standard input cannot be read", "give the logs as files")
+			return nil, errs.Wrap(err, errs.KindBadRequest, "standard input cannot be read", "give the logs as files")
 		}
 	}
 	for _, name := range files {
 		if err := readLog(logs, name); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return a.print(explanation(logs.Request(request)))
+	return logs, nil
+}
+
+// Account prints why requests were not served, summed over the logs of the hosts.
+func (a *App) Account(by explain.Grouping, files []string, stream io.Reader) error {
+	logs, err := readLogs(files, stream)
+	if err != nil {
+		return err
+	}
+	account := logs.Account(by)
+	return a.print(accountTable(by, account))
+}
+
+func accountTable(by explain.Grouping, account explain.Account) Table {
+	t := Table{
+		Columns: []string{"not_run", "lost", "share", "cause"},
+		Summary: fmt.Sprintf("%d requests not served; hosts wrote no line about %d", account.Unserved, account.Missed),
+	}
+	if by != explain.ByCause {
+		t.Columns = append(t.Columns, string(by))
+	}
+	for _, row := range account.Rows {
+		share := float64(row.NotRun+row.Lost) / float64(account.Unserved)
+		cells := []string{strconv.Itoa(row.NotRun), strconv.Itoa(row.Lost), strconv.FormatFloat(share, 'f', 3, 64), string(row.Cause)}
+		if by != explain.ByCause {
+			cells = append(cells, row.Group)
+		}
+		t.Rows = append(t.Rows, cells)
+	}
+	return t
 }
 
 // explanation is a report as the tool prints it.
