--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -430,10 +430,11 @@
 	f := newFleet(t, 10)
 	for i := range 2 * callerEnded {
 		host := f.hosts[fmt.Sprintf("h%03d", i%10)]
-		if i < callerEnded && f.refusedBy(idOf("caller")) > 0 {
-			t.Fatalf("refused after %d ends", i)
+		if n := f.refusedBy(idOf("caller")); i < callerEnded && n > 0 || i == callerEnded && n != 10 {
+			t.Fatalf("%d of 10 hosts refuse the caller after %d ends", n, i)
 		}
-		if f.refusedBy(idOf("caller")) > 0 {
+		if i >= callerEnded {
+			f.pass(time.Second)
 			continue
 		}
 		server := fmt.Sprint("s", i)
@@ -442,8 +443,8 @@
 		f.deliver()
 		f.pass(time.Second)
 	}
-	if n := f.refusedBy(idOf("caller")); n != 10 {
-		t.Errorf("%d of 10 hosts refuse the caller", n)
+	if n := f.trials(idOf("caller")); n != 1 {
+		t.Errorf("%d requests of the caller are tried once its hold is over", n)
 	}
 }
 
@@ -482,7 +483,7 @@
 // A register that came from another host says the same there.
 func TestRegisterKeepsAQuarantine(t *testing.T) {
 	now := time.Unix(1000, 0)
-	q := &Quarantine{Content: idOf("bad"), Service: "shop", Until: now.Add(hold(2)), Trials: 2, Ends: []End{{Service: "shop", Server: "s1", At: now.Add(-time.Second), Host: "h1"}}}
+	q := &Quarantine{Content: idOf("bad"), Service: "shop", Until: now.Add(ScopeContent.hold(2)), Trials: 2, Ends: []End{{Service: "shop", Server: "s1", At: now.Add(-time.Second), Host: "h1"}}}
 	r, err := q.Register(now)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -62,9 +62,13 @@
 	// firstHold is the length of a quarantine. Each trial that ends another server makes
 	// the next one longer by holdGrowth, up to longestHold: a content that always ends
 	// servers ends one in 30 s, 2 min, 8 min, 32 min and each hour after.
-	firstHold   = 30 * time.Second
-	holdGrowth  = 4
-	longestHold = time.Hour
+	firstHold = 30 * time.Second
+	// firstCallerHold is the same for a caller. Requests of many people may come from one
+	// address; while all servers are down none of them is answered, and the first one tried
+	// after it ends the quarantine for all.
+	firstCallerHold = 5 * time.Second
+	holdGrowth      = 4
+	longestHold     = time.Hour
 	// askAgain is how often a host asks a home for a trial.
 	askAgain = time.Second
 	// trialFor is for how long after a hold a content stays on trial before it is forgotten.
@@ -152,8 +156,11 @@
 func (q *Quarantine) covers(end End) bool { return slices.ContainsFunc(q.Ends, end.same) }
 
 // hold is the length of a quarantine after a number of trials that failed.
-func hold(trials int) time.Duration {
+func (s Scope) hold(trials int) time.Duration {
 	length := firstHold
+	if s == ScopeCaller {
+		length = firstCallerHold
+	}
 	for range trials {
 		length = min(length*holdGrowth, longestHold)
 	}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -64,7 +64,7 @@
 		return nil, false // likewise
 	}
 	q := &Quarantine{Content: id, Scope: scope, Service: value.Service, Trials: int(value.Trials), Until: store.Expiry(r.Key).Add(-trialFor)}
-	written := q.Until.Add(-hold(q.Trials))
+	written := q.Until.Add(-q.Scope.hold(q.Trials))
 	for _, e := range value.Ends {
 		q.Ends = append(q.Ends, End{Scope: scope, Service: value.Service, Server: e.Server, At: written.Add(-age(e)), Host: e.Host})
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -293,12 +293,13 @@
 	if q := t.view.Get(s.id); q != nil {
 		trials = q.Trials + 1
 	}
+	scope := s.ends[0].Scope
 	t.decisions = append(t.decisions, Decision{Quarantine: &Quarantine{
 		Content: s.id,
-		Scope:   s.ends[0].Scope,
+		Scope:   scope,
 		Service: s.ends[len(s.ends)-1].Service,
 		Ends:    slices.Clone(s.ends),
-		Until:   now.Add(hold(trials)),
+		Until:   now.Add(scope.hold(trials)),
 		Trials:  trials,
 	}})
 }
