--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 
 	balance *balance.Table // nil with owner hosts
 	limiter *limiter
-	ending  *quarantiner
+	guard   *contentGuard
 
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the balancer asks the caller's listener
@@ -254,7 +254,7 @@
 		d.metrics.WatchBalance(d.balance)
 	}
 	d.limiter = newLimiter(d, rand.Uint64())
-	d.ending = newQuarantiner(d)
+	d.guard = newContentGuard(d)
 	d.metrics.WatchLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
@@ -281,7 +281,7 @@
 		Metrics:  d.metrics,
 		Balance:  d.balance,
 
-		Quarantine: d.ending,
+		Quarantine: d.guard,
 	})
 }
 
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -87,7 +87,7 @@
 	case datagram.Kind == peerpb.Datagram_KIND_QUOTA:
 		d.limiter.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_SERVER_ENDS:
-		d.ending.receive(datagram)
+		d.guard.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_LOAD && d.balance != nil:
 		d.balance.Report(datagram.From, datagram.Life, datagram.Loads, datagram.Near)
 	default:
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -15,9 +15,9 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// quarantiner is the shell of package quarantine on a host: it holds the lock and the
+// contentGuard is the shell of package quarantine on a host: it holds the lock and the
 // clock, sends what the table has to tell and writes what it decides.
-type quarantiner struct {
+type contentGuard struct {
 	d *Daemon
 	// watching mirrors Table.Watches, for requests that need no lock then.
 	watching atomic.Bool
@@ -29,17 +29,17 @@
 	timerFor time.Time // when the timer is due
 }
 
-func newQuarantiner(d *Daemon) *quarantiner {
-	return &quarantiner{d: d, table: quarantine.NewTable(d.settings.Host)}
+func newContentGuard(d *Daemon) *contentGuard {
+	return &contentGuard{d: d, table: quarantine.NewTable(d.settings.Host)}
 }
 
 // Active implements dispatch.Quarantine.
-func (q *quarantiner) Active() bool {
+func (q *contentGuard) Active() bool {
 	return q.watching.Load() || !q.d.engine.Snapshot().Quarantine.Empty()
 }
 
 // Check implements dispatch.Quarantine.
-func (q *quarantiner) Check(subject quarantine.Subject) (refused *quarantine.Quarantine, onTrial bool) {
+func (q *contentGuard) Check(subject quarantine.Subject) (refused *quarantine.Quarantine, onTrial bool) {
 	view := q.d.engine.Snapshot().Quarantine
 	for _, id := range subject.IDs() {
 		held := view.Get(id)
@@ -56,7 +56,7 @@
 }
 
 // tries reports whether a request may be sent to see whether it still ends servers.
-func (q *quarantiner) tries(held *quarantine.Quarantine) bool {
+func (q *contentGuard) tries(held *quarantine.Quarantine) bool {
 	if time.Now().Before(held.Until) {
 		return false
 	}
@@ -69,7 +69,7 @@
 }
 
 // Ended implements dispatch.Quarantine.
-func (q *quarantiner) Ended(subject quarantine.Subject, service, server string) {
+func (q *contentGuard) Ended(subject quarantine.Subject, service, server string) {
 	q.d.metrics.ServerEnded(service)
 	q.do(func(now time.Time) {
 		for scope, id := range subject.IDs() {
@@ -79,7 +79,7 @@
 }
 
 // Served implements dispatch.Quarantine.
-func (q *quarantiner) Served(subject quarantine.Subject) {
+func (q *contentGuard) Served(subject quarantine.Subject) {
 	q.do(func(now time.Time) {
 		for _, id := range subject.IDs() {
 			q.table.Served(now, id)
@@ -88,18 +88,18 @@
 }
 
 // receive takes what another host tells.
-func (q *quarantiner) receive(datagram *peerpb.Datagram) {
+func (q *contentGuard) receive(datagram *peerpb.Datagram) {
 	q.do(func(now time.Time) { q.table.Receive(now, datagram) })
 }
 
-func (q *quarantiner) tick() {
+func (q *contentGuard) tick() {
 	if q.d.ctx.Err() == nil {
 		q.do(q.table.Tick)
 	}
 }
 
 // do works on the table and then does what came of it.
-func (q *quarantiner) do(work func(now time.Time)) {
+func (q *contentGuard) do(work func(now time.Time)) {
 	now := time.Now()
 	q.mu.Lock()
 	snap := q.d.engine.Snapshot()
@@ -121,7 +121,7 @@
 }
 
 // schedule sets the timer to when the table is due next, where that has changed.
-func (q *quarantiner) schedule(now time.Time) {
+func (q *contentGuard) schedule(now time.Time) {
 	due := q.table.Due()
 	if due.Equal(q.timerFor) {
 		return
@@ -135,7 +135,7 @@
 	}
 }
 
-func (q *quarantiner) send(snap *world.Snapshot, messages []quarantine.Message) {
+func (q *contentGuard) send(snap *world.Snapshot, messages []quarantine.Message) {
 	for _, m := range messages {
 		address, known := snap.Sharing.Address(m.To)
 		if !known {
@@ -154,11 +154,11 @@
 }
 
 // carryOut tells all hosts of a decision.
-func (q *quarantiner) carryOut(decision quarantine.Decision) {
+func (q *contentGuard) carryOut(decision quarantine.Decision) {
 	posted := q.d.engine.Post(func(now time.Time) {
 		if decision.Quarantine == nil {
 			q.d.engine.Announce(now, quarantine.Lift(decision.Cleared))
-			q.d.engine.Record(now, event.ContentCleared, "", decision.Cleared.String()+": answered")
+			q.d.engine.Record(now, event.ContentCleared, "", decision.Cleared.Label()+": answered")
 			return
 		}
 		q.announce(now, decision.Quarantine)
@@ -168,7 +168,7 @@
 	}
 }
 
-func (q *quarantiner) announce(now time.Time, decided *quarantine.Quarantine) {
+func (q *contentGuard) announce(now time.Time, decided *quarantine.Quarantine) {
 	r, err := decided.Register(now)
 	if err != nil {
 		klog.ErrorS(err, "content not put under quarantine", "content", decided.Content.Label())
@@ -179,8 +179,8 @@
 	for _, e := range decided.Ends {
 		ends += fmt.Sprintf(" %s/%s/%s", e.Server, now.Sub(e.At).Round(time.Millisecond), e.Host)
 	}
-	q.d.engine.Record(now, event.ContentQuarantined, decided.Service, fmt.Sprintf("%s %s for %s after %d trials; server/age/host:%s", decided.Scope, decided.Content, decided.Until.Sub(now).Round(time.Second), decided.Trials, ends))
+	q.d.engine.Record(now, event.ContentQuarantined, decided.Service, fmt.Sprintf("%s %s for %s after %d trials; server/age/host:%s", decided.Scope, decided.Content.Label(), decided.Until.Sub(now).Round(time.Second), decided.Trials, ends))
 }
 
 // Interface guard.
-var _ dispatch.Quarantine = (*quarantiner)(nil)
+var _ dispatch.Quarantine = (*contentGuard)(nil)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -62,18 +62,18 @@
 
 // Dispatcher serves requests. It is safe for concurrent use.
 type Dispatcher struct {
-	conf     Config
-	snapshot func() *world.Snapshot
-	backends *upstream.Transport
-	fates    *upstream.Fates
-	owners   *upstream.Transport
-	claims   *claims.Coordinator
-	observer Observer
-	events   event.Recorder
-	metrics  *metrics.Metrics
-	balance  *balance.Table
-	ending   Quarantine
-	marks    *protocol.Protocol
+	conf       Config
+	snapshot   func() *world.Snapshot
+	backends   *upstream.Transport
+	fates      *upstream.Fates
+	owners     *upstream.Transport
+	claims     *claims.Coordinator
+	observer   Observer
+	events     event.Recorder
+	metrics    *metrics.Metrics
+	balance    *balance.Table
+	quarantine Quarantine
+	marks      *protocol.Protocol
 
 	requestLog requestLog
 
@@ -104,19 +104,19 @@
 // New returns a dispatcher.
 func New(conf Config, parts Parts) *Dispatcher {
 	return &Dispatcher{
-		conf:     conf,
-		snapshot: parts.Snapshot,
-		backends: parts.Backends,
-		fates:    upstream.NewFates(),
-		owners:   parts.Owners,
-		claims:   parts.Claims,
-		observer: parts.Observer,
-		events:   parts.Events,
-		metrics:  parts.Metrics,
-		balance:  parts.Balance,
-		ending:   parts.Quarantine,
-		marks:    conf.Protocol,
-		services: make(map[string]*serviceState),
+		conf:       conf,
+		snapshot:   parts.Snapshot,
+		backends:   parts.Backends,
+		fates:      upstream.NewFates(),
+		owners:     parts.Owners,
+		claims:     parts.Claims,
+		observer:   parts.Observer,
+		events:     parts.Events,
+		metrics:    parts.Metrics,
+		balance:    parts.Balance,
+		quarantine: parts.Quarantine,
+		marks:      conf.Protocol,
+		services:   make(map[string]*serviceState),
 	}
 }
 
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -79,10 +79,10 @@
 // quarantined returns the refusal of a request that ends the servers which run it, nil for
 // any other.
 func (x *exchange) quarantined() *Refusal {
-	if !x.d.ending.Active() {
+	if !x.d.quarantine.Active() {
 		return nil
 	}
-	held, onTrial := x.d.ending.Check(x.req.subject())
+	held, onTrial := x.d.quarantine.Check(x.req.subject())
 	x.onTrial = x.onTrial || onTrial
 	if held == nil {
 		return nil
@@ -111,7 +111,7 @@
 	fate := x.d.fates.Of(lease.Server.Address)
 	lease.try.fate = fate.String()
 	if fate == upstream.FateEnded && x.isEvidence(lease) {
-		x.d.ending.Ended(x.req.subject(), x.req.Service, lease.Server.ID)
+		x.d.quarantine.Ended(x.req.subject(), x.req.Service, lease.Server.ID)
 	}
 }
 
@@ -124,7 +124,7 @@
 // noteServed clears the request of having ended servers, where anything is suspected: what
 // ends servers never gets a whole answer.
 func (x *exchange) noteServed(status int) {
-	if status < http.StatusInternalServerError && x.d.ending.Active() {
-		x.d.ending.Served(x.req.subject())
+	if status < http.StatusInternalServerError && x.d.quarantine.Active() {
+		x.d.quarantine.Served(x.req.subject())
 	}
 }
--- /dev/null
+++ b/internal/quarantine/tell.go
@@ -0,0 +1,49 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+)
+
+// Message is what this host has to tell another one.
+type Message struct {
+	To     string // host name
+	Ends   []*peerpb.ServerEnd
+	Served [][]byte
+	Asks   [][]byte // contents that this host would try
+	Grants [][]byte // contents that the other host may try
+}
+
+func (t *Table) homesOf(id content.ID) []string {
+	return rendezvous.Top(id.String(), t.fleet.Homes, homes)
+}
+
+// tell tells hosts of the ends that this one has seen.
+func (t *Table) tell(now time.Time, s *suspect, hosts []string) {
+	for _, host := range hosts {
+		if host == t.self {
+			continue
+		}
+		message := Message{To: host}
+		for _, e := range s.own {
+			message.Ends = append(message.Ends, &peerpb.ServerEnd{Content: s.id[:], Scope: peerpb.QuarantineScope(e.Scope), Service: e.Service, Server: e.Server, AgeMs: ageMs(now, e.At)})
+		}
+		t.out = append(t.out, message)
+		if !slices.Contains(s.told, host) {
+			s.told = append(s.told, host)
+		}
+	}
+}
+
+// tellNewHomes tells those that have become a content's home.
+func (t *Table) tellNewHomes(now time.Time, s *suspect) {
+	if len(s.own) == 0 {
+		return
+	}
+	added := slices.DeleteFunc(t.homesOf(s.id), func(host string) bool { return slices.Contains(s.told, host) })
+	t.tell(now, s, added)
+}
