A lift is known to homes that decide later

Cause: the next homes of a content decide 0.15 and 0.3 s after the first; one that had not looked in between put a content under quarantine again that had just been lifted. Ends from before a lift count no more, by the lift's own stamp.

--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -51,7 +51,7 @@
 	v.buildClaimants(w)
 	v.buildRevisions(w)
 	if w.QuarantineChanged {
-		v.quarantine = quarantine.NewView(quarantine.InForce(w.Registers))
+		v.quarantine = quarantine.ViewOf(w.Registers)
 		w.QuarantineChanged = false
 	}
 	return &world.Snapshot{
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -16,6 +16,7 @@
 
 // consider makes a decision due where there is evidence for one.
 func (t *Table) consider(now time.Time, s *suspect) {
+	t.forgetLifted(s)
 	if !s.decideAt.IsZero() || !t.isDue(s) {
 		return
 	}
@@ -31,6 +32,11 @@
 	t.decideIfDue(now, s)
 }
 
+// forgetLifted drops ends from before the content was last lifted.
+func (t *Table) forgetLifted(s *suspect) {
+	s.ends = slices.DeleteFunc(s.ends, func(e End) bool { return !t.view.counts(s.id, e) })
+}
+
 // isDue reports whether a content's ends call for a quarantine, or for a longer one.
 func (t *Table) isDue(s *suspect) bool {
 	q := t.view.Get(s.id)
@@ -46,6 +52,7 @@
 		return
 	}
 	s.decideAt = time.Time{}
+	t.forgetLifted(s)
 	if !t.isDue(s) {
 		return // another home has decided
 	}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/register"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 )
@@ -73,7 +74,7 @@
 				}
 			}
 		}
-		h.table.SetView(NewView(InForce(h.store)))
+		h.table.SetView(ViewOf(h.store))
 		h.table.SetFleet(f.now, Fleet{Version: f.version, Homes: homes})
 	}
 	f.deliver()
@@ -101,6 +102,12 @@
 	}
 }
 
+// stamp is later than all before it.
+func (f *fleet) stamp() uint64 {
+	f.clock = max(f.clock+1, uint64(hlc.FromTime(f.now)))
+	return f.clock
+}
+
 func (f *fleet) tell(from *host, d Decision) {
 	var r *peerpb.Register
 	if d.Quarantine == nil {
@@ -112,13 +119,12 @@
 			f.t.Fatal(err)
 		}
 	}
-	f.clock++
 	f.told += proto.Size(r)
-	r.Stamp = &peerpb.Stamp{Clock: f.clock, Host: from.name}
+	r.Stamp = &peerpb.Stamp{Clock: f.stamp(), Host: from.name}
 	for _, h := range f.hosts {
 		if h.side == from.side {
 			h.store.Merge(f.now, r)
-			h.table.SetView(NewView(InForce(h.store)))
+			h.table.SetView(ViewOf(h.store))
 		}
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -170,11 +170,13 @@
 // View is the contents in quarantine, as all hosts have them. It does not change.
 type View struct {
 	byContent map[content.ID]*Quarantine
+	// lifted is when contents were cleared of what servers had done until then.
+	lifted map[content.ID]time.Time
 }
 
 // NewView returns a view of quarantines.
 func NewView(all []*Quarantine) *View {
-	v := &View{byContent: make(map[content.ID]*Quarantine, len(all))}
+	v := &View{byContent: make(map[content.ID]*Quarantine, len(all)), lifted: make(map[content.ID]time.Time)}
 	for _, q := range all {
 		v.byContent[q.Content] = q
 	}
@@ -192,6 +194,16 @@
 	return v.byContent[id]
 }
 
+// counts reports whether an end is evidence against a content: it must be later than what
+// an answer, or an operator, has cleared.
+func (v *View) counts(id content.ID, end End) bool {
+	if v == nil {
+		return true
+	}
+	lifted, known := v.lifted[id]
+	return !known || end.At.After(lifted)
+}
+
 // All returns the contents in quarantine, the newest first.
 func (v *View) All() []*Quarantine {
 	if v == nil {
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -8,6 +8,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/register"
 )
 
@@ -50,6 +51,17 @@
 	return all
 }
 
+// ViewOf returns the view that a host's registers give.
+func ViewOf(store *register.Store) *View {
+	v := NewView(InForce(store))
+	for _, r := range store.Deleted(prefix) {
+		if id, err := content.Parse(strings.TrimPrefix(r.Key, prefix)); err == nil { // else not of this version
+			v.lifted[id] = hlc.Timestamp(r.Stamp.Clock).Time()
+		}
+	}
+	return v
+}
+
 func parse(store *register.Store, r *peerpb.Register) (*Quarantine, bool) {
 	id, err := content.Parse(strings.TrimPrefix(r.Key, prefix))
 	if err != nil {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -66,16 +66,8 @@
 	}
 }
 
-// SetView tells of the contents in quarantine. What was known of one that is no longer, by
-// an operator's word, an answer or the time, counts no more.
-func (t *Table) SetView(view *View) {
-	for _, q := range t.view.All() {
-		if view.Get(q.Content) == nil {
-			delete(t.suspects, q.Content)
-		}
-	}
-	t.view = view
-}
+// SetView tells of the contents in quarantine, and of those that were lifted.
+func (t *Table) SetView(view *View) { t.view = view }
 
 // Watches reports whether this host has evidence of any content: only then must it be told
 // of answers.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/register"
 )
 
@@ -385,3 +386,24 @@
 		table.Tick(now.Add(time.Second))
 	})
 }
+
+// A home that decides later than the first must not do so after an operator has lifted what
+// the first has decided, of which it may not have heard in between. On a busy machine a
+// lifted content was refused again, 0.15 s later.
+func TestLateHomeDoesNotDecideAgain(t *testing.T) {
+	f := newFleet(t, 10)
+	bad := idOf("bad")
+	second := f.hosts[f.hosts["h000"].table.homesOf(bad)[1]].table
+	for i := range 3 {
+		second.Receive(f.now, &peerpb.Datagram{From: "h9", Ends: []*peerpb.ServerEnd{{Content: bad[:], Server: fmt.Sprint("s", i)}}})
+	}
+	store := register.NewStore()
+	lift := Lift(bad)
+	lift.Stamp = &peerpb.Stamp{Clock: uint64(hlc.FromTime(f.now.Add(100 * time.Millisecond))), Host: "h1"}
+	store.Merge(f.now, lift)
+	second.SetView(ViewOf(store))
+	second.Tick(f.now.Add(time.Second))
+	if decisions := second.Decisions(); len(decisions) != 0 {
+		t.Errorf("%d decisions after the lift", len(decisions))
+	}
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -106,6 +106,18 @@
 	return found
 }
 
+// Deleted returns the deletions that are remembered of keys that start with prefix, by key.
+func (s *Store) Deleted(prefix string) []*peerpb.Register {
+	var found []*peerpb.Register
+	for key, held := range s.entries {
+		if strings.HasPrefix(key, prefix) && held.register.Deleted {
+			found = append(found, held.register)
+		}
+	}
+	sortByKey(found)
+	return found
+}
+
 func sortByKey(registers []*peerpb.Register) {
 	slices.SortFunc(registers, func(a, b *peerpb.Register) int { return cmp.Compare(a.Key, b.Key) })
 }
