A decision that comes after a lift, or after another home's, is dropped

The control loop may be late with a decision on a busy machine: it would be stamped later than a lift that came in between. TestSupersededDecisions.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -169,6 +169,10 @@
 }
 
 func (q *contentGuard) announce(now time.Time, decided *quarantine.Quarantine) {
+	if q.d.engine.Snapshot().Quarantine.Supersedes(decided) {
+		klog.InfoS("content not put under quarantine: another home has, or it was lifted meanwhile", "content", decided.Content.Label())
+		return
+	}
 	r, err := decided.Register(now)
 	if err != nil {
 		klog.ErrorS(err, "content not put under quarantine", "content", decided.Content.Label())
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -204,6 +204,15 @@
 	return !known || end.At.After(lifted)
 }
 
+// Supersedes reports whether a decision comes too late: another home has made it, or all of
+// its ends lie before the content was lifted.
+func (v *View) Supersedes(decided *Quarantine) bool {
+	if held := v.Get(decided.Content); held != nil && held.Trials >= decided.Trials {
+		return true
+	}
+	return !slices.ContainsFunc(decided.Ends, func(e End) bool { return v.counts(decided.Content, e) })
+}
+
 // All returns the contents in quarantine, the newest first.
 func (v *View) All() []*Quarantine {
 	if v == nil {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -407,3 +407,33 @@
 		t.Errorf("%d decisions after the lift", len(decisions))
 	}
 }
+
+// Between a decision and the moment in which the control loop writes it the content may be
+// lifted, or another home's decision may arrive.
+func TestSupersededDecisions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	bad := idOf("bad")
+	decided := &Quarantine{Content: bad, Ends: []End{{Server: "s1", At: now}, {Server: "s2", At: now.Add(time.Second)}}}
+	lifted := func(at time.Time) *View {
+		store := register.NewStore()
+		lift := Lift(bad)
+		lift.Stamp = &peerpb.Stamp{Clock: uint64(hlc.FromTime(at)), Host: "h1"}
+		store.Merge(now, lift)
+		return ViewOf(store)
+	}
+	for name, c := range map[string]struct {
+		view *View
+		want bool
+	}{
+		"nothing known":                 {NewView(nil), false},
+		"lifted before the newest end":  {lifted(now.Add(500 * time.Millisecond)), false},
+		"lifted after all ends":         {lifted(now.Add(2 * time.Second)), true},
+		"decided by another home":       {NewView([]*Quarantine{{Content: bad}}), true},
+		"a trial of another has failed": {NewView([]*Quarantine{{Content: bad, Trials: 1}}), true},
+		"another content in quarantine": {NewView([]*Quarantine{{Content: idOf("x")}}), false},
+	} {
+		if got := c.view.Supersedes(decided); got != c.want {
+			t.Errorf("%s: %t", name, got)
+		}
+	}
+}
