--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -65,6 +65,18 @@
 mutant "refused writes" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream
 mutant "told load is shared" internal/policy/report.go 's/if l.ToldLoad > 0 {/if false {/' ./internal/policy
 mutant "first report is a use" internal/policy/report.go 's/!known || next.requests/next.requests/' ./internal/policy
+mutant "contents are counted" internal/quarantine/quarantine.go 's/	serversEnded = 3$/	serversEnded = 300/' ./e2e -run TestRequestThatEndsServers
+mutant "an answer clears a content" internal/quarantine/suspect.go 's/^	delete(t.suspects, id)$//' ./internal/quarantine -run 'Nothing|AnswerClears'
+mutant "one end counts once" internal/quarantine/suspect.go 's/if slices.ContainsFunc(s.ends, end.same) {/if slices.ContainsFunc(s.ends, end.same) \&\& false {/' ./internal/quarantine -run OneServerCountsOnce
+mutant "ends are told again" internal/quarantine/table.go 's/s.tellAgain = now.Add(tellAgainAfter)/s.tellAgain = time.Time{}/' ./internal/quarantine -run LostMessages
+mutant "new homes are told" internal/quarantine/table.go 's/^		t.tellNewHomes(now, s)$/		_ = s/' ./internal/quarantine -run HomesAreKilled
+mutant "one trial at a time" internal/quarantine/trial.go 's/tried \&\& now.Sub(began) < trialPause/tried \&\& now.Before(began)/' ./internal/quarantine -run Trial
+mutant "a lift forgets" internal/quarantine/decide.go 's/^	t.forgetLifted(s)$//' ./internal/quarantine -run 'Lift|LateHome'
+mutant "leaving servers are no evidence" internal/dispatch/ended.go 's/return x.inRotation(lease.Server) \&\& /return /' ./e2e -ginkgo.focus "after it was drained"
+mutant "a host that stood still is no witness" internal/dispatch/ended.go 's/x.d.snapshot().Fresh(time.Now(), boottime.Suspended())/(x.d.snapshot().Fresh(time.Now(), boottime.Suspended()) || true)/' ./e2e -ginkgo.focus "stood still"
+mutant "an end is checked" internal/dispatch/ended.go 's/fate == upstream.FateEnded \&\& /(fate == upstream.FateEnded || true) \&\& /' ./e2e -ginkgo.focus "evidence that a request"
+mutant "path faults leave half" internal/system/rotation/rotation.go 's|stays := max(p.floor, (len(p.svc.Backends)+1)/2)|stays := p.floor|' ./internal/system/rotation
+mutant "suspension" internal/engine/engine.go 's/pause := max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+slept)/pause := world.Elapsed(e.lastTick, now)/' ./internal/engine
 mutant "spent allowance" internal/policy/pick.go 's/return rule.IdempotentFailure + spent\*/return rule.IdempotentFailure + 0*spent*/' ./internal/policy
 mutant "trouble within a second" internal/policy/breadth.go 's/ || svc.manyUnserved(now, windowBuckets\/2)//' ./internal/policy
 mutant "new hosts ask again" internal/membership/probe.go 's/case l.Live() > youngSyncHosts:/case true:/' ./internal/membership
