--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -146,7 +146,7 @@
 		if x.written && !x.req.Idempotent {
 			return last
 		}
-		if !x.mayRetry() || x.quarantined() != nil {
+		if x.quarantined() != nil || !x.mayRetry() {
 			return last
 		}
 	}
