--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -77,7 +77,7 @@
 }
 
 // quarantined returns the refusal of a request that ends the servers which run it, nil for
-// any other.
+// any other. Known by its ID alone, which is new each time, one read ended 22 servers.
 func (x *exchange) quarantined() *Refusal {
 	if !x.d.quarantine.Active() {
 		return nil
