One loop over registers, one rule for taking servers out, one set-up of tests' fleets

Found in the last reading: Store.Deleted repeated Store.Prefix; path faults repeated what removeOrKeep does, which now takes how many servers must stay; the listing built its view by another way than hosts do; a test repeated two options that stand beside it.

--- a/e2e/ended_test.go
+++ b/e2e/ended_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/pearshelf/pearshelf/internal/config"
-	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/standin/backend"
 	"github.com/pearshelf/pearshelf/standin/fleet"
 )
@@ -63,22 +60,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	f, err := fleet.StartReady(ctx, fleet.Config{
+	conf := fleet.Config{
 		Hosts:       hosts,
 		DataCentres: []string{"dc1", "dc2"},
 		Services:    []config.Service{service},
-		Settings: func(i int, s *settings.Settings) {
-			quick(i, s)
-			forwarding := false
-			s.Forwarding = &forwarding
-			s.Retry = settings.Retry{FleetShare: 1, FleetReserve: 1000, Window: config.Duration(patience)}
-		},
+		Settings:    quick,
 		Backend: func(service string, b config.Backend) backend.Config {
-			return backend.Config{ID: service + "-" + b.ID, Slots: 8, EndsOn: func(r *http.Request) bool {
-				return strings.HasPrefix(r.URL.Path, endingTarget)
-			}}
+			return backend.Config{ID: service + "-" + b.ID, Slots: 8}
 		},
-	})
+	}
+	direct(&conf)
+	ending(&conf)
+	f, err := fleet.StartReady(ctx, conf)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -64,7 +64,7 @@
 // listQuarantine shows the contents that are refused, and why.
 func listQuarantine(w *world.World, now time.Time) table {
 	t := table{columns: []string{"content", "scope", "service", "state", "for", "trials", "servers"}}
-	for _, q := range quarantine.NewView(quarantine.InForce(w.Registers)).All() {
+	for _, q := range quarantine.ViewOf(w.Registers).All() {
 		state, left := "held", q.Until.Sub(now)
 		if left <= 0 {
 			state, left = "on-trial", 0
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -95,22 +95,15 @@
 }
 
 // Prefix returns the live registers whose key starts with prefix, by key.
-func (s *Store) Prefix(prefix string) []*peerpb.Register {
-	var found []*peerpb.Register
-	for key, held := range s.entries {
-		if strings.HasPrefix(key, prefix) && !held.register.Deleted {
-			found = append(found, held.register)
-		}
-	}
-	sortByKey(found)
-	return found
-}
+func (s *Store) Prefix(prefix string) []*peerpb.Register { return s.withPrefix(prefix, false) }
 
 // Deleted returns the deletions that are remembered of keys that start with prefix, by key.
-func (s *Store) Deleted(prefix string) []*peerpb.Register {
+func (s *Store) Deleted(prefix string) []*peerpb.Register { return s.withPrefix(prefix, true) }
+
+func (s *Store) withPrefix(prefix string, deleted bool) []*peerpb.Register {
 	var found []*peerpb.Register
 	for key, held := range s.entries {
-		if strings.HasPrefix(key, prefix) && held.register.Deleted {
+		if strings.HasPrefix(key, prefix) && held.register.Deleted == deleted {
 			found = append(found, held.register)
 		}
 	}
--- a/internal/system/rotation/rotation.go
+++ b/internal/system/rotation/rotation.go
@@ -138,17 +138,17 @@
 func (p *plan) removeDraining() {
 	for _, b := range p.svc.Backends {
 		if !b.DrainSeen.IsZero() {
-			p.removeOrKeep(b, reasonDraining)
+			p.removeOrKeep(b, reasonDraining, p.floor)
 		}
 	}
 }
 
-// remove takes a server out if the floor allows it and reports whether it did.
-func (p *plan) remove(b *world.BackendServer, reason string) bool {
+// remove takes a server out while more than least stay, and reports whether it is out.
+func (p *plan) remove(b *world.BackendServer, reason string, least int) bool {
 	if !p.next[b].In {
 		return true
 	}
-	if p.in <= p.floor {
+	if p.in <= least {
 		return false
 	}
 	p.next[b] = world.Rotation{Reason: reason}
@@ -160,7 +160,7 @@
 func (p *plan) removeDrained() {
 	for _, drain := range directive.Drains(p.w.Registers, p.svc.Config.Name) {
 		if b := p.svc.Backend(drain.Backend); b != nil {
-			p.removeOrKeep(b, reasonDrained)
+			p.removeOrKeep(b, reasonDrained, p.floor)
 		}
 	}
 }
@@ -179,7 +179,7 @@
 		)
 	})
 	for _, b := range ejected {
-		p.removeOrKeep(b, reasonEjected)
+		p.removeOrKeep(b, reasonEjected, p.floor)
 	}
 }
 
@@ -187,9 +187,9 @@
 	return tallies[b.Config.ID].First
 }
 
-// removeOrKeep removes a server, or keeps it as a last choice for the floor.
-func (p *plan) removeOrKeep(b *world.BackendServer, reason string) {
-	if p.remove(b, reason) {
+// removeOrKeep removes a server while more than least stay, or keeps it as a last choice.
+func (p *plan) removeOrKeep(b *world.BackendServer, reason string, least int) {
+	if p.remove(b, reason, least) {
 		return
 	}
 	p.next[b] = world.Rotation{In: true, Weight: lastWeight, Reason: reasonFloor}
@@ -202,12 +202,8 @@
 func (p *plan) removePathFaults() {
 	stays := max(p.floor, (len(p.svc.Backends)+1)/2)
 	for _, b := range p.svc.Backends {
-		switch {
-		case !b.Detection.PathFault || !p.next[b].In:
-		case p.in > stays:
-			p.remove(b, reasonPath)
-		default:
-			p.next[b] = world.Rotation{In: true, Weight: lastWeight, Reason: reasonFloor}
+		if b.Detection.PathFault {
+			p.removeOrKeep(b, reasonPath, stays)
 		}
 	}
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -29,7 +29,7 @@
   fi
 }
 
-mutant "floor" internal/system/rotation/rotation.go 's/if p.in <= p.floor {/if false {/' ./internal/system/rotation
+mutant "floor" internal/system/rotation/rotation.go 's/if p.in <= least {/if false {/' ./internal/system/rotation
 mutant "floor of non-idempotent" internal/system/rotation/rotation.go 's/idempotentOnly \&\& p.whole > max(p.floor, 1)/idempotentOnly/' ./internal/system/rotation
 mutant "own answer" internal/dispatch/judge.go 's/return echo == x.req.ID/return echo != ""/' ./e2e -ginkgo.focus "another request's ID"
 mutant "abort of a short answer" internal/dispatch/answer.go '0,/panic(http.ErrAbortHandler)/s//return/' ./e2e -ginkgo.focus "cut short|cannot be continued"
