Sight: what servers say of themselves is decoded, kept by process and logged

Lines about tries show what a server said with its answer and what it had said before it was picked; events 408 and 412, a counter. Decoded once, at the edge, where every answer of a server arrives. No decision reads it yet: the hypotheses differ in whether the word is there when the next pick is made.

--- /dev/null
+++ b/internal/availability/availability.go
@@ -0,0 +1,225 @@
+// Package availability keeps which backend servers want no requests from this host, by
+// their own word: those that are leaving, and those that have asked for rest (503 with
+// Retry-After). One table serves every way in which a request can reach a server.
+//
+// Only what a server told this host itself is kept. Other hosts learn it from an answer of
+// their own: telling them would save one request a host, server and word.
+package availability
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/protocol"
+)
+
+// maxServers bounds the servers of which something is kept, 150 bytes each. A host uses
+// some hundred servers at the target size; a release replaces all of them a few times
+// before the first are forgotten. What is forgotten is said again with the next answer.
+const maxServers = 4096
+
+// Server is one process of a backend server.
+type Server struct {
+	Service string
+	ID      string
+	// Started is when the process started, in Unix milliseconds, 0 if not known. A server
+	// may start again under its ID.
+	Started int64
+}
+
+func (s Server) key() key { return key{s.Service, s.ID} }
+
+type key struct{ service, id string }
+
+// State is what a server has told this host.
+type State struct {
+	Server Server
+	// LeavingSince is when it first said that it is leaving, zero if it has not. It holds
+	// until its process is gone.
+	LeavingSince time.Time
+	// RestSince and RestUntil bound the rest that it asked for last, zero for none.
+	RestSince time.Time
+	RestUntil time.Time
+	// SaidAt is when it last said either.
+	SaidAt time.Time
+}
+
+// Reason is why a server gets no requests.
+type Reason int
+
+// Reasons.
+const (
+	Available Reason = iota
+	Leaving
+	Resting
+)
+
+var reasonNames = [...]string{"available", "leaving", "resting"}
+
+// String returns the name that logs have.
+func (r Reason) String() string { return reasonNames[r] }
+
+// ReasonAt returns why the server gets no requests at a time.
+func (s State) ReasonAt(now time.Time) Reason {
+	switch {
+	case !s.LeavingSince.IsZero():
+		return Leaving
+	case now.Before(s.RestUntil):
+		return Resting
+	default:
+		return Available
+	}
+}
+
+// Table is what the servers have told this host. It is safe for concurrent use.
+type Table struct {
+	clock func() time.Time
+
+	mu   sync.Mutex // held by writers
+	view atomic.Pointer[view]
+}
+
+// view is an immutable copy of the table: it is read for each server of each pick, and
+// changes when a server says something new.
+type view map[key]State
+
+// NewTable returns an empty table. clock must go on while the machine is suspended: servers
+// do not wait for it.
+func NewTable(clock func() time.Time) *Table {
+	t := &Table{clock: clock}
+	t.view.Store(&view{})
+	return t
+}
+
+// Change is what a server's word changed.
+type Change struct {
+	// BeganLeaving and BeganRest are set with the first such word; one that is repeated
+	// or prolonged changes neither.
+	BeganLeaving bool
+	BeganRest    bool
+}
+
+// Learn takes what a server said of itself in an answer that has just arrived.
+func (t *Table) Learn(server Server, said protocol.ServerState) Change {
+	if !said.Leaving && said.Rest == 0 {
+		return Change{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	held := t.current(server)
+	next := held
+	next.Server = server
+	next.SaidAt = now
+	var change Change
+	if said.Leaving && held.LeavingSince.IsZero() {
+		next.LeavingSince = now
+		change.BeganLeaving = true
+	}
+	if until := now.Add(said.Rest); said.Rest > 0 && until.After(held.RestUntil) {
+		next.RestUntil = until
+		if !now.Before(held.RestUntil) {
+			next.RestSince = now
+			change.BeganRest = true
+		}
+	}
+	t.store(now, next)
+	return change
+}
+
+// current is what is known of a server's process; nothing, if it is a newer one.
+func (t *Table) current(server Server) State {
+	held, known := (*t.view.Load())[server.key()]
+	if !known || isNewer(server, held.Server) {
+		return State{}
+	}
+	return held
+}
+
+// isNewer reports whether a process is a later one than that of the same ID in the table.
+func isNewer(server, held Server) bool {
+	return server.Started > held.Started && held.Started != 0
+}
+
+// store publishes a copy of the table with a server's new state.
+func (t *Table) store(now time.Time, state State) {
+	next := maps.Clone(*t.view.Load())
+	next[state.Server.key()] = state
+	if len(next) > maxServers {
+		next.shrink(now)
+	}
+	t.view.Store(&next)
+}
+
+// shrink drops what is over, and if that is not enough the state that was told longest ago.
+func (v view) shrink(now time.Time) {
+	var oldest *State
+	for k, s := range v {
+		if s.ReasonAt(now) == Available {
+			delete(v, k)
+		} else if oldest == nil || s.SaidAt.Before(oldest.SaidAt) {
+			oldest = &s
+		}
+	}
+	if len(v) > maxServers {
+		delete(v, oldest.Server.key())
+	}
+}
+
+// Forget drops what a server's process has said, because it says otherwise now.
+func (t *Table) Forget(server Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := maps.Clone(*t.view.Load())
+	delete(next, server.key())
+	t.view.Store(&next)
+}
+
+// Of returns why a server gets no requests now, and what it has said.
+func (t *Table) Of(server Server) (Reason, State) { return t.Now().Of(server) }
+
+// Moment is the table at one moment.
+type Moment struct {
+	now  time.Time
+	view view
+}
+
+// Now returns the table as it is.
+func (t *Table) Now() Moment {
+	v := *t.view.Load()
+	if len(v) == 0 {
+		return Moment{} // nothing has been said: nothing depends on the time
+	}
+	return Moment{now: t.clock(), view: v}
+}
+
+// Nothing reports whether no server has said anything.
+func (m Moment) Nothing() bool { return len(m.view) == 0 }
+
+// Of returns why a server gets no requests at this moment, and what it has said.
+func (m Moment) Of(server Server) (Reason, State) {
+	if len(m.view) == 0 {
+		return Available, State{}
+	}
+	held, known := m.view[server.key()]
+	if !known || isNewer(server, held.Server) {
+		return Available, State{}
+	}
+	return held.ReasonAt(m.now), held
+}
+
+// All returns the servers that get no requests at this moment, in no order.
+func (m Moment) All() []State {
+	var all []State
+	for _, s := range m.view {
+		if s.ReasonAt(m.now) != Available {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// Time is the moment's time by the table's clock, zero if nothing has been said.
+func (m Moment) Time() time.Time { return m.now }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearshelf/pearshelf/internal/admin"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/bus"
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
@@ -72,6 +74,7 @@
 	probes    *http.Client
 
 	balance *balance.Table // nil with owner hosts
+	servers *availability.Table
 	limiter *limiter
 	guard   *contentGuard
 
@@ -253,6 +256,7 @@
 		})
 		d.metrics.WatchBalance(d.balance)
 	}
+	d.servers = availability.NewTable(boottime.Now)
 	d.limiter = newLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
 	d.metrics.WatchLimits(d.limiter)
@@ -281,7 +285,8 @@
 		Metrics:  d.metrics,
 		Balance:  d.balance,
 
-		Quarantine: d.guard,
+		Quarantine:   d.guard,
+		Availability: d.servers,
 	})
 }
 
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -91,13 +91,13 @@
 	if err != nil {
 		return nil, nil
 	}
-	x.trace.begin(next)
+	x.begin(next)
 	to := x.toServer(next)
 	to.adjust = func(h http.Header) {
 		x.target(next)(h)
 		at.set(h)
 	}
-	answer, failure := x.send(ctx, to)
+	answer, _, failure := x.sendToServer(ctx, to)
 	if failure != nil {
 		x.failed(ctx, next, failure)
 		next.Release()
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -94,7 +94,7 @@
 
 func (r *race) launch(ctx context.Context, place *place) {
 	x := r.x
-	x.trace.begin(place)
+	x.begin(place)
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	f := &flight{place: place, cancel: func() { cancel(context.Canceled) }, result: make(chan fetched, 1)}
 	f.detach = context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -74,8 +75,10 @@
 	balance    *balance.Table
 	quarantine Quarantine
 	marks      *protocol.Protocol
+	servers    *availability.Table
 
 	requestLog requestLog
+	stateLines lineLimit
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -99,6 +102,8 @@
 	Balance *balance.Table
 	// Quarantine refuses requests that end servers.
 	Quarantine Quarantine
+	// Availability is what servers say of themselves.
+	Availability *availability.Table
 }
 
 // New returns a dispatcher.
@@ -116,6 +121,9 @@
 		balance:    parts.Balance,
 		quarantine: parts.Quarantine,
 		marks:      conf.Protocol,
+		servers:    parts.Availability,
+		stateLines: lineLimit{perSecond: stateLinesPerSecond},
+		requestLog: requestLog{limit: lineLimit{perSecond: linesPerSecond}},
 		services:   make(map[string]*serviceState),
 	}
 }
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -232,7 +232,7 @@
 		return x.race(ctx, lease)
 	}
 	defer lease.Release()
-	x.trace.begin(lease)
+	x.begin(lease)
 	return x.judge(ctx, lease, x.fetch(ctx, x.toServer(lease)))
 }
 
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -26,6 +27,8 @@
 	kind   answerKind
 	// broken is why the answer broke off, nil if it did not.
 	broken error
+	// said is what the server says of itself with the answer.
+	said protocol.ServerState
 }
 
 // good reports whether the caller can be answered with it.
@@ -55,16 +58,16 @@
 // fetch sends the request once. It reads of the exchange only what does not
 // change while the request is under way, so that copies can be under way beside it.
 func (x *exchange) fetch(ctx context.Context, to destination) fetched {
-	answer, failure := x.send(ctx, to)
-	if failure != nil {
-		return fetched{failure: failure}
-	}
+	answer, said, failure := x.sendToServer(ctx, to)
+	got := fetched{answer: answer, said: said, failure: failure}
 	switch {
+	case failure != nil:
 	case x.isMisdirected(answer), x.d.marks.NotRunBy(answer.Header):
-		return fetched{answer: answer, kind: answerNotRun}
+		got.kind = answerNotRun
 	case !x.isAnswerTo(answer, to.view):
-		return fetched{answer: answer, kind: answerForeign}
+		got.kind = answerForeign
 	default:
-		return fetched{answer: answer, broken: readWhole(answer, x.d.conf.BufferBytes)}
+		got.broken = readWhole(answer, x.d.conf.BufferBytes)
 	}
+	return got
 }
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -21,7 +21,10 @@
 	}
 	answer := got.answer
 	x.arrived++
-	x.noteHints(lease, answer)
+	x.noteState(lease, got.said)
+	if got.said.Leaving || answer.Close {
+		x.observe(lease, peerpb.Observation_KIND_DRAINING, 0)
+	}
 	if got.kind == answerNotRun {
 		return false, x.notRunBy(lease, answer)
 	}
@@ -105,17 +108,6 @@
 	return false, unknown(errs.New(errs.KindBroken, "backend server "+lease.Server.ID+" answered with an error", "repeat the request"))
 }
 
-// noteHints takes what a server says about itself.
-func (x *exchange) noteHints(lease *place, answer *upstream.Answer) {
-	marks := x.d.marks
-	if load, ok := marks.ParseLoad(answer.Header.Get(marks.Load)); ok {
-		lease.report(load)
-	}
-	if marks.Draining != "" && (answer.Header.Get(marks.Draining) == "true" || answer.Close) {
-		x.observe(lease, peerpb.Observation_KIND_DRAINING, 0)
-	}
-}
-
 // isMisdirected reports whether the server is not the one that was meant.
 func (x *exchange) isMisdirected(answer *upstream.Answer) bool {
 	return x.d.marks.Target != "" && answer.StatusCode == http.StatusMisdirectedRequest
@@ -135,7 +127,12 @@
 	if marks.PlainBodies && answer.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	echo := answer.Header.Get(marks.RequestID)
+	return x.isEcho(answer, view)
+}
+
+// isEcho reports whether an answer names this request.
+func (x *exchange) isEcho(answer *upstream.Answer, view *world.ServiceView) bool {
+	echo := answer.Header.Get(x.d.marks.RequestID)
 	if echo == "" {
 		return view.Config.AllowMissingEcho
 	}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -19,8 +20,10 @@
 	address string // IP:port
 	// maxIdle is for how long the connection may have been idle, 0 for no bound.
 	maxIdle time.Duration
-	// view is of the service when the request was sent.
-	view *world.ServiceView
+	// view is of the service when the request was sent, server what it is sent to; both
+	// are zero for an owner host.
+	view   *world.ServiceView
+	server availability.Server
 	// adjust changes the outgoing headers.
 	adjust func(http.Header)
 }
@@ -33,6 +36,7 @@
 		address: lease.Server.Address,
 		maxIdle: lease.maxIdle,
 		view:    x.view,
+		server:  x.serverOf(lease),
 		adjust:  x.target(lease),
 	}
 }
--- /dev/null
+++ b/internal/dispatch/serverstate.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// stateLinesPerSecond bounds the events about what servers say of themselves, on one host:
+// a service of 200 servers may ask for rest at one moment.
+const stateLinesPerSecond = 50
+
+// serverOf names the process of the server that has a request.
+func (x *exchange) serverOf(lease *place) availability.Server {
+	return availability.Server{Service: x.req.Service, ID: lease.Server.ID, Started: lease.Server.Started}
+}
+
+// sendToServer is send to a backend server. It is the only way in which answers of servers
+// arrive, so that what they say of themselves is known whatever becomes of the answer: of a
+// copy that lost, a trial, the rest of a download.
+func (x *exchange) sendToServer(ctx context.Context, to destination) (*upstream.Answer, protocol.ServerState, *upstream.Failure) {
+	answer, failure := x.send(ctx, to)
+	if failure != nil {
+		return nil, protocol.ServerState{}, failure
+	}
+	if !x.speaksForServer(answer, to) {
+		return answer, protocol.ServerState{}, nil
+	}
+	said := x.d.marks.ReadServerState(time.Now(), answer.StatusCode, answer.Header)
+	x.d.learn(to.server, said)
+	return answer, said, nil
+}
+
+// speaksForServer reports whether an answer is by the server that was asked: another one
+// may have its address by now, and bytes that belong to no request are nobody's word.
+func (x *exchange) speaksForServer(answer *upstream.Answer, to destination) bool {
+	return !x.isMisdirected(answer) && x.isEcho(answer, to.view)
+}
+
+// learn takes what a server says of itself, and tells operators where it is new.
+func (d *Dispatcher) learn(server availability.Server, said protocol.ServerState) {
+	change := d.servers.Learn(server, said)
+	if change.BeganLeaving {
+		d.metrics.ServerSaid(availability.Leaving.String())
+		d.recordState(event.BackendLeaving, server, "the server says that it takes no new work")
+	}
+	if change.BeganRest {
+		d.metrics.ServerSaid(availability.Resting.String())
+		d.recordState(event.BackendResting, server, "the server asks for no requests from this host for "+said.Rest.String())
+	}
+}
+
+func (d *Dispatcher) recordState(number event.Number, server availability.Server, detail string) {
+	if !d.stateLines.allows(time.Now()) {
+		return
+	}
+	if missed := d.stateLines.missed.Swap(0); missed > 0 {
+		klog.InfoS("events about what servers say of themselves were left out", "missed", missed)
+	}
+	d.events.Record(number, server.Service, server.ID, detail)
+}
+
+// noteState keeps what a server said of itself with its answer for the log and the pick.
+func (x *exchange) noteState(lease *place, said protocol.ServerState) {
+	if said.Load != nil {
+		lease.report(*said.Load)
+	}
+	lease.try.said = describe(said)
+}
+
+// describe puts a server's word as logs have it, empty for none.
+func describe(said protocol.ServerState) string {
+	switch {
+	case said.Leaving && said.Rest > 0:
+		return "leaving,rest:" + said.Rest.String()
+	case said.Leaving:
+		return availability.Leaving.String()
+	case said.Rest > 0:
+		return "rest:" + said.Rest.String()
+	default:
+		return ""
+	}
+}
+
+// knownOf is why a server should get no request now, by what it has said before, as logs
+// have it; empty for no reason.
+func (x *exchange) knownOf(lease *place) string {
+	moment := x.d.servers.Now()
+	reason, state := moment.Of(x.serverOf(lease))
+	if reason == availability.Available {
+		return ""
+	}
+	return fmt.Sprintf("%s:said-%s-ago", reason, moment.Time().Sub(state.SaidAt).Round(time.Millisecond))
+}
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -34,6 +34,10 @@
 	result string
 	// fate is what became of the server where the connection broke, empty elsewhere.
 	fate string
+	// known is why the server should have had no request when it was picked, by what it
+	// had said before, and said is what it says of itself in its answer; empty for nothing.
+	known string
+	said  string
 }
 
 // trace is what is logged of one request.
@@ -42,9 +46,9 @@
 }
 
 // begin notes a pick.
-func (t *trace) begin(lease *place) {
-	lease.try = &try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now()}
-	t.tries = append(t.tries, lease.try)
+func (x *exchange) begin(lease *place) {
+	lease.try = &try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now(), known: x.knownOf(lease)}
+	x.trace.tries = append(x.trace.tries, lease.try)
 }
 
 // end notes what became of a try. The first result counts.
@@ -66,6 +70,12 @@
 		if one.fate != "" {
 			text.WriteString(" server=" + one.fate)
 		}
+		if one.known != "" {
+			text.WriteString(" known=" + one.known)
+		}
+		if one.said != "" {
+			text.WriteString(" said=" + one.said)
+		}
 		text.WriteString(" took=" + one.took.Round(time.Millisecond).String())
 		text.WriteString(" belief=" + strconv.FormatFloat(one.belief, 'f', 2, 64))
 		text.WriteString(" load=" + strconv.FormatFloat(one.load, 'f', 1, 64))
@@ -73,31 +83,43 @@
 	return text.String()
 }
 
-// requestLog bounds the lines about requests.
-type requestLog struct {
-	plain  atomic.Uint64
-	second atomic.Int64
-	lines  atomic.Int64
-	missed atomic.Int64
+// lineLimit bounds log lines of one kind. Those that are missed are counted and told with
+// the next line.
+type lineLimit struct {
+	perSecond int64
+	second    atomic.Int64
+	lines     atomic.Int64
+	missed    atomic.Int64
 }
 
-// wants reports whether a request gets a line: all that failed, were refused,
-// repeated or slow, and a sample of the others.
-func (l *requestLog) wants(now time.Time, plain bool) bool {
-	if plain && l.plain.Add(1)%sampleOneIn != 0 {
-		return false
-	}
+// allows reports whether one more line may be written now.
+func (l *lineLimit) allows(now time.Time) bool {
 	second := now.Unix()
 	if l.second.Swap(second) != second {
 		l.lines.Store(0)
 	}
-	if l.lines.Add(1) > linesPerSecond {
+	if l.lines.Add(1) > l.perSecond {
 		l.missed.Add(1)
 		return false
 	}
 	return true
 }
 
+// requestLog bounds the lines about requests.
+type requestLog struct {
+	plain atomic.Uint64
+	limit lineLimit
+}
+
+// wants reports whether a request gets a line: all that failed, were refused,
+// repeated or slow, and a sample of the others.
+func (l *requestLog) wants(now time.Time, plain bool) bool {
+	if plain && l.plain.Add(1)%sampleOneIn != 0 {
+		return false
+	}
+	return l.limit.allows(now)
+}
+
 // slowAfter is the time from which on a served request counts as slow.
 func (r *Request) slowAfter() time.Duration {
 	if r.Objective > 0 {
@@ -148,5 +170,5 @@
 		"version", snap.Revisions[world.KeyPublished],
 		"servers", servers,
 		"tries", tries.String(),
-		"missed", d.requestLog.missed.Swap(0))
+		"missed", d.requestLog.limit.missed.Swap(0))
 }
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -49,9 +49,7 @@
 		return
 	}
 	answer := got.answer
-	if load, ok := x.d.marks.ParseLoad(answer.Header.Get(x.d.marks.Load)); ok {
-		lease.report(load)
-	}
+	x.noteState(lease, got.said)
 	switch {
 	case got.kind == answerNotRun && x.isMisdirected(answer):
 		x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,6 +47,8 @@
 	BackendPathFault     Number = 409
 	HostDistrustsSelf    Number = 410
 	BackendMisregistered Number = 411
+	BackendResting       Number = 412
+	BackendAvailable     Number = 413
 	DirectiveAccepted    Number = 501
 	DirectiveRefused     Number = 502
 	DirectiveMerged      Number = 503
@@ -89,6 +91,8 @@
 	BackendPathFault:     "backend-path-fault",
 	HostDistrustsSelf:    "host-distrusts-itself",
 	BackendMisregistered: "backend-misregistered",
+	BackendResting:       "backend-resting",
+	BackendAvailable:     "backend-available",
 	DirectiveAccepted:    "directive-accepted",
 	DirectiveRefused:     "directive-refused",
 	DirectiveMerged:      "directive-merged",
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -23,6 +23,8 @@
 	limited          *prometheus.CounterVec
 	serverEnds       *prometheus.CounterVec
 	quarantined      *prometheus.CounterVec
+	serverStates     *prometheus.CounterVec
+	sendsWithheld    *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -80,7 +82,15 @@
 			Help: "Requests that were refused because servers end under them, by service.",
 		}, []string{"service"}),
 	}
-	reg.MustRegister(m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	m.serverStates = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_server_states_total",
+		Help: "Times that a backend server began to say of itself that it is leaving or wants rest.",
+	}, []string{"state"})
+	m.sendsWithheld = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_sends_withheld_total",
+		Help: "Sends that were stopped right before their first byte, because the server had meanwhile said that it is leaving or wants rest, or left the rotation.",
+	}, []string{"reason"})
+	reg.MustRegister(m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -109,6 +119,12 @@
 // Quarantined counts a request that was refused because servers end under it.
 func (m *Metrics) Quarantined(service string) { m.quarantined.WithLabelValues(service).Inc() }
 
+// ServerSaid counts that a backend server began to say something of itself.
+func (m *Metrics) ServerSaid(state string) { m.serverStates.WithLabelValues(state).Inc() }
+
+// SendWithheld counts a send that was stopped right before its first byte.
+func (m *Metrics) SendWithheld(reason string) { m.sendsWithheld.WithLabelValues(reason).Inc() }
+
 // Added takes the time that the fleet added to a request on this host.
 func (m *Metrics) Added(service string, d time.Duration) {
 	m.added.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -16,7 +16,7 @@
 	HeaderTimeout   = "Pearshelf-Timeout-Ms"
 	HeaderDeadline  = "Pearshelf-Deadline-Ms"
 	HeaderNotRun    = "Pearshelf-Not-Run"
-	HeaderDraining  = "Pearshelf-Draining"
+	HeaderLeaving   = "Pearshelf-Draining"
 	HeaderLoad      = "Pearshelf-Load"
 	HeaderCustomer  = "Pearshelf-Customer"
 )
@@ -55,8 +55,10 @@
 	PlainBodies bool
 	// Signature must be on every success of a backend server.
 	Signature string
-	// Draining marks an answer of a backend server that is leaving.
-	Draining string
+	// Leaving is the header by which a backend server says that it is leaving, IsLeaving
+	// the reading of its value.
+	Leaving   string
+	IsLeaving func(value string) bool
 	// Load is the header of a backend server's load, ParseLoad its reading.
 	Load      string
 	ParseLoad func(value string) (Load, bool)
@@ -75,7 +77,8 @@
 		Deadline:         HeaderDeadline,
 		NotRun:           HeaderNotRun,
 		Customer:         HeaderCustomer,
-		Draining:         HeaderDraining,
+		Leaving:          HeaderLeaving,
+		IsLeaving:        func(value string) bool { return value == "true" },
 		Load:             HeaderLoad,
 		ParseLoad:        parseOwnLoad,
 		FormatRetryAfter: WholeSeconds,
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -207,7 +207,7 @@
 	inUse, ok := s.enter(p)
 	w.Header().Set(protocol.HeaderLoad, fmt.Sprintf("%d/%d", inUse, s.conf.Slots))
 	if p.faults.Draining {
-		w.Header().Set(protocol.HeaderDraining, "true")
+		w.Header().Set(protocol.HeaderLeaving, "true")
 	}
 	if !ok {
 		w.Header().Set(protocol.HeaderNotRun, "true")
