A server that says that it leaves, or asks for rest, gets no requests

Cause: what a server says of itself in an answer counted only where the platform repeats it.

One table by process of a server now, filled where every answer arrives and asked by each pick (first sends, retries, copies, trials, owner hosts' queues) and again right before the first byte of every send. Where all servers of a service leave or rest, requests are refused at once. The owner hosts' own way is gone, with its end after 15 s; the floor does not bring a leaving server back any more, which the property of the floor no longer draws. A connection that closes is no sign of leaving: servers that stay close some too.

Ruled out: the word is lost or late (the log shows it known 2 ms before a pick that took the server).

--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/operator"
 	"github.com/pearshelf/pearshelf/internal/settings"
@@ -82,8 +83,8 @@
 			known := true
 			for _, d := range f.Hosts {
 				mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "x")
-				rotation, _ := fleet.Rotation(d, "shop", "b3")
-				known = known && (!rotation.In || !d.Snapshot().Services["shop"].SelfOwner)
+				reason, _ := d.Availability().Of(availability.Server{Service: "shop", ID: "b3"})
+				known = known && (reason == availability.Leaving || !d.Snapshot().Services["shop"].SelfOwner)
 			}
 			return known
 		}, patience).Should(BeTrue())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -346,6 +346,9 @@
 // Engine returns the control loop, for tests and the load tool.
 func (d *Daemon) Engine() *engine.Engine { return d.engine }
 
+// Availability returns what servers have told this host of themselves.
+func (d *Daemon) Availability() *availability.Table { return d.servers }
+
 // Events returns the host's ring of events.
 func (d *Daemon) Events() *event.Log { return d.events }
 
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/customer"
@@ -118,6 +119,9 @@
 // isEvidence reports whether a server's end may be the request's doing: a server that was
 // leaving ends by itself, and a host that stood still saw the connection break long after.
 func (x *exchange) isEvidence(lease *place) bool {
+	if reason, _ := x.d.servers.Of(x.serverOf(lease)); reason == availability.Leaving {
+		return false
+	}
 	return x.inRotation(lease.Server) && x.d.snapshot().Fresh(time.Now(), boottime.Suspended())
 }
 
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -22,9 +22,6 @@
 	answer := got.answer
 	x.arrived++
 	x.noteState(lease, got.said)
-	if got.said.Leaving || answer.Close {
-		x.observe(lease, peerpb.Observation_KIND_DRAINING, 0)
-	}
 	if got.kind == answerNotRun {
 		return false, x.notRunBy(lease, answer)
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -83,6 +83,7 @@
 		Session:    x.req.Session,
 		Deadline:   x.req.Deadline,
 		Exclude:    x.tried,
+		Available:  x.isAvailable,
 		Borrow:     !x.borrowed && x.state.budget.ample(),
 	})
 	if err != nil {
@@ -105,6 +106,7 @@
 		Last:       x.ran+x.waiting+1 >= x.req.attempts(),
 		Fleet:      x.fleet(),
 		Exclude:    x.tried,
+		Available:  x.availableNow(),
 		Priority:   x.req.Priority,
 		Asked:      x.start,
 		Deadline:   x.req.Deadline,
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -56,13 +56,17 @@
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
-	return to.via.Do(ctx, out, x.lastLook, to.maxIdle)
+	return to.via.Do(ctx, out, func() error { return x.lastLook(to) }, to.maxIdle)
 }
 
-// lastLook is asked right before the first byte leaves: a host that was paused
-// must not act on what it decided before.
-func (x *exchange) lastLook() error {
+// lastLook is asked right before the first byte leaves. A host that was paused must not act
+// on what it decided before; and a request may have waited for a connection while the server
+// said that it is leaving or wants rest, or left the rotation.
+func (x *exchange) lastLook(to destination) error {
 	now := time.Now()
+	if err := x.mayStillSend(to); err != nil {
+		return err
+	}
 	if world.Passed(now, x.req.Deadline) {
 		return errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
 	}
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // stateLinesPerSecond bounds the events about what servers say of themselves, on one host:
@@ -99,3 +102,86 @@
 	}
 	return fmt.Sprintf("%s:said-%s-ago", reason, moment.Time().Sub(state.SaidAt).Round(time.Millisecond))
 }
+
+// isAvailable reports whether a server takes requests by its own word.
+func (x *exchange) isAvailable(b *world.BackendView) bool {
+	return x.availableIn(x.d.servers.Now(), b)
+}
+
+// availableNow is isAvailable at this moment, for one pick; nil if all servers take
+// requests.
+func (x *exchange) availableNow() func(b *world.BackendView) bool {
+	moment := x.d.servers.Now()
+	if moment.Nothing() {
+		return nil
+	}
+	return func(b *world.BackendView) bool { return x.availableIn(moment, b) }
+}
+
+func (x *exchange) availableIn(moment availability.Moment, b *world.BackendView) bool {
+	reason, _ := moment.Of(availability.Server{Service: x.req.Service, ID: b.ID, Started: b.Started})
+	return reason == availability.Available
+}
+
+// mayStillSend forbids a send to a server that has said since it was picked that it takes no
+// requests, or that has left the rotation since.
+func (x *exchange) mayStillSend(to destination) error {
+	if to.server.ID == "" {
+		return nil // an owner host
+	}
+	reason, _ := x.d.servers.Of(to.server)
+	switch reason {
+	case availability.Leaving:
+		x.d.metrics.SendWithheld(reason.String())
+		return errs.New(errs.KindLeaving, "backend server "+to.server.ID+" said that it is leaving before the request was sent", "repeat the request")
+	case availability.Resting:
+		x.d.metrics.SendWithheld(reason.String())
+		return errs.New(errs.KindResting, "backend server "+to.server.ID+" asked for rest before the request was sent", "repeat the request")
+	default:
+		return x.stillInRotation(to)
+	}
+}
+
+// stillInRotation forbids a send to a server that has left the rotation since it was picked.
+func (x *exchange) stillInRotation(to destination) error {
+	view := x.d.snapshot().Services[x.req.Service]
+	if view == to.view || view == nil || isListed(view, to.server) {
+		return nil
+	}
+	x.d.metrics.SendWithheld("out-of-rotation")
+	return errs.New(errs.KindLeaving, "backend server "+to.server.ID+" left the rotation before the request was sent", "repeat the request")
+}
+
+func isListed(view *world.ServiceView, server availability.Server) bool {
+	return slices.ContainsFunc(view.Backends, func(b world.BackendView) bool { return b.ID == server.ID })
+}
+
+// isWithheld reports whether a send was stopped before its first byte because of what is
+// known of the server: that says nothing new of it.
+func isWithheld(kind errs.Kind) bool { return kind == errs.KindLeaving || kind == errs.KindResting }
+
+// noneAvailable is the refusal of a request whose servers all say that they are leaving or
+// want rest; nil if there are others. The caller is told to come back when the first of them
+// takes requests again.
+func (x *exchange) noneAvailable() *Refusal {
+	moment := x.d.servers.Now()
+	var until time.Time
+	for i := range x.view.Backends {
+		b := &x.view.Backends[i]
+		reason, state := moment.Of(availability.Server{Service: x.req.Service, ID: b.ID, Started: b.Started})
+		if reason == availability.Available {
+			return nil
+		}
+		if reason == availability.Resting && (until.IsZero() || state.RestUntil.Before(until)) {
+			until = state.RestUntil
+		}
+	}
+	if len(x.view.Backends) == 0 {
+		return nil
+	}
+	if until.IsZero() {
+		return notRun(errs.New(errs.KindLeaving, "all backend servers of "+x.req.Service+" say that they are leaving", "repeat the request after the time in Retry-After; start other servers"), x.retryAfter())
+	}
+	left := until.Sub(moment.Time())
+	return notRun(errs.New(errs.KindResting, "all backend servers of "+x.req.Service+" asked for rest, the first for another "+left.Round(time.Millisecond).String(), "repeat the request after the time in Retry-After; add capacity"), left)
+}
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -70,6 +70,8 @@
 
 func (x *exchange) noteFailedTrial(lease *place, kind errs.Kind, dialled bool) {
 	switch {
+	case isWithheld(kind):
+		lease.done.Outcome = policy.Neutral
 	case kind == errs.KindCanceled || kind == errs.KindDeadline:
 		lease.done.Outcome = policy.Abandoned // its time was over
 	case !dialled:
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -26,6 +26,8 @@
 	KindQueueFull     Kind = "queue-full"
 	KindQueueTimeout  Kind = "queue-timeout"
 	KindNoBackend     Kind = "no-backend-server"
+	KindLeaving       Kind = "backend-server-leaving"
+	KindResting       Kind = "backend-server-resting"
 	KindCustomerLimit Kind = "customer-limit"
 	KindUnknownKey    Kind = "unknown-key"
 	KindClaimRefused  Kind = "claim-unavailable"
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -76,7 +76,7 @@
 	servers := view.Candidates()
 	for i := range servers {
 		b := &servers[i]
-		if b.DataCentre != req.DataCentre {
+		if b.DataCentre != req.DataCentre || !req.isAvailable(b) {
 			continue
 		}
 		s, known := t.servers[key{req.Service, b.ID}]
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -112,7 +112,7 @@
 	servers := view.Candidates()
 	for i := range servers {
 		b := &servers[i]
-		if b.DataCentre != req.DataCentre {
+		if b.DataCentre != req.DataCentre || !req.isAvailable(b) {
 			continue
 		}
 		slots += b.Slots
@@ -146,5 +146,14 @@
 	return now.Sub(r.Asked)
 }
 
-// excludes reports whether the request has had a server.
-func (r Request) excludes(id string) bool { return slices.Contains(r.Exclude, id) }
+// allows reports whether the request may go to a server: the server takes such requests and
+// has not had this one.
+func (r Request) allows(b *world.BackendView) bool {
+	if b.IdempotentOnly && !r.Idempotent {
+		return false
+	}
+	return !slices.Contains(r.Exclude, b.ID) && r.isAvailable(b)
+}
+
+// isAvailable reports whether a server takes requests by its own word.
+func (r Request) isAvailable(b *world.BackendView) bool { return r.Available == nil || r.Available(b) }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -88,6 +88,10 @@
 	Priority int
 	// Exclude are servers already tried.
 	Exclude []string
+	// Available reports whether a server takes requests by its own word; nil for all do.
+	// Servers that do not are left out of everything: a floor or the need for more
+	// servers in use does not bring them back.
+	Available func(b *world.BackendView) bool
 	// Asked is when the request came to this host, and Deadline when its caller
 	// gives up.
 	Asked    time.Time
@@ -179,7 +183,7 @@
 func (t *Table) weigh(w weighing, servers []world.BackendView, best *choice) {
 	for i := range servers {
 		b := &servers[i]
-		if w.req.excludes(b.ID) || b.IdempotentOnly && !w.req.Idempotent {
+		if !w.req.allows(b) {
 			continue
 		}
 		best.eligible++
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -64,7 +64,7 @@
 	for i := range servers {
 		b := &servers[i]
 		s, known := t.servers[key{req.Service, b.ID}]
-		if !known || b.DataCentre != req.DataCentre || req.excludes(b.ID) || !s.isDueForTrial(now, svc) {
+		if !known || b.DataCentre != req.DataCentre || !req.allows(b) || !s.isDueForTrial(now, svc) {
 			continue
 		}
 		if best.server == nil || s.lastSent.Before(best.row.lastSent) {
--- a/internal/slots/pool.go
+++ b/internal/slots/pool.go
@@ -43,6 +43,9 @@
 	Deadline time.Time
 	// Exclude are servers already tried.
 	Exclude []string
+	// Available reports whether a server takes requests by its own word, asked again each
+	// time that a slot is free; nil for all do.
+	Available func(b *world.BackendView) bool
 	// Borrow allows slots of other owners; the server may then refuse.
 	Borrow bool
 }
@@ -50,7 +53,7 @@
 type waiter struct {
 	request Request
 	since   time.Time
-	ready   chan *Lease
+	ready   chan *Lease // gets nil if no server may have the request any more
 }
 
 // Pool is the slots of one service on one host. It is safe for concurrent use.
@@ -98,7 +101,7 @@
 	p.update(view)
 	if !p.anyEligible(req) {
 		p.mu.Unlock()
-		return nil, errs.New(errs.KindNoBackend, "no backend server of "+view.Config.Name+" may take this request", "repeat it after the time in Retry-After")
+		return nil, noneEligible(view)
 	}
 	if len(p.waiting) == 0 {
 		if lease := p.take(req, !p.view.SharesSlots); lease != nil {
@@ -122,6 +125,9 @@
 	defer timer.Stop()
 	select {
 	case lease := <-w.ready:
+		if lease == nil {
+			return nil, noneEligible(p.currentView())
+		}
 		return lease, nil
 	case <-ctx.Done():
 	case <-timer.C:
@@ -131,12 +137,24 @@
 	p.mu.Unlock()
 	select {
 	case lease := <-w.ready: // granted while giving up
-		lease.Release()
+		if lease != nil {
+			lease.Release()
+		}
 	default:
 	}
 	return nil, errs.New(errs.KindQueueTimeout, "no slot became free in time", "repeat the request after the time in Retry-After")
 }
 
+func noneEligible(view *world.ServiceView) error {
+	return errs.New(errs.KindNoBackend, "no backend server of "+view.Config.Name+" may take this request", "repeat it after the time in Retry-After")
+}
+
+func (p *Pool) currentView() *world.ServiceView {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view
+}
+
 // Full reports whether a request would be refused at once.
 func (p *Pool) Full(view *world.ServiceView) bool {
 	p.mu.Lock()
@@ -180,7 +198,10 @@
 	if b.IdempotentOnly && !req.Idempotent {
 		return false
 	}
-	return !slices.Contains(req.Exclude, b.ID)
+	if slices.Contains(req.Exclude, b.ID) {
+		return false
+	}
+	return req.Available == nil || req.Available(b)
 }
 
 func (p *Pool) anyEligible(req Request) bool {
@@ -234,11 +255,12 @@
 	})
 }
 
-// serveWaiting gives free slots to waiting requests in order.
+// serveWaiting gives free slots to waiting requests in order, and refuses those that no
+// server may have any more.
 func (p *Pool) serveWaiting() {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
 		lease := p.take(w.request, p.mayGuess(w))
-		if lease == nil {
+		if lease == nil && p.anyEligible(w.request) {
 			return false
 		}
 		w.ready <- lease
--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
-	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -113,8 +112,6 @@
 		b.Detection.Unreachable++
 		e.own.Unreachable++
 		bad(now, svc, e)
-	case peerpb.Observation_KIND_DRAINING:
-		s.draining(w, now, svc, b)
 	case peerpb.Observation_KIND_PROBE_GOOD:
 		s.probeGood(w, now, svc, b, e, o)
 	case peerpb.Observation_KIND_PROBE_FAILED:
@@ -147,15 +144,6 @@
 	svc.Busy = true
 }
 
-func (s *System) draining(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer) {
-	if b.DrainSeen.IsZero() {
-		w.Record(now, event.BackendLeaving, svc.Config.Name, b.Config.ID, "the server says that it takes no new work")
-	}
-	b.DrainSeen = now
-	svc.Dirty = true
-	svc.Busy = true
-}
-
 // Report takes the evidence of another host.
 func (s *System) Report(w *world.World, now time.Time, report *peerpb.Evidence) {
 	svc, ok := w.Services[report.Service]
@@ -209,7 +197,7 @@
 }
 
 func (s *System) isBusy(now time.Time, b *world.BackendServer, e *evidence) bool {
-	if b.State != world.BackendHealthy || b.Detection.Voted || !b.DrainSeen.IsZero() {
+	if b.State != world.BackendHealthy || b.Detection.Voted {
 		return true
 	}
 	return e.score() > 0 && now.Sub(e.lastBad) < quietAfter
--- a/internal/system/detection/judge.go
+++ b/internal/system/detection/judge.go
@@ -52,7 +52,6 @@
 	own := e.score()
 	b.Detection.Relative = own - peerFactor*medianOfOthers(sorted, own)
 	s.suspect(w, now, svc, b)
-	s.drainEnds(now, svc, b)
 	if b.Detection.Voted {
 		s.holdVote(w, now, svc, b)
 		return
@@ -122,17 +121,6 @@
 	}
 }
 
-func (s *System) drainEnds(now time.Time, svc *world.Service, b *world.BackendServer) {
-	if b.DrainSeen.IsZero() || now.Sub(b.DrainSeen) < DrainSignTTL {
-		return
-	}
-	b.DrainSeen = time.Time{}
-	svc.Dirty = true
-}
-
-// DrainSignTTL is how long a server's own word that it is leaving counts.
-const DrainSignTTL = 15 * time.Second
-
 // judgeSelf doubts this host when nearly all servers look bad from it.
 func (s *System) judgeSelf(w *world.World, now time.Time) {
 	seen, failing := 0, 0
--- a/internal/system/rotation/rotation.go
+++ b/internal/system/rotation/rotation.go
@@ -25,19 +25,18 @@
 	TrialRequests = 5
 	TrialTime     = 5 * time.Second
 
-	trialWeight    = 0.1
-	lastWeight     = 0.05 // kept only for the floor
-	suspectWeight  = 0.3
-	fullWeight     = 1.0
-	reasonLeaving  = "leaving"
-	reasonDrained  = "drained"
-	reasonEjected  = "ejected"
-	reasonPath     = "path-fault"
-	reasonFloor    = "kept-for-floor"
-	reasonTrial    = "trial"
-	reasonSlow     = "slow-start"
-	reasonSuspect  = "suspect"
-	reasonDraining = "draining-sign"
+	trialWeight   = 0.1
+	lastWeight    = 0.05 // kept only for the floor
+	suspectWeight = 0.3
+	fullWeight    = 1.0
+	reasonLeaving = "leaving"
+	reasonDrained = "drained"
+	reasonEjected = "ejected"
+	reasonPath    = "path-fault"
+	reasonFloor   = "kept-for-floor"
+	reasonTrial   = "trial"
+	reasonSlow    = "slow-start"
+	reasonSuspect = "suspect"
 )
 
 // System is the rotation step.
@@ -76,7 +75,6 @@
 		p.advance(b, tallies[b.Config.ID])
 	}
 	p.admit()
-	p.removeDraining()
 	p.removeDrained()
 	p.removeEjected(tallies)
 	p.removePathFaults()
@@ -133,16 +131,6 @@
 	p.whole = p.in
 }
 
-// removeDraining takes out servers that say themselves that they are leaving.
-// A server may say so wrongly, so the floor holds here too.
-func (p *plan) removeDraining() {
-	for _, b := range p.svc.Backends {
-		if !b.DrainSeen.IsZero() {
-			p.removeOrKeep(b, reasonDraining, p.floor)
-		}
-	}
-}
-
 // remove takes a server out while more than least stay, and reports whether it is out.
 func (p *plan) remove(b *world.BackendServer, reason string, least int) bool {
 	if !p.next[b].In {
--- a/internal/system/rotation/rotation_test.go
+++ b/internal/system/rotation/rotation_test.go
@@ -57,7 +57,7 @@
 func step(t *rapid.T, w *world.World, svc *world.Service, now time.Time) {
 	b := rapid.SampledFrom(svc.Backends).Draw(t, "server")
 	on := rapid.Bool().Draw(t, "on")
-	switch rapid.SampledFrom([]string{"vote", "drain", "leaving", "sign", "path", "suspect", "floor"}).Draw(t, "event") {
+	switch rapid.SampledFrom([]string{"vote", "drain", "leaving", "path", "suspect", "floor"}).Draw(t, "event") {
 	case "vote":
 		w.Self.Host = rapid.SampledFrom(svc.Watchers).Draw(t, "watcher")
 		if on {
@@ -74,11 +74,6 @@
 		w.Write(now, r)
 	case "leaving":
 		b.Config.Leaving = on
-	case "sign":
-		b.DrainSeen = time.Time{}
-		if on {
-			b.DrainSeen = now
-		}
 	case "path":
 		b.Detection.PathFault = on
 	case "suspect":
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -175,7 +175,7 @@
 	f.Written = conn != nil && !conn.sealIfUnwritten(mark)
 	switch {
 	case errors.Is(err, errGuard):
-		f.err = errs.Wrap(err, errs.KindStaleHost, "this host paused before the request was sent", "repeat the request; another host or this one will take it")
+		f.err = guardError(err)
 	case !f.Written && !f.Dialled && ctx.Err() == nil:
 		f.err = errs.Wrap(err, errs.KindDialFailed, "no connection", "see that the server runs and can be reached from this host")
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
@@ -188,6 +188,15 @@
 	return f
 }
 
+// guardError is the guard's own reason for forbidding a write.
+func guardError(err error) *errs.Error {
+	var typed *errs.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return errs.Wrap(err, errs.KindStaleHost, "the last check before the request was sent forbade it", "repeat the request; another host or this one will take it")
+}
+
 // emptyBody is a body that is neither nil nor http.NoBody, because the
 // Transport would replay a request with those.
 type emptyBody struct{}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -135,9 +135,6 @@
 	State     BackendState
 	Since     time.Time // of State
 	Detection Detection
-	// DrainSeen is when a sign of leaving came from the server itself: an
-	// answer header or a closed connection. Zero if none is in force.
-	DrainSeen time.Time
 	Rotation  Rotation
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -47,7 +47,8 @@
 mutant "new host asks peers" internal/engine/engine.go 's/\&\& configsync.Current(e.world)/\&\& (e.world.Index != nil || configsync.Current(e.world))/' ./internal/engine
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
-mutant "drain sign" internal/system/rotation/rotation.go 's/^	p.removeDraining()$//' ./e2e -ginkgo.focus "says so itself"
+mutant "a server's word at the pick" internal/dispatch/place.go 's/^		Available:  x.availableNow(),$//' ./platform -run 'TestNoServerLeft'
+mutant "a server's word at an owner's pick" internal/dispatch/place.go 's/^		Available:  x.isAvailable,$//' ./e2e -ginkgo.focus "says so itself"
 mutant "stop grace" internal/daemon/stop.go 's/^	wait(ctx, time.Duration(d.settings.Timing.StopGrace))$//' ./e2e -ginkgo.focus "kept connections"
 mutant "graceful end" internal/daemon/stop.go 's/d.callerServer.Shutdown(ctx), d.peerServer.Shutdown(ctx)/d.callerServer.Close(), d.peerServer.Close()/' ./e2e -ginkgo.focus "in turn under load"
 mutant "witnesses" internal/system/detection/judge.go 's/return live <= 1 || e.witnessed(now)/return true/' ./experiment/detection -run NoFalse
