A server that has rested gets one request of a host at a time; tests of a server's word

Cause: servers that ask for rest when they are full come back at one moment, and all that waited goes there.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/experiment/simtime"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
-	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -23,6 +23,7 @@
 	dataCentre int
 	fleet      *fleet
 	table      *policy.Table
+	servers    *availability.Table
 	sharing    *sharing.Fleet
 	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
@@ -33,6 +34,7 @@
 	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
+	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	return h
 }
@@ -164,6 +166,8 @@
 		Priority:   r.route.Priority,
 		Asked:      simtime.Epoch.Add(r.asked),
 		Deadline:   simtime.Epoch.Add(r.deadline()),
+
+		Availability: r.host.servers.Now(),
 	}
 }
 
@@ -222,12 +226,13 @@
 	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now}
 	fl.job = &job{route: r.route, deadline: r.deadline()}
 	delay := f.delay(r.host.dataCentre, fl.server.dataCentre)
-	fl.job.done = func(result reply) { f.clock.After(delay, func() { r.answered(fl, result) }) }
+	fl.job.done = func(a answer) { f.clock.After(delay, func() { r.answered(fl, a) }) }
 	f.spent(r.route.Service).note(f.clock.Now, r.arrived > 0 || len(r.flights) > 0)
 	r.flights = append(r.flights, fl)
 	f.result.Runs[fl.server.id]++
 	f.clock.After(delay, func() {
 		if !fl.job.over {
+			f.said.arrived(f.clock.Now, r.host.name, fl.server.id)
 			fl.server.take(fl.job)
 		}
 	})
@@ -257,9 +262,12 @@
 }
 
 // answered takes what a server made of the request.
-func (r *request) answered(fl *flight, result reply) {
-	took := r.host.fleet.clock.Now - fl.sent
-	load := &protocol.Load{Running: fl.server.running, Waiting: len(fl.server.queue)}
+func (r *request) answered(fl *flight, a answer) {
+	f := r.host.fleet
+	took := f.clock.Now - fl.sent
+	result, load := a.reply, a.said.Load
+	r.host.servers.Learn(availability.ServerOf(r.route.Service, &fl.placement.Server), a.said)
+	f.said.answered(f.clock.Now, r.host.name, fl.server.id, a.said)
 	if fl.letGo {
 		fl.letGo = false
 		r.finish(fl, policy.Done{Outcome: outcomeOf(result), FirstByte: took, Load: load})
@@ -337,7 +345,7 @@
 	}
 	f := r.host.fleet
 	f.result.reasons[string(kind)]++
-	after := r.host.table.RetryAfter(r.route.Service)
+	after := r.retryAfter()
 	if r.returns < r.route.Returns && f.clock.Now+after < r.deadline() {
 		r.returns++
 		f.clock.After(after, r.comeBack)
@@ -346,6 +354,15 @@
 	r.end(refused)
 }
 
+// retryAfter is when the refused caller should come back.
+func (r *request) retryAfter() time.Duration {
+	req := r.policyRequest()
+	if rest, none := req.Availability.AbsenceOf(req.Service, r.host.views[req.Service].Backends); none && rest.Reason == availability.Resting {
+		return rest.Left
+	}
+	return r.host.table.RetryAfter(req.Service)
+}
+
 // comeBack is the caller's next try, at another host.
 func (r *request) comeBack() {
 	if r.over {
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -72,6 +72,8 @@
 	// it takes.
 	Slots int `yaml:"slots"`
 	Queue int `yaml:"queue"`
+	// Rest is what a server asks for that refuses for lack of room.
+	Rest config.Duration `yaml:"rest"`
 	// Spells come to each server by itself.
 	Spells Spells `yaml:"spells"`
 	// Faults come to a share of the servers at a set time.
@@ -84,6 +86,8 @@
 	KindHang   = "hang"   // no answer until the request is given up
 	KindShed   = "shed"   // refused, not run
 	KindSlow   = "slow"   // work takes Factor times as long
+	// KindLeaving says with each answer, from the fault's start on, that it is leaving.
+	KindLeaving = "leaving"
 )
 
 // Spells of failures that a server has from time to time.
@@ -104,6 +108,8 @@
 	Fails  float64         `yaml:"fails"`
 	Kind   string          `yaml:"kind"`
 	Factor float64         `yaml:"factor"` // of KindSlow
+	// Rest is what KindShed asks for with each refusal.
+	Rest config.Duration `yaml:"rest"`
 }
 
 // Route is a kind of request.
@@ -199,7 +205,7 @@
 
 func isKind(kind string) bool {
 	switch kind {
-	case KindErrors, KindHang, KindShed, KindSlow:
+	case KindErrors, KindHang, KindShed, KindSlow, KindLeaving:
 		return true
 	default:
 		return false
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -33,6 +33,7 @@
 	servers map[string]*server
 	views   map[string]*world.ServiceView
 	sent    map[string]*spending // by service
+	said    *saidCheck
 	result  *Result
 }
 
@@ -51,6 +52,7 @@
 		sent:    make(map[string]*spending),
 		byName:  make(map[string]*host),
 		views:   make(map[string]*world.ServiceView),
+		said:    &saidCheck{states: make(map[saidKey]*saidState)},
 		result:  newResult(pattern),
 	}
 	f.addServers()
@@ -64,6 +66,7 @@
 	for _, s := range f.sent {
 		f.result.AllowanceSpent = max(f.result.AllowanceSpent, s.most(pattern.Retry))
 	}
+	f.result.AfterLeaving, f.result.InRest, f.result.OverRest = f.said.afterLeaving, f.said.inRest, f.said.overRest
 	return f.result
 }
 
--- a/experiment/replay/report.go
+++ b/experiment/replay/report.go
@@ -52,7 +52,12 @@
 			r.Quantile(0.5).Round(time.Millisecond), r.Quantile(0.99).Round(time.Millisecond), r.HeldInVain.Round(time.Second),
 			b.Goodput(), b.Unserved())
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "requests to a server over 2 s after it said that it leaves: %d; rests with more than two requests of a host: %d, at most %d\n",
+		c.Policy.AfterLeaving, c.Policy.OverRest, c.Policy.InRest)
+	return err
 }
 
 // Size of the plot, in pixels.
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -48,6 +48,10 @@
 	// Sound counts, over moments, the servers that have not failed by themselves for a
 	// while, Unused those of them that have had no request for a window.
 	Sound, Unused map[string]int // by service
+	// AfterLeaving counts requests that reached a server over 2 s after it had told their
+	// host that it leaves; InRest is the most that reached one from one host in a rest that
+	// it had asked for, OverRest how many rests had more than two.
+	AfterLeaving, InRest, OverRest int
 	// Runs is how often each server was sent a request.
 	Runs    map[string]int
 	reasons map[string]int
@@ -116,6 +120,9 @@
 		r.Seconds[i].add(s)
 	}
 	r.Messages += other.Messages
+	r.AfterLeaving += other.AfterLeaving
+	r.OverRest += other.OverRest
+	r.InRest = max(r.InRest, other.InRest)
 	r.AllowanceSpent = max(r.AllowanceSpent, other.AllowanceSpent)
 	for service, n := range other.Sound {
 		r.Sound[service] += n
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -10,6 +10,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"github.com/pearshelf/pearshelf/experiment/simtime"
+	"github.com/pearshelf/pearshelf/internal/protocol"
 )
 
 // errorAfter is how soon a server in a spell of errors answers.
@@ -24,12 +25,18 @@
 	replyShed
 )
 
+// answer is what a server sends back, and what it says of itself with it.
+type answer struct {
+	reply reply
+	said  protocol.ServerState
+}
+
 // job is a request at a server.
 type job struct {
 	route *Route
 	// deadline is when the server gives up, by what it was told.
 	deadline time.Duration
-	done     func(reply)
+	done     func(answer)
 	end      *simtime.Timer
 	over     bool
 }
@@ -85,13 +92,14 @@
 // trouble draws what a request meets that begins now, "" for nothing.
 func (s *server) trouble() (kind string, factor float64) {
 	for _, f := range s.faults {
-		if s.clock.Now >= time.Duration(f.From) && s.clock.Now < time.Duration(f.From+f.For) {
-			if f.Kind == KindSlow {
-				return KindSlow, f.Factor
-			}
-			if s.random.Float64() < f.Fails {
-				return f.Kind, 1
-			}
+		if !s.isNow(f) || f.Kind == KindLeaving {
+			continue
+		}
+		if f.Kind == KindSlow {
+			return KindSlow, f.Factor
+		}
+		if s.random.Float64() < f.Fails {
+			return f.Kind, 1
 		}
 	}
 	if s.inSpell && s.random.Float64() < s.service.Spells.Fails {
@@ -100,6 +108,28 @@
 	return "", 1
 }
 
+func (s *server) isNow(f Fault) bool {
+	return s.clock.Now >= time.Duration(f.From) && s.clock.Now < time.Duration(f.From+f.For)
+}
+
+// answer ends a request with what the server says of itself now.
+func (s *server) answer(j *job, result reply) {
+	j.over = true
+	a := answer{reply: result, said: protocol.ServerState{Load: &protocol.Load{Running: s.running, Waiting: len(s.queue)}}}
+	if result == replyShed {
+		a.said.Rest = time.Duration(s.service.Rest)
+	}
+	for _, f := range s.faults {
+		switch {
+		case f.Kind == KindLeaving && s.clock.Now >= time.Duration(f.From):
+			a.said.Leaving = true
+		case f.Kind == KindShed && result == replyShed:
+			a.said.Rest = max(a.said.Rest, time.Duration(f.Rest))
+		}
+	}
+	j.done(a)
+}
+
 // take begins a request, queues it or sheds it.
 func (s *server) take(j *job) {
 	s.lastTaken = s.clock.Now
@@ -109,8 +139,7 @@
 	case len(s.queue) < s.service.Queue:
 		s.queue = append(s.queue, j)
 	default:
-		j.over = true
-		j.done(replyShed)
+		s.answer(j, replyShed)
 	}
 }
 
@@ -121,8 +150,7 @@
 	}
 	left := j.deadline - s.clock.Now
 	if kind == KindShed || left <= 0 {
-		j.over = true
-		j.done(replyShed)
+		s.answer(j, replyShed)
 		s.next()
 		return
 	}
@@ -144,9 +172,8 @@
 }
 
 func (s *server) finish(j *job, result reply) {
-	j.over = true
 	s.running--
-	j.done(result)
+	s.answer(j, result)
 	s.next()
 }
 
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // maxServers bounds the servers of which something is kept, 150 bytes each. A host uses
-// some hundred servers at the target size; a release replaces all of them a few times
-// before the first are forgotten. What is forgotten is said again with the next answer.
-const maxServers = 4096
+// some hundred servers at the target size (14,000 servers, each used by 8 of 1,100 hosts): a
+// release may replace all of them ten times before the first are forgotten. What is
+// forgotten is said again with the next answer.
+const maxServers = 1024
 
 // Server is one process of a backend server.
 type Server struct {
@@ -29,6 +31,11 @@
 	Started int64
 }
 
+// ServerOf names the process of a server in a view.
+func ServerOf(service string, b *world.BackendView) Server {
+	return Server{Service: service, ID: b.ID, Started: b.Started}
+}
+
 func (s Server) key() key { return key{s.Service, s.ID} }
 
 type key struct{ service, id string }
@@ -52,11 +59,18 @@
 // Reasons.
 const (
 	Available Reason = iota
-	Leaving
+	// Returning: its rest is over, and it has not answered a request since. It gets one
+	// request of this host at a time, which shows whether there is room for more.
+	Returning
 	Resting
+	Leaving
 )
 
-var reasonNames = [...]string{"available", "leaving", "resting"}
+var reasonNames = [...]string{"available", "returning", "resting", "leaving"}
+
+// returnsFor bounds the time after a rest in which a server is Returning: one that then
+// leaves the only request unanswered is no longer a matter of its rest.
+const returnsFor = 2 * time.Second
 
 // String returns the name that logs have.
 func (r Reason) String() string { return reasonNames[r] }
@@ -68,6 +82,8 @@
 		return Leaving
 	case now.Before(s.RestUntil):
 		return Resting
+	case now.Before(s.RestUntil.Add(returnsFor)):
+		return Returning
 	default:
 		return Available
 	}
@@ -99,17 +115,23 @@
 	// or prolonged changes neither.
 	BeganLeaving bool
 	BeganRest    bool
+	// Returned is set with the first answer after a rest that asks for no further one.
+	Returned bool
 }
 
 // Learn takes what a server said of itself in an answer that has just arrived.
 func (t *Table) Learn(server Server, said protocol.ServerState) Change {
-	if !said.Leaving && said.Rest == 0 {
+	saysNothing := !said.Leaving && said.Rest == 0
+	if _, known := (*t.view.Load())[server.key()]; saysNothing && !known {
 		return Change{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
 	held := t.current(server)
+	if saysNothing {
+		return t.noteReturn(now, held)
+	}
 	next := held
 	next.Server = server
 	next.SaidAt = now
@@ -129,6 +151,15 @@
 	return change
 }
 
+// noteReturn ends the time after a rest: the server has taken a request again.
+func (t *Table) noteReturn(now time.Time, held State) Change {
+	if held.RestUntil.IsZero() || now.Before(held.RestUntil) || !held.LeavingSince.IsZero() {
+		return Change{}
+	}
+	t.remove(held.Server)
+	return Change{Returned: true}
+}
+
 // current is what is known of a server's process; nothing, if it is a newer one.
 func (t *Table) current(server Server) State {
 	held, known := (*t.view.Load())[server.key()]
@@ -172,6 +203,10 @@
 func (t *Table) Forget(server Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.remove(server)
+}
+
+func (t *Table) remove(server Server) {
 	next := maps.Clone(*t.view.Load())
 	delete(next, server.key())
 	t.view.Store(&next)
@@ -210,11 +245,38 @@
 	return held.ReasonAt(m.now), held
 }
 
+// Absence is why none of a set of servers takes requests.
+type Absence struct {
+	// Reason is Resting if one of them will take requests again, else Leaving.
+	Reason Reason
+	// Left is the time until the first of them does, 0 if all are leaving.
+	Left time.Duration
+}
+
+// AbsenceOf returns why none of a service's servers takes requests; false if one does, or
+// if there are none.
+func (m Moment) AbsenceOf(service string, servers []world.BackendView) (Absence, bool) {
+	absence := Absence{Reason: Leaving}
+	for i := range servers {
+		reason, state := m.Of(ServerOf(service, &servers[i]))
+		switch reason {
+		case Available, Returning:
+			return Absence{}, false
+		case Resting:
+			left := state.RestUntil.Sub(m.now)
+			if absence.Reason == Leaving || left < absence.Left {
+				absence = Absence{Reason: Resting, Left: left}
+			}
+		}
+	}
+	return absence, len(servers) > 0
+}
+
 // All returns the servers that get no requests at this moment, in no order.
 func (m Moment) All() []State {
 	var all []State
 	for _, s := range m.view {
-		if s.ReasonAt(m.now) != Available {
+		if reason := s.ReasonAt(m.now); reason == Leaving || reason == Resting {
 			all = append(all, s)
 		}
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -96,19 +96,19 @@
 // is under way counts as a server that has had it.
 func (x *exchange) policyRequest() policy.Request {
 	return policy.Request{
-		Service:    x.req.Service,
-		Idempotent: x.req.Idempotent,
-		DataCentre: x.snap.Self.DataCentre,
-		Group:      x.req.Group,
-		Objective:  x.req.Objective,
-		First:      x.arrived == 0 && x.broken == 0 && x.waiting == 0,
-		Repeat:     x.arrived > 0 || x.waiting > 0,
-		Last:       x.ran+x.waiting+1 >= x.req.attempts(),
-		Fleet:      x.fleet(),
-		Exclude:    x.tried,
-		Available:  x.availableNow(),
-		Priority:   x.req.Priority,
-		Asked:      x.start,
-		Deadline:   x.req.Deadline,
+		Service:      x.req.Service,
+		Idempotent:   x.req.Idempotent,
+		DataCentre:   x.snap.Self.DataCentre,
+		Group:        x.req.Group,
+		Objective:    x.req.Objective,
+		First:        x.arrived == 0 && x.broken == 0 && x.waiting == 0,
+		Repeat:       x.arrived > 0 || x.waiting > 0,
+		Last:         x.ran+x.waiting+1 >= x.req.attempts(),
+		Fleet:        x.fleet(),
+		Exclude:      x.tried,
+		Availability: x.d.servers.Now(),
+		Priority:     x.req.Priority,
+		Asked:        x.start,
+		Deadline:     x.req.Deadline,
 	}
 }
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -22,7 +22,7 @@
 
 // serverOf names the process of the server that has a request.
 func (x *exchange) serverOf(lease *place) availability.Server {
-	return availability.Server{Service: x.req.Service, ID: lease.Server.ID, Started: lease.Server.Started}
+	return availability.ServerOf(x.req.Service, &lease.Server)
 }
 
 // sendToServer is send to a backend server. It is the only way in which answers of servers
@@ -58,6 +58,9 @@
 		d.metrics.ServerSaid(availability.Resting.String())
 		d.recordState(event.BackendResting, server, "the server asks for no requests from this host for "+said.Rest.String())
 	}
+	if change.Returned {
+		d.recordState(event.BackendAvailable, server, "the server has answered after its rest")
+	}
 }
 
 func (d *Dispatcher) recordState(number event.Number, server availability.Server, detail string) {
@@ -105,22 +108,8 @@
 
 // isAvailable reports whether a server takes requests by its own word.
 func (x *exchange) isAvailable(b *world.BackendView) bool {
-	return x.availableIn(x.d.servers.Now(), b)
-}
-
-// availableNow is isAvailable at this moment, for one pick; nil if all servers take
-// requests.
-func (x *exchange) availableNow() func(b *world.BackendView) bool {
-	moment := x.d.servers.Now()
-	if moment.Nothing() {
-		return nil
-	}
-	return func(b *world.BackendView) bool { return x.availableIn(moment, b) }
-}
-
-func (x *exchange) availableIn(moment availability.Moment, b *world.BackendView) bool {
-	reason, _ := moment.Of(availability.Server{Service: x.req.Service, ID: b.ID, Started: b.Started})
-	return reason == availability.Available
+	reason, _ := x.d.servers.Of(availability.ServerOf(x.req.Service, b))
+	return reason == availability.Available || reason == availability.Returning
 }
 
 // mayStillSend forbids a send to a server that has said since it was picked that it takes no
@@ -164,24 +153,14 @@
 // want rest; nil if there are others. The caller is told to come back when the first of them
 // takes requests again.
 func (x *exchange) noneAvailable() *Refusal {
-	moment := x.d.servers.Now()
-	var until time.Time
-	for i := range x.view.Backends {
-		b := &x.view.Backends[i]
-		reason, state := moment.Of(availability.Server{Service: x.req.Service, ID: b.ID, Started: b.Started})
-		if reason == availability.Available {
-			return nil
-		}
-		if reason == availability.Resting && (until.IsZero() || state.RestUntil.Before(until)) {
-			until = state.RestUntil
-		}
-	}
-	if len(x.view.Backends) == 0 {
+	absence, none := x.d.servers.Now().AbsenceOf(x.req.Service, x.view.Backends)
+	switch {
+	case !none:
 		return nil
-	}
-	if until.IsZero() {
+	case absence.Reason == availability.Leaving:
 		return notRun(errs.New(errs.KindLeaving, "all backend servers of "+x.req.Service+" say that they are leaving", "repeat the request after the time in Retry-After; start other servers"), x.retryAfter())
+	default:
+		left := absence.Left.Round(time.Millisecond).String()
+		return notRun(errs.New(errs.KindResting, "all backend servers of "+x.req.Service+" asked for rest, the first for another "+left, "repeat the request after the time in Retry-After; add capacity"), absence.Left)
 	}
-	left := until.Sub(moment.Time())
-	return notRun(errs.New(errs.KindResting, "all backend servers of "+x.req.Service+" asked for rest, the first for another "+left.Round(time.Millisecond).String(), "repeat the request after the time in Retry-After; add capacity"), left)
 }
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -154,6 +154,3 @@
 	}
 	return !slices.Contains(r.Exclude, b.ID) && r.isAvailable(b)
 }
-
-// isAvailable reports whether a server takes requests by its own word.
-func (r Request) isAvailable(b *world.BackendView) bool { return r.Available == nil || r.Available(b) }
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -37,6 +37,9 @@
 	// MechanismTrials are copies of idempotent requests to servers believed to fail,
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
+	// MechanismReturnOneByOne sends a server that has rested one request at a time,
+	// availability.go.
+	MechanismReturnOneByOne Mechanism = "return-one-by-one"
 	// MechanismStanding refuses requests while a queue stands, admission.go.
 	MechanismStanding Mechanism = "standing-queue"
 )
@@ -47,6 +50,7 @@
 		MechanismSpells, MechanismSilence, MechanismCopies, MechanismOutcomes, MechanismLoads,
 		MechanismToldLoad, MechanismBreadth, MechanismTrouble, MechanismDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRoutes, MechanismYoungHosts, MechanismTrials, MechanismStanding,
+		MechanismReturnOneByOne,
 	}
 }
 
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -88,10 +89,9 @@
 	Priority int
 	// Exclude are servers already tried.
 	Exclude []string
-	// Available reports whether a server takes requests by its own word; nil for all do.
-	// Servers that do not are left out of everything: a floor or the need for more
-	// servers in use does not bring them back.
-	Available func(b *world.BackendView) bool
+	// Availability is what servers say of themselves. Those that take no requests are left
+	// out of everything: the need for more servers in use does not bring them back.
+	Availability availability.Moment
 	// Asked is when the request came to this host, and Deadline when its caller
 	// gives up.
 	Asked    time.Time
@@ -189,7 +189,7 @@
 		best.eligible++
 		s := t.row(w.now, key{w.req.Service, b.ID}, b)
 		load := s.load(w.now)
-		if load >= float64(b.Slots*queuePerSlot) {
+		if load >= float64(b.Slots*queuePerSlot) || t.returnsOneByOne(w.req, b) && s.inFlight > 0 {
 			continue
 		}
 		cost := t.cost(w.now, w.svc, s, b, load, w.req) + w.failure*s.failure(w.now, w.svc)
--- /dev/null
+++ b/internal/protocol/serverstate_test.go
@@ -0,0 +1,57 @@
+package protocol_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/protocol"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// A server's Retry-After counts with 503 only, and counts as nothing said where it cannot be
+// read. The longest of two holds.
+func TestRest(t *testing.T) {
+	for _, row := range []struct {
+		status int
+		values []string
+		want   time.Duration
+	}{
+		{503, []string{"3"}, 3 * time.Second},
+		{503, []string{"0.05"}, 50 * time.Millisecond},
+		{503, []string{"86400"}, 24 * time.Hour},
+		{503, []string{"1e308"}, 24 * time.Hour},
+		{503, []string{"1e999"}, 24 * time.Hour},
+		{503, []string{"+Inf"}, 24 * time.Hour},
+		{503, []string{"0"}, 0},
+		{503, []string{"-1"}, 0},
+		{503, []string{"NaN"}, 0},
+		{503, []string{""}, 0},
+		{503, []string{"soon"}, 0},
+		{503, nil, 0},
+		{503, []string{"1", "4"}, 4 * time.Second},
+		{503, []string{"2", "x"}, 2 * time.Second},
+		{503, []string{"Fri, 02 Jan 2026 03:04:15 GMT"}, 10 * time.Second},
+		{503, []string{"Fri, 02 Jan 2026 03:04:00 GMT"}, 0},
+		{429, []string{"3"}, 0}, // of the caller, not of the server
+		{200, []string{"3"}, 0},
+		{301, []string{"3"}, 0},
+	} {
+		got := protocol.Own().ReadServerState(now, row.status, http.Header{"Retry-After": row.values}).Rest
+		if got != row.want {
+			t.Errorf("%d with %q: %s, want %s", row.status, row.values, got, row.want)
+		}
+	}
+}
+
+// A closed connection is no sign of leaving: servers that stay close some too.
+func TestLeavingIsSaidByItsHeaderOnly(t *testing.T) {
+	for value, want := range map[string]bool{"true": true, "false": false, "": false} {
+		h := http.Header{"Connection": {"close"}}
+		h.Set(protocol.HeaderLeaving, value)
+		if got := protocol.Own().ReadServerState(now, 200, h).Leaving; got != want {
+			t.Errorf("%q reads as leaving: %v", value, got)
+		}
+	}
+}
