--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -47,8 +47,15 @@
 mutant "new host asks peers" internal/engine/engine.go 's/\&\& configsync.Current(e.world)/\&\& (e.world.Index != nil || configsync.Current(e.world))/' ./internal/engine
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
-mutant "a server's word at the pick" internal/dispatch/place.go 's/^		Available:  x.availableNow(),$//' ./platform -run 'TestNoServerLeft'
-mutant "a server's word at an owner's pick" internal/dispatch/place.go 's/^		Available:  x.isAvailable,$//' ./e2e -ginkgo.focus "says so itself"
+mutant "a server's word at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
+mutant "one request after a rest" internal/policy/availability.go 's/return t.has(MechanismReturnOneByOne) \&\& .*/return false/' ./internal/policy -run ReturnsWithOne
+mutant "a server's word at an owner's pick" internal/slots/pool.go 's/return req.Available == nil || req.Available(b)/return true/' ./internal/slots
+mutant "a server's word at the first byte" internal/dispatch/send.go 's/if err := x.mayStillSend(to); err != nil {/if err := x.mayStillSend(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
+mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || isListed(view, to.server) {/if true {/' ./platform -run UpToTheFirstByte
+mutant "whose word" internal/dispatch/serverstate.go 's/return !x.isMisdirected(answer) \&\& x.isEcho(answer, to.view)/return true/' ./platform -run WhoseWord
+mutant "a word of an older process" internal/availability/availability.go 's/return server.Started > held.Started .*/return false/' ./internal/availability
+mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
+mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(held.RestUntil)//' ./internal/availability
 mutant "stop grace" internal/daemon/stop.go 's/^	wait(ctx, time.Duration(d.settings.Timing.StopGrace))$//' ./e2e -ginkgo.focus "kept connections"
 mutant "graceful end" internal/daemon/stop.go 's/d.callerServer.Shutdown(ctx), d.peerServer.Shutdown(ctx)/d.callerServer.Close(), d.peerServer.Close()/' ./e2e -ginkgo.focus "in turn under load"
 mutant "witnesses" internal/system/detection/judge.go 's/return live <= 1 || e.witnessed(now)/return true/' ./experiment/detection -run NoFalse
