--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -33,6 +33,7 @@
 	kindCallerLink  = "caller link"
 	kindPlatform    = "platform"
 	kindServers     = "servers"
+	kindServerLink  = "server link"
 )
 
 // fault begins a disturbance that ends by itself.
@@ -54,6 +55,10 @@
 	{"server resets", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ResetRate: 0.5}) }},
 	{"server hangs", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{Hang: true}) }},
 	{"server sheds", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ShedAll: true}) }},
+	{"server asks for rest", func(s *soak, ctx context.Context) {
+		s.failServer(ctx, backend.Faults{ShedAll: true, Rest: s.between(leastRest, mostRest)})
+	}},
+	{"server leaves", (*soak).leaveServer},
 	{"server slow", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{SlowFactor: 8}) }},
 	{"wrong answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{WrongIDRate: 0.3}) }},
 	{"cut answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{CutRate: 0.3}) }},
@@ -182,7 +187,7 @@
 
 func (s *soak) disturbServerLink(ctx context.Context) {
 	l := s.serverLinks[s.rng.IntN(len(s.serverLinks))]
-	ended := s.disturbAll(kindServers)
+	ended := s.disturbAll(kindServerLink)
 	switch s.rng.IntN(4) {
 	case 0:
 		l.Reset()
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/standin/backend"
 	"github.com/pearshelf/pearshelf/standin/fleet"
 	"github.com/pearshelf/pearshelf/standin/link"
@@ -99,6 +100,7 @@
 	findings = append(findings, s.checkEnds()...)
 	findings = append(findings, s.checkIdle(ctx)...)
 	findings = append(findings, s.journal.check(s.hosts)...)
+	findings = append(findings, s.checkSaid()...)
 	return s.report(findings), nil
 }
 
@@ -115,8 +117,10 @@
 	servers      []*backend.Server
 	serverLinks  []*link.Link
 	hosts        []*host
+	publishing   sync.Mutex // for the two below
 	document     config.Document
 	version      int
+	said         said
 	ending       ending
 
 	ends sync.WaitGroup // of faults that end by themselves
@@ -178,6 +182,7 @@
 		server, err := backend.Start(backend.Config{
 			ID: id, Slots: serverSlots, ServiceTime: serviceTime, Seed: s.conf.Seed + uint64(i),
 			Download: make([]byte, downloadSize), Ran: func(r *http.Request) { s.ran(i, r) },
+			Arrived: func(r *http.Request, said protocol.ServerState) { s.said.arrived(i, r.URL.Path, said) },
 		})
 		if err != nil {
 			return err
@@ -188,7 +193,7 @@
 			return err
 		}
 		s.serverLinks = append(s.serverLinks, l)
-		svc.Backends = append(svc.Backends, config.Backend{ID: id, Address: l.Address()})
+		svc.Backends = append(svc.Backends, config.Backend{ID: id, Address: l.Address(), Started: time.Now().UnixMilli()})
 	}
 	s.document = config.Document{Services: []config.Service{svc}}
 	return nil
@@ -196,6 +201,8 @@
 
 // publish makes a new version of the configuration, told by a route of its own.
 func (s *soak) publish() error {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	s.version++
 	svc := &s.document.Services[0]
 	svc.Routes = append(svc.Routes, config.Route{Path: versionPath(s.version), Idempotent: true})
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/hlc"
@@ -53,11 +54,12 @@
 	events  *event.Log
 	clients Clients
 	limits  Limits
+	servers *availability.Table
 }
 
 // NewServer returns the operators' service of a host.
-func NewServer(self string, engine Engine, events *event.Log, clients Clients, limits Limits) *Server {
-	return &Server{self: self, engine: engine, events: events, clients: clients, limits: limits}
+func NewServer(self string, engine Engine, events *event.Log, clients Clients, limits Limits, servers *availability.Table) *Server {
+	return &Server{self: self, engine: engine, events: events, clients: clients, limits: limits, servers: servers}
 }
 
 // twirpError keeps kind, message and remedy on the way to the tool.
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/directive"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
@@ -38,14 +39,20 @@
 	"documents":  listDocuments,
 }
 
-// tableLimits is what this host knows beside its tables.
-const tableLimits = "limits"
+// What this host knows beside its tables.
+const (
+	tableLimits       = "limits"
+	tableAvailability = "availability"
+)
 
 func (c *command) show(s *query.Show) (*adminpb.QueryResponse, error) {
 	var t table
-	if s.Table == tableLimits {
+	switch s.Table {
+	case tableLimits:
 		t = listLimits(c.server.limits.Limits())
-	} else {
+	case tableAvailability:
+		t = listAvailability(c.server.servers.Now())
+	default:
 		t = listers[s.Table](c.w, c.now)
 	}
 	resp := &adminpb.QueryResponse{Columns: t.columns}
@@ -186,6 +193,25 @@
 	return t
 }
 
+// listAvailability shows the servers that get no requests from this host by their own word.
+func listAvailability(moment availability.Moment) table {
+	t := table{columns: []string{"service", "backend", "state", "for", "said", "left"}}
+	for _, s := range moment.All() {
+		reason := s.ReasonAt(moment.Time())
+		since, left := s.LeavingSince, "until its process ends"
+		if reason == availability.Resting {
+			since, left = s.RestSince, s.RestUntil.Sub(moment.Time()).Round(time.Millisecond).String()
+		}
+		t.rows = append(t.rows, []string{
+			s.Server.Service, s.Server.ID, reason.String(),
+			moment.Time().Sub(since).Round(time.Millisecond).String(),
+			moment.Time().Sub(s.SaidAt).Round(time.Millisecond).String() + " ago", left,
+		})
+	}
+	slices.SortFunc(t.rows, slices.Compare)
+	return t
+}
+
 func listDirectives(w *world.World, _ time.Time) table {
 	t := table{columns: []string{"kind", "target", "value", "actor", "from", "at", "version"}}
 	for _, r := range directive.All(w.Registers) {
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -49,8 +49,10 @@
 	// RestSince and RestUntil bound the rest that it asked for last, zero for none.
 	RestSince time.Time
 	RestUntil time.Time
-	// SaidAt is when it last said either.
-	SaidAt time.Time
+	// SaidAt is when it last said either, CheckedAt when it was last asked whether it is
+	// still leaving.
+	SaidAt    time.Time
+	CheckedAt time.Time
 }
 
 // Reason is why a server gets no requests.
@@ -199,6 +201,34 @@
 	}
 }
 
+const (
+	// recheckAfter is how long a server has been leaving before it is asked whether it still
+	// is, recheckEvery the time between two questions. Servers that leave are gone some
+	// seconds later; one that is there after a minute may have said so wrongly, or have
+	// started again where nothing tells its starts apart.
+	recheckAfter = time.Minute
+	recheckEvery = 15 * time.Second
+	// recheckAtOnce bounds the questions of one round.
+	recheckAtOnce = 4
+)
+
+// TakeRechecks returns servers that must be asked whether they are still leaving, and notes
+// that they are.
+func (t *Table) TakeRechecks() []Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	var due []Server
+	for _, s := range *t.view.Load() {
+		if !s.LeavingSince.IsZero() && now.Sub(s.LeavingSince) >= recheckAfter && now.Sub(s.CheckedAt) >= recheckEvery && len(due) < recheckAtOnce {
+			due = append(due, s.Server)
+			s.CheckedAt = now
+			t.store(now, s)
+		}
+	}
+	return due
+}
+
 // Forget drops what a server's process has said, because it says otherwise now.
 func (t *Table) Forget(server Server) {
 	t.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -303,6 +303,8 @@
 	}
 	d.wg.Go(func() { d.datagrams.Receive(d.receive) })
 	d.wg.Go(func() { d.limiter.run(d.ctx) })
+	leaving := &rechecker{servers: d.servers, snapshot: d.engine.Snapshot, client: d.probes, protocol: d.protocol, events: d.events}
+	d.wg.Go(func() { leaving.Run(d.ctx) })
 	if !d.observer.off {
 		d.wg.Go(func() { d.observer.run(d.ctx) })
 	}
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -29,7 +29,7 @@
 		WhenReady:       d.engine.WhenReady(),
 		BodyIdleTimeout: time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
-	service := admin.NewServer(d.settings.Host, d.engine, d.events, d.clients, d.limiter)
+	service := admin.NewServer(d.settings.Host, d.engine, d.events, d.clients, d.limiter, d.servers)
 	if err := d.makeCallerServer(front); err != nil {
 		return err
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -64,6 +64,9 @@
 	ParseLoad func(value string) (Load, bool)
 	// FormatRetryAfter writes the value of Retry-After.
 	FormatRetryAfter func(d time.Duration) string
+	// Instance is the header by which an answer to a health check names the server's process,
+	// empty if it does not.
+	Instance string
 	// ReadyPath answers 200 while the balancer should send callers here.
 	ReadyPath string
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -38,6 +38,8 @@
 	Draining bool
 	// ShedAll refuses every request as not run.
 	ShedAll bool
+	// Rest is what the server asks for with each refusal, 0 for nothing.
+	Rest time.Duration
 	// Unhealthy makes the health endpoint tell the truth.
 	Unhealthy bool
 }
@@ -58,6 +60,9 @@
 	Seed uint64
 	// Ran, if set, is called as each request begins to run.
 	Ran func(r *http.Request)
+	// Arrived, if set, is called with each request and what its answer will say of the
+	// server.
+	Arrived func(r *http.Request, said protocol.ServerState)
 	// EndsOn, if set, says which requests end the server while they run: its listener and
 	// all its connections close at once.
 	EndsOn func(r *http.Request) bool
@@ -206,9 +211,17 @@
 	}
 	inUse, ok := s.enter(p)
 	w.Header().Set(protocol.HeaderLoad, fmt.Sprintf("%d/%d", inUse, s.conf.Slots))
-	if p.faults.Draining {
+	said := protocol.ServerState{Leaving: p.faults.Draining}
+	if said.Leaving {
 		w.Header().Set(protocol.HeaderLeaving, "true")
 	}
+	if !ok && p.faults.Rest > 0 {
+		said.Rest = p.faults.Rest
+		w.Header().Set("Retry-After", strconv.FormatFloat(said.Rest.Seconds(), 'f', -1, 64))
+	}
+	if s.conf.Arrived != nil {
+		s.conf.Arrived(r, said)
+	}
 	if !ok {
 		w.Header().Set(protocol.HeaderNotRun, "true")
 		http.Error(w, "shed", http.StatusServiceUnavailable)
