--- a/experiment/soak/said.go
+++ b/experiment/soak/said.go
@@ -16,6 +16,9 @@
 	// leastRest and mostRest bound the rest that a server asks for.
 	leastRest = 700 * time.Millisecond
 	mostRest  = 3 * time.Second
+	// leastLeaving and mostLeaving bound the time from a server's first word to its end.
+	leastLeaving = 2500 * time.Millisecond
+	mostLeaving  = 5 * time.Second
 	// drainLimit is how long after a host has passed on such an answer requests may reach a
 	// leaving server from there; the users' bound.
 	drainLimit = 2 * time.Second
@@ -59,7 +62,9 @@
 	i := s.rng.IntN(len(s.servers))
 	ended := s.disturbAll(kindServers)
 	s.servers[i].SetFaults(backend.Faults{Draining: true})
-	s.later(ctx, func() {
+	length := s.between(leastLeaving, mostLeaving)
+	s.ends.Go(func() {
+		pause(ctx, length)
 		s.said.startAgain(i)
 		s.servers[i].SetFaults(backend.Faults{})
 		s.noteStart(i)
