--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -130,10 +130,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	held := t.current(server)
-	if saysNothing {
-		return t.noteReturn(now, held)
+	held, known := (*t.view.Load())[server.key()]
+	switch {
+	case known && isNewer(held.Server, server):
+		return Change{} // a late answer of a process that has ended
+	case saysNothing:
+		return t.noteReturn(now, held, server)
+	case isNewer(server, held.Server):
+		held = State{}
 	}
+	return t.note(now, held, server, said)
+}
+
+// note adds a server's word to what is held of its process.
+func (t *Table) note(now time.Time, held State, server Server, said protocol.ServerState) Change {
 	next := held
 	next.Server = server
 	next.SaidAt = now
@@ -154,7 +164,11 @@
 }
 
 // noteReturn ends the time after a rest: the server has taken a request again.
-func (t *Table) noteReturn(now time.Time, held State) Change {
+func (t *Table) noteReturn(now time.Time, held State, server Server) Change {
+	if isNewer(server, held.Server) {
+		t.remove(held.Server) // what that process said is over
+		return Change{}
+	}
 	if held.RestUntil.IsZero() || now.Before(held.RestUntil) || !held.LeavingSince.IsZero() {
 		return Change{}
 	}
@@ -162,18 +176,10 @@
 	return Change{Returned: true}
 }
 
-// current is what is known of a server's process; nothing, if it is a newer one.
-func (t *Table) current(server Server) State {
-	held, known := (*t.view.Load())[server.key()]
-	if !known || isNewer(server, held.Server) {
-		return State{}
-	}
-	return held
-}
-
-// isNewer reports whether a process is a later one than that of the same ID in the table.
-func isNewer(server, held Server) bool {
-	return server.Started > held.Started && held.Started != 0
+// isNewer reports whether a process is a later one than another of the same ID. Starts that
+// are not known tell nothing.
+func isNewer(server, other Server) bool {
+	return server.Started > other.Started && other.Started != 0
 }
 
 // store publishes a copy of the table with a server's new state.
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -61,6 +61,22 @@
 	expect(t, table, again, availability.Available)
 }
 
+// A late answer of a process that has ended says nothing of the one that has its ID now, and
+// what an old process said is forgotten with the first answer of the new one.
+func TestWordsOfOtherProcesses(t *testing.T) {
+	table, _ := newTable()
+	again := availability.Server{Service: "shop", ID: "i1", Started: 2000}
+	table.Learn(again, rest(time.Second))
+	table.Learn(server, leaving)
+	expect(t, table, again, availability.Resting)
+	table, _ = newTable()
+	table.Learn(server, leaving)
+	table.Learn(again, protocol.ServerState{})
+	if !table.Now().Nothing() {
+		t.Error("the word of the old process is kept")
+	}
+}
+
 // Of two rests the later end holds. After it a server is returning until it answers without
 // asking for another rest, or for a short time.
 func TestRestEnds(t *testing.T) {
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -108,12 +108,14 @@
 
 // noteFate finds out what became of a server whose connection broke while it had the
 // request, and tells where it has ended.
-func (x *exchange) noteFate(lease *place) {
+func (x *exchange) noteFate(lease *place) { lease.try.fate = x.fateOf(lease).String() }
+
+func (x *exchange) fateOf(lease *place) upstream.Fate {
 	fate := x.d.fates.Of(lease.Server.Address)
-	lease.try.fate = fate.String()
 	if fate == upstream.FateEnded && x.isEvidence(lease) {
 		x.d.quarantine.Ended(x.req.subject(), x.req.Service, lease.Server.ID)
 	}
+	return fate
 }
 
 // isEvidence reports whether a server's end may be the request's doing: a server that was
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -21,7 +21,8 @@
 	}
 	answer := got.answer
 	x.arrived++
-	x.noteState(lease, got.said)
+	noteLoad(lease, got.said)
+	lease.try.said = describe(got.said)
 	if got.kind == answerNotRun {
 		return false, x.notRunBy(lease, answer)
 	}
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -42,9 +42,11 @@
 }
 
 // speaksForServer reports whether an answer is by the server that was asked: another one
-// may have its address by now, and bytes that belong to no request are nobody's word.
+// may have its address by now, and one that names another request may be anybody's. One that
+// names none came on a connection that carried this request only.
 func (x *exchange) speaksForServer(answer *upstream.Answer, to destination) bool {
-	return !x.isMisdirected(answer) && x.isEcho(answer, to.view)
+	echo := answer.Header.Get(x.d.marks.RequestID)
+	return !x.isMisdirected(answer) && (echo == "" || x.isEcho(answer, to.view))
 }
 
 // learn takes what a server says of itself, and tells operators where it is new.
@@ -73,12 +75,11 @@
 	d.events.Record(number, server.Service, server.ID, detail)
 }
 
-// noteState keeps what a server said of itself with its answer for the log and the pick.
-func (x *exchange) noteState(lease *place, said protocol.ServerState) {
+// noteLoad keeps what a server said of its load for the next pick.
+func noteLoad(lease *place, said protocol.ServerState) {
 	if said.Load != nil {
 		lease.report(*said.Load)
 	}
-	lease.try.said = describe(said)
 }
 
 // describe puts a server's word as logs have it, empty for none.
@@ -158,7 +159,7 @@
 	case !none:
 		return nil
 	case absence.Reason == availability.Leaving:
-		return notRun(errs.New(errs.KindLeaving, "all backend servers of "+x.req.Service+" say that they are leaving", "repeat the request after the time in Retry-After; start other servers"), x.retryAfter())
+		return notRun(errs.New(errs.KindLeaving, "all backend servers of "+x.req.Service+" say that they are leaving", "repeat the request after the time in Retry-After; start other servers"), defaultRetryAfter)
 	default:
 		left := absence.Left.Round(time.Millisecond).String()
 		return notRun(errs.New(errs.KindResting, "all backend servers of "+x.req.Service+" asked for rest, the first for another "+left, "repeat the request after the time in Retry-After; add capacity"), absence.Left)
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -49,7 +49,7 @@
 		return
 	}
 	answer := got.answer
-	x.noteState(lease, got.said)
+	noteLoad(lease, got.said)
 	switch {
 	case got.kind == answerNotRun && x.isMisdirected(answer):
 		x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
@@ -77,7 +77,7 @@
 	case !dialled:
 		x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
 	default:
-		x.noteFate(lease)
+		x.fateOf(lease) // its request has its line in the log already
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	}
 }
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -17,14 +17,17 @@
 	allowedImports := []string{
 		"cmp", "math", "math/rand/v2", "slices", "time",
 		"github.com/pearshelf/pearshelf/internal/api/peerpb",
+		"github.com/pearshelf/pearshelf/internal/availability",
 		"github.com/pearshelf/pearshelf/internal/errs",
 		"github.com/pearshelf/pearshelf/internal/protocol",
 		"github.com/pearshelf/pearshelf/internal/world",
 	}
-	// Of these packages only what neither reads a clock nor the shared random source.
+	// Of these packages only what neither reads a clock nor the shared random source, nor
+	// changes: a moment of what servers have said, not the table.
 	allowedCalls := map[string][]string{
-		"time": {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
-		"rand": {"Rand"},
+		"time":         {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
+		"rand":         {"Rand"},
+		"availability": {"Moment", "Reason", "Available", "Returning", "ServerOf"},
 	}
 	names, err := filepath.Glob("*.go")
 	if err != nil {
