--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,7 +40,7 @@
 	report.Steps = append(report.Steps, fmt.Sprintf("%s %s answers for service %s: outcome %s, status %s, after %s, %s before the deadline, configuration version %s",
 		r.at.Format(time.TimeOnly), r.host, r.fields["service"], r.fields["outcome"], r.fields["status"], r.fields["took"], r.fields["left"], r.fields["version"]))
 	for n, t := range tries {
-		report.Steps = append(report.Steps, fmt.Sprintf("try %d: server %s, %s after %s; when picked: belief that it fails %.2f, %.1f requests there", n+1, t.server, t.result, t.took, t.belief, t.load))
+		report.Steps = append(report.Steps, fmt.Sprintf("try %d: %s", n+1, t.step()))
 	}
 	if reason := r.fields["reason"]; reason != "" {
 		report.Steps = append(report.Steps, "reason given: "+reason)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -15,7 +15,7 @@
 I0406 12:52:21.000000   14785 trace.go:110] "request" request="other" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="2ms" left="2.99s" version=4 servers=16 tries="b7 answered/500 took=2ms belief=0.90 load=0.0" missed=0
 I0406 12:52:22.000000   14785 trace.go:110] "request" request="lost" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="3ms" left="2.997s" version=4 servers=16 tries="b7 answered/500 took=3ms belief=0.05 load=0.0" missed=0
 I0406 12:52:22.100000   14785 trace.go:110] "request" request="own" service="checkout" idempotent=false outcome="complete" status=500 reason="" took="180ms" left="2.8s" version=4 servers=16 tries="b2 answered/500 took=180ms belief=0.01 load=0.0" missed=0
-I0406 12:52:23.000000   14785 trace.go:110] "request" request="shed" service="checkout" idempotent=false outcome="not-run" status=503 reason="backend-server-shed: \"b3\" refused" took="4ms" left="2.99s" version=4 servers=16 tries="b3 not-run/503 took=2ms belief=0.01 load=3.0; b4 not-run/503 took=2ms belief=0.02 load=3.0" missed=0
+I0406 12:52:23.000000   14785 trace.go:110] "request" request="shed" service="checkout" idempotent=false outcome="not-run" status=503 reason="backend-server-shed: \"b3\" refused" took="4ms" left="2.99s" version=4 servers=16 tries="b3 not-run/503 known=returning:said-3.1s-ago said=rest:3s took=2ms belief=0.01 load=3.0; b4 not-run/503 took=2ms belief=0.02 load=3.0" missed=0
 I0406 12:52:23.100000   14785 trace.go:110] "request" request="copied" service="checkout" idempotent=true outcome="complete" status=200 reason="" took="400ms" left="2.6s" version=4 servers=16 tries="b1 answered/200 took=400ms belief=0.01 load=1.0; b7 abandoned took=100ms belief=0.01 load=0.0" missed=0
 I0406 12:52:23.200000   14785 trace.go:110] "request" request="limited" service="checkout" customer="fan" idempotent=true outcome="not-run" status=429 reason="customer-limit: the limit of customer fan, 3 requests a second, is reached" took="0s" left="2.6s" version=4 servers=16 tries="" missed=0
 I0406 12:52:23.300000   14785 trace.go:110] "request" request="keyless" service="checkout" customer="" idempotent=true outcome="not-run" status=401 reason="unknown-key: no customer holds the key of this request" took="0s" left="0s" version=4 servers=16 tries="" missed=0
@@ -68,8 +68,11 @@
 	if !strings.Contains(gone, "12:52:24 h2 host-started dc1") {
 		t.Errorf("around the request without a line: %s", gone)
 	}
-	if steps := strings.Join(l.Request("shed").Steps, "\n"); !strings.Contains(steps, `reason given: backend-server-shed: "b3" refused`) {
-		t.Errorf("steps of the refused request: %s", steps)
+	steps := strings.Join(l.Request("shed").Steps, "\n")
+	for _, part := range []string{`reason given: backend-server-shed: "b3" refused`, "3.0 requests there, returning:said-3.1s-ago; it said with its answer: rest:3s"} {
+		if !strings.Contains(steps, part) {
+			t.Errorf("steps of the refused request lack %q: %s", part, steps)
+		}
 	}
 }
 
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"regexp"
 	"strconv"
@@ -66,6 +67,20 @@
 	belief float64 // that the server was failing, when it was picked
 	load   float64 // requests that it had then
 	fate   string  // of a server whose connection broke: alive, ended or unknown
+	known  string  // what it had said of itself before it was picked, empty for nothing
+	said   string  // what it said of itself with its answer, empty for nothing
+}
+
+// step tells the try in one line.
+func (t try) step() string {
+	text := fmt.Sprintf("server %s, %s after %s; when picked: belief that it fails %.2f, %.1f requests there", t.server, t.result, t.took, t.belief, t.load)
+	if t.known != "" {
+		text += ", " + t.known
+	}
+	if t.said != "" {
+		text += "; it said with its answer: " + t.said
+	}
+	return text
 }
 
 // abandoned reports whether the try was given up because another server answered.
@@ -92,6 +107,10 @@
 				t.took, _ = time.ParseDuration(text) // 0 where an older log has none
 			case "server":
 				t.fate = text
+			case "known":
+				t.known = text
+			case "said":
+				t.said = text
 			case "belief":
 				t.belief, _ = strconv.ParseFloat(text, 64) // likewise
 			case "load":
