--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -234,10 +234,15 @@
 	}
 }
 
-// Do runs read on the loop's goroutine and waits for it.
+// Do runs read on the loop's goroutine and waits for it. An error means that read has not run
+// and never will: what it writes may be used once Do has returned.
 func (e *Engine) Do(ctx context.Context, read func(w *world.World, now time.Time)) error {
 	done := make(chan struct{})
+	var taken atomic.Bool // by the loop, or by the caller who has given up
 	input := func(now time.Time) {
+		if !taken.CompareAndSwap(false, true) {
+			return
+		}
 		defer close(done)
 		read(e.world, now)
 	}
@@ -250,7 +255,11 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		if taken.CompareAndSwap(false, true) {
+			return ctx.Err()
+		}
+		<-done
+		return nil
 	}
 }
 
