--- a/experiment/replay/report.go
+++ b/experiment/replay/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -55,6 +57,11 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	for _, service := range slices.Sorted(maps.Keys(c.Policy.Use)) {
+		u := c.Policy.Use[service]
+		fmt.Fprintf(w, "%s: at %d moments a tenth to a half of the requests were not served; at %d of them over %.1f of the sound servers were out of use, at most %.2f\n",
+			service, u.Moments, u.Broken, mostUnused, u.Worst)
+	}
 	_, err := fmt.Fprintf(w, "requests to a server over 2 s after it said that it leaves: %d; rests with more than two requests of a host: %d, at most %d\n",
 		c.Policy.AfterLeaving, c.Policy.OverRest, c.Policy.InRest)
 	return err
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -48,6 +48,9 @@
 	// Sound counts, over moments, the servers that have not failed by themselves for a
 	// while, Unused those of them that have had no request for a window.
 	Sound, Unused map[string]int // by service
+	// Use is, by service, the same at the moments at which a tenth to a half of the requests
+	// of the last window were not served.
+	Use map[string]*InTrouble
 	// AfterLeaving counts requests that reached a server over 2 s after it had told their
 	// host that it leaves; InRest is the most that reached one from one host in a rest that
 	// it had asked for, OverRest how many rests had more than two.
@@ -65,6 +68,7 @@
 		Runs:    make(map[string]int),
 		Sound:   make(map[string]int),
 		Unused:  make(map[string]int),
+		Use:     make(map[string]*InTrouble),
 		reasons: make(map[string]int),
 	}
 	for _, route := range p.Routes {
@@ -79,6 +83,7 @@
 	second := &r.Seconds[int(q.asked/time.Second)]
 	route := r.route(q.route.Name)
 	route.Asked++
+	r.use(q.route.Service).ended(q.host.fleet.clock.Now, o)
 	route.Copies += q.copies
 	second.Asked++
 	switch {
@@ -128,6 +133,9 @@
 		r.Sound[service] += n
 		r.Unused[service] += other.Unused[service]
 	}
+	for service, u := range other.Use {
+		r.use(service).add(u)
+	}
 	for server, n := range other.Runs {
 		r.Runs[server] += n
 	}
@@ -155,15 +163,21 @@
 
 // look counts the servers in use at a moment.
 func (r *Result) look(now time.Duration, servers map[string]*server) {
+	sound, unused := make(map[string]int), make(map[string]int)
 	for _, s := range servers {
 		if now-s.lastFailed < soundAfter+useWindow {
 			continue
 		}
-		r.Sound[s.service.Name]++
+		sound[s.service.Name]++
 		if now-s.lastTaken > useWindow {
-			r.Unused[s.service.Name]++
+			unused[s.service.Name]++
 		}
 	}
+	for service, n := range sound {
+		r.Sound[service] += n
+		r.Unused[service] += unused[service]
+		r.use(service).look(now, n, unused[service])
+	}
 }
 
 // UnusedShare is the share of a service's sound servers that were out of use.
--- /dev/null
+++ b/experiment/replay/use_test.go
@@ -0,0 +1,31 @@
+package replay
+
+import (
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/policy"
+)
+
+// While a tenth to a half of the requests are not served, few of the servers that nothing
+// speaks against are out of use, although the work runs once and each try of a doubted
+// server may lose it.
+func TestSoundServersAreUsedInTrouble(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("troubled")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := newResult(pattern)
+	for seed := range uint64(seeds) {
+		sum.add(Run(pattern, Config{Seed: seed + 1}))
+	}
+	got := sum.Use["post"]
+	t.Logf("%d moments, at worst %.2f out of use", got.Moments, got.Worst)
+	if got.Moments == 0 || got.Broken > 0 {
+		t.Errorf("at %d of %d moments over %.1f of the sound servers were out of use, at worst %.2f", got.Broken, got.Moments, mostUnused, got.Worst)
+	}
+	without := Run(pattern, Config{Seed: 1, Without: []policy.Mechanism{policy.MechanismTrouble, policy.MechanismBreadth}}).Use["post"]
+	if without.Broken == 0 {
+		t.Errorf("the pattern shows nothing: without the mechanisms at worst %.2f are out of use", without.Worst)
+	}
+}
