--- a/experiment/soak/said.go
+++ b/experiment/soak/said.go
@@ -16,7 +16,7 @@
 	// leastRest and mostRest bound the rest that a server asks for.
 	leastRest = 700 * time.Millisecond
 	mostRest  = 3 * time.Second
-	// leastLeaving and mostLeaving bound the time from a server's first word to its end.
+	// leastLeaving and mostLeaving bound the time from a server's first report to its end.
 	leastLeaving = 2500 * time.Millisecond
 	mostLeaving  = 5 * time.Second
 	// drainLimit is how long after a host has passed on such an answer requests may reach a
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -193,7 +193,7 @@
 	return t
 }
 
-// listAvailability shows the servers that get no requests from this host by their own word.
+// listAvailability shows the servers that get no requests from this host, as they report themselves.
 func listAvailability(moment availability.Moment) table {
 	t := table{columns: []string{"service", "backend", "state", "for", "said", "left"}}
 	for _, s := range moment.All() {
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -1,9 +1,9 @@
-// Package availability keeps which backend servers want no requests from this host, by
-// their own word: those that are leaving, and those that have asked for rest (503 with
+// Package availability keeps which backend servers report that they want no requests from
+// this host: those that are leaving, and those that have asked for rest (503 with
 // Retry-After). One table serves every way in which a request can reach a server.
 //
 // Only what a server told this host itself is kept. Other hosts learn it from an answer of
-// their own: telling them would save one request a host, server and word.
+// their own: telling them would save one request a host, server and report.
 package availability
 
 import (
@@ -111,9 +111,9 @@
 	return t
 }
 
-// Change is what a server's word changed.
+// Change is what a server's report changed.
 type Change struct {
-	// BeganLeaving and BeganRest are set with the first such word; one that is repeated
+	// BeganLeaving and BeganRest are set with the first such report; one that is repeated
 	// or prolonged changes neither.
 	BeganLeaving bool
 	BeganRest    bool
@@ -142,7 +142,7 @@
 	return t.note(now, held, server, said)
 }
 
-// note adds a server's word to what is held of its process.
+// note adds a server's report to what is held of its process.
 func (t *Table) note(now time.Time, held State, server Server, said protocol.ServerState) Change {
 	next := held
 	next.Server = server
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -36,16 +36,16 @@
 	}
 }
 
-// A server's word that it leaves holds until its process is gone: also hours later, after
+// A server's report that it leaves holds until its process is gone: also hours later, after
 // answers of requests that were under way and say nothing, and where its start is no longer
 // or not yet known. A new process under the same ID has said nothing.
 func TestLeavingHoldsForTheProcess(t *testing.T) {
 	table, c := newTable()
 	if change := table.Learn(server, leaving); !change.BeganLeaving {
-		t.Error("the first word is not told as a change")
+		t.Error("the first report is not told as a change")
 	}
 	if change := table.Learn(server, leaving); change.BeganLeaving {
-		t.Error("a repeated word is told as a change")
+		t.Error("a repeated report is told as a change")
 	}
 	c.now = c.now.Add(5 * time.Hour)
 	table.Learn(server, protocol.ServerState{})
@@ -63,7 +63,7 @@
 
 // A late answer of a process that has ended says nothing of the one that has its ID now, and
 // what an old process said is forgotten with the first answer of the new one.
-func TestWordsOfOtherProcesses(t *testing.T) {
+func TestReportsOfOtherProcesses(t *testing.T) {
 	table, _ := newTable()
 	again := availability.Server{Service: "shop", ID: "i1", Started: 2000}
 	table.Learn(again, rest(time.Second))
@@ -73,7 +73,7 @@
 	table.Learn(server, leaving)
 	table.Learn(again, protocol.ServerState{})
 	if !table.Now().Nothing() {
-		t.Error("the word of the old process is kept")
+		t.Error("the report of the old process is kept")
 	}
 }
 
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// describe puts a server's word as logs have it, empty for none.
+// describe puts a reported state as logs have it, empty for none.
 func describe(said protocol.ServerState) string {
 	switch {
 	case said.Leaving && said.Rest > 0:
@@ -107,7 +107,7 @@
 	return fmt.Sprintf("%s:said-%s-ago", reason, moment.Time().Sub(state.SaidAt).Round(time.Millisecond))
 }
 
-// isAvailable reports whether a server takes requests by its own word.
+// isAvailable reports whether a server takes requests, as it reports itself.
 func (x *exchange) isAvailable(b *world.BackendView) bool {
 	reason, _ := x.d.servers.Of(availability.ServerOf(x.req.Service, b))
 	return reason == availability.Available || reason == availability.Returning
--- a/internal/policy/availability.go
+++ b/internal/policy/availability.go
@@ -5,7 +5,7 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// isAvailable reports whether a server takes requests by its own word.
+// isAvailable reports whether a server takes requests, as it reports itself.
 func (r Request) isAvailable(b *world.BackendView) bool {
 	reason := r.reason(b)
 	return reason == availability.Available || reason == availability.Returning
--- a/internal/policy/availability_test.go
+++ b/internal/policy/availability_test.go
@@ -10,25 +10,25 @@
 )
 
 // said returns what servers have said by now.
-func said(now time.Time, words map[string]protocol.ServerState) availability.Moment {
+func said(now time.Time, reports map[string]protocol.ServerState) availability.Moment {
 	table := availability.NewTable(func() time.Time { return now })
-	for id, word := range words {
-		table.Learn(availability.Server{Service: "s", ID: id}, word)
+	for id, report := range reports {
+		table.Learn(availability.Server{Service: "s", ID: id}, report)
 	}
 	return table.Now()
 }
 
 // Neither a first send nor a copy nor a trial goes to a server that takes no requests by its
-// own word, not even while too few servers are in use; where there is no other, none is
+// own report, not even while too few servers are in use; where there is no other, none is
 // picked.
 func TestServersThatTakeNoRequestsAreLeftOut(t *testing.T) {
-	for name, word := range map[string]protocol.ServerState{"leaving": {Leaving: true}, "resting": {Rest: time.Minute}} {
+	for name, report := range map[string]protocol.ServerState{"leaving": {Leaving: true}, "resting": {Rest: time.Minute}} {
 		t.Run(name, func(t *testing.T) {
 			table, now := newTable()
 			v := view(3)
 			use(t, table, now, v, "b0", Done{Outcome: Failed})
 			now = now.Add(10 * time.Second) // b0 has had no request for long: all that looks for such servers wants it
-			moment := said(now, map[string]protocol.ServerState{"b0": word})
+			moment := said(now, map[string]protocol.ServerState{"b0": report})
 			for _, idempotent := range []bool{true, false} {
 				for range 50 {
 					got := mustPick(t, table, now, v, Request{First: true, Idempotent: idempotent, Availability: moment})
@@ -42,7 +42,7 @@
 			if got, due := table.Trial(now, v, req); due {
 				t.Errorf("%s is tried", got.Server.ID)
 			}
-			all := said(now, map[string]protocol.ServerState{"b0": word, "b1": word, "b2": word})
+			all := said(now, map[string]protocol.ServerState{"b0": report, "b1": report, "b2": report})
 			req.Availability = all
 			if _, err := table.Pick(now, v, req); errs.KindOf(err) != errs.KindNoBackend {
 				t.Errorf("with all of them away: %v", err)
@@ -55,20 +55,20 @@
 func TestServerReturnsWithOneRequest(t *testing.T) {
 	now := time.Now()
 	at := now
-	words := availability.NewTable(func() time.Time { return at })
+	reports := availability.NewTable(func() time.Time { return at })
 	server := availability.Server{Service: "s", ID: "b0"}
-	words.Learn(server, protocol.ServerState{Rest: time.Second})
+	reports.Learn(server, protocol.ServerState{Rest: time.Second})
 	at = now.Add(time.Second)
 	table, _ := newTable()
 	v := view(1)
-	req := Request{Service: "s", DataCentre: "dc1", First: true, Availability: words.Now()}
+	req := Request{Service: "s", DataCentre: "dc1", First: true, Availability: reports.Now()}
 	first := mustPick(t, table, at, v, req)
 	if _, err := table.Pick(at, v, req); err == nil {
 		t.Error("a second request goes to the server before the first is answered")
 	}
 	table.Finish(at, first, Done{Outcome: Good, FirstByte: time.Millisecond})
-	words.Learn(server, protocol.ServerState{})
-	req.Availability = words.Now()
+	reports.Learn(server, protocol.ServerState{})
+	req.Availability = reports.Now()
 	mustPick(t, table, at, v, req)
 	mustPick(t, table, at, v, req)
 }
--- a/internal/slots/pool.go
+++ b/internal/slots/pool.go
@@ -43,7 +43,7 @@
 	Deadline time.Time
 	// Exclude are servers already tried.
 	Exclude []string
-	// Available reports whether a server takes requests by its own word, asked again each
+	// Available reports whether a server takes requests, as it reports itself; asked again each
 	// time that a slot is free; nil for all do.
 	Available func(b *world.BackendView) bool
 	// Borrow allows slots of other owners; the server may then refuse.
--- a/internal/slots/pool_test.go
+++ b/internal/slots/pool_test.go
@@ -12,7 +12,7 @@
 )
 
 // A request that waits for a slot is refused at once when no server takes requests any more,
-// by their own word, and none is given a slot that becomes free then.
+// as they report, and none is given a slot that becomes free then.
 func TestWaitingRequestIsRefusedWhenServersTakeNone(t *testing.T) {
 	pool := NewPool()
 	view := &world.ServiceView{
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -47,13 +47,13 @@
 mutant "new host asks peers" internal/engine/engine.go 's/\&\& configsync.Current(e.world)/\&\& (e.world.Index != nil || configsync.Current(e.world))/' ./internal/engine
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
-mutant "a server's word at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
+mutant "a server's report at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
 mutant "one request after a rest" internal/policy/availability.go 's/return t.has(MechanismReturnOneByOne) \&\& .*/return false/' ./internal/policy -run ReturnsWithOne
-mutant "a server's word at an owner's pick" internal/slots/pool.go 's/return req.Available == nil || req.Available(b)/return true/' ./internal/slots
-mutant "a server's word at the first byte" internal/dispatch/send.go 's/if err := x.mayStillSend(to); err != nil {/if err := x.mayStillSend(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
+mutant "a server's report at an owner's pick" internal/slots/pool.go 's/return req.Available == nil || req.Available(b)/return true/' ./internal/slots
+mutant "a server's report at the first byte" internal/dispatch/send.go 's/if err := x.mayStillSend(to); err != nil {/if err := x.mayStillSend(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
 mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || isListed(view, to.server) {/if view == nil || len(view.Backends) >= 0 {/' ./platform -run UpToTheFirstByte
-mutant "whose word" internal/dispatch/serverstate.go 's/return !x.isMisdirected(answer) \&\& .*/return !x.isMisdirected(answer) || echo != ""/' ./platform -run WhoseWord
-mutant "a word of an older process" internal/availability/availability.go 's/return server.Started > other.Started .*/return false/' ./internal/availability
+mutant "whose report" internal/dispatch/serverstate.go 's/return !x.isMisdirected(answer) \&\& .*/return !x.isMisdirected(answer) || echo != ""/' ./platform -run WhoseReport
+mutant "a report of an older process" internal/availability/availability.go 's/return server.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
 mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(held.RestUntil)//' ./internal/availability
 mutant "stop grace" internal/daemon/stop.go 's/^	wait(ctx, time.Duration(d.settings.Timing.StopGrace))$//' ./e2e -ginkgo.focus "kept connections"
