--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -77,6 +77,9 @@
 // String returns the name that logs have.
 func (r Reason) String() string { return reasonNames[r] }
 
+// TakesRequests reports whether a server may be sent a request at all.
+func (r Reason) TakesRequests() bool { return r == Available || r == Returning }
+
 // ReasonAt returns why the server gets no requests at a time.
 func (s State) ReasonAt(now time.Time) Reason {
 	switch {
@@ -295,14 +298,12 @@
 	absence := Absence{Reason: Leaving}
 	for i := range servers {
 		reason, state := m.Of(ServerOf(service, &servers[i]))
-		switch reason {
-		case Available, Returning:
+		if reason.TakesRequests() {
 			return Absence{}, false
-		case Resting:
-			left := state.RestUntil.Sub(m.now)
-			if absence.Reason == Leaving || left < absence.Left {
-				absence = Absence{Reason: Resting, Left: left}
-			}
+		}
+		left := state.RestUntil.Sub(m.now)
+		if reason == Resting && (absence.Reason == Leaving || left < absence.Left) {
+			absence = Absence{Reason: Resting, Left: left}
 		}
 	}
 	return absence, len(servers) > 0
@@ -312,7 +313,7 @@
 func (m Moment) All() []State {
 	var all []State
 	for _, s := range m.view {
-		if reason := s.ReasonAt(m.now); reason == Leaving || reason == Resting {
+		if !s.ReasonAt(m.now).TakesRequests() {
 			all = append(all, s)
 		}
 	}
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -110,7 +110,7 @@
 // isAvailable reports whether a server takes requests, as it reports itself.
 func (x *exchange) isAvailable(b *world.BackendView) bool {
 	reason, _ := x.d.servers.Of(availability.ServerOf(x.req.Service, b))
-	return reason == availability.Available || reason == availability.Returning
+	return reason.TakesRequests()
 }
 
 // mayStillSend forbids a send to a server that has said since it was picked that it takes no
--- a/internal/policy/availability.go
+++ b/internal/policy/availability.go
@@ -7,8 +7,7 @@
 
 // isAvailable reports whether a server takes requests, as it reports itself.
 func (r Request) isAvailable(b *world.BackendView) bool {
-	reason := r.reason(b)
-	return reason == availability.Available || reason == availability.Returning
+	return r.reason(b).TakesRequests()
 }
 
 func (r Request) reason(b *world.BackendView) availability.Reason {
