Pool: a waiting request names its own view; the pick asks what a server reports only where that matters

wait takes the view that it was given instead of locking the pool for the newest one, which had the same name and served only a message; a server without requests of this host need not be looked up a second time at each pick. No change of behaviour.

--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -189,7 +189,7 @@
 		best.eligible++
 		s := t.row(w.now, key{w.req.Service, b.ID}, b)
 		load := s.load(w.now)
-		if load >= float64(b.Slots*queuePerSlot) || t.returnsOneByOne(w.req, b) && s.inFlight > 0 {
+		if load >= float64(b.Slots*queuePerSlot) || s.inFlight > 0 && t.returnsOneByOne(w.req, b) {
 			continue
 		}
 		cost := t.cost(w.now, w.svc, s, b, load, w.req) + w.failure*s.failure(w.now, w.svc)
--- a/internal/slots/pool.go
+++ b/internal/slots/pool.go
@@ -117,16 +117,16 @@
 	w := &waiter{request: req, since: time.Now(), ready: make(chan *Lease, 1)}
 	p.enqueue(w)
 	p.mu.Unlock()
-	return p.wait(ctx, w, time.Duration(view.Config.QueueWait))
+	return p.wait(ctx, w, view)
 }
 
-func (p *Pool) wait(ctx context.Context, w *waiter, limit time.Duration) (*Lease, error) {
-	timer := time.NewTimer(limit)
+func (p *Pool) wait(ctx context.Context, w *waiter, view *world.ServiceView) (*Lease, error) {
+	timer := time.NewTimer(time.Duration(view.Config.QueueWait))
 	defer timer.Stop()
 	select {
 	case lease := <-w.ready:
 		if lease == nil {
-			return nil, noneEligible(p.currentView())
+			return nil, noneEligible(view)
 		}
 		return lease, nil
 	case <-ctx.Done():
@@ -149,12 +149,6 @@
 	return errs.New(errs.KindNoBackend, "no backend server of "+view.Config.Name+" may take this request", "repeat it after the time in Retry-After")
 }
 
-func (p *Pool) currentView() *world.ServiceView {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.view
-}
-
 // Full reports whether a request would be refused at once.
 func (p *Pool) Full(view *world.ServiceView) bool {
 	p.mu.Lock()
