--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -28,7 +28,7 @@
 		rank = homes // unless none of them does
 	}
 	s.decideAt = now.Add(time.Duration(rank) * rankDelay)
-	t.dueBy(s.decideAt)
+	t.due.Add(s.decideAt)
 	t.decideIfDue(now, s)
 }
 
@@ -58,7 +58,7 @@
 	}
 	if !t.mayDecide(now) {
 		s.decideAt = t.second.Add(time.Second)
-		t.dueBy(s.decideAt)
+		t.due.Add(s.decideAt)
 		return
 	}
 	trials := 0
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -28,7 +28,7 @@
 		t.makeRoom()
 		s = &suspect{id: id}
 		t.suspects[id] = s
-		t.dueBy(now.Add(knownFor))
+		t.due.Add(now.Add(knownFor))
 	}
 	s.changed = now
 	return s
@@ -71,7 +71,7 @@
 	delete(t.suspects, id)
 	if len(t.cleared) < maxSuspects {
 		t.cleared[id] = now
-		t.dueBy(now.Add(knownFor))
+		t.due.Add(now.Add(knownFor))
 	}
 	if t.view.Get(id) != nil {
 		t.decisions = append(t.decisions, Decision{Cleared: id})
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -6,6 +6,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/content"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/wakeup"
 )
 
 // Fleet is the hosts that may be a content's home.
@@ -26,7 +27,7 @@
 	// cleared is when contents were last answered that had been suspects; older ends of
 	// them do not count.
 	cleared map[content.ID]time.Time
-	due     time.Time
+	due     wakeup.Next
 	// trials are when this host, as first home, last let a content be tried; asked when it
 	// last asked another one, and granted until when it may send a content itself.
 	trials  map[content.ID]time.Time
@@ -79,7 +80,7 @@
 	s := t.suspect(now, id)
 	s.own = newest(append(s.own, end))
 	s.tellAgain = now.Add(tellAgainAfter)
-	t.dueBy(s.tellAgain)
+	t.due.Add(s.tellAgain)
 	t.tell(now, s, t.homesOf(id))
 	t.add(now, s, end)
 }
@@ -136,7 +137,7 @@
 
 // Tick does what the time calls for.
 func (t *Table) Tick(now time.Time) {
-	t.due = time.Time{}
+	t.due.Reset()
 	for id, s := range t.suspects {
 		if now.Sub(s.changed) >= knownFor {
 			delete(t.suspects, id)
@@ -147,9 +148,9 @@
 			s.tellAgain = time.Time{}
 			t.tell(now, s, t.homesOf(id))
 		}
-		t.dueBy(s.decideAt)
-		t.dueBy(s.tellAgain)
-		t.dueBy(s.changed.Add(knownFor))
+		t.due.Add(s.decideAt)
+		t.due.Add(s.tellAgain)
+		t.due.Add(s.changed.Add(knownFor))
 	}
 	forgetBefore(t.cleared, now.Add(-knownFor))
 	forgetBefore(t.trials, now.Add(-trialPause))
@@ -167,14 +168,7 @@
 }
 
 // Due is when Tick must be called at the latest, zero for never.
-func (t *Table) Due() time.Time { return t.due }
-
-// dueBy makes Tick due at a time, or earlier.
-func (t *Table) dueBy(at time.Time) {
-	if !at.IsZero() && (t.due.IsZero() || at.Before(t.due)) {
-		t.due = at
-	}
-}
+func (t *Table) Due() time.Time { return t.due.Time() }
 
 // Messages returns what is to be sent, and forgets it.
 func (t *Table) Messages() []Message {
--- a/internal/quota/question.go
+++ b/internal/quota/question.go
@@ -18,7 +18,7 @@
 	s.askTries = 1
 	s.wanted = len(s.waiting)
 	t.tell(now, s)
-	t.dueBy(s.questionDue())
+	t.due.Add(s.questionDue())
 }
 
 // tell sends a usage, with the question that is under way.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -24,6 +24,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/wakeup"
 )
 
 const (
@@ -132,7 +133,7 @@
 	homes  map[string]*home
 	out    []Message
 	asks   uint64
-	due    time.Time
+	due    wakeup.Next
 }
 
 // NewTable returns the table of a host. limits is asked by homes, whose own configuration
@@ -156,14 +157,7 @@
 }
 
 // Due is when Tick must be called at the latest, zero for never.
-func (t *Table) Due() time.Time { return t.due }
-
-// dueBy makes Tick due at a time, or earlier.
-func (t *Table) dueBy(at time.Time) {
-	if !at.IsZero() && (t.due.IsZero() || at.Before(t.due)) {
-		t.due = at
-	}
-}
+func (t *Table) Due() time.Time { return t.due.Time() }
 
 // Messages returns what is to be sent, and forgets it.
 func (t *Table) Messages() []Message {
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -85,7 +85,7 @@
 	}
 	if s.usageAt.IsZero() && s.isOften(now) {
 		s.usageAt = now.Add(usageEvery)
-		t.dueBy(s.usageAt)
+		t.due.Add(s.usageAt)
 	}
 	return s
 }
@@ -200,11 +200,11 @@
 
 // Tick does what the time calls for, and sets when it is due again.
 func (t *Table) Tick(now time.Time) {
-	t.due = time.Time{}
+	t.due.Reset()
 	for _, s := range t.order {
 		t.tickServed(now, s)
-		t.dueBy(s.usageAt)
-		t.dueBy(s.questionDue())
+		t.due.Add(s.usageAt)
+		t.due.Add(s.questionDue())
 	}
 	t.forget(now)
 }
--- /dev/null
+++ b/internal/wakeup/wakeup_test.go
@@ -0,0 +1,27 @@
+package wakeup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/wakeup"
+)
+
+func TestEarliestHolds(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var next wakeup.Next
+	next.Add(time.Time{})
+	if !next.Time().IsZero() {
+		t.Error("no time counts as one")
+	}
+	for _, at := range []time.Time{now.Add(2), now.Add(1), now.Add(3), {}} {
+		next.Add(at)
+	}
+	if !next.Time().Equal(now.Add(1)) {
+		t.Errorf("next is %s", next.Time())
+	}
+	next.Reset()
+	if !next.Time().IsZero() {
+		t.Error("a time is left after a reset")
+	}
+}
