Sight: the rate limit that a server names is decoded and logged, and why a server was sent a request

Requests whose servers name a limit have a line each, so that hypotheses on the incident can be told apart: whether hosts had the limit when they sent, who sent how much, and what were copies. No decision reads it.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, nil
 	}
-	x.begin(next)
+	x.begin(next, purposeRetry)
 	to := x.toServer(next)
 	to.adjust = func(h http.Header) {
 		x.target(next)(h)
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -35,7 +35,7 @@
 func (x *exchange) race(ctx context.Context, first *place) (done bool, refusal *Refusal) {
 	r := &race{x: x, results: make(chan *flight, 2)}
 	defer r.abandon()
-	r.launch(ctx, first)
+	r.launch(ctx, first, x.purpose())
 	r.trial(ctx, first)
 	review := time.NewTimer(r.review(ctx, first))
 	defer review.Stop()
@@ -89,12 +89,12 @@
 		return // all others are full: the first goes on alone
 	}
 	r.x.d.metrics.Retry(r.x.req.Service, true)
-	r.launch(ctx, balancedPlace(lease))
+	r.launch(ctx, balancedPlace(lease), purposeCopy)
 }
 
-func (r *race) launch(ctx context.Context, place *place) {
+func (r *race) launch(ctx context.Context, place *place, why purpose) {
 	x := r.x
-	x.begin(place)
+	x.begin(place, why)
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	f := &flight{place: place, cancel: func() { cancel(context.Canceled) }, result: make(chan fetched, 1)}
 	f.detach = context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -237,7 +237,7 @@
 		return x.race(ctx, lease)
 	}
 	defer lease.Release()
-	x.begin(lease)
+	x.begin(lease, x.purpose())
 	return x.judge(ctx, lease, x.fetch(ctx, x.toServer(lease)))
 }
 
--- a/internal/dispatch/judge.go
+++ b/internal/dispatch/judge.go
@@ -23,6 +23,7 @@
 	x.arrived++
 	noteLoad(lease, got.said)
 	lease.try.said = describe(got.said)
+	lease.try.limited = got.said.Limit.Named
 	if got.kind == answerNotRun {
 		return false, x.notRunBy(lease, answer)
 	}
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -84,16 +86,25 @@
 
 // describe puts a reported state as logs have it, empty for none.
 func describe(said protocol.ServerState) string {
-	switch {
-	case said.Leaving && said.Rest > 0:
-		return "leaving,rest:" + said.Rest.String()
-	case said.Leaving:
-		return availability.Leaving.String()
-	case said.Rest > 0:
-		return "rest:" + said.Rest.String()
-	default:
-		return ""
+	var parts []string
+	if said.Leaving {
+		parts = append(parts, availability.Leaving.String())
+	}
+	if said.Rest > 0 {
+		parts = append(parts, "rest:"+said.Rest.String())
 	}
+	if said.Limit.Named {
+		parts = append(parts, "limit:"+describeRate(said.Limit.PerSecond))
+	}
+	if said.Limit.Unreadable != "" {
+		parts = append(parts, "unreadable-limit")
+	}
+	return strings.Join(parts, ",")
+}
+
+// describeRate puts requests a second as logs and events have them.
+func describeRate(perSecond float64) string {
+	return strconv.FormatFloat(perSecond, 'g', 4, 64) + "/s"
 }
 
 // knownOf is why a server should get no request now, by what it has said before, as logs
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -38,19 +39,41 @@
 	// had said before, and said is what it says of itself in its answer; empty for nothing.
 	known string
 	said  string
+	// purpose is why the server was sent the request, empty for its first send.
+	purpose purpose
+	// limited is set if the server names a rate limit in its answer.
+	limited bool
 }
 
+// purpose is why a server is sent a request that another one has had, or has.
+type purpose string
+
+// Purposes of sends after the first.
+const (
+	purposeRetry purpose = "retry"
+	purposeCopy  purpose = "copy"
+	purposeTrial purpose = "trial"
+)
+
 // trace is what is logged of one request.
 type trace struct {
 	tries []*try
 }
 
 // begin notes a pick.
-func (x *exchange) begin(lease *place) {
-	lease.try = &try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now(), known: x.knownOf(lease)}
+func (x *exchange) begin(lease *place, why purpose) {
+	lease.try = &try{server: lease.Server.ID, belief: lease.belief, load: lease.load, began: time.Now(), known: x.knownOf(lease), purpose: why}
 	x.trace.tries = append(x.trace.tries, lease.try)
 }
 
+// purpose is why the next send of the request is made, where no server works on it.
+func (x *exchange) purpose() purpose {
+	if x.arrived > 0 {
+		return purposeRetry
+	}
+	return ""
+}
+
 // end notes what became of a try. The first result counts.
 func (t *try) end(result string) {
 	if t.result == "" {
@@ -59,6 +82,12 @@
 	}
 }
 
+// limited reports whether a server has named a rate limit: every request that such a server
+// gets must be seen in the log.
+func (t *trace) limited() bool {
+	return slices.ContainsFunc(t.tries, func(one *try) bool { return one.limited })
+}
+
 // String lists the tries: server, result, time taken, and what decided the pick.
 func (t *trace) String() string {
 	var text strings.Builder
@@ -70,6 +99,9 @@
 		if one.fate != "" {
 			text.WriteString(" server=" + one.fate)
 		}
+		if one.purpose != "" {
+			text.WriteString(" as=" + string(one.purpose))
+		}
 		if one.known != "" {
 			text.WriteString(" known=" + one.known)
 		}
@@ -131,7 +163,7 @@
 // logRequest writes the line about a request that has its final answer.
 func (x *exchange) logRequest(refusal *Refusal) {
 	took := time.Since(x.start)
-	plain := refusal == nil && x.status < 500 && len(x.trace.tries) == 1 && took < x.req.slowAfter()
+	plain := refusal == nil && x.status < 500 && len(x.trace.tries) == 1 && took < x.req.slowAfter() && !x.trace.limited()
 	x.d.logLine(x.req, plain, refusal, x.status, took, &x.trace)
 }
 
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -18,7 +18,7 @@
 		return
 	}
 	x.d.metrics.Retry(x.req.Service, true)
-	r.launch(ctx, balancedPlace(lease))
+	r.launch(ctx, balancedPlace(lease), purposeTrial)
 }
 
 // keepTrial lets a trial go on after its caller has been answered, because its outcome says
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -67,13 +67,18 @@
 	belief float64 // that the server was failing, when it was picked
 	load   float64 // requests that it had then
 	fate   string  // of a server whose connection broke: alive, ended or unknown
+	as     string  // why it was sent after the first send, empty for that one
 	known  string  // what it had said of itself before it was picked, empty for nothing
 	said   string  // what it said of itself with its answer, empty for nothing
 }
 
 // step tells the try in one line.
 func (t try) step() string {
-	text := fmt.Sprintf("server %s, %s after %s; when picked: belief that it fails %.2f, %.1f requests there", t.server, t.result, t.took, t.belief, t.load)
+	send := "server"
+	if t.as != "" {
+		send = t.as + " to server"
+	}
+	text := fmt.Sprintf("%s %s, %s after %s; when picked: belief that it fails %.2f, %.1f requests there", send, t.server, t.result, t.took, t.belief, t.load)
 	if t.known != "" {
 		text += ", " + t.known
 	}
@@ -107,6 +112,8 @@
 				t.took, _ = time.ParseDuration(text) // 0 where an older log has none
 			case "server":
 				t.fate = text
+			case "as":
+				t.as = text
 			case "known":
 				t.known = text
 			case "said":
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -19,6 +19,7 @@
 	HeaderLeaving   = "Pearshelf-Draining"
 	HeaderLoad      = "Pearshelf-Load"
 	HeaderCustomer  = "Pearshelf-Customer"
+	HeaderLimit     = "Pearshelf-Limit"
 )
 
 // Load is what a backend server says of its own load.
@@ -62,6 +63,9 @@
 	// Load is the header of a backend server's load, ParseLoad its reading.
 	Load      string
 	ParseLoad func(value string) (Load, bool)
+	// Limit is the header by which a backend server names the requests a second that it
+	// takes from all hosts together, a decimal number.
+	Limit string
 	// FormatRetryAfter writes the value of Retry-After.
 	FormatRetryAfter func(d time.Duration) string
 	// Instance is the header by which an answer to a health check names the server's process,
@@ -84,6 +88,7 @@
 		IsLeaving:        func(value string) bool { return value == "true" },
 		Load:             HeaderLoad,
 		ParseLoad:        parseOwnLoad,
+		Limit:            HeaderLimit,
 		FormatRetryAfter: WholeSeconds,
 		ReadyPath:        "/.well-known/pearshelf/ready",
 	}
--- a/internal/protocol/serverstate_test.go
+++ b/internal/protocol/serverstate_test.go
@@ -55,3 +55,36 @@
 		}
 	}
 }
+
+// The lowest of the limits that an answer names holds, whatever its status. One that cannot be
+// read makes the answer say nothing of a limit, neither that there is one nor that there is none.
+func TestRateLimit(t *testing.T) {
+	for _, row := range []struct {
+		values []string
+		want   protocol.RateLimit
+	}{
+		{nil, protocol.RateLimit{}},
+		{[]string{"2.4"}, protocol.RateLimit{Named: true, PerSecond: 2.4}},
+		{[]string{"0"}, protocol.RateLimit{Named: true}},
+		{[]string{"0.1"}, protocol.RateLimit{Named: true, PerSecond: 0.1}},
+		{[]string{"1e308"}, protocol.RateLimit{Named: true, PerSecond: 1e6}},
+		{[]string{"3", "1"}, protocol.RateLimit{Named: true, PerSecond: 1}},
+		{[]string{"-1"}, protocol.RateLimit{Unreadable: `"-1"`}},
+		{[]string{"NaN"}, protocol.RateLimit{Unreadable: `"NaN"`}},
+		{[]string{"Inf"}, protocol.RateLimit{Unreadable: `"Inf"`}},
+		{[]string{"1,4"}, protocol.RateLimit{Unreadable: `"1,4"`}},
+		{[]string{""}, protocol.RateLimit{Unreadable: `""`}},
+		{[]string{"1", "x"}, protocol.RateLimit{Unreadable: `"x"`}},
+	} {
+		for _, status := range []int{200, 404, 500, 503} {
+			h := http.Header{protocol.HeaderLimit: row.values, "Retry-After": {"3"}}
+			got := protocol.Own().ReadServerState(now, status, h)
+			if got.Limit != row.want {
+				t.Errorf("%d with %q: %+v, want %+v", status, row.values, got.Limit, row.want)
+			}
+			if rests := got.Rest > 0; rests != (status == 503) {
+				t.Errorf("%d: rests %v beside a limit", status, rests)
+			}
+		}
+	}
+}
