--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/operator"
 	"github.com/pearshelf/pearshelf/internal/settings"
@@ -83,7 +84,7 @@
 			known := true
 			for _, d := range f.Hosts {
 				mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "x")
-				reason, _ := d.Availability().Of(availability.Server{Service: "shop", ID: "b3"})
+				reason, _ := d.Availability().Of(process.Server{Service: "shop", ID: "b3"})
 				known = known && (reason == availability.Leaving || !d.Snapshot().Services["shop"].SelfOwner)
 			}
 			return known
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -22,27 +23,14 @@
 // forgotten is said again with the next answer.
 const maxServers = 1024
 
-// Server is one process of a backend server.
-type Server struct {
-	Service string
-	ID      string
-	// Started is when the process started, in Unix milliseconds, 0 if not known. A server
-	// may start again under its ID.
-	Started int64
-}
-
 // ServerOf names the process of a server in a view.
-func ServerOf(service string, b *world.BackendView) Server {
-	return Server{Service: service, ID: b.ID, Started: b.Started}
+func ServerOf(service string, b *world.BackendView) process.Server {
+	return process.Server{Service: service, ID: b.ID, Started: b.Started}
 }
 
-func (s Server) key() key { return key{s.Service, s.ID} }
-
-type key struct{ service, id string }
-
 // State is what a server has told this host.
 type State struct {
-	Server Server
+	Server process.Server
 	// LeavingSince is when it first said that it is leaving, zero if it has not. It holds
 	// until its process is gone.
 	LeavingSince time.Time
@@ -104,7 +92,7 @@
 
 // view is an immutable copy of the table: it is read for each server of each pick, and
 // changes when a server says something new.
-type view map[key]State
+type view map[process.Key]State
 
 // NewTable returns an empty table. clock must go on while the machine is suspended: servers
 // do not wait for it.
@@ -125,28 +113,28 @@
 }
 
 // Learn takes what a server said of itself in an answer that has just arrived.
-func (t *Table) Learn(server Server, said protocol.ServerState) Change {
+func (t *Table) Learn(server process.Server, said protocol.ServerState) Change {
 	saysNothing := !said.Leaving && said.Rest == 0
-	if _, known := (*t.view.Load())[server.key()]; saysNothing && !known {
+	if _, known := (*t.view.Load())[server.Key()]; saysNothing && !known {
 		return Change{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	held, known := (*t.view.Load())[server.key()]
+	held, known := (*t.view.Load())[server.Key()]
 	switch {
-	case known && isNewer(held.Server, server):
+	case known && held.Server.IsNewerThan(server):
 		return Change{} // a late answer of a process that has ended
 	case saysNothing:
 		return t.noteReturn(now, held, server)
-	case isNewer(server, held.Server):
+	case server.IsNewerThan(held.Server):
 		held = State{}
 	}
 	return t.note(now, held, server, said)
 }
 
 // note adds a server's report to what is held of its process.
-func (t *Table) note(now time.Time, held State, server Server, said protocol.ServerState) Change {
+func (t *Table) note(now time.Time, held State, server process.Server, said protocol.ServerState) Change {
 	next := held
 	next.Server = server
 	next.SaidAt = now
@@ -167,8 +155,8 @@
 }
 
 // noteReturn ends the time after a rest: the server has taken a request again.
-func (t *Table) noteReturn(now time.Time, held State, server Server) Change {
-	if isNewer(server, held.Server) {
+func (t *Table) noteReturn(now time.Time, held State, server process.Server) Change {
+	if server.IsNewerThan(held.Server) {
 		t.remove(held.Server) // what that process said is over
 		return Change{}
 	}
@@ -179,16 +167,10 @@
 	return Change{Returned: true}
 }
 
-// isNewer reports whether a process is a later one than another of the same ID. Starts that
-// are not known tell nothing.
-func isNewer(server, other Server) bool {
-	return server.Started > other.Started && other.Started != 0
-}
-
 // store publishes a copy of the table with a server's new state.
 func (t *Table) store(now time.Time, state State) {
 	next := maps.Clone(*t.view.Load())
-	next[state.Server.key()] = state
+	next[state.Server.Key()] = state
 	if len(next) > maxServers {
 		next.shrink(now)
 	}
@@ -206,7 +188,7 @@
 		}
 	}
 	if len(v) > maxServers {
-		delete(v, oldest.Server.key())
+		delete(v, oldest.Server.Key())
 	}
 }
 
@@ -223,11 +205,11 @@
 
 // TakeRechecks returns servers that must be asked whether they are still leaving, and notes
 // that they are.
-func (t *Table) TakeRechecks() []Server {
+func (t *Table) TakeRechecks() []process.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	var due []Server
+	var due []process.Server
 	for _, s := range *t.view.Load() {
 		if !s.LeavingSince.IsZero() && now.Sub(s.LeavingSince) >= recheckAfter && now.Sub(s.CheckedAt) >= recheckEvery && len(due) < recheckAtOnce {
 			due = append(due, s.Server)
@@ -239,20 +221,20 @@
 }
 
 // Forget drops what a server's process has said, because it says otherwise now.
-func (t *Table) Forget(server Server) {
+func (t *Table) Forget(server process.Server) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.remove(server)
 }
 
-func (t *Table) remove(server Server) {
+func (t *Table) remove(server process.Server) {
 	next := maps.Clone(*t.view.Load())
-	delete(next, server.key())
+	delete(next, server.Key())
 	t.view.Store(&next)
 }
 
 // Of returns why a server gets no requests now, and what it has said.
-func (t *Table) Of(server Server) (Reason, State) { return t.Now().Of(server) }
+func (t *Table) Of(server process.Server) (Reason, State) { return t.Now().Of(server) }
 
 // Moment is the table at one moment.
 type Moment struct {
@@ -273,12 +255,12 @@
 func (m Moment) Nothing() bool { return len(m.view) == 0 }
 
 // Of returns why a server gets no requests at this moment, and what it has said.
-func (m Moment) Of(server Server) (Reason, State) {
+func (m Moment) Of(server process.Server) (Reason, State) {
 	if len(m.view) == 0 {
 		return Available, State{}
 	}
-	held, known := m.view[server.key()]
-	if !known || isNewer(server, held.Server) {
+	held, known := m.view[server.Key()]
+	if !known || server.IsNewerThan(held.Server) {
 		return Available, State{}
 	}
 	return held.ReasonAt(m.now), held
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -23,13 +24,13 @@
 }
 
 var (
-	server  = availability.Server{Service: "shop", ID: "i1", Started: 1000}
+	server  = process.Server{Service: "shop", ID: "i1", Started: 1000}
 	leaving = protocol.ServerState{Leaving: true}
 )
 
 func rest(d time.Duration) protocol.ServerState { return protocol.ServerState{Rest: d} }
 
-func expect(t *testing.T, table *availability.Table, s availability.Server, want availability.Reason) {
+func expect(t *testing.T, table *availability.Table, s process.Server, want availability.Reason) {
 	t.Helper()
 	if got, _ := table.Of(s); got != want {
 		t.Errorf("%v is %v, want %v", s, got, want)
@@ -50,11 +51,11 @@
 	c.now = c.now.Add(5 * time.Hour)
 	table.Learn(server, protocol.ServerState{})
 	expect(t, table, server, availability.Leaving)
-	expect(t, table, availability.Server{Service: "shop", ID: "i1"}, availability.Leaving)
-	expect(t, table, availability.Server{Service: "shop", ID: "i1", Started: 500}, availability.Leaving)
-	expect(t, table, availability.Server{Service: "shop", ID: "i1", Started: 2000}, availability.Available)
-	expect(t, table, availability.Server{Service: "files", ID: "i1", Started: 1000}, availability.Available)
-	again := availability.Server{Service: "shop", ID: "i1", Started: 2000}
+	expect(t, table, process.Server{Service: "shop", ID: "i1"}, availability.Leaving)
+	expect(t, table, process.Server{Service: "shop", ID: "i1", Started: 500}, availability.Leaving)
+	expect(t, table, process.Server{Service: "shop", ID: "i1", Started: 2000}, availability.Available)
+	expect(t, table, process.Server{Service: "files", ID: "i1", Started: 1000}, availability.Available)
+	again := process.Server{Service: "shop", ID: "i1", Started: 2000}
 	table.Learn(again, rest(time.Second))
 	expect(t, table, again, availability.Resting)
 	c.now = c.now.Add(time.Hour)
@@ -65,7 +66,7 @@
 // what an old process said is forgotten with the first answer of the new one.
 func TestReportsOfOtherProcesses(t *testing.T) {
 	table, _ := newTable()
-	again := availability.Server{Service: "shop", ID: "i1", Started: 2000}
+	again := process.Server{Service: "shop", ID: "i1", Started: 2000}
 	table.Learn(again, rest(time.Second))
 	table.Learn(server, leaving)
 	expect(t, table, again, availability.Resting)
@@ -122,20 +123,20 @@
 	table, c := newTable()
 	for i := range many {
 		c.now = c.now.Add(time.Millisecond)
-		table.Learn(availability.Server{Service: "shop", ID: fmt.Sprint(i)}, leaving)
+		table.Learn(process.Server{Service: "shop", ID: fmt.Sprint(i)}, leaving)
 	}
 	if kept := len(table.Now().All()); kept < 500 || kept > many/2 {
 		t.Errorf("%d servers are kept", kept)
 	}
-	expect(t, table, availability.Server{Service: "shop", ID: fmt.Sprint(many - 1)}, availability.Leaving)
-	expect(t, table, availability.Server{Service: "shop", ID: "0"}, availability.Available)
+	expect(t, table, process.Server{Service: "shop", ID: fmt.Sprint(many - 1)}, availability.Leaving)
+	expect(t, table, process.Server{Service: "shop", ID: "0"}, availability.Available)
 }
 
 // A service without servers that take requests says when the first of them does.
 func TestAbsence(t *testing.T) {
 	table, c := newTable()
 	views := []world.BackendView{{ID: "i1"}, {ID: "i2"}, {ID: "i3"}}
-	named := func(i int) availability.Server { return availability.ServerOf("shop", &views[i]) }
+	named := func(i int) process.Server { return availability.ServerOf("shop", &views[i]) }
 	if _, none := table.Now().AbsenceOf("shop", views); none {
 		t.Error("nothing was said, and none takes requests")
 	}
@@ -166,7 +167,7 @@
 		b.Run(fmt.Sprint(said, "-said"), func(b *testing.B) {
 			table := availability.NewTable(time.Now)
 			for i := range said {
-				table.Learn(availability.Server{Service: "shop", ID: fmt.Sprint("i", i)}, leaving)
+				table.Learn(process.Server{Service: "shop", ID: fmt.Sprint("i", i)}, leaving)
 			}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -179,7 +180,7 @@
 
 func BenchmarkLearnNothing(b *testing.B) {
 	table := availability.NewTable(time.Now)
-	table.Learn(availability.Server{Service: "shop", ID: "i9"}, leaving)
+	table.Learn(process.Server{Service: "shop", ID: "i9"}, leaving)
 	b.ReportAllocs()
 	for b.Loop() {
 		table.Learn(server, protocol.ServerState{})
--- a/internal/daemon/recheck.go
+++ b/internal/daemon/recheck.go
@@ -12,6 +12,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -54,7 +55,7 @@
 	}
 }
 
-func (r *rechecker) recheck(ctx context.Context, server availability.Server) {
+func (r *rechecker) recheck(ctx context.Context, server process.Server) {
 	stays, err := r.isStaying(ctx, server)
 	if err != nil {
 		klog.V(2).InfoS("leaving server not asked", "service", server.Service, "backend", server.ID, "err", err)
@@ -68,7 +69,7 @@
 
 // isStaying asks a server's health path. It stays if it is well, the one that was meant, and
 // does not say that it is leaving.
-func (r *rechecker) isStaying(ctx context.Context, server availability.Server) (bool, error) {
+func (r *rechecker) isStaying(ctx context.Context, server process.Server) (bool, error) {
 	view, ok := r.snapshot().Services[server.Service]
 	if !ok {
 		return false, fmt.Errorf("service %s is not configured", server.Service)
--- a/internal/daemon/recheck_test.go
+++ b/internal/daemon/recheck_test.go
@@ -11,6 +11,7 @@
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -58,7 +59,7 @@
 				protocol: asked,
 				events:   noEvents{},
 			}
-			named := availability.Server{Service: "shop", ID: "i1"}
+			named := process.Server{Service: "shop", ID: "i1"}
 			r.servers.Learn(named, protocol.ServerState{Leaving: true})
 			now = now.Add(row.after)
 			r.round(context.Background())
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
-	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -23,7 +23,7 @@
 	// view is of the service when the request was sent, server what it is sent to; both
 	// are zero for an owner host.
 	view   *world.ServiceView
-	server availability.Server
+	server process.Server
 	// adjust changes the outgoing headers.
 	adjust func(http.Header)
 }
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -13,6 +13,7 @@
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -23,7 +24,7 @@
 const stateLinesPerSecond = 50
 
 // serverOf names the process of the server that has a request.
-func (x *exchange) serverOf(lease *place) availability.Server {
+func (x *exchange) serverOf(lease *place) process.Server {
 	return availability.ServerOf(x.req.Service, &lease.Server)
 }
 
@@ -52,7 +53,7 @@
 }
 
 // learn takes what a server says of itself, and tells operators where it is new.
-func (d *Dispatcher) learn(server availability.Server, said protocol.ServerState) {
+func (d *Dispatcher) learn(server process.Server, said protocol.ServerState) {
 	change := d.servers.Learn(server, said)
 	if change.BeganLeaving {
 		d.metrics.ServerSaid(availability.Leaving.String())
@@ -67,7 +68,7 @@
 	}
 }
 
-func (d *Dispatcher) recordState(number event.Number, server availability.Server, detail string) {
+func (d *Dispatcher) recordState(number event.Number, server process.Server, detail string) {
 	if !d.stateLines.allows(time.Now()) {
 		return
 	}
@@ -153,7 +154,7 @@
 	return errs.New(errs.KindLeaving, "backend server "+to.server.ID+" left the rotation before the request was sent", "repeat the request")
 }
 
-func isListed(view *world.ServiceView, server availability.Server) bool {
+func isListed(view *world.ServiceView, server process.Server) bool {
 	return slices.ContainsFunc(view.Backends, func(b world.BackendView) bool { return b.ID == server.ID })
 }
 
--- a/internal/policy/availability_test.go
+++ b/internal/policy/availability_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 )
 
@@ -13,7 +14,7 @@
 func said(now time.Time, reports map[string]protocol.ServerState) availability.Moment {
 	table := availability.NewTable(func() time.Time { return now })
 	for id, report := range reports {
-		table.Learn(availability.Server{Service: "s", ID: id}, report)
+		table.Learn(process.Server{Service: "s", ID: id}, report)
 	}
 	return table.Now()
 }
@@ -56,7 +57,7 @@
 	now := time.Now()
 	at := now
 	reports := availability.NewTable(func() time.Time { return at })
-	server := availability.Server{Service: "s", ID: "b0"}
+	server := process.Server{Service: "s", ID: "b0"}
 	reports.Learn(server, protocol.ServerState{Rest: time.Second})
 	at = now.Add(time.Second)
 	table, _ := newTable()
