A rate limit that a server names is kept over all hosts together

What callers saw: nothing yet; servers that said that they need fewer requests got 5 to 30 times as many, and would have failed next. Cause: hosts did not know the header, and all that they know of a server bounds what one host does; this limit binds the sum of all.

The limit that one host hears is a register that all hosts hold; package quota, which holds customers' limits over all hosts, holds those of servers in a second table (home host, parts of hosts that are not heard kept back, going on alone with an empty bucket). Every send asks for leave and shows it right before its first byte; unused leave goes back. Picks leave out servers without room; copies and trials leave limited servers alone; where none has room, requests are refused at once with spread times.

Why it holds: leave comes from one bucket a server, whatever the number of hosts; a test over the source fails when a way to send does not ask.

--- a/experiment/quotas/quotas.go
+++ b/experiment/quotas/quotas.go
@@ -307,7 +307,7 @@
 	h.size = 1
 	h.shares = make(map[string]*bucketOf)
 	h.seen = make(map[string]time.Duration)
-	h.table = quota.NewTable(h.name, h.fleet.limitOf)
+	h.table = quota.NewTable(h.name, quota.CustomerRule(), h.fleet.limitOf)
 	if h.fleet.conf.Way != ByShare {
 		h.tick(h.life)
 	}
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -37,6 +37,8 @@
 	// RestSince and RestUntil bound the rest that it asked for last, zero for none.
 	RestSince time.Time
 	RestUntil time.Time
+	// NoRoomUntil is when requests may fit again into the rate limit that it names.
+	NoRoomUntil time.Time
 	// SaidAt is when it last said either, CheckedAt when it was last asked whether it is
 	// still leaving.
 	SaidAt    time.Time
@@ -52,11 +54,13 @@
 	// Returning: its rest is over, and it has not answered a request since. It gets one
 	// request of this host at a time, which shows whether there is room for more.
 	Returning
+	// NoRoom: it names a rate limit, and all hosts together have sent what that allows.
+	NoRoom
 	Resting
 	Leaving
 )
 
-var reasonNames = [...]string{"available", "returning", "resting", "leaving"}
+var reasonNames = [...]string{"available", "returning", "no-room", "resting", "leaving"}
 
 // returnsFor bounds the time after a rest in which a server is Returning: one that then
 // leaves the only request unanswered is no longer a matter of its rest.
@@ -75,6 +79,8 @@
 		return Leaving
 	case now.Before(s.RestUntil):
 		return Resting
+	case now.Before(s.NoRoomUntil):
+		return NoRoom
 	case now.Before(s.RestUntil.Add(returnsFor)):
 		return Returning
 	default:
@@ -82,6 +88,14 @@
 	}
 }
 
+// takesAgainAt is when a server that does not leave takes requests again.
+func (s State) takesAgainAt() time.Time {
+	if s.RestUntil.After(s.NoRoomUntil) {
+		return s.RestUntil
+	}
+	return s.NoRoomUntil
+}
+
 // Table is what the servers have told this host. It is safe for concurrent use.
 type Table struct {
 	clock func() time.Time
@@ -154,6 +168,23 @@
 	return change
 }
 
+// NoteNoRoom keeps requests from a server for a time in which its rate limit has no room.
+func (t *Table) NoteNoRoom(server process.Server, length time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	held, known := (*t.view.Load())[server.Key()]
+	switch {
+	case known && held.Server.IsNewerThan(server):
+		return
+	case server.IsNewerThan(held.Server):
+		held = State{}
+	}
+	held.Server = server
+	held.NoRoomUntil = now.Add(length)
+	t.store(now, held)
+}
+
 // noteReturn ends the time after a rest: the server has taken a request again.
 func (t *Table) noteReturn(now time.Time, held State, server process.Server) Change {
 	if server.IsNewerThan(held.Server) {
@@ -268,7 +299,8 @@
 
 // Absence is why none of a set of servers takes requests.
 type Absence struct {
-	// Reason is Resting if one of them will take requests again, else Leaving.
+	// Reason is why the first that will take requests again takes none now, Leaving if all
+	// are leaving.
 	Reason Reason
 	// Left is the time until the first of them does, 0 if all are leaving.
 	Left time.Duration
@@ -283,9 +315,9 @@
 		if reason.TakesRequests() {
 			return Absence{}, false
 		}
-		left := state.RestUntil.Sub(m.now)
-		if reason == Resting && (absence.Reason == Leaving || left < absence.Left) {
-			absence = Absence{Reason: Resting, Left: left}
+		left := state.takesAgainAt().Sub(m.now)
+		if reason != Leaving && (absence.Reason == Leaving || left < absence.Left) {
+			absence = Absence{Reason: reason, Left: left}
 		}
 	}
 	return absence, len(servers) > 0
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,6 +78,8 @@
 	limiter *limiter
 	guard   *contentGuard
 
+	rateLimits *rateLimiter
+
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the balancer asks the caller's listener
 	peerServer     *http.Server
@@ -257,7 +259,8 @@
 		d.metrics.WatchBalance(d.balance)
 	}
 	d.servers = availability.NewTable(boottime.Now)
-	d.limiter = newLimiter(d, rand.Uint64())
+	d.limiter = newCustomerLimiter(d, rand.Uint64())
+	d.rateLimits = newRateLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
 	d.metrics.WatchLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
@@ -287,6 +290,7 @@
 
 		Quarantine:   d.guard,
 		Availability: d.servers,
+		RateLimits:   d.rateLimits,
 	})
 }
 
@@ -303,6 +307,7 @@
 	}
 	d.wg.Go(func() { d.datagrams.Receive(d.receive) })
 	d.wg.Go(func() { d.limiter.run(d.ctx) })
+	d.wg.Go(func() { d.rateLimits.run(d.ctx) })
 	leaving := &rechecker{servers: d.servers, snapshot: d.engine.Snapshot, client: d.probes, protocol: d.protocol, events: d.events}
 	d.wg.Go(func() { leaving.Run(d.ctx) })
 	if !d.observer.off {
--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -18,6 +18,7 @@
 // sends what the table has to tell.
 type limiter struct {
 	d    *Daemon
+	kind peerpb.Datagram_Kind // of the datagrams of this table
 	life uint64
 	wake chan struct{} // the table is due earlier than it was
 
@@ -27,20 +28,34 @@
 	due      time.Time
 }
 
-func newLimiter(d *Daemon, life uint64) *limiter {
-	l := &limiter{d: d, life: life, wake: make(chan struct{}, 1)}
-	l.table = quota.NewTable(d.settings.Host, func(name string) (customer.Limit, bool) {
+// newCustomerLimiter holds customers' limits, by this host's configuration.
+func newCustomerLimiter(d *Daemon, life uint64) *limiter {
+	return newLimiter(d, peerpb.Datagram_KIND_QUOTA, life, quota.CustomerRule(), func(name string) (customer.Limit, bool) {
 		holder := d.engine.Snapshot().Customers.Named(name)
 		if holder == nil {
 			return customer.Limit{}, false
 		}
 		return holder.Limit, true
 	})
-	return l
+}
+
+func newLimiter(d *Daemon, kind peerpb.Datagram_Kind, life uint64, rule quota.Rule, limits func(name string) (customer.Limit, bool)) *limiter {
+	table := quota.NewTable(d.settings.Host, rule, limits)
+	return &limiter{d: d, kind: kind, life: life, wake: make(chan struct{}, 1), table: table}
 }
 
 // Allow implements frontend.Limiter.
 func (l *limiter) Allow(ctx context.Context, name string, limit customer.Limit) (ok bool, retryAfter time.Duration) {
+	verdict, err := l.take(ctx, name, limit)
+	if err != nil {
+		return false, 0 // the caller has gone
+	}
+	l.d.metrics.Limited(verdict.OK)
+	return verdict.OK, verdict.RetryAfter
+}
+
+// take asks for one request. The error is that of ctx, if it ends before the home answers.
+func (l *limiter) take(ctx context.Context, name string, limit customer.Limit) (quota.Verdict, error) {
 	decided := make(chan quota.Verdict, 1)
 	verdict, now := quota.Verdict{}, false
 	l.do(func(at time.Time) {
@@ -50,11 +65,23 @@
 		select {
 		case verdict = <-decided:
 		case <-ctx.Done():
-			return false, 0 // the caller has gone
+			go l.giveBackLate(name, decided)
+			return quota.Verdict{}, context.Cause(ctx)
 		}
 	}
-	l.d.metrics.Limited(verdict.OK)
-	return verdict.OK, verdict.RetryAfter
+	return verdict, nil
+}
+
+// giveBackLate gives back what is allowed to a request that nobody waits for any more.
+func (l *limiter) giveBackLate(name string, decided <-chan quota.Verdict) {
+	if verdict := <-decided; verdict.OK {
+		l.giveBack(name)
+	}
+}
+
+// giveBack returns what was allowed to a request that is not sent.
+func (l *limiter) giveBack(name string) {
+	l.do(func(now time.Time) { l.table.Return(now, name) })
 }
 
 // do works on the table and then sends and schedules what came of it.
@@ -97,11 +124,11 @@
 	for _, m := range messages {
 		address, known := snap.Sharing.Address(m.To)
 		if !known {
-			klog.V(3).InfoS("customers' use not told: the host is not known", "peer", m.To)
+			klog.V(3).InfoS("use of limits not told: the host is not known", "kind", l.kind, "peer", m.To)
 			continue
 		}
 		l.d.datagrams.Send(&peerpb.Datagram{
-			Kind:   peerpb.Datagram_KIND_QUOTA,
+			Kind:   l.kind,
 			From:   l.d.settings.Host,
 			Life:   l.life,
 			Usages: m.Usages,
@@ -145,7 +172,7 @@
 	return l.due
 }
 
-// Limits returns the customers that this host serves, the busiest first.
+// Limits returns the customers, or servers, that this host serves, the busiest first.
 func (l *limiter) Limits() []quota.Row {
 	var rows []quota.Row
 	l.do(func(now time.Time) { rows = l.table.Rows(now) })
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// receive takes a datagram: loads go to the balancer at once, customers' use to the limiter
+// receive takes a datagram: loads go to the balancer at once, use of limits to the limiters
 // and servers' ends to the quarantine, all others to the control loop.
 func (d *Daemon) receive(from string, payload []byte) {
 	datagram := &peerpb.Datagram{}
@@ -86,6 +86,8 @@
 	switch {
 	case datagram.Kind == peerpb.Datagram_KIND_QUOTA:
 		d.limiter.receive(datagram)
+	case datagram.Kind == peerpb.Datagram_KIND_SERVER_QUOTA:
+		d.rateLimits.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_SERVER_ENDS:
 		d.guard.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_LOAD && d.balance != nil:
--- /dev/null
+++ b/internal/daemon/ratelimit.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/process"
+	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/quota"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
+)
+
+// rateLimiter keeps what all hosts together send to backend servers within the rate limits that
+// these name.
+type rateLimiter struct {
+	*limiter
+	listener *ratelimit.Listener
+}
+
+func newRateLimiter(d *Daemon, life uint64) *rateLimiter {
+	limits := func(name string) (customer.Limit, bool) {
+		limit, known := d.engine.Snapshot().RateLimits.Named(serverNamed(name))
+		return limitOf(limit), known
+	}
+	return &rateLimiter{
+		limiter:  newLimiter(d, peerpb.Datagram_KIND_SERVER_QUOTA, life, quota.ServerRule(), limits),
+		listener: ratelimit.NewListener(),
+	}
+}
+
+func limitOf(l ratelimit.Limit) customer.Limit {
+	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
+}
+
+// quotaName names a server in the table of limits. Names of services have no slash.
+func quotaName(key process.Key) string { return key.Service + "/" + key.ID }
+
+func serverNamed(name string) process.Key {
+	service, id, _ := strings.Cut(name, "/")
+	return process.Key{Service: service, ID: id}
+}
+
+// Heard implements dispatch.RateLimits.
+func (r *rateLimiter) Heard(server process.Server, sentAt time.Time, said protocol.RateLimit) {
+	if said.Unreadable != "" && r.listener.FirstUnreadable(server) {
+		klog.InfoS("rate limit of a server cannot be read", "service", server.Service, "backend", server.ID, "value", said.Unreadable)
+	}
+	report, isNew := r.listener.Hear(time.Now(), r.d.engine.Snapshot().RateLimits, server, sentAt, said)
+	if !isNew {
+		return
+	}
+	if !r.d.engine.Post(func(now time.Time) { r.tell(now, report) }) {
+		klog.InfoS("rate limit of a server not told: the control loop is too slow", "service", server.Service, "backend", server.ID)
+	}
+}
+
+// tell tells all hosts of a report. It runs in the control loop.
+func (r *rateLimiter) tell(now time.Time, report ratelimit.Report) {
+	register, err := report.Register(now)
+	if err != nil {
+		klog.ErrorS(err, "rate limit of a server not told", "service", report.Server.Service, "backend", report.Server.ID)
+		return
+	}
+	r.d.engine.Write(now, register)
+	switch report.Kind {
+	case ratelimit.Began:
+		r.record(event.BackendLimited, report, fmt.Sprintf("the server takes %.4g requests a second from all hosts", report.PerSecond))
+	case ratelimit.Changed:
+		r.record(event.BackendLimited, report, fmt.Sprintf("the server takes %.4g requests a second from all hosts, before %.4g", report.PerSecond, report.Before))
+	case ratelimit.Ended:
+		r.record(event.BackendUnlimited, report, fmt.Sprintf("the server names no rate limit any more, before %.4g requests a second", report.Before))
+	}
+}
+
+func (r *rateLimiter) record(number event.Number, report ratelimit.Report, detail string) {
+	r.d.events.Record(number, report.Server.Service, report.Server.ID, detail)
+}
+
+// Take implements dispatch.RateLimits.
+func (r *rateLimiter) Take(ctx context.Context, limit ratelimit.Limit) (quota.Verdict, error) {
+	verdict, err := r.take(ctx, quotaName(limit.Server.Key()), limitOf(limit))
+	if err == nil {
+		r.d.metrics.RateLimited(verdict.OK)
+	}
+	return verdict, err
+}
+
+// Return implements dispatch.RateLimits.
+func (r *rateLimiter) Return(server process.Server) { r.giveBack(quotaName(server.Key())) }
+
+// Promise implements dispatch.RateLimits.
+func (r *rateLimiter) Promise(servers []process.Server) time.Duration {
+	names := make([]string, 0, len(servers))
+	for _, s := range servers {
+		names = append(names, quotaName(s.Key()))
+	}
+	var after time.Duration
+	r.do(func(now time.Time) { after = r.table.Promise(now, names) })
+	return after
+}
+
+// Interface guard.
+var _ dispatch.RateLimits = (*rateLimiter)(nil)
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -78,6 +78,7 @@
 // requestBeside is the request for a send to another server while one has it.
 func (x *exchange) requestBeside(first *place) policy.Request {
 	request := x.policyRequest()
+	request.Beside = true
 	request.Exclude = slices.Concat(request.Exclude, []string{first.Server.ID})
 	return request
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,6 +76,7 @@
 	quarantine Quarantine
 	marks      *protocol.Protocol
 	servers    *availability.Table
+	rateLimits RateLimits
 
 	requestLog requestLog
 	stateLines lineLimit
@@ -104,6 +105,8 @@
 	Quarantine Quarantine
 	// Availability is what servers say of themselves.
 	Availability *availability.Table
+	// RateLimits keeps to the limits that servers name.
+	RateLimits RateLimits
 }
 
 // New returns a dispatcher.
@@ -122,6 +125,7 @@
 		quarantine: parts.Quarantine,
 		marks:      conf.Protocol,
 		servers:    parts.Availability,
+		rateLimits: parts.RateLimits,
 		stateLines: lineLimit{perSecond: stateLinesPerSecond},
 		requestLog: requestLog{limit: lineLimit{perSecond: linesPerSecond}},
 		services:   make(map[string]*serviceState),
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -161,7 +161,8 @@
 
 // final chooses between the last try's refusal and having no server left.
 func (x *exchange) final(last *Refusal, err error) error {
-	if errs.KindOf(err) == errs.KindNoBackend && (last == nil || last.Outcome == OutcomeNotRun) {
+	noneLeft := errs.KindOf(err) == errs.KindNoBackend || last != nil && last.Err.Kind == errs.KindNoRoom
+	if noneLeft && (last == nil || last.Outcome == OutcomeNotRun) {
 		if refusal := x.noneAvailable(); refusal != nil {
 			return refusal
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -107,6 +107,7 @@
 		Fleet:        x.fleet(),
 		Exclude:      x.tried,
 		Availability: x.d.servers.Now(),
+		RateLimits:   x.snap.RateLimits,
 		Priority:     x.req.Priority,
 		Asked:        x.start,
 		Deadline:     x.req.Deadline,
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -53,20 +53,31 @@
 		return nil, upstream.NotSent(asTyped(err))
 	}
 	to.adjust(out.Header)
+	leave, withheld := x.takeLeave(ctx, to)
+	if withheld != nil {
+		return nil, upstream.NotSent(withheld)
+	}
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
-	return to.via.Do(ctx, out, func() error { return x.lastLook(to) }, to.maxIdle)
+	answer, failure := to.via.Do(ctx, out, func() error { return x.lastLook(to, leave) }, to.maxIdle)
+	if failure != nil && !failure.Written {
+		x.giveBack(leave)
+	}
+	return answer, failure
 }
 
 // lastLook is asked right before the first byte leaves. A host that was paused must not act
 // on what it decided before; and a request may have waited for a connection while the server
-// said that it is leaving or wants rest, or left the rotation.
-func (x *exchange) lastLook(to destination) error {
+// said that it is leaving or wants rest, named a rate limit, or left the rotation.
+func (x *exchange) lastLook(to destination, l *leave) error {
 	now := time.Now()
 	if err := x.mayStillSend(to); err != nil {
 		return err
 	}
+	if err := x.holds(to, l); err != nil {
+		return err
+	}
 	if world.Passed(now, x.req.Deadline) {
 		return errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
 	}
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -32,6 +32,7 @@
 // arrive, so that what they say of themselves is known whatever becomes of the answer: of a
 // copy that lost, a trial, the rest of a download.
 func (x *exchange) sendToServer(ctx context.Context, to destination) (*upstream.Answer, protocol.ServerState, *upstream.Failure) {
+	sentAt := time.Now()
 	answer, failure := x.send(ctx, to)
 	if failure != nil {
 		return nil, protocol.ServerState{}, failure
@@ -41,6 +42,7 @@
 	}
 	said := x.d.marks.ReadServerState(time.Now(), answer.StatusCode, answer.Header)
 	x.d.learn(to.server, said)
+	x.d.rateLimits.Heard(to.server, sentAt, said.Limit)
 	return answer, said, nil
 }
 
@@ -160,10 +162,12 @@
 
 // isWithheld reports whether a send was stopped before its first byte because of what is
 // known of the server: that says nothing new of it.
-func isWithheld(kind errs.Kind) bool { return kind == errs.KindLeaving || kind == errs.KindResting }
+func isWithheld(kind errs.Kind) bool {
+	return kind == errs.KindLeaving || kind == errs.KindResting || kind == errs.KindNoRoom
+}
 
 // noneAvailable is the refusal of a request whose servers all say that they are leaving or
-// want rest; nil if there are others. The caller is told to come back when the first of them
+// want rest, or have no room in their rate limits; nil if there are others. The caller is told to come back when the first of them
 // takes requests again.
 func (x *exchange) noneAvailable() *Refusal {
 	absence, none := x.d.servers.Now().AbsenceOf(x.req.Service, x.view.Backends)
@@ -172,8 +176,25 @@
 		return nil
 	case absence.Reason == availability.Leaving:
 		return notRun(errs.New(errs.KindLeaving, "all backend servers of "+x.req.Service+" say that they are leaving", "repeat the request after the time in Retry-After; start other servers"), defaultRetryAfter)
+	case absence.Reason == availability.NoRoom:
+		after := max(x.d.rateLimits.Promise(x.limitedServers()), absence.Left)
+		text := "all backend servers of " + x.req.Service + " have no room in the rate limits that they name, for this request again in " + after.Round(time.Millisecond).String()
+		return notRun(errs.New(errs.KindNoRoom, text, "repeat the request after the time in Retry-After; add capacity"), after)
 	default:
 		left := absence.Left.Round(time.Millisecond).String()
 		return notRun(errs.New(errs.KindResting, "all backend servers of "+x.req.Service+" asked for rest, the first for another "+left, "repeat the request after the time in Retry-After; add capacity"), absence.Left)
 	}
 }
+
+// limitedServers returns the service's servers that name rate limits.
+func (x *exchange) limitedServers() []process.Server {
+	limits := x.d.snapshot().RateLimits
+	var all []process.Server
+	for i := range x.view.Backends {
+		server := availability.ServerOf(x.req.Service, &x.view.Backends[i])
+		if _, limited := limits.Of(server); limited {
+			all = append(all, server)
+		}
+	}
+	return all
+}
--- a/internal/dispatch/serverstate_test.go
+++ b/internal/dispatch/serverstate_test.go
@@ -42,6 +42,23 @@
 	}
 }
 
+// Every request that leaves this host has leave of the server's rate limit, holds it up to its
+// first byte, and gives it back if that is not sent; what every answer says of a limit is heard.
+func TestAllSendsHaveLeaveOfRateLimits(t *testing.T) {
+	calls := callsInPackage(t)
+	for _, call := range []string{"x.takeLeave", "x.giveBack"} {
+		if !slices.Contains(calls["send"], call) {
+			t.Errorf("send does not call %s", call)
+		}
+	}
+	if !slices.Contains(calls["lastLook"], "x.holds") {
+		t.Error("leave is not looked at before the first byte")
+	}
+	if !slices.Contains(calls["sendToServer"], "x.d.rateLimits.Heard") {
+		t.Error("answers' rate limits are not heard")
+	}
+}
+
 // callsInPackage returns what each function of this package calls, by the function's name.
 func callsInPackage(t *testing.T) map[string][]string {
 	t.Helper()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/system/detection"
 	"github.com/pearshelf/pearshelf/internal/system/placement"
@@ -221,6 +222,9 @@
 	if w.QuarantineChanged {
 		return true // each arrival until then may end a server
 	}
+	if w.RateLimitsChanged {
+		return true // hosts that do not know a limit send beyond it
+	}
 	return e.conf.Documents != nil && (len(w.Out.Fetches) > 0 || w.HeadsChanged || w.ServicesChanged || e.headTold)
 }
 
@@ -331,6 +335,10 @@
 		e.world.QuarantineChanged = true
 		return
 	}
+	if ratelimit.Is(r) {
+		e.world.RateLimitsChanged = true
+		return
+	}
 	if service, ok := verdict.ServiceOf(r); ok {
 		e.markDirty(service)
 		return
--- a/internal/engine/fuzz_test.go
+++ b/internal/engine/fuzz_test.go
@@ -50,7 +50,7 @@
 	loads := policy.NewTable(epoch, policy.Config{Cost: policy.DefaultCostRule(), Random: rand.New(rand.NewPCG(1, 1)), Retry: policy.RetryRule{Share: 0.2, Window: 10 * time.Second}})
 	loads.Report(epoch, d.From, d.Life, d.Loads, d.Near)
 	loads.Refresh(epoch.Add(time.Second))
-	limits := quota.NewTable("h1", func(string) (customer.Limit, bool) { return customer.Limit{PerSecond: 3}, true })
+	limits := quota.NewTable("h1", quota.ServerRule(), func(string) (customer.Limit, bool) { return customer.Limit{PerSecond: 3}, true })
 	limits.Usages(epoch, d.From, d.Life, d.Usages)
 	limits.Grants(epoch, d.From, d.Grants)
 	limits.Tick(epoch.Add(time.Second))
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -9,6 +9,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/sharing"
@@ -33,6 +34,7 @@
 	liveHosts         int
 	fleetSize         int
 	quarantine        *quarantine.View
+	rateLimits        *ratelimit.View
 }
 
 func newViewBuilder(forwarding bool) *viewBuilder {
@@ -42,6 +44,7 @@
 		services:   make(map[string]*world.ServiceView),
 		customers:  customer.Build(nil),
 		quarantine: quarantine.NewView(nil),
+		rateLimits: ratelimit.NewView(nil),
 	}
 }
 
@@ -54,6 +57,10 @@
 		v.quarantine = quarantine.ViewOf(w.Registers)
 		w.QuarantineChanged = false
 	}
+	if w.RateLimitsChanged {
+		v.rateLimits = ratelimit.ViewOf(w.Registers)
+		w.RateLimitsChanged = false
+	}
 	return &world.Snapshot{
 		Self:            w.Self,
 		FreshUntil:      w.FreshUntil,
@@ -73,6 +80,7 @@
 		Sharing:         v.sharing,
 		FleetSize:       v.fleetSize,
 		Quarantine:      v.quarantine,
+		RateLimits:      v.rateLimits,
 		Claimants:       v.claimants,
 		ClaimantAddress: v.claimantAddresses,
 	}
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -28,6 +28,7 @@
 	KindNoBackend     Kind = "no-backend-server"
 	KindLeaving       Kind = "backend-server-leaving"
 	KindResting       Kind = "backend-server-resting"
+	KindNoRoom        Kind = "backend-server-rate-limit"
 	KindCustomerLimit Kind = "customer-limit"
 	KindUnknownKey    Kind = "unknown-key"
 	KindClaimRefused  Kind = "claim-unavailable"
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,8 @@
 	BackendMisregistered Number = 411
 	BackendResting       Number = 412
 	BackendAvailable     Number = 413
+	BackendLimited       Number = 414
+	BackendUnlimited     Number = 415
 	DirectiveAccepted    Number = 501
 	DirectiveRefused     Number = 502
 	DirectiveMerged      Number = 503
@@ -93,6 +95,8 @@
 	BackendMisregistered: "backend-misregistered",
 	BackendResting:       "backend-resting",
 	BackendAvailable:     "backend-available",
+	BackendLimited:       "backend-limited",
+	BackendUnlimited:     "backend-unlimited",
 	DirectiveAccepted:    "directive-accepted",
 	DirectiveRefused:     "directive-refused",
 	DirectiveMerged:      "directive-merged",
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,7 @@
 	quarantined      *prometheus.CounterVec
 	serverStates     *prometheus.CounterVec
 	sendsWithheld    *prometheus.CounterVec
+	rateLimited      *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -88,9 +89,13 @@
 	}, []string{"state"})
 	m.sendsWithheld = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pearshelf_sends_withheld_total",
-		Help: "Sends that were stopped right before their first byte, because the server had meanwhile said that it is leaving or wants rest, or left the rotation.",
+		Help: "Sends that were stopped right before their first byte, because the server had meanwhile said that it is leaving or wants rest, had no room in its rate limit, or left the rotation.",
 	}, []string{"reason"})
-	reg.MustRegister(m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	m.rateLimited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_rate_limited_sends_total",
+		Help: "Sends to backend servers that name a rate limit, by whether it had room.",
+	}, []string{"allowed"})
+	reg.MustRegister(m.rateLimited, m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -125,6 +130,11 @@
 // SendWithheld counts a send that was stopped right before its first byte.
 func (m *Metrics) SendWithheld(reason string) { m.sendsWithheld.WithLabelValues(reason).Inc() }
 
+// RateLimited counts a send to a server that names a rate limit.
+func (m *Metrics) RateLimited(allowed bool) {
+	m.rateLimited.WithLabelValues(strconv.FormatBool(allowed)).Inc()
+}
+
 // Added takes the time that the fleet added to a request on this host.
 func (m *Metrics) Added(service string, d time.Duration) {
 	m.added.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/availability.go
+++ b/internal/policy/availability.go
@@ -10,6 +10,15 @@
 	return r.reason(b).TakesRequests()
 }
 
+// isLimited reports whether a server names a rate limit.
+func (r Request) isLimited(b *world.BackendView) bool {
+	if r.RateLimits.Empty() {
+		return false
+	}
+	_, limited := r.RateLimits.Of(availability.ServerOf(r.Service, b))
+	return limited
+}
+
 func (r Request) reason(b *world.BackendView) availability.Reason {
 	if r.Availability.Nothing() {
 		return availability.Available
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -152,5 +152,8 @@
 	if b.IdempotentOnly && !r.Idempotent {
 		return false
 	}
+	if r.Beside && r.isLimited(b) {
+		return false // the room is for requests that no server works on
+	}
 	return !slices.Contains(r.Exclude, b.ID) && r.isAvailable(b)
 }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -6,6 +6,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -61,6 +62,9 @@
 	// which the others are compared too. A server of which nothing is known costs about
 	// as much, for the chance that it is in a spell.
 	overflowCost = 0.35
+	// limitedCost is the cost of a server that names a rate limit: others are asked first
+	// while they serve.
+	limitedCost = 0.1
 	// blocked is the cost of a server that this host cannot reach now.
 	blocked = 1000.0
 
@@ -92,6 +96,10 @@
 	// Availability is what servers say of themselves. Those that take no requests are left
 	// out of everything: the need for more servers in use does not bring them back.
 	Availability availability.Moment
+	// RateLimits is what servers take from all hosts together, of those that name it.
+	RateLimits *ratelimit.View
+	// Beside is set for a send beside another one that is under way.
+	Beside bool
 	// Asked is when the request came to this host, and Deadline when its caller
 	// gives up.
 	Asked    time.Time
@@ -245,6 +253,9 @@
 	slots := float64(max(b.Slots, 1))
 	cost := rule.lateness(s.estimate(now, svc, t.usual(svc, req.Group), load).expected, req.Objective)
 	cost += spread*load/slots + jitter*t.conf.Random.Float64() + lowWeight*(1-b.Weight)
+	if req.isLimited(b) {
+		cost += limitedCost
+	}
 	return cost + s.pathCost(now) + t.crossing(b, req)
 }
 
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -20,14 +20,17 @@
 		"github.com/pearshelf/pearshelf/internal/availability",
 		"github.com/pearshelf/pearshelf/internal/errs",
 		"github.com/pearshelf/pearshelf/internal/protocol",
+		"github.com/pearshelf/pearshelf/internal/ratelimit",
 		"github.com/pearshelf/pearshelf/internal/world",
 	}
 	// Of these packages only what neither reads a clock nor the shared random source, nor
-	// changes: a moment of what servers have said, not the table.
+	// changes: a moment of what servers have said, not the table; a view of their rate limits,
+	// not the listener.
 	allowedCalls := map[string][]string{
 		"time":         {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
 		"rand":         {"Rand"},
 		"availability": {"Moment", "Reason", "Available", "Returning", "ServerOf"},
+		"ratelimit":    {"View"},
 	}
 	names, err := filepath.Glob("*.go")
 	if err != nil {
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -139,7 +139,7 @@
 		answer.Granted = u.granted
 	}
 	if told.Ask != 0 && answer.Granted < told.Wanted {
-		answer.PauseMs = uint32(h.pause(now, u).Milliseconds())
+		answer.PauseMs = uint32(h.pause(now, u, t.rule.MostPause).Milliseconds())
 	}
 	answer.Credit = h.giveCredit(now, u)
 	return answer
@@ -171,7 +171,7 @@
 
 // pause is for how long a refused host need not ask: tokens come one after another, and
 // the refused hosts take turns.
-func (h *home) pause(now time.Time, u *user) time.Duration {
+func (h *home) pause(now time.Time, u *user, most time.Duration) time.Duration {
 	if second := now.Unix(); second != h.second {
 		h.refusedBefore = 0
 		if second == h.second+1 {
@@ -185,5 +185,5 @@
 	}
 	perSecond := math.Max(h.limit.PerSecond*h.part, 0.01)
 	turn := inSeconds((float64(max(h.refusedBefore, h.refusedNow)) + math.Max(-h.tokens, 0)) / perSecond)
-	return min(max(turn, leastPause), mostPause)
+	return min(max(turn, leastPause), most)
 }
--- a/internal/quota/question.go
+++ b/internal/quota/question.go
@@ -74,7 +74,7 @@
 	s.ask = 0
 	refused := int(g.Granted) < s.wanted
 	if refused {
-		s.pause(now, time.Duration(g.PauseMs)*time.Millisecond)
+		t.pause(now, s, time.Duration(g.PauseMs)*time.Millisecond)
 	}
 	s.settle(int(g.Granted), func() Verdict { return s.allowed(now) })
 	switch {
@@ -85,6 +85,15 @@
 	}
 }
 
+// goAlone lets this host go on at its part until the home answers.
+func (t *Table) goAlone(now time.Time, s *served) {
+	if !s.unheard && !t.rule.SavesAlone {
+		s.alone = bucket{at: now}
+	}
+	s.unheard = true
+	s.usageAt = now.Add(probeEvery)
+}
+
 // heard notes that the home answered.
 func (s *served) heard(now time.Time, part float64) {
 	s.unheard = false
@@ -111,7 +120,6 @@
 		return
 	}
 	s.ask = 0
-	s.unheard = true
-	s.usageAt = now.Add(probeEvery)
+	t.goAlone(now, s)
 	s.settle(len(s.waiting), func() Verdict { return t.takeAlone(now, s) })
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,4 +1,6 @@
-// Package quota holds customers' limits over all hosts together. A customer has a home
+// Package quota holds limits over all hosts together: those of customers, which the
+// configuration sets, and the rate limits that backend servers name. What is said of customers
+// holds for servers too, in a table of their own. A customer has a home
 // host, the same by every host's list of live hosts (rendezvous), with a token bucket. The
 // hosts that serve the customer tell the home what they let through, and get tokens: for
 // requests that wait, and while the bucket is well filled as credits, which are spent
@@ -57,9 +59,6 @@
 	// unheardShare is the part of the limit that hosts which do not hear the home may use
 	// beyond their part, all together: for customers that come to a host anew.
 	unheardShare = 0.05
-	// leastAlone is the least capacity, in requests, of a host that goes on alone at its
-	// part: the requests of a few callers come unevenly.
-	leastAlone = 3
 	// assumedHosts is how many hosts there are, to a host that does not know yet.
 	assumedHosts = 32
 	// youngBucket is how full the bucket of a new home is, which does not know what was
@@ -76,9 +75,8 @@
 	// creditShare the part of its tokens that may lie on hosts as credits.
 	creditsAbove = 0.5
 	creditShare  = 0.25
-	// leastPause and mostPause bound the time for which a refused host need not ask.
+	// leastPause is the least time for which a refused host need not ask.
 	leastPause = 10 * time.Millisecond
-	mostPause  = 500 * time.Millisecond
 	// mostRetryAfter bounds what a refused caller is told.
 	mostRetryAfter = 10 * time.Second
 	// smallestBurst is the least capacity of a bucket in seconds of its rate: requests do
@@ -86,6 +84,28 @@
 	smallestBurst = 0.1
 )
 
+// Rule is in what tables differ.
+type Rule struct {
+	// LeastAlone is the least capacity, in requests, of a host that does not hear the home
+	// and goes on alone at its part. Larger serves the requests of a few callers, which come
+	// unevenly; a limit of few requests breaks where many hosts go on alone.
+	LeastAlone float64
+	// SavesAlone is whether a host that begins to go on alone may spend what its part
+	// brought while the home was heard.
+	SavesAlone bool
+	// MostPause bounds the time for which a refused host need not ask. Longer saves
+	// questions where many hosts share few tokens; tokens then wait for who may ask.
+	MostPause time.Duration
+}
+
+// CustomerRule is for customers' limits, of tens of requests a second.
+func CustomerRule() Rule {
+	return Rule{LeastAlone: 3, SavesAlone: true, MostPause: 500 * time.Millisecond}
+}
+
+// ServerRule is for the rate limits of backend servers, of a few requests a second.
+func ServerRule() Rule { return Rule{LeastAlone: 1, MostPause: time.Second} }
+
 // Fleet is what a host knows of all hosts.
 type Fleet struct {
 	// Version grows with every change.
@@ -108,6 +128,8 @@
 	OK bool
 	// RetryAfter is when a refused request may come back.
 	RetryAfter time.Duration
+	// AskAgain is for how long this host need not ask for another request.
+	AskAgain time.Duration
 }
 
 // Message is what this host has to tell another one.
@@ -121,6 +143,7 @@
 // the home of some. It is not safe for concurrent use.
 type Table struct {
 	self  string
+	rule  Rule
 	fleet Fleet
 	// limits returns a customer's limit by this host's configuration.
 	limits func(name string) (customer.Limit, bool)
@@ -138,9 +161,10 @@
 
 // NewTable returns the table of a host. limits is asked by homes, whose own configuration
 // counts.
-func NewTable(self string, limits func(name string) (customer.Limit, bool)) *Table {
+func NewTable(self string, rule Rule, limits func(name string) (customer.Limit, bool)) *Table {
 	return &Table{
 		self:   self,
+		rule:   rule,
 		fleet:  Fleet{Homes: []rendezvous.Node{rendezvous.NewNode(self, "")}, Size: 1, Live: func(string) bool { return true }},
 		limits: limits,
 		served: make(map[string]*served),
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -20,7 +20,7 @@
 	nodes := []rendezvous.Node{rendezvous.NewNode("h1", ""), rendezvous.NewNode("h2", "")}
 	fleet := Fleet{Version: 1, Homes: nodes, Live: func(string) bool { return true }, Size: 2, Settled: true}
 	limits := func(string) (customer.Limit, bool) { return limit, true }
-	tables := map[string]*Table{"h1": NewTable("h1", limits), "h2": NewTable("h2", limits)}
+	tables := map[string]*Table{"h1": NewTable("h1", CustomerRule(), limits), "h2": NewTable("h2", CustomerRule(), limits)}
 	for _, table := range tables {
 		table.SetFleet(epoch, fleet)
 	}
@@ -168,3 +168,100 @@
 		t.Errorf("%d requests in %d s went to the half that is heard, of %.0f a second", granted, seconds, limit.PerSecond)
 	}
 }
+
+// rareLimit is the rate limit of a server in need.
+var rareLimit = customer.Limit{PerSecond: 1.4, Burst: 1.7}
+
+// What was allowed and not sent goes to the host's next request, once and not for long.
+func TestReturnedTokenIsSpentOnce(t *testing.T) {
+	table := NewTable("h1", ServerRule(), nil)
+	table.SetFleet(epoch, Fleet{Version: 1, Homes: []rendezvous.Node{rendezvous.NewNode("h1", "")}, Live: func(string) bool { return true }, Size: 1, Settled: true})
+	now := epoch.Add(time.Minute)
+	take := func() bool {
+		verdict, decided := table.Take(now, "shop/i1", rareLimit, nil)
+		return decided && verdict.OK
+	}
+	for take() { // until the bucket is empty
+	}
+	if take() {
+		t.Fatal("the bucket never empties")
+	}
+	table.Return(now, "shop/i1")
+	if !take() || take() {
+		t.Error("what was returned is not spent once")
+	}
+	table.Return(now, "shop/i1")
+	before := now
+	now = now.Add(creditLife + time.Millisecond)
+	spent := 0
+	for take() {
+		spent++
+	}
+	if most := int(rareLimit.PerSecond*now.Sub(before).Seconds()+1) + 1; spent > most {
+		t.Errorf("%d spent after %s", spent, now.Sub(before))
+	}
+}
+
+// Hosts that do not hear the home of a limit of few requests must not each have some saved up:
+// together they would break it.
+func TestHostsThatGoOnAloneKeepASmallLimit(t *testing.T) {
+	const hosts = 40
+	fleet := Fleet{Version: 1, Size: hosts, Settled: true, Live: func(string) bool { return true }}
+	for n := range hosts {
+		fleet.Homes = append(fleet.Homes, rendezvous.NewNode(string(rune('a'+n)), ""))
+	}
+	sent := 0
+	for _, node := range fleet.Homes {
+		table := NewTable(node.Name, ServerRule(), func(string) (customer.Limit, bool) { return rareLimit, true })
+		table.SetFleet(epoch, fleet)
+		if table.homeName("shop/i1") == node.Name {
+			continue // the one that no other hears
+		}
+		for now := epoch; now.Sub(epoch) < 4*time.Second; now = now.Add(10 * time.Millisecond) {
+			table.Tick(now)
+			verdict, decided := table.Take(now, "shop/i1", rareLimit, func(v Verdict) {
+				if v.OK {
+					sent++
+				}
+			})
+			if decided && verdict.OK {
+				sent++
+			}
+			table.Messages() // lost
+		}
+	}
+	if most := int(1.5*4*rareLimit.PerSecond) + 5; sent > most {
+		t.Errorf("%d requests in 4 s, of %d at most", sent, most)
+	}
+}
+
+// A request that would do with any of several servers is told when the first has room for it,
+// and the next one a later time.
+func TestPromisesOfSeveralServersAreSpread(t *testing.T) {
+	table := NewTable("h1", ServerRule(), nil)
+	table.SetFleet(epoch, Fleet{Version: 1, Homes: []rendezvous.Node{rendezvous.NewNode("h1", "")}, Live: func(string) bool { return true }, Size: 1, Settled: true})
+	names := []string{"shop/i1", "shop/i2"}
+	for _, name := range names {
+		for {
+			if verdict, _ := table.Take(epoch, name, rareLimit, nil); !verdict.OK {
+				break
+			}
+		}
+	}
+	var last time.Duration
+	const callers = 10
+	for range callers {
+		after := table.Promise(epoch, names)
+		if after <= 0 || after < last {
+			t.Errorf("told %s after %s", after, last)
+		}
+		last = after
+	}
+	room := time.Duration(callers / (2 * rareLimit.PerSecond) * float64(time.Second))
+	if last < room/2 || last > 2*room {
+		t.Errorf("the last of %d callers is told %s; there is room for them in %s", callers, last, room)
+	}
+	if after := table.Promise(epoch, []string{"shop/i9"}); after != 0 {
+		t.Errorf("a server that was never asked for promises %s", after)
+	}
+}
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -25,6 +25,8 @@
 	spent                      uint64 // of the home's credits, in this term
 	credit                     float64
 	creditUntil                time.Time
+	returned                   int // allowed, but not sent
+	returnedUntil              time.Time
 	usageAt                    time.Time // the next usage, zero for none
 
 	// question under way, ask 0 for none.
@@ -56,6 +58,8 @@
 	switch {
 	case !t.fleet.Settled: // homes are not known yet
 		return t.takeAlone(now, s), true
+	case s.takeReturned(now):
+		return s.allowed(now), true
 	case s.home == t.self:
 		return t.takeAtHome(now, s), true
 	case s.takeCredit(now):
@@ -75,7 +79,10 @@
 func (t *Table) servedCustomer(now time.Time, name string, limit customer.Limit) *served {
 	s, ok := t.served[name]
 	if !ok {
-		s = &served{name: name, alone: bucket{tokens: leastAlone, at: now}}
+		s = &served{name: name, alone: bucket{at: now}}
+		if t.rule.SavesAlone {
+			s.alone.tokens = t.rule.LeastAlone
+		}
 		t.served[name] = s
 		t.order = append(t.order, s)
 	}
@@ -130,7 +137,7 @@
 	if h.take() {
 		return s.allowed(now)
 	}
-	s.pause(now, h.pause(now, u))
+	t.pause(now, s, h.pause(now, u, t.rule.MostPause))
 	return s.refused(now)
 }
 
@@ -140,15 +147,16 @@
 	part := t.partAlone(now, s)
 	size := 1.0
 	if s.part > 0 || !t.fleet.Settled {
-		size = leastAlone
+		size = t.rule.LeastAlone
 	}
 	s.alone.refill(now, s.limit.PerSecond*part, math.Max(capacity(s.limit)*part, size))
 	if s.alone.take() {
 		return s.allowed(now)
 	}
-	s.pause(now, inSeconds(1/math.Max(s.limit.PerSecond*part, 0.01)))
+	t.pause(now, s, inSeconds(1/math.Max(s.limit.PerSecond*part, 0.01)))
+	verdict := s.refused(now)
 	s.pausedUntil = time.Time{} // the bucket is asked each time
-	return s.refused(now)
+	return verdict
 }
 
 func (t *Table) partAlone(now time.Time, s *served) float64 {
@@ -171,6 +179,46 @@
 	return true
 }
 
+// Return gives back what a request was allowed that was not sent after all. The next request
+// of this host may have it, for as long as a credit.
+func (t *Table) Return(now time.Time, name string) {
+	s, ok := t.served[name]
+	if !ok {
+		return
+	}
+	if now.After(s.returnedUntil) {
+		s.returned = 0
+	}
+	s.returned++
+	s.returnedUntil = now.Add(creditLife)
+	s.use.add(now, -1)
+	s.allowedTotal--
+	s.pausedUntil = time.Time{}
+}
+
+func (s *served) takeReturned(now time.Time) bool {
+	if s.returned == 0 || now.After(s.returnedUntil) {
+		return false
+	}
+	s.returned--
+	return true
+}
+
+// Promise is when a request may come back that any of these customers would do for, and was
+// refused without asking for one. It counts as told, so that the next is told a later time.
+func (t *Table) Promise(now time.Time, names []string) time.Duration {
+	var first *served
+	for _, name := range names {
+		if s, ok := t.served[name]; ok && (first == nil || s.nextTurn(now).Before(first.nextTurn(now))) {
+			first = s
+		}
+	}
+	if first == nil {
+		return 0
+	}
+	return first.refused(now).RetryAfter
+}
+
 func (s *served) allowed(now time.Time) Verdict {
 	s.use.add(now, 1)
 	s.allowedTotal++
@@ -180,6 +228,14 @@
 // refused tells a caller when to come back: one after another, at the rate at which
 // tokens come to this host.
 func (s *served) refused(now time.Time) Verdict {
+	at := s.nextTurn(now)
+	s.promised = at
+	s.refusedTotal++
+	return Verdict{RetryAfter: min(at.Sub(now), mostRetryAfter), AskAgain: s.pausedUntil.Sub(now)}
+}
+
+// nextTurn is when the next refused caller may come back.
+func (s *served) nextTurn(now time.Time) time.Time {
 	turn := max(s.turn, leastPause)
 	at := now.Add(turn)
 	if s.promised.After(now) {
@@ -188,14 +244,12 @@
 	if s.pausedUntil.After(at) {
 		at = s.pausedUntil
 	}
-	s.promised = at
-	s.refusedTotal++
-	return Verdict{RetryAfter: min(at.Sub(now), mostRetryAfter)}
+	return at
 }
 
-func (s *served) pause(now time.Time, turn time.Duration) {
+func (t *Table) pause(now time.Time, s *served, turn time.Duration) {
 	s.turn = turn
-	s.pausedUntil = now.Add(min(turn, mostPause))
+	s.pausedUntil = now.Add(min(turn, t.rule.MostPause))
 }
 
 // Tick does what the time calls for, and sets when it is due again.
--- /dev/null
+++ b/internal/ratelimit/register.go
@@ -0,0 +1,67 @@
+package ratelimit
+
+import (
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/process"
+	"github.com/pearshelf/pearshelf/internal/register"
+)
+
+const prefix = "ratelimit/"
+
+// Is reports whether a register holds a rate limit.
+func Is(r *peerpb.Register) bool { return strings.HasPrefix(r.GetKey(), prefix) }
+
+func registerKey(key process.Key) string { return prefix + key.Service + "/" + key.ID }
+
+// serverOf reads a register's key. Names of services have no slash.
+func serverOf(registerKey string) (process.Key, bool) {
+	service, id, ok := strings.Cut(strings.TrimPrefix(registerKey, prefix), "/")
+	return process.Key{Service: service, ID: id}, ok && id != ""
+}
+
+// Register returns an unstamped register that tells all hosts a report.
+func (r Report) Register(now time.Time) (*peerpb.Register, error) {
+	told := &peerpb.Register{Key: registerKey(r.Server.Key()), TtlMs: uint64(heldFor.Milliseconds())}
+	if r.Kind == Ended {
+		told.Deleted = true
+		return told, nil
+	}
+	age := max(now.Sub(r.Since).Milliseconds(), 0)
+	value, err := proto.Marshal(&peerpb.RateLimit{Started: r.Server.Started, PerSecond: r.PerSecond, AgeMs: uint32(age)})
+	told.Value = value
+	return told, err
+}
+
+// ViewOf returns the view that a host's registers give.
+func ViewOf(store *register.Store) *View {
+	var all []Limit
+	for _, r := range store.Prefix(prefix) {
+		if limit, ok := parse(store, r); ok {
+			all = append(all, limit)
+		}
+	}
+	return NewView(all)
+}
+
+func parse(store *register.Store, r *peerpb.Register) (Limit, bool) {
+	key, ok := serverOf(r.Key)
+	value := &peerpb.RateLimit{}
+	if !ok || proto.Unmarshal(r.Value, value) != nil || !(value.PerSecond >= 0) {
+		return Limit{}, false // not of this version of the daemon
+	}
+	until := store.Expiry(r.Key)
+	learned := until.Add(-time.Duration(r.TtlMs) * time.Millisecond)
+	return Limit{
+		Server:    process.Server{Service: key.Service, ID: key.ID, Started: value.Started},
+		PerSecond: value.PerSecond,
+		Since:     learned.Add(-time.Duration(value.AgeMs) * time.Millisecond),
+		LearnedAt: learned,
+		Until:     until,
+		HeardBy:   r.GetStamp().GetHost(),
+	}, true
+}
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -6,6 +6,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/sharing"
@@ -95,6 +96,8 @@
 	Settled   bool
 	// Quarantine is the contents that are refused because they end servers.
 	Quarantine *quarantine.View
+	// RateLimits is what servers take from all hosts together, of those that name it.
+	RateLimits *ratelimit.View
 	// Sharing says with which of them this host shares what it knows of servers.
 	Sharing *sharing.Fleet
 	// FleetSize is the largest number of hosts that were live at a time.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -246,6 +246,8 @@
 
 	// QuarantineChanged asks for a new view of the contents in quarantine.
 	QuarantineChanged bool
+	// RateLimitsChanged asks for a new view of servers' rate limits.
+	RateLimitsChanged bool
 
 	Out Outbox
 }
