--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -14,9 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/pearshelf/pearshelf/internal/availability"
-	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/operator"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/standin/backend"
 	"github.com/pearshelf/pearshelf/standin/fleet"
