Hosts that do not hear the home of a server's rate limit go on at equal parts

Cause: parts by use are known from the last answer of the home. Of a limit of 1.4 a second a host asks every 20 s; those that asked when few had remember large parts, which together were over twice the limit. Test: 40 hosts that have asked one after another; before, 4.3 times the limit.

--- a/internal/quota/part.go
+++ b/internal/quota/part.go
@@ -65,6 +65,10 @@
 // what the hosts that it hears had at an earlier home.
 func (t *Table) partOf(now time.Time, h *home, kept, inherited float64) float64 {
 	switch {
+	case t.rule.EqualParts && now.Sub(t.changedAt) < keptFor:
+		return t.fleet.reachable()
+	case t.rule.EqualParts:
+		return 1
 	case t.hearsAll(h.name) || now.Sub(h.since) >= keptFor:
 		return math.Max(1-kept, 0)
 	case h.inheritedAt.IsZero():
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -93,6 +93,11 @@
 	// SavesAlone is whether a host that begins to go on alone may spend what its part
 	// brought while the home was heard.
 	SavesAlone bool
+	// EqualParts gives each host that does not hear the home an equal part, in place of one by
+	// what it let through lately. Parts by use give more to callers of hosts that are cut
+	// off; of a limit of few requests hosts ask too seldom to know theirs, and the parts
+	// that they remember add up to more than the limit.
+	EqualParts bool
 	// MostPause bounds the time for which a refused host need not ask. Longer saves
 	// questions where many hosts share few tokens; tokens then wait for who may ask.
 	MostPause time.Duration
@@ -104,7 +109,7 @@
 }
 
 // ServerRule is for the rate limits of backend servers, of a few requests a second.
-func ServerRule() Rule { return Rule{LeastAlone: 1, MostPause: time.Second} }
+func ServerRule() Rule { return Rule{LeastAlone: 1, EqualParts: true, MostPause: time.Second} }
 
 // Fleet is what a host knows of all hosts.
 type Fleet struct {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -265,3 +265,39 @@
 		t.Errorf("a server that was never asked for promises %s", after)
 	}
 }
+
+// Hosts that ask for a limit of few requests seldom each remember the part that they had when
+// few had asked. Alone they must not go on at these parts, which add up to more than the limit.
+func TestPartsThatHostsRememberDoNotAddUp(t *testing.T) {
+	const hosts = 40
+	fleet := Fleet{Version: 1, Size: hosts, Settled: true, Live: func(string) bool { return true }}
+	tables := make(map[string]*Table)
+	for n := range hosts {
+		name := string(rune('a' + n))
+		fleet.Homes = append(fleet.Homes, rendezvous.NewNode(name, ""))
+		tables[name] = NewTable(name, ServerRule(), func(string) (customer.Limit, bool) { return rareLimit, true })
+	}
+	for _, table := range tables {
+		table.SetFleet(epoch, fleet)
+	}
+	home := tables[rendezvous.Top("shop/i1", fleet.Homes, 1)[0]]
+	now := epoch
+	for _, node := range fleet.Homes { // one after another asks once
+		table := tables[node.Name]
+		table.Take(now, "shop/i1", rareLimit, func(Verdict) {})
+		for _, m := range table.Messages() {
+			home.Usages(now, table.self, 1, m.Usages)
+		}
+		for _, m := range home.Messages() {
+			table.Grants(now, home.self, m.Grants)
+		}
+		now = now.Add(time.Second) // there is room for each
+	}
+	sum := 0.0
+	for _, table := range tables {
+		sum += table.partAlone(now, table.served["shop/i1"])
+	}
+	if sum > 1.05 {
+		t.Errorf("hosts that go on alone use %.2f of the limit", sum)
+	}
+}
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -164,7 +164,7 @@
 	if !t.fleet.Settled {
 		hosts = math.Max(hosts, assumedHosts)
 	}
-	if s.part == 0 || now.Sub(s.heardAt) >= keptFor {
+	if t.rule.EqualParts || s.part == 0 || now.Sub(s.heardAt) >= keptFor {
 		return 1 / hosts
 	}
 	return math.Min(s.part+unheardShare/hosts, 1)
