--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -282,7 +283,7 @@
 	}
 	home := tables[rendezvous.Top("shop/i1", fleet.Homes, 1)[0]]
 	now := epoch
-	for _, node := range fleet.Homes { // one after another asks once
+	for _, node := range slices.Concat(fleet.Homes, fleet.Homes) { // one after another asks, twice
 		table := tables[node.Name]
 		table.Take(now, "shop/i1", rareLimit, func(Verdict) {})
 		for _, m := range table.Messages() {
