--- a/cmd/pearshelf-bench/replay.go
+++ b/cmd/pearshelf-bench/replay.go
@@ -12,12 +12,13 @@
 	Pattern string             `help:"A pattern of experiment/replay/patterns by name, or a file." default:"hangs"`
 	Seeds   int                `help:"How many seeds, from --seed on." default:"3"`
 	Without []policy.Mechanism `help:"Mechanisms of the policy to leave out."`
+	Limits  replay.LimitWay    `help:"How rate limits that servers name are kept: home, the daemon's way, or to compare with none, equal or holders." enum:"home,none,equal,holders" default:"home"`
 	Plot    string             `help:"Write a plot of the outcomes over time to this SVG file."`
 }
 
 // Run plays a pattern.
 func (c *replayCommand) Run(f *flags) error {
-	comparison, err := replay.Compare(c.Pattern, f.Seed, c.Seeds, c.Without)
+	comparison, err := replay.Compare(c.Pattern, c.Seeds, replay.Config{Seed: f.Seed, Without: c.Without, Limits: c.Limits})
 	if err != nil {
 		return err
 	}
--- a/experiment/quotas/quotas.go
+++ b/experiment/quotas/quotas.go
@@ -1,4 +1,5 @@
-// Package quotas plays customers' limits over a whole fleet in simulated time, by the
+// Package quotas plays limits over a whole fleet, those of customers and the rate limits that
+// servers name, in simulated time, by the
 // daemon's own code (internal/quota) and by what it was weighed against, without sockets
 // or processes. It measures how much of what a limit allows is refused, and how much of
 // what the limit bounds is used.
@@ -17,6 +18,7 @@
 	"github.com/pearshelf/pearshelf/experiment/simtime"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/quota"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 )
 
@@ -41,7 +43,10 @@
 	Callers   int
 	// LimitOver is a customer's limit and burst as a multiple of its usual rate.
 	LimitOver float64
-	Seed      uint64
+	// ServerLimit makes the customers servers that name this limit, in requests a second; 0
+	// for customers.
+	ServerLimit float64
+	Seed        uint64
 	// Length of the run.
 	Length time.Duration
 	// Trouble is scheduled before the run.
@@ -64,16 +69,35 @@
 	settledIn   = time.Second
 	restartIn   = 300 * time.Millisecond
 	tickEvery   = 20 * time.Millisecond
+)
+
+// bound is the users' rule on a limit: in a window excess times what it allows, and slack more.
+type bound struct {
+	window time.Duration
+	excess float64
+	slack  float64
+	bursts bool // whether the limit's burst counts as allowed
+}
 
-	// The users' rule: in a window of 5 s a quarter above the limit and 20 requests.
-	ruleWindow = 5 * time.Second
-	ruleExcess = 1.25
-	ruleSlack  = 20
+var (
+	customerBound = bound{window: 5 * time.Second, excess: 1.25, slack: 20, bursts: true}
+	serverBound   = bound{window: 4 * time.Second, excess: 1.5, slack: 5}
 )
 
+// of is the most requests in a window.
+func (b bound) of(limit customer.Limit) float64 {
+	allowed := limit.PerSecond * b.window.Seconds()
+	if b.bursts {
+		allowed += limit.Burst
+	}
+	return allowed*b.excess + b.slack
+}
+
 // Fleet is all hosts and callers of a run.
 type Fleet struct {
 	conf      Config
+	rule      quota.Rule
+	bound     bound
 	clock     simtime.Clock
 	random    *rand.Rand
 	hosts     []*host
@@ -128,7 +152,10 @@
 
 // New returns a fleet.
 func New(conf Config) *Fleet {
-	f := &Fleet{conf: conf, random: rand.New(rand.NewPCG(conf.Seed, 7))}
+	f := &Fleet{conf: conf, rule: quota.CustomerRule(), bound: customerBound, random: rand.New(rand.NewPCG(conf.Seed, 7))}
+	if conf.ServerLimit > 0 {
+		f.rule, f.bound = quota.ServerRule(), serverBound
+	}
 	f.makeCustomers()
 	for n := range conf.Hosts {
 		h := &host{fleet: f, number: n, name: fmt.Sprintf("host-%03d", n)}
@@ -159,6 +186,11 @@
 		}
 		usual := part * f.conf.PerSecond
 		limit := customer.Limit{PerSecond: f.conf.LimitOver * usual, Burst: math.Ceil(f.conf.LimitOver * usual)}
+		if f.conf.ServerLimit > 0 {
+			named := ratelimit.Limit{PerSecond: f.conf.ServerLimit}
+			usual = f.conf.PerSecond / float64(f.conf.Customers)
+			limit = customer.Limit{PerSecond: named.Allowed(), Burst: named.Burst()}
+		}
 		f.customers = append(f.customers, &account{name: fmt.Sprintf("customer-%02d", i), usual: usual, limit: limit, times: 1, ideal: bucketOf{tokens: limit.Burst}, due: make(map[int]int), served: make(map[int]int)})
 	}
 }
@@ -197,7 +229,7 @@
 	a := c.customer
 	f.asked++
 	at := f.clock.Now
-	window := int(at / ruleWindow)
+	window := int(at / f.bound.window)
 	if a.ideal.take(at, a.limit, 1) {
 		a.due[window]++
 	}
@@ -307,7 +339,7 @@
 	h.size = 1
 	h.shares = make(map[string]*bucketOf)
 	h.seen = make(map[string]time.Duration)
-	h.table = quota.NewTable(h.name, quota.CustomerRule(), h.fleet.limitOf)
+	h.table = quota.NewTable(h.name, h.fleet.rule, h.fleet.limitOf)
 	if h.fleet.conf.Way != ByShare {
 		h.tick(h.life)
 	}
@@ -446,7 +478,7 @@
 		ofDue, ofRefused := a.shortfall()
 		due += ofDue
 		refused += ofRefused
-		used = math.Max(used, a.used())
+		used = math.Max(used, a.used(f.bound))
 	}
 	perHost := float64(len(f.hosts)) * f.conf.Length.Seconds()
 	return Result{
@@ -476,14 +508,14 @@
 
 // used is the most that was sent in any window over what the rule allows there. A lower
 // limit binds one window after it was set.
-func (a *account) used() float64 {
-	allowed := (a.limit.PerSecond*ruleWindow.Seconds()+a.limit.Burst)*ruleExcess + ruleSlack
+func (a *account) used(rule bound) float64 {
+	allowed := rule.of(a.limit)
 	most, first := 0, 0
 	for i, at := range a.sent {
-		for a.sent[first] < at-ruleWindow {
+		for a.sent[first] < at-rule.window {
 			first++
 		}
-		if a.lowered > 0 && a.sent[first] < a.lowered+ruleWindow {
+		if a.lowered > 0 && a.sent[first] < a.lowered+rule.window {
 			continue
 		}
 		most = max(most, i-first+1)
--- a/experiment/quotas/quotas_test.go
+++ b/experiment/quotas/quotas_test.go
@@ -1,6 +1,7 @@
 package quotas_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,3 +104,54 @@
 		t.Errorf("%.1f messages a host and second with four times the hosts, %.1f before", b.Result().MessagesPerHost, a.Result().MessagesPerHost)
 	}
 }
+
+// serverPatterns are troubles in which servers' rate limits must hold.
+var serverPatterns = []struct {
+	name    string
+	trouble func(f *quotas.Fleet)
+}{
+	{"calm", nil},
+	{"a third is cut off, each alone", func(f *quotas.Fleet) { f.Cut(8*s, 0.35, false, 12*s) }},
+	{"a third is cut off together", func(f *quotas.Fleet) { f.Cut(8*s, 0.35, true, 12*s) }},
+	{"half are cut off together, twice", func(f *quotas.Fleet) {
+		f.Cut(8*s, 0.5, true, 4*s)
+		f.Cut(14*s, 0.5, true, 4*s)
+	}},
+	{"the home is killed", func(f *quotas.Fleet) { f.KillHome(8*s, 0, 3500*time.Millisecond) }},
+	{"the home is killed again and again", func(f *quotas.Fleet) {
+		for at := 8 * s; at < 20*s; at += 4 * s {
+			f.KillHome(at, 0, s)
+		}
+	}},
+	{"half of all hosts are killed", func(f *quotas.Fleet) { f.Kill(8*s, 0.55, 2*s) }},
+	{"all hosts start again", func(f *quotas.Fleet) { f.Kill(8*s, 1, s) }},
+	{"a third is cut off and half are killed", func(f *quotas.Fleet) {
+		f.Cut(8*s, 0.35, false, 12*s)
+		f.Kill(10*s, 0.55, 2*s)
+	}},
+}
+
+// The rate limits of twenty servers hold whatever becomes of the hosts, for limits of one
+// request in five seconds up to twenty a second. What they allow is used in calm.
+func TestServersLimitsHoldOverTheFleet(t *testing.T) {
+	const mostRefusedInCalm = 0.1
+	for _, p := range serverPatterns {
+		for _, perSecond := range []float64{0.2, 1.4, 20} {
+			t.Run(fmt.Sprintf("%s, %.1f a second", p.name, perSecond), func(t *testing.T) {
+				t.Parallel()
+				for seed := uint64(1); seed <= 2; seed++ {
+					f := quotas.New(quotas.Config{Hosts: 40, Customers: 20, PerSecond: 20 * 3 * perSecond, Callers: 800, ServerLimit: perSecond, Seed: seed, Length: 30 * s, Trouble: p.trouble})
+					f.Run()
+					got := f.Result()
+					t.Logf("seed %d: refused %.3f, used %.2f, %.1f messages and %.0f B a host and second", seed, got.Refused, got.Used, got.MessagesPerHost, got.BytesPerHost)
+					if got.Used > 0.95 {
+						t.Errorf("seed %d: %.2f of what a server may get", seed, got.Used)
+					}
+					if p.trouble == nil && got.Refused > mostRefusedInCalm {
+						t.Errorf("seed %d: %.3f of the room is not used", seed, got.Refused)
+					}
+				}
+			})
+		}
+	}
+}
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -10,6 +10,7 @@
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/quota"
 	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -24,6 +25,7 @@
 	fleet      *fleet
 	table      *policy.Table
 	servers    *availability.Table
+	limits     *limits
 	sharing    *sharing.Fleet
 	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
@@ -36,6 +38,7 @@
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
+	h.limits = newLimits(h, f.limitWay)
 	return h
 }
 
@@ -127,6 +130,7 @@
 	over    bool
 	copies  int
 	returns int // how often the caller has come back
+	asks    int // how often leave was asked for that was not given
 }
 
 // flight is one send of a request.
@@ -136,6 +140,7 @@
 	server    *server
 	job       *job
 	sent      time.Duration
+	from      *host
 	// letGo is set while nobody waits for the answer of a trial but its host.
 	letGo bool
 }
@@ -168,6 +173,7 @@
 		Deadline:   simtime.Epoch.Add(r.deadline()),
 
 		Availability: r.host.servers.Now(),
+		RateLimits:   r.host.limits.view,
 	}
 }
 
@@ -183,6 +189,15 @@
 		}
 		return
 	}
+	if limit, limited := r.host.limits.view.Of(availability.ServerOf(r.route.Service, &placement.Server)); limited {
+		r.host.limits.take(limit, func(verdict quota.Verdict) { r.leave(placement, verdict) })
+		return
+	}
+	r.begin(placement)
+}
+
+// begin sends the request, with a trial beside it and a look at whether it needs a copy.
+func (r *request) begin(placement *policy.Placement) {
 	first := r.send(placement)
 	if len(r.flights) == 1 {
 		r.trial(first)
@@ -190,6 +205,29 @@
 	}
 }
 
+// leave sends the request if its server's rate limit has room, else to another server.
+func (r *request) leave(placement *policy.Placement, verdict quota.Verdict) {
+	server := availability.ServerOf(r.route.Service, &placement.Server)
+	switch {
+	case verdict.OK && !r.over:
+		r.begin(placement)
+		return
+	case verdict.OK:
+		r.host.limits.table.Return(r.host.fleet.clock.Time(), server.ID)
+	default:
+		r.host.servers.NoteNoRoom(server, verdict.AskAgain)
+	}
+	r.host.table.Finish(r.host.fleet.clock.Time(), placement, policy.Done{Outcome: policy.Neutral})
+	r.asks++
+	switch {
+	case r.over:
+	case r.asks < mostAsked:
+		r.place()
+	default:
+		r.refuse(errs.KindNoRoom)
+	}
+}
+
 // trial sends a copy to a doubted server where the policy wants one.
 func (r *request) trial(first *flight) {
 	if !r.route.Idempotent || r.ran+2 > r.attempts() {
@@ -197,6 +235,7 @@
 	}
 	req := r.policyRequest()
 	req.Exclude = append(slices.Clone(r.tried), first.placement.Server.ID)
+	req.Beside = true
 	if placement, ok := r.host.table.Trial(r.host.fleet.clock.Time(), r.host.views[r.route.Service], req); ok {
 		r.copies++
 		r.send(placement)
@@ -223,7 +262,7 @@
 
 func (r *request) send(placement *policy.Placement) *flight {
 	f := r.host.fleet
-	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now}
+	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now, from: r.host}
 	fl.job = &job{route: r.route, deadline: r.deadline()}
 	delay := f.delay(r.host.dataCentre, fl.server.dataCentre)
 	fl.job.done = func(a answer) { f.clock.After(delay, func() { r.answered(fl, a) }) }
@@ -232,7 +271,8 @@
 	f.result.Runs[fl.server.id]++
 	f.clock.After(delay, func() {
 		if !fl.job.over {
-			f.said.arrived(f.clock.Now, r.host.name, fl.server.id)
+			f.said.arrived(f.clock.Now, fl.from.name, fl.server.id)
+			f.limits.arrived(f.clock.Now, fl.from.name, fl.server.id, fl.server.namesLimit())
 			fl.server.take(fl.job)
 		}
 	})
@@ -249,6 +289,7 @@
 	view := r.host.views[r.route.Service]
 	req := r.policyRequest()
 	req.Exclude = append(slices.Clone(r.tried), first.placement.Server.ID)
+	req.Beside = true
 	copyNow, after := r.host.table.Review(f.clock.Time(), view, req, first.placement)
 	switch {
 	case copyNow:
@@ -266,8 +307,11 @@
 	f := r.host.fleet
 	took := f.clock.Now - fl.sent
 	result, load := a.reply, a.said.Load
-	r.host.servers.Learn(availability.ServerOf(r.route.Service, &fl.placement.Server), a.said)
-	f.said.answered(f.clock.Now, r.host.name, fl.server.id, a.said)
+	server := availability.ServerOf(r.route.Service, &fl.placement.Server)
+	fl.from.servers.Learn(server, a.said)
+	fl.from.limits.hear(server, fl.sent, a.said.Limit)
+	f.said.answered(f.clock.Now, fl.from.name, fl.server.id, a.said)
+	f.limits.answered(f.clock.Now, fl.from.name, fl.server.id, a.said.Limit)
 	if fl.letGo {
 		fl.letGo = false
 		r.finish(fl, policy.Done{Outcome: outcomeOf(result), FirstByte: took, Load: load})
@@ -357,8 +401,12 @@
 // retryAfter is when the refused caller should come back.
 func (r *request) retryAfter() time.Duration {
 	req := r.policyRequest()
-	if rest, none := req.Availability.AbsenceOf(req.Service, r.host.views[req.Service].Backends); none && rest.Reason == availability.Resting {
-		return rest.Left
+	absence, none := req.Availability.AbsenceOf(req.Service, r.host.views[req.Service].Backends)
+	switch {
+	case none && absence.Reason == availability.Resting:
+		return absence.Left
+	case none && absence.Reason == availability.NoRoom:
+		return max(absence.Left, r.host.limits.promise(r.host.views[req.Service]))
 	}
 	return r.host.table.RetryAfter(req.Service)
 }
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -88,6 +88,8 @@
 	KindSlow   = "slow"   // work takes Factor times as long
 	// KindLeaving says with each answer, from the fault's start on, that it is leaving.
 	KindLeaving = "leaving"
+	// KindLimit names with each answer, while the fault lasts, the limit of PerSecond.
+	KindLimit = "limit"
 )
 
 // Spells of failures that a server has from time to time.
@@ -110,6 +112,8 @@
 	Factor float64         `yaml:"factor"` // of KindSlow
 	// Rest is what KindShed asks for with each refusal.
 	Rest config.Duration `yaml:"rest"`
+	// PerSecond is the rate limit of KindLimit, in requests a second from all hosts.
+	PerSecond float64 `yaml:"per_second"`
 }
 
 // Route is a kind of request.
@@ -205,7 +209,7 @@
 
 func isKind(kind string) bool {
 	switch kind {
-	case KindErrors, KindHang, KindShed, KindSlow, KindLeaving:
+	case KindErrors, KindHang, KindShed, KindSlow, KindLeaving, KindLimit:
 		return true
 	default:
 		return false
--- /dev/null
+++ b/experiment/replay/ratelimit.go
@@ -0,0 +1,330 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/process"
+	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/quota"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
+	"github.com/pearshelf/pearshelf/internal/register"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// LimitWay is how hosts keep to the rate limits that servers name.
+type LimitWay string
+
+// Ways. All but LimitsByHome are what the daemon's way is compared with.
+const (
+	// LimitsByHome is the daemon's: one bucket a server at its home host.
+	LimitsByHome LimitWay = "home"
+	// LimitsNotKept leaves limits out.
+	LimitsNotKept LimitWay = "none"
+	// LimitsEqual gives each host an equal part of each limit.
+	LimitsEqual LimitWay = "equal"
+	// LimitsByHolders lets few hosts use a server that names a limit, with an equal part each.
+	LimitsByHolders LimitWay = "holders"
+)
+
+const (
+	// holders is how many hosts use a server with LimitsByHolders.
+	holders = 4
+	// gossipFrom and gossipFor are when other hosts learn of a limit: gossip passes some
+	// hosts, each of which waits for its next datagram.
+	gossipFrom = 50 * time.Millisecond
+	gossipFor  = 500 * time.Millisecond
+	// cutNoticed is when hosts take others for dead that they do not hear.
+	cutNoticed = 3 * time.Second
+	// mostAsked bounds the servers that one request asks for leave.
+	mostAsked = 8
+)
+
+// limits is a host's side of the rate limits that servers name.
+type limits struct {
+	host      *host
+	way       LimitWay
+	listener  *ratelimit.Listener
+	registers *register.Store
+	view      *ratelimit.View
+	table     *quota.Table
+	parts     map[process.Key]*part
+	stamps    uint64
+	ticking   bool
+}
+
+// part is a host's own bucket of a limit, where no home holds it.
+type part struct {
+	tokens float64
+	at     time.Time
+}
+
+func newLimits(h *host, way LimitWay) *limits {
+	l := &limits{host: h, way: way, listener: ratelimit.NewListener(), registers: register.NewStore(), view: ratelimit.NewView(nil), parts: make(map[process.Key]*part)}
+	l.table = quota.NewTable(h.name, quota.ServerRule(), func(name string) (customer.Limit, bool) {
+		limit, known := l.view.Named(process.Key{Service: h.fleet.serviceOf(name), ID: name})
+		return customerLimit(limit), known
+	})
+	return l
+}
+
+func customerLimit(l ratelimit.Limit) customer.Limit {
+	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
+}
+
+// join tells the table of all hosts, and schedules what a cut changes.
+func (l *limits) join() {
+	f := l.host.fleet
+	l.setFleet(1)
+	if cut := f.pattern.Network.Cut; cut.For > 0 {
+		f.clock.After(time.Duration(cut.From)+cutNoticed, func() { l.setFleet(2) })
+		f.clock.After(time.Duration(cut.From+cut.For)+gossipFor, func() {
+			l.setFleet(3)
+			l.spreadAll()
+		})
+	}
+}
+
+func (l *limits) setFleet(version uint64) {
+	f := l.host.fleet
+	fleet := quota.Fleet{Version: version, Size: len(f.hosts), Settled: true}
+	live := make(map[string]bool)
+	for _, other := range f.hosts {
+		if other == l.host || !other.isCut() && !l.host.isCut() {
+			live[other.name] = true
+			fleet.Homes = append(fleet.Homes, rendezvous.NewNode(other.name, ""))
+		}
+	}
+	fleet.Live = func(name string) bool { return live[name] }
+	l.table.SetFleet(f.clock.Time(), fleet)
+}
+
+// hear takes what an answer says of its server's limit.
+func (l *limits) hear(server process.Server, sentAt time.Duration, said protocol.RateLimit) {
+	f := l.host.fleet
+	if l.way == LimitsNotKept {
+		return
+	}
+	report, isNew := l.listener.Hear(f.clock.Time(), l.view, server, f.timeAt(sentAt), said)
+	if !isNew {
+		return
+	}
+	r, err := report.Register(f.clock.Time())
+	if err != nil {
+		panic(fmt.Sprint("a report that cannot be encoded: ", err))
+	}
+	l.stamps++
+	r.Stamp = &peerpb.Stamp{Clock: uint64(f.clock.Now) + l.stamps, Host: l.host.name}
+	l.merge(r)
+	l.spread(r)
+}
+
+func (l *limits) merge(r *peerpb.Register) {
+	if l.registers.Merge(l.host.fleet.clock.Time(), r) {
+		l.view = ratelimit.ViewOf(l.registers)
+	}
+}
+
+// spread tells all other hosts, as gossip would.
+func (l *limits) spread(r *peerpb.Register) {
+	f := l.host.fleet
+	for _, other := range f.hosts {
+		delay := gossipFrom + time.Duration(f.random.Float64()*float64(gossipFor-gossipFrom))
+		f.clock.After(delay, func() {
+			if other != l.host && !l.host.isCut() && !other.isCut() {
+				other.limits.merge(r)
+			}
+		})
+	}
+}
+
+func (l *limits) spreadAll() {
+	for _, r := range l.registers.All(l.host.fleet.clock.Time()) {
+		l.spread(r)
+	}
+}
+
+// take asks for leave to send to a server; decide is called at once or later.
+func (l *limits) take(limit ratelimit.Limit, decide func(quota.Verdict)) {
+	now := l.host.fleet.clock.Time()
+	switch l.way {
+	case LimitsByHome:
+		verdict, decided := l.table.Take(now, limit.Server.ID, customerLimit(limit), decide)
+		l.flush()
+		if decided {
+			decide(verdict)
+		}
+		l.tick()
+	case LimitsEqual:
+		decide(l.takePart(now, limit, len(l.host.fleet.hosts)))
+	case LimitsByHolders:
+		decide(l.takeAsHolder(now, limit))
+	default:
+		decide(quota.Verdict{OK: true})
+	}
+}
+
+// takePart takes a token of one of several equal parts.
+func (l *limits) takePart(now time.Time, limit ratelimit.Limit, of int) quota.Verdict {
+	key := limit.Server.Key()
+	p, known := l.parts[key]
+	if !known {
+		p = &part{tokens: 1, at: now}
+		l.parts[key] = p
+	}
+	rate := limit.Allowed() / float64(of)
+	p.tokens = min(p.tokens+now.Sub(p.at).Seconds()*rate, max(limit.Burst()/float64(of), 1))
+	p.at = now
+	if p.tokens < 1 {
+		wait := time.Duration((1 - p.tokens) / rate * float64(time.Second))
+		return quota.Verdict{RetryAfter: wait, AskAgain: wait}
+	}
+	p.tokens--
+	return quota.Verdict{OK: true}
+}
+
+func (l *limits) takeAsHolder(now time.Time, limit ratelimit.Limit) quota.Verdict {
+	f := l.host.fleet
+	nodes := make([]rendezvous.Node, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		nodes = append(nodes, rendezvous.NewNode(h.name, ""))
+	}
+	if !slices.Contains(rendezvous.Top(limit.Server.ID, nodes, holders), l.host.name) {
+		return quota.Verdict{RetryAfter: time.Second, AskAgain: time.Minute}
+	}
+	return l.takePart(now, limit, holders)
+}
+
+// promise is when a request may come back that any server of a service would do for.
+func (l *limits) promise(view *world.ServiceView) time.Duration {
+	names := make([]string, 0, len(view.Backends))
+	for i := range view.Backends {
+		names = append(names, view.Backends[i].ID)
+	}
+	return l.table.Promise(l.host.fleet.clock.Time(), names)
+}
+
+// flush sends what the table has to tell.
+func (l *limits) flush() {
+	f := l.host.fleet
+	for _, m := range l.table.Messages() {
+		to := f.byName[m.To]
+		f.result.Messages++
+		if l.host.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
+			continue
+		}
+		f.clock.After(f.delay(l.host.dataCentre, to.dataCentre), func() { to.limits.receive(l.host.name, m) })
+	}
+}
+
+func (l *limits) receive(from string, m quota.Message) {
+	now := l.host.fleet.clock.Time()
+	l.table.Usages(now, from, 1, m.Usages)
+	l.table.Grants(now, from, m.Grants)
+	l.flush()
+}
+
+// tick does what the time calls for, as long as it calls for something.
+func (l *limits) tick() {
+	due := l.table.Due()
+	if l.ticking || due.IsZero() {
+		return
+	}
+	l.ticking = true
+	f := l.host.fleet
+	f.clock.After(max(due.Sub(f.clock.Time()), time.Millisecond), func() {
+		l.ticking = false
+		l.table.Tick(f.clock.Time())
+		l.flush()
+		l.tick()
+	})
+}
+
+// The users' rule on rate limits.
+const (
+	// limitCounts is from when on a limit counts, after the server first named it, and
+	// toldCounts after a host first passed on such an answer.
+	limitCounts = 3 * time.Second
+	toldCounts  = 500 * time.Millisecond
+	limitWindow = 4 * time.Second
+	limitExcess = 1.5
+	limitSlack  = 5
+)
+
+// limitCheck holds what reaches a server against the limit that it names.
+type limitCheck struct {
+	perSecond float64
+	since     time.Duration
+	told      map[string]time.Duration // by host, when it first passed on an answer
+	fromTold  []time.Duration          // arrivals from hosts that it had told
+	// arrivals counts requests of all hosts, from limitCounts on.
+	arrivals int
+	last     time.Duration
+}
+
+// limitChecks are by server.
+type limitChecks map[string]*limitCheck
+
+func (c limitChecks) answered(now time.Duration, host, server string, said protocol.RateLimit) {
+	if !said.Named {
+		return
+	}
+	check, known := c[server]
+	if !known {
+		check = &limitCheck{perSecond: said.PerSecond, since: now, told: make(map[string]time.Duration)}
+		c[server] = check
+	}
+	if _, told := check.told[host]; !told {
+		check.told[host] = now
+	}
+	check.last = now
+}
+
+// arrived takes a request that has come to a server. names is whether the server names a limit
+// at that moment.
+func (c limitChecks) arrived(now time.Duration, host, server string, names bool) {
+	check, known := c[server]
+	if !known || !names || now < check.since+limitCounts {
+		return
+	}
+	check.arrivals++
+	if told, known := check.told[host]; known && now >= told+toldCounts {
+		check.fromTold = append(check.fromTold, now)
+	}
+}
+
+// LimitUse is how rate limits of servers were kept.
+type LimitUse struct {
+	// Worst is the most requests of any server in any window, from hosts that it had told, by
+	// what the rule allows: over 1 it is broken.
+	Worst float64
+	// Sent and Room are the requests of all hosts and what the limits allowed meanwhile.
+	Sent, Room float64
+}
+
+func (c limitChecks) use() LimitUse {
+	var use LimitUse
+	for _, check := range c {
+		allowed := limitExcess*check.perSecond*limitWindow.Seconds() + limitSlack
+		first := 0
+		for i, at := range check.fromTold {
+			for check.fromTold[first] < at-limitWindow {
+				first++
+			}
+			use.Worst = max(use.Worst, float64(i-first+1)/allowed)
+		}
+		use.Sent += float64(check.arrivals)
+		use.Room += check.perSecond * max(check.last-check.since-limitCounts, 0).Seconds()
+	}
+	return use
+}
+
+func (u *LimitUse) add(other LimitUse) {
+	u.Worst = max(u.Worst, other.Worst)
+	u.Sent += other.Sent
+	u.Room += other.Room
+}
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,8 @@
 	Without []policy.Mechanism
 	// Sharing is how wide subsets are, the daemon's own rule if zero.
 	Sharing sharing.Rule
+	// Limits is how rate limits of servers are kept, LimitsByHome if empty.
+	Limits LimitWay
 }
 
 // fleet is all that takes part in a replay.
@@ -34,7 +37,10 @@
 	views   map[string]*world.ServiceView
 	sent    map[string]*spending // by service
 	said    *saidCheck
-	result  *Result
+	limits  limitChecks
+	// limitWay is how hosts keep to servers' rate limits.
+	limitWay LimitWay
+	result   *Result
 }
 
 // Run plays a pattern once. The same pattern and configuration give the same result.
@@ -53,7 +59,10 @@
 		byName:  make(map[string]*host),
 		views:   make(map[string]*world.ServiceView),
 		said:    &saidCheck{states: make(map[saidKey]*saidState)},
-		result:  newResult(pattern),
+		limits:  make(limitChecks),
+
+		limitWay: cmp.Or(conf.Limits, LimitsByHome),
+		result:   newResult(pattern),
 	}
 	f.addServers()
 	f.addHosts(conf)
@@ -66,6 +75,7 @@
 	for _, s := range f.sent {
 		f.result.AllowanceSpent = max(f.result.AllowanceSpent, s.most(pattern.Retry))
 	}
+	f.result.Limits = f.limits.use()
 	f.result.AfterLeaving, f.result.InRest, f.result.OverRest = f.said.afterLeaving, f.said.inRest, f.said.overRest
 	return f.result
 }
@@ -126,6 +136,7 @@
 	}
 	for _, h := range f.hosts {
 		h.join()
+		h.limits.join()
 	}
 }
 
@@ -156,6 +167,12 @@
 	return s
 }
 
+// serviceOf is the service of a server.
+func (f *fleet) serviceOf(server string) string { return f.servers[server].service.Name }
+
+// timeAt is a moment of the run as hosts have it.
+func (f *fleet) timeAt(at time.Duration) time.Time { return simtime.Epoch.Add(at) }
+
 // sharedService is a service's servers on their rings.
 func (f *fleet) sharedService(name string) *sharing.Service { return f.views[name].Sharing }
 
--- a/experiment/replay/report.go
+++ b/experiment/replay/report.go
@@ -17,20 +17,23 @@
 	Pattern string
 	Seeds   int
 	Without []policy.Mechanism
+	Limits  LimitWay
 	Policy  *Result
 	Bound   *Result
 }
 
-// Compare plays a pattern with seeds from first on.
-func Compare(name string, first uint64, seeds int, without []policy.Mechanism) (*Comparison, error) {
+// Compare plays a pattern with seeds from the one of conf on.
+func Compare(name string, seeds int, conf Config) (*Comparison, error) {
 	pattern, err := Load(name)
 	if err != nil {
 		return nil, err
 	}
-	c := &Comparison{Pattern: name, Seeds: seeds, Without: without, Policy: newResult(pattern), Bound: newResult(pattern)}
+	c := &Comparison{Pattern: name, Seeds: seeds, Without: conf.Without, Limits: conf.Limits, Policy: newResult(pattern), Bound: newResult(pattern)}
 	for seed := range uint64(seeds) {
-		c.Policy.add(Run(pattern, Config{Seed: first + seed, Without: without}))
-		c.Bound.add(Bound(pattern, first+seed))
+		one := conf
+		one.Seed += seed
+		c.Policy.add(Run(pattern, one))
+		c.Bound.add(Bound(pattern, one.Seed))
 	}
 	return c, nil
 }
@@ -62,6 +65,9 @@
 		fmt.Fprintf(w, "%s: at %d moments a tenth to a half of the requests were not served; at %d of them over %.1f of the sound servers were out of use, at most %.2f\n",
 			service, u.Moments, u.Broken, mostUnused, u.Worst)
 	}
+	if limits := c.Policy.Limits; limits.Room > 0 {
+		fmt.Fprintf(w, "rate limits of servers: at most %.2f of what the rule allows in 4 s; %.2f of the room was used\n", limits.Worst, limits.Sent/limits.Room)
+	}
 	_, err := fmt.Fprintf(w, "requests to a server over 2 s after it said that it leaves: %d; rests with more than two requests of a host: %d, at most %d\n",
 		c.Policy.AfterLeaving, c.Policy.OverRest, c.Policy.InRest)
 	return err
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -55,6 +55,8 @@
 	// host that it leaves; InRest is the most that reached one from one host in a rest that
 	// it had asked for, OverRest how many rests had more than two.
 	AfterLeaving, InRest, OverRest int
+	// Limits is how rate limits that servers named were kept.
+	Limits LimitUse
 	// Runs is how often each server was sent a request.
 	Runs    map[string]int
 	reasons map[string]int
@@ -125,6 +127,7 @@
 		r.Seconds[i].add(s)
 	}
 	r.Messages += other.Messages
+	r.Limits.add(other.Limits)
 	r.AfterLeaving += other.AfterLeaving
 	r.OverRest += other.OverRest
 	r.InRest = max(r.InRest, other.InRest)
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -92,7 +92,7 @@
 // trouble draws what a request meets that begins now, "" for nothing.
 func (s *server) trouble() (kind string, factor float64) {
 	for _, f := range s.faults {
-		if !s.isNow(f) || f.Kind == KindLeaving {
+		if !s.isNow(f) || f.Kind == KindLeaving || f.Kind == KindLimit {
 			continue
 		}
 		if f.Kind == KindSlow {
@@ -112,6 +112,11 @@
 	return s.clock.Now >= time.Duration(f.From) && s.clock.Now < time.Duration(f.From+f.For)
 }
 
+// namesLimit reports whether the server's answers name a rate limit now.
+func (s *server) namesLimit() bool {
+	return slices.ContainsFunc(s.faults, func(f Fault) bool { return f.Kind == KindLimit && s.isNow(f) })
+}
+
 // answer ends a request with what the server says of itself now.
 func (s *server) answer(j *job, result reply) {
 	j.over = true
@@ -123,6 +128,8 @@
 		switch {
 		case f.Kind == KindLeaving && s.clock.Now >= time.Duration(f.From):
 			a.said.Leaving = true
+		case f.Kind == KindLimit && s.isNow(f):
+			a.said.Limit = protocol.RateLimit{Named: true, PerSecond: f.PerSecond}
 		case f.Kind == KindShed && result == replyShed:
 			a.said.Rest = max(a.said.Rest, time.Duration(f.Rest))
 		}
