--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -59,6 +59,7 @@
 		s.failServer(ctx, backend.Faults{ShedAll: true, Rest: s.between(leastRest, mostRest)})
 	}},
 	{"server leaves", (*soak).leaveServer},
+	{"server names a limit", (*soak).limitServer},
 	{"server slow", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{SlowFactor: 8}) }},
 	{"wrong answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{WrongIDRate: 0.3}) }},
 	{"cut answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{CutRate: 0.3}) }},
--- a/experiment/soak/said.go
+++ b/experiment/soak/said.go
@@ -67,6 +67,7 @@
 		pause(ctx, length)
 		s.said.startAgain(i)
 		s.servers[i].SetFaults(backend.Faults{})
+		s.servers[i].SetLimit(0) // the new process names none
 		s.noteStart(i)
 		s.change()
 		ended()
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -101,6 +101,7 @@
 	findings = append(findings, s.checkIdle(ctx)...)
 	findings = append(findings, s.journal.check(s.hosts)...)
 	findings = append(findings, s.checkSaid()...)
+	findings = append(findings, s.checkLimits()...)
 	return s.report(findings), nil
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -42,24 +42,46 @@
 	Admin(address string) adminpb.Admin
 }
 
-// Limits tells what this host knows of customers' limits.
+// Limits tells what this host knows of limits, of customers or of backend servers.
 type Limits interface {
 	Limits() []quota.Row
 }
 
+// Parts are what a Server answers from.
+type Parts struct {
+	Self    string // name of this host
+	Engine  Engine
+	Events  *event.Log
+	Clients Clients
+	// Limits are customers', RateLimits those that backend servers name.
+	Limits     Limits
+	RateLimits Limits
+	// Availability is what servers say of themselves.
+	Availability *availability.Table
+}
+
 // Server implements adminpb.Admin.
 type Server struct {
-	self    string
-	engine  Engine
-	events  *event.Log
-	clients Clients
-	limits  Limits
-	servers *availability.Table
+	self       string
+	engine     Engine
+	events     *event.Log
+	clients    Clients
+	limits     Limits
+	rateLimits Limits
+	servers    *availability.Table
 }
 
 // NewServer returns the operators' service of a host.
-func NewServer(self string, engine Engine, events *event.Log, clients Clients, limits Limits, servers *availability.Table) *Server {
-	return &Server{self: self, engine: engine, events: events, clients: clients, limits: limits, servers: servers}
+func NewServer(parts Parts) *Server {
+	return &Server{
+		self:       parts.Self,
+		engine:     parts.Engine,
+		events:     parts.Events,
+		clients:    parts.Clients,
+		limits:     parts.Limits,
+		rateLimits: parts.RateLimits,
+		servers:    parts.Availability,
+	}
 }
 
 // twirpError keeps kind, message and remedy on the way to the tool.
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -15,6 +15,7 @@
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/query"
 	"github.com/pearshelf/pearshelf/internal/quota"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/system/rotation"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -42,6 +43,7 @@
 // What this host knows beside its tables.
 const (
 	tableLimits       = "limits"
+	tableRateLimits   = "ratelimits"
 	tableAvailability = "availability"
 )
 
@@ -50,6 +52,8 @@
 	switch s.Table {
 	case tableLimits:
 		t = listLimits(c.server.limits.Limits())
+	case tableRateLimits:
+		t = listRateLimits(c.w, c.now, c.server.rateLimits.Limits())
 	case tableAvailability:
 		t = listAvailability(c.server.servers.Now())
 	default:
@@ -193,19 +197,45 @@
 	return t
 }
 
+// listRateLimits shows the rate limits that servers name, and what this host has sent of them.
+func listRateLimits(w *world.World, now time.Time, rows []quota.Row) table {
+	t := table{columns: []string{"service", "backend", "per_second", "for", "heard_by", "sent", "withheld", "home", "alone"}}
+	for _, limit := range ratelimit.ViewOf(w.Registers).All() {
+		used := quota.Row{}
+		name := limit.Server.Key().String()
+		if i := slices.IndexFunc(rows, func(r quota.Row) bool { return r.Customer == name }); i >= 0 {
+			used = rows[i]
+		}
+		t.rows = append(t.rows, []string{
+			limit.Server.Service, limit.Server.ID, strconv.FormatFloat(limit.PerSecond, 'g', -1, 64),
+			now.Sub(limit.Since).Round(time.Second).String(), limit.HeardBy,
+			strconv.FormatUint(used.Allowed, 10), strconv.FormatUint(used.Refused, 10),
+			used.Home, strconv.FormatBool(used.Unheard),
+		})
+	}
+	return t
+}
+
 // listAvailability shows the servers that get no requests from this host, as they report themselves.
 func listAvailability(moment availability.Moment) table {
 	t := table{columns: []string{"service", "backend", "state", "for", "said", "left"}}
 	for _, s := range moment.All() {
 		reason := s.ReasonAt(moment.Time())
 		since, left := s.LeavingSince, "until its process ends"
-		if reason == availability.Resting {
+		switch reason {
+		case availability.Resting:
 			since, left = s.RestSince, s.RestUntil.Sub(moment.Time()).Round(time.Millisecond).String()
+		case availability.NoRoom:
+			since, left = s.NoRoomSince, s.NoRoomUntil.Sub(moment.Time()).Round(time.Millisecond).String()
+		}
+		said := "nothing"
+		if !s.SaidAt.IsZero() {
+			said = moment.Time().Sub(s.SaidAt).Round(time.Millisecond).String() + " ago"
 		}
 		t.rows = append(t.rows, []string{
 			s.Server.Service, s.Server.ID, reason.String(),
 			moment.Time().Sub(since).Round(time.Millisecond).String(),
-			moment.Time().Sub(s.SaidAt).Round(time.Millisecond).String() + " ago", left,
+			said, left,
 		})
 	}
 	slices.SortFunc(t.rows, slices.Compare)
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -37,7 +37,9 @@
 	// RestSince and RestUntil bound the rest that it asked for last, zero for none.
 	RestSince time.Time
 	RestUntil time.Time
-	// NoRoomUntil is when requests may fit again into the rate limit that it names.
+	// NoRoomSince and NoRoomUntil bound the time in which its rate limit has no room, as far
+	// as this host knows, zero for none.
+	NoRoomSince time.Time
 	NoRoomUntil time.Time
 	// SaidAt is when it last said either, CheckedAt when it was last asked whether it is
 	// still leaving.
@@ -181,6 +183,9 @@
 		held = State{}
 	}
 	held.Server = server
+	if !now.Before(held.NoRoomUntil) {
+		held.NoRoomSince = now
+	}
 	held.NoRoomUntil = now.Add(length)
 	t.store(now, held)
 }
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -186,3 +186,30 @@
 		table.Learn(server, protocol.ServerState{})
 	}
 }
+
+// A server whose rate limit has no room takes no requests until then; a service all of whose
+// servers rest or have no room says when the first takes some.
+func TestNoRoomInARateLimit(t *testing.T) {
+	table, c := newTable()
+	views := []world.BackendView{{ID: "i1"}, {ID: "i2"}}
+	named := func(i int) process.Server { return availability.ServerOf("shop", &views[i]) }
+	table.NoteNoRoom(named(0), time.Second)
+	expect(t, table, named(0), availability.NoRoom)
+	table.Learn(named(1), rest(3*time.Second))
+	if absence, none := table.Now().AbsenceOf("shop", views); !none || absence.Reason != availability.NoRoom || absence.Left != time.Second {
+		t.Errorf("%+v %v", absence, none)
+	}
+	table.NoteNoRoom(named(0), 5*time.Second)
+	if absence, none := table.Now().AbsenceOf("shop", views); !none || absence.Reason != availability.Resting || absence.Left != 3*time.Second {
+		t.Errorf("%+v %v", absence, none)
+	}
+	c.now = c.now.Add(5 * time.Second)
+	expect(t, table, named(0), availability.Available)
+	newer := process.Server{Service: server.Service, ID: server.ID, Started: 2000}
+	table.NoteNoRoom(server, time.Hour)
+	expect(t, table, newer, availability.Available)
+	table.NoteNoRoom(newer, time.Second)
+	table.NoteNoRoom(server, time.Hour)
+	c.now = c.now.Add(2 * time.Second)
+	expect(t, table, newer, availability.Available)
+}
--- a/internal/daemon/ratelimit.go
+++ b/internal/daemon/ratelimit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -27,7 +26,8 @@
 
 func newRateLimiter(d *Daemon, life uint64) *rateLimiter {
 	limits := func(name string) (customer.Limit, bool) {
-		limit, known := d.engine.Snapshot().RateLimits.Named(serverNamed(name))
+		key, _ := process.ParseKey(name) // of another version of the daemon, and then not known
+		limit, known := d.engine.Snapshot().RateLimits.Named(key)
 		return limitOf(limit), known
 	}
 	return &rateLimiter{
@@ -40,14 +40,6 @@
 	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
 }
 
-// quotaName names a server in the table of limits. Names of services have no slash.
-func quotaName(key process.Key) string { return key.Service + "/" + key.ID }
-
-func serverNamed(name string) process.Key {
-	service, id, _ := strings.Cut(name, "/")
-	return process.Key{Service: service, ID: id}
-}
-
 // Heard implements dispatch.RateLimits.
 func (r *rateLimiter) Heard(server process.Server, sentAt time.Time, said protocol.RateLimit) {
 	if said.Unreadable != "" && r.listener.FirstUnreadable(server) {
@@ -86,7 +78,7 @@
 
 // Take implements dispatch.RateLimits.
 func (r *rateLimiter) Take(ctx context.Context, limit ratelimit.Limit) (quota.Verdict, error) {
-	verdict, err := r.take(ctx, quotaName(limit.Server.Key()), limitOf(limit))
+	verdict, err := r.take(ctx, limit.Server.Key().String(), limitOf(limit))
 	if err == nil {
 		r.d.metrics.RateLimited(verdict.OK)
 	}
@@ -94,13 +86,13 @@
 }
 
 // Return implements dispatch.RateLimits.
-func (r *rateLimiter) Return(server process.Server) { r.giveBack(quotaName(server.Key())) }
+func (r *rateLimiter) Return(server process.Server) { r.giveBack(server.Key().String()) }
 
 // Promise implements dispatch.RateLimits.
 func (r *rateLimiter) Promise(servers []process.Server) time.Duration {
 	names := make([]string, 0, len(servers))
 	for _, s := range servers {
-		names = append(names, quotaName(s.Key()))
+		names = append(names, s.Key().String())
 	}
 	var after time.Duration
 	r.do(func(now time.Time) { after = r.table.Promise(now, names) })
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -29,7 +29,15 @@
 		WhenReady:       d.engine.WhenReady(),
 		BodyIdleTimeout: time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
-	service := admin.NewServer(d.settings.Host, d.engine, d.events, d.clients, d.limiter, d.servers)
+	service := admin.NewServer(admin.Parts{
+		Self:         d.settings.Host,
+		Engine:       d.engine,
+		Events:       d.events,
+		Clients:      d.clients,
+		Limits:       d.limiter,
+		RateLimits:   d.rateLimits,
+		Availability: d.servers,
+	})
 	if err := d.makeCallerServer(front); err != nil {
 		return err
 	}
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -38,6 +38,8 @@
 	takenAt time.Time // of a clock that goes on while the machine is suspended
 }
 
+func (l *leave) isOld(now time.Time) bool { return now.Sub(l.takenAt) > leaveLife }
+
 // takeLeave asks for leave to send to a server, nil if it names no limit.
 func (x *exchange) takeLeave(ctx context.Context, to destination) (*leave, *errs.Error) {
 	limit, limited := x.d.snapshot().RateLimits.Of(to.server)
@@ -66,7 +68,7 @@
 		return nil
 	case l == nil:
 		return x.noRoom(to, "it named a rate limit before the request was sent")
-	case boottime.Now().Sub(l.takenAt) > leaveLife:
+	case l.isOld(boottime.Now()):
 		return x.noRoom(to, "this host stood still before the request was sent")
 	default:
 		return nil
--- a/internal/policy/availability_test.go
+++ b/internal/policy/availability_test.go
@@ -8,6 +8,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/ratelimit"
 )
 
 // said returns what servers have said by now.
@@ -73,3 +74,45 @@
 	mustPick(t, table, at, v, req)
 	mustPick(t, table, at, v, req)
 }
+
+// limitsOf is a view in which servers name rate limits.
+func limitsOf(ids ...string) *ratelimit.View {
+	var limits []ratelimit.Limit
+	for _, id := range ids {
+		limits = append(limits, ratelimit.Limit{Server: process.Server{Service: "s", ID: id}, PerSecond: 2})
+	}
+	return ratelimit.NewView(limits)
+}
+
+// A server that names a rate limit gets requests where the others do not serve, and is not left
+// out of use; copies and trials do not go there.
+func TestServersWithRateLimitsAreSpared(t *testing.T) {
+	table, now := newTable()
+	v := view(3)
+	limits := limitsOf("b0")
+	limited := 0
+	const picks = 60
+	for range picks {
+		now = now.Add(100 * time.Millisecond)
+		got := mustPick(t, table, now, v, Request{First: true, RateLimits: limits})
+		if got.Server.ID == "b0" {
+			limited++
+		}
+		table.Finish(now, got, Done{Outcome: Good, FirstByte: time.Millisecond})
+	}
+	if limited == 0 || limited > picks/6 {
+		t.Errorf("the limited server has %d of %d requests", limited, picks)
+	}
+	req := Request{Idempotent: true, RateLimits: limits, Exclude: []string{"b1", "b2"}}
+	if got := mustPick(t, table, now, v, req); got.Server.ID != "b0" {
+		t.Errorf("%s has the request, though only b0 is left", got.Server.ID)
+	}
+	req.Beside, req.Service, req.DataCentre = true, "s", "dc1"
+	if got, err := table.Pick(now, v, req); err == nil {
+		t.Errorf("a copy goes to %s", got.Server.ID)
+	}
+	use(t, table, now, v, "b0", Done{Outcome: Failed})
+	if got, due := table.Trial(now.Add(10*time.Second), v, req); due {
+		t.Errorf("%s is tried", got.Server.ID)
+	}
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -218,6 +218,10 @@
 		if table.homeName("shop/i1") == node.Name {
 			continue // the one that no other hears
 		}
+		// Some time ago the home was heard: it had no room.
+		table.Take(epoch.Add(-50*time.Second), "shop/i1", rareLimit, func(Verdict) {})
+		ask := onlyUsage(t, table).Ask
+		table.Grants(epoch.Add(-50*time.Second), table.homeName("shop/i1"), []*peerpb.CustomerGrant{{Customer: "shop/i1", Ask: ask}})
 		for now := epoch; now.Sub(epoch) < 4*time.Second; now = now.Add(10 * time.Millisecond) {
 			table.Tick(now)
 			verdict, decided := table.Take(now, "shop/i1", rareLimit, func(v Verdict) {
--- a/internal/ratelimit/register.go
+++ b/internal/ratelimit/register.go
@@ -16,13 +16,7 @@
 // Is reports whether a register holds a rate limit.
 func Is(r *peerpb.Register) bool { return strings.HasPrefix(r.GetKey(), prefix) }
 
-func registerKey(key process.Key) string { return prefix + key.Service + "/" + key.ID }
-
-// serverOf reads a register's key. Names of services have no slash.
-func serverOf(registerKey string) (process.Key, bool) {
-	service, id, ok := strings.Cut(strings.TrimPrefix(registerKey, prefix), "/")
-	return process.Key{Service: service, ID: id}, ok && id != ""
-}
+func registerKey(key process.Key) string { return prefix + key.String() }
 
 // Register returns an unstamped register that tells all hosts a report.
 func (r Report) Register(now time.Time) (*peerpb.Register, error) {
@@ -49,7 +43,7 @@
 }
 
 func parse(store *register.Store, r *peerpb.Register) (Limit, bool) {
-	key, ok := serverOf(r.Key)
+	key, ok := process.ParseKey(strings.TrimPrefix(r.Key, prefix))
 	value := &peerpb.RateLimit{}
 	if !ok || proto.Unmarshal(r.Value, value) != nil || !(value.PerSecond >= 0) {
 		return Limit{}, false // not of this version of the daemon
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -53,7 +53,7 @@
 mutant "a server's report at the first byte" internal/dispatch/send.go 's/if err := x.mayStillSend(to); err != nil {/if err := x.mayStillSend(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
 mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || isListed(view, to.server) {/if view == nil || len(view.Backends) >= 0 {/' ./platform -run UpToTheFirstByte
 mutant "whose report" internal/dispatch/serverstate.go 's/return !x.isMisdirected(answer) \&\& .*/return !x.isMisdirected(answer) || echo != ""/' ./platform -run WhoseReport
-mutant "a report of an older process" internal/availability/availability.go 's/return server.Started > other.Started .*/return false/' ./internal/availability
+mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
 mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(held.RestUntil)//' ./internal/availability
 mutant "stop grace" internal/daemon/stop.go 's/^	wait(ctx, time.Duration(d.settings.Timing.StopGrace))$//' ./e2e -ginkgo.focus "kept connections"
@@ -117,6 +117,16 @@
 mutant "customer is ours to name" internal/dispatch/request.go 's/sameHeader(name, marks.Customer) || /name == "" || /' ./platform -run TestServerIsToldTheCustomer
 mutant "trailers hide the customer" internal/dispatch/request.go 's/^	r.hideCustomer(passed, marks)$//' ./platform -run TestTrailers
 mutant "refusal before the body" internal/frontend/problem.go 's/^	settleBody(w, r)$//' ./platform -run TestUnknownKeyIsRefusedBefore -timeout 20s
+mutant "rate limits are asked for" internal/dispatch/ratelimit.go 's/case !verdict.OK:/case false:/' ./platform -run AllServersLimited
+mutant "unused leave goes back" internal/dispatch/send.go 's/		x.giveBack(leave)/		_ = leave/' ./platform -run UnusedLeave
+mutant "copies spare limited servers" internal/policy/copies.go 's/if r.Beside .*/if false {/' ./internal/policy -run Spared
+mutant "limited servers cost more" internal/policy/pick.go 's/if req.isLimited(b) {/if false {/' ./internal/policy -run Spared
+mutant "equal parts of small limits" internal/quota/quota.go 's/EqualParts: true, //' ./internal/quota -run Remember
+mutant "nothing saved for going on alone" internal/quota/question.go 's/if !s.unheard \&\& !t.rule.SavesAlone {/if false {/' ./internal/quota -run GoOnAlone
+mutant "a later answer ends a limit" internal/ratelimit/listener.go 's/isLater := .*/isLater := true/' ./internal/ratelimit
+mutant "limits of one process" internal/ratelimit/ratelimit.go 's/if !known || server.IsNewerThan(held.Server) {/if !known {/' ./internal/ratelimit
+mutant "limits are renewed" internal/ratelimit/listener.go 's|held.Until.Sub(now) < heldFor/2|false|' ./internal/ratelimit
+mutant "a limit told to all hosts" internal/daemon/ratelimit.go 's/	r.d.engine.Write(now, register)/	_ = register/' ./platform -run AllHostsKnow
 mutant "parts are kept back" internal/quota/part.go 's/kept += u.part/kept += 0/' ./internal/quota
 mutant "repeated question" internal/quota/home.go 's/told.Ask != 0 \&\& told.Ask == u.ask/false/' ./internal/quota
 mutant "trials" internal/policy/trial.go 's/^	return now.Sub(s.lastSent) > trialEvery.*/	return false/' ./experiment/replay -run TestTrials
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -77,6 +77,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	faults Faults
+	limit  float64
 	inUse  int
 	served int
 	shed   int
@@ -134,6 +135,13 @@
 	s.faults = f
 }
 
+// SetLimit makes the server name a rate limit in its answers, in requests a second; 0 for none.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
 // Served returns how many requests ran.
 func (s *Server) Served() int {
 	s.mu.Lock()
@@ -174,6 +182,7 @@
 // plan is what happens to one request.
 type plan struct {
 	faults  Faults
+	limit   float64
 	service time.Duration
 	err     bool
 	reset   bool
@@ -184,7 +193,7 @@
 func (s *Server) decide() plan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := plan{faults: s.faults, service: s.conf.ServiceTime}
+	p := plan{faults: s.faults, limit: s.limit, service: s.conf.ServiceTime}
 	if !s.conf.Fixed {
 		p.service = time.Duration(s.rng.ExpFloat64() * float64(p.service))
 	}
@@ -215,6 +224,10 @@
 	if said.Leaving {
 		w.Header().Set(protocol.HeaderLeaving, "true")
 	}
+	if p.limit > 0 {
+		said.Limit = protocol.RateLimit{Named: true, PerSecond: p.limit}
+		w.Header().Set(protocol.HeaderLimit, strconv.FormatFloat(p.limit, 'f', -1, 64))
+	}
 	if !ok && p.faults.Rest > 0 {
 		said.Rest = p.faults.Rest
 		w.Header().Set("Retry-After", strconv.FormatFloat(said.Rest.Seconds(), 'f', -1, 64))
