--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -17,6 +17,7 @@
 	CauseLimit       CauseKind = "customer-limit"
 	CauseUnknownKey  CauseKind = "unknown-key"
 	CauseQuarantined CauseKind = "quarantined"
+	CauseRateLimits  CauseKind = "servers-rate-limits"
 	CauseRefused     CauseKind = "refused-unsent" // by this host, before any send
 	CauseShed        CauseKind = "shed"
 	CauseUnreachable CauseKind = "unreachable"
@@ -37,6 +38,9 @@
 	Text string
 }
 
+// noRoom is in the reason of a request whose servers all name rate limits without room.
+const noRoom = "no room in the rate limits"
+
 // endedUnder is in the reason of a request that was refused because it ends servers.
 const endedUnder = "servers ended under"
 
@@ -52,10 +56,11 @@
 
 // cause names the reason by the last try and the outcome.
 func (l *Logs) cause(r line, tries []try) Cause {
-	if len(tries) == 0 {
+	sent := slices.DeleteFunc(slices.Clone(tries), try.withheld)
+	if len(sent) == 0 {
 		return unsentCause(r)
 	}
-	last := decisive(tries)
+	last := decisive(sent)
 	kind, _, _ := strings.Cut(last.result, "/")
 	switch {
 	case !last.failed():
@@ -89,10 +94,15 @@
 	case "429":
 		return Cause{CauseLimit, "customer " + r.fields["customer"] + " was beyond its limit over all hosts (" + r.fields["reason"] + "); it has not run"}
 	}
-	if reason := r.fields["reason"]; strings.Contains(reason, endedUnder) {
+	reason := r.fields["reason"]
+	switch {
+	case strings.Contains(reason, endedUnder):
 		return Cause{CauseQuarantined, "refused, because " + reason + "; it has not run"}
+	case strings.Contains(reason, noRoom):
+		return Cause{CauseRateLimits, "it was sent to no server: " + reason}
+	default:
+		return Cause{CauseRefused, "it was sent to no server: " + reason}
 	}
-	return Cause{CauseRefused, "it was sent to no server: " + r.fields["reason"]}
 }
 
 func repeatNote(r line) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -21,6 +21,7 @@
 I0406 12:52:23.300000   14785 trace.go:110] "request" request="keyless" service="checkout" customer="" idempotent=true outcome="not-run" status=401 reason="unknown-key: no customer holds the key of this request" took="0s" left="0s" version=4 servers=16 tries="" missed=0
 I0406 12:52:23.400000   14785 trace.go:110] "request" request="ended" service="checkout" customer="" content="2ec3ba11" idempotent=false outcome="unknown" status=502 reason="connection broke: EOF" took="90ms" left="2.9s" version=4 servers=16 tries="b5 answer-broken server=ended took=90ms belief=0.01 load=1.0" missed=0
 I0406 12:52:23.500000   14785 trace.go:110] "request" request="held" service="checkout" customer="" content="2ec3ba11" idempotent=false outcome="not-run" status=503 reason="3 servers ended under this request: b5 4s ago by h1, b6 3s ago by h2, b8 1s ago by h1 (mend what ends the servers)" took="0s" left="2.9s" version=4 servers=16 tries="" missed=0
+I0406 12:52:23.600000   14785 trace.go:110] "request" request="noroom" service="checkout" customer="" content="2ec3ba11" idempotent=false outcome="not-run" status=503 reason="all backend servers of checkout have no room in the rate limits that they name, for this request again in 1.2s (repeat the request after the time in Retry-After; add capacity)" took="4ms" left="2.9s" version=4 servers=16 tries="b1 backend-server-rate-limit took=2ms belief=0.01 load=1.0; b2 backend-server-rate-limit took=2ms belief=0.01 load=1.0" missed=0
    2.1 h2 I0406 12:52:24.000000   14786 event.go:167] "host-started" event=101 host="h2" service="" backend="" detail="dc1"
 some other text
 `
@@ -47,6 +48,7 @@
 		"keyless": {"no customer holds the key", "has not run"},
 		"ended":   {"b5 ended while it had the request", "may have run", "must not run twice"},
 		"held":    {"refused, because 3 servers ended", "b6 3s ago by h2", "has not run"},
+		"noroom":  {"sent to no server", "no room in the rate limits", "again in 1.2s"},
 		"gone":    {"no host has a line", "killed or cut off"},
 	} {
 		cause := l.Request(id).Cause
@@ -94,6 +96,7 @@
 		explain.CauseUnknownKey:  {1, 0},
 		explain.CauseServerEnded: {0, 1},
 		explain.CauseQuarantined: {1, 0},
+		explain.CauseRateLimits:  {1, 0},
 	}
 	if !maps.Equal(counted, want) || sum != account.Unserved {
 		t.Errorf("counted %v of %d, want %v", counted, account.Unserved, want)
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/errs"
 )
 
 // maxLineBytes bounds a line; longer ones end the reading of a log.
@@ -88,6 +90,16 @@
 	return text
 }
 
+// withheld reports whether no byte was sent, because of what the server had said of itself.
+func (t try) withheld() bool {
+	switch errs.Kind(t.result) {
+	case errs.KindLeaving, errs.KindResting, errs.KindNoRoom:
+		return true
+	default:
+		return false
+	}
+}
+
 // abandoned reports whether the try was given up because another server answered.
 func (t try) abandoned() bool { return t.result == "abandoned" }
 
