All hosts together ask a leaving server once a second at most whether it still is

By the test 40 hosts that had been told ask a server 9,600 times in an hour, 443 hosts 106,320 times (the users allow 3 health checks a server and second); after, at most 3,600 and one for each host.

--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -230,24 +230,27 @@
 
 const (
 	// recheckAfter is how long a server has been leaving before it is asked whether it still
-	// is, recheckEvery the time between two questions. Servers that leave are gone some
+	// is, recheckEvery the least time between two questions. Servers that leave are gone some
 	// seconds later; one that is there after a minute may have said so wrongly, or have
 	// started again where nothing tells its starts apart.
 	recheckAfter = time.Minute
 	recheckEvery = 15 * time.Second
+	// recheckPerHost keeps the questions of all hosts together at one a second.
+	recheckPerHost = time.Second
 	// recheckAtOnce bounds the questions of one round.
 	recheckAtOnce = 4
 )
 
 // TakeRechecks returns servers that must be asked whether they are still leaving, and notes
-// that they are.
-func (t *Table) TakeRechecks() []process.Server {
+// that they are. hosts is how many hosts there are: each may have been told.
+func (t *Table) TakeRechecks(hosts int) []process.Server {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
+	every := max(recheckEvery, time.Duration(hosts)*recheckPerHost)
 	var due []process.Server
 	for _, s := range *t.view.Load() {
-		if !s.LeavingSince.IsZero() && now.Sub(s.LeavingSince) >= recheckAfter && now.Sub(s.CheckedAt) >= recheckEvery && len(due) < recheckAtOnce {
+		if !s.LeavingSince.IsZero() && now.Sub(s.LeavingSince) >= recheckAfter && now.Sub(s.CheckedAt) >= every && len(due) < recheckAtOnce {
 			due = append(due, s.Server)
 			s.CheckedAt = now
 			t.store(now, s)
--- a/internal/availability/availability_test.go
+++ b/internal/availability/availability_test.go
@@ -213,3 +213,21 @@
 	c.now = c.now.Add(2 * time.Second)
 	expect(t, table, newer, availability.Available)
 }
+
+// However many hosts have been told that a server leaves, together they ask it about once a
+// second whether it still does.
+func TestQuestionsOfAllHostsAreBounded(t *testing.T) {
+	for _, hosts := range []int{1, 12, 40, 443} {
+		table, c := newTable()
+		table.Learn(server, leaving)
+		c.now = start.Add(time.Hour)
+		asked := 0
+		for c.now.Sub(start) < 2*time.Hour {
+			asked += len(table.TakeRechecks(hosts))
+			c.now = c.now.Add(time.Second)
+		}
+		if together := asked * hosts; asked == 0 || together > 3600+hosts {
+			t.Errorf("%d hosts ask %d times in an hour", hosts, together)
+		}
+	}
+}
--- a/internal/daemon/recheck.go
+++ b/internal/daemon/recheck.go
@@ -50,7 +50,7 @@
 }
 
 func (r *rechecker) round(ctx context.Context) {
-	for _, server := range r.servers.TakeRechecks() {
+	for _, server := range r.servers.TakeRechecks(r.snapshot().LiveHosts) {
 		r.recheck(ctx, server)
 	}
 }
--- a/internal/daemon/recheck_test.go
+++ b/internal/daemon/recheck_test.go
@@ -66,7 +66,7 @@
 			if got, _ := r.servers.Of(named); got != row.want {
 				t.Errorf("it is %v, want %v", got, row.want)
 			}
-			if again := r.servers.TakeRechecks(); row.after == time.Hour && len(again) > 0 {
+			if again := r.servers.TakeRechecks(1); row.after == time.Hour && len(again) > 0 {
 				t.Error("it is asked again at once")
 			}
 		})
