--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -72,7 +72,7 @@
 	calls := peerpb.NewPeerServer(&peerService{d: d})
 	router.Mount(peerpb.PeerPathPrefix, calls)
 	// Documents only: a compressor takes 0.8 MB, and at the start of a fleet hundreds of
-	// hosts ask for a comparison at once (307 MB at a host of 443 hosts, before).
+	// hosts ask for a comparison at once.
 	router.With(middleware.Compress(gzipLevel, protobufMedia)).Handle(documentCall, calls)
 	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
 	forwarded := front.ForwardHandler()
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -13,18 +13,15 @@
 // by turning requests away. What tells the two apart is whether the queue stands, as
 // in CoDel (Nichols and Jacobson, "Controlling Queue Delay", ACM Queue 2012): not
 // its length, but for how long answers have been late.
-//
-// Weighed, in replays (docs/DECISIONS.md): a bound on the queue at all times (turns
-// spikes away that could be served), and none (all late for as long as it lasts).
 const (
 	// standingLate is the chance of a late answer above which a request is refused
-	// while the queue stands. In replays 0.5 refused more than it saved: a late answer
-	// is worth more than none.
+	// while the queue stands. It is above even odds because a late answer is worth more
+	// than none.
 	standingLate = 0.7
 	// standingShare is the share of late answers in troubleWindow, in this data centre,
 	// from which on a queue stands, and standingLeast how many must have come. Refusing
-	// holds the share near this figure: below it, requests are admitted again. In
-	// replays 0.25 and 0.3, or half of the window, refused requests of short spikes too.
+	// holds the share near this figure: below it, requests are admitted again. Lower
+	// refuses requests of short spikes too.
 	standingShare = 0.5
 	standingLeast = 10
 	// lessUrgent is the part of standingShare and of standingLate from which on
--- a/internal/policy/availability.go
+++ b/internal/policy/availability.go
@@ -29,12 +29,7 @@
 
 // returnsOneByOne reports whether a server that has rested gets one request of this host at
 // a time, until an answer shows that it has room. Servers that asked for rest at one moment
-// come back at one moment, and so do the requests that waited: in a replay of servers that
-// ask for rest when they are full, at 60 requests/s a host (rest-full.yaml, 12 seeds), 0.80 of
-// the requests are served in time instead of 0.75; at 5 requests/s a host it changes nothing.
-//
-// Weighed: all at once; telling refused callers times further apart the more have been told
-// one already (in time 0.003 more in that replay, 0.010 less where servers rest by themselves).
+// come back at one moment, and so do the requests that waited, which would fill them again.
 func (t *Table) returnsOneByOne(req Request, b *world.BackendView) bool {
 	return t.has(MechanismReturnOneByOne) && req.reason(b) == availability.Returning
 }
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -11,35 +11,33 @@
 const (
 	// recentFailure is how long after a failure a server need not be used.
 	recentFailure = 2 * time.Second
-	// unusedFor is how long a server counts as used after a request. The users'
-	// rule looks at spans of 2 s.
+	// unusedFor is how long a server counts as used after a request: no server is to be
+	// out of use for 2 s.
 	unusedFor = 1800 * time.Millisecond
 	// inSpell is the belief above which a server counts as failing, and need not be used
 	// in calm times. Higher finds servers that have recovered sooner, by requests that
-	// fail where they have not: at 0.4 less is lost (replay of large.yaml, unserved 0.0193
-	// instead of 0.0221), but fewer servers are in use when trouble comes.
+	// fail where they have not. Lower loses fewer, and leaves fewer servers in use when
+	// trouble comes.
 	inSpell = 0.5
 	// breadthShare is the part of the servers without a recent failure that
-	// must be in use. The users' rule asks for 0.7 over all data centres.
+	// must be in use: more than the 0.7 that is asked for over all data centres.
 	breadthShare = 0.8
 	// idempotentShare is that part for idempotent requests, of all servers
 	// without a recent failure, also those believed to fail: a request that fails
-	// there is sent again, and what it finds guides the non-idempotent ones. The
-	// rule looks at servers that nothing was done to, which may be few.
+	// there is sent again, and what it finds guides the non-idempotent ones.
 	idempotentShare = 0.95
 	// allowanceForBreadth is the part of the retry allowance that may be spent
 	// while idempotent requests try such servers.
 	allowanceForBreadth = 0.5
-	// troubleUse is the part of the servers that must be in use in such a time. Of
-	// ten that the rule looks at, 0.8 would often leave four out.
+	// troubleUse is the part of the servers that must be in use while a service is in
+	// trouble.
 	troubleUse = 0.95
 	// troubleFailure is recentFailure in such a time.
 	troubleFailure = time.Second
 	// limitedShare is the part of a service's requests that are refused beyond their
-	// customers' limits from which on servers that are believed to fail are used too: the
-	// users' rule counts such requests as unserved, and speaks of a tenth. Then no server
-	// may be out of use for long, whatever is known of it: the rule looks at those that
-	// nothing was seen to happen to, and nothing is seen at a server that is not used.
+	// customers' limits from which on servers that are believed to fail are used too: such
+	// requests count as unserved. Then no server may be out of use for long, whatever is
+	// known of it: nothing is seen of a server that is not used.
 	limitedShare = 0.06
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -13,11 +13,6 @@
 // then wait for, a part of the retry allowance, and bytes if it goes to another
 // data centre. So it is sent when the loss that it saves, by what is known at that
 // moment, exceeds what it costs.
-//
-// Weighed, by trials on the users' bench (docs/DECISIONS.md): breaking the first
-// request off and sending it elsewhere (loses its work where it was only slow); a
-// copy at a fixed multiple of the usual time (too late for short objectives, too
-// many copies for long ones).
 const (
 	// reviewQuantile of the answers have come before a copy is considered.
 	reviewQuantile = 0.7
@@ -25,8 +20,7 @@
 	reviewStep = 0.15
 	// copyWork is the cost of a copy at an idle data centre, copyLoad what is added
 	// where its servers have a request for each slot, growing with the square;
-	// copySpent what is added as the retry allowance is spent. In requests lost. On the
-	// users' bench 0.02 from the median on served no better (docs/DECISIONS.md).
+	// copySpent what is added as the retry allowance is spent. In requests lost.
 	copyWork  = 0.05
 	copyLoad  = 0.25
 	copySpent = 0.3
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -10,9 +10,8 @@
 // the server's, one after the request's work most likely the request's own, and a
 // connection that had been idle may have been forgotten.
 
-// QuickErrorShare of a server's usual time ends what counts as an error at once.
-// On calm days of both deployments errors in a spell took under 0.05 of it, nine
-// in ten of the others over 0.2.
+// QuickErrorShare of a server's usual time ends what counts as an error at once: it lies
+// between the errors of servers in a spell and those after a request's work.
 const QuickErrorShare = 0.12
 
 // Outcome is what became of one request at a backend server.
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -24,8 +24,7 @@
 	PerMegabyte     float64
 }
 
-// DefaultCostRule returns the costs measured to serve best; see
-// docs/MEASUREMENTS.md.
+// DefaultCostRule returns the costs that hosts go by.
 func DefaultCostRule() CostRule {
 	return CostRule{
 		Failure:           1,
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -21,9 +21,7 @@
 
 const (
 	// retrySafety is the part of the allowance that is spent: reports may be
-	// lost, and hosts may decide at the same moment. With 2 in 100 messages lost and a third
-	// of the hosts cut off from the others, at 0.75 and 0.9 at most 0.83 and 1.02 of the
-	// allowance were spent in any window (replays of sheds and large-sheds).
+	// lost, and hosts may decide at the same moment.
 	retrySafety = 0.75
 	// heardFor is how long a host counts as heard of a service after a report. At two
 	// requests a second one host in 400 has nothing to tell for so long.
@@ -142,9 +140,8 @@
 }
 
 // shared sums what this host and those that it hears sent in the last window. What a
-// host is due that is not heard is that host's own to spend: while a third of 36 hosts
-// heard no other, the fleet spent 1.9 times its allowance when the sums held all hosts
-// (replay of sheds.yaml with such a cut).
+// host is due that is not heard is that host's own to spend: else a fleet that is cut
+// apart spends its allowance more than once.
 func (svc *service) shared(now time.Time, length time.Duration) (requests, retries, hosts int) {
 	requests, retries, hosts = svc.own.requests.sum(now, length), svc.own.retries.sum(now, length), 1
 	for _, h := range svc.near {
--- a/internal/policy/silence.go
+++ b/internal/policy/silence.go
@@ -13,14 +13,11 @@
 // service take so long. Its answer takes that back: the evidence is computed from
 // the requests that wait now, and nothing of it is kept.
 //
-// Weighed: a fixed multiple of the usual time as a verdict (cuts requests that are
-// only slow, and says nothing before); telling hosts of each step of the evidence
-// (a datagram a step). Hosts tell the age of their oldest request with what they
-// tell anyway, and each computes the rest.
+// Hosts tell the age of their oldest request with what they tell anyway, and each
+// computes the rest.
 const (
 	// maxSilence bounds the log odds from requests that wait (55 to 1): they may wait
-	// for one cause, such as one long request before them. In replays 2.5 found spells
-	// later.
+	// for one cause, such as one long request before them.
 	maxSilence = 4.0
 	// hangGain is the weight of one failure in the share of failures that are
 	// silent, hangPrior that share before any.
--- a/internal/policy/spell.go
+++ b/internal/policy/spell.go
@@ -9,18 +9,16 @@
 // of two moves a decision by some hundred milliseconds.
 const (
 	// onsetPerSecond is how often a sound server begins to fail, recoveryPerSecond
-	// how often a failing one recovers. Measured with servers picked at random
-	// on calm days of both deployments: 0.25 and 0.30 of the time is spent in
-	// spells, which last some 9 and 12 s.
+	// how often a failing one recovers: spells last some 8 s and come every 20.
 	onsetPerSecond    = 1.0 / 20
 	recoveryPerSecond = 1.0 / 8
 	// failSound and failInSpell are the shares of failed requests outside and in
-	// a spell. From the same trial: 1.2 in 100, three in four.
+	// a spell.
 	failSound   = 0.012
 	failInSpell = 0.75
 	// quickFailSound is the share of requests that fail at once, or bring no
-	// answer, outside a spell. On calm days nearly all errors there take the time of
-	// a request's work; 1 in 1,000 leaves room for what is not understood.
+	// answer, outside a spell. Nearly all errors there take the time of a request's
+	// work; the rest is room for what is not understood.
 	quickFailSound = 0.001
 	// lateErrorFactor is the likelihood ratio of an error after the usual time of
 	// a request's work. Nearly all such errors are the request's own; it is above
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -9,7 +9,8 @@
 // takes the time, and the same calls bring the same decisions. Package balance
 // holds lock and clock for the daemon; experiment/replay drives the same code in
 // simulated time. A file holds one decision; its comment names the load that it
-// answers, what else was weighed, and where its limits come from.
+// answers. docs/design/constants.md tells what else was weighed, and where values come
+// from.
 package policy
 
 import (
@@ -24,8 +25,7 @@
 	// Counts are told again each RefreshEvery.
 	peerExpiry = 1600 * time.Millisecond
 	// toldHalfLife is how fast the load that a server told loses its weight: a
-	// request takes some 250 ms. In replays of overload 400 to 800 ms served 0.01 more,
-	// on the users' bench 600 ms served less: worth 0.659 with trouble, 0.665 with 200.
+	// request takes some 250 ms.
 	toldHalfLife = 200 * time.Millisecond
 	// serviceGain is the weight of one answer in the usual time of a service.
 	serviceGain = 0.05
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -11,15 +11,9 @@
 // it most likely fails there. So an idempotent request goes to a sound server, and a copy
 // of it to the doubted one: whichever answers first answers the caller, and what became of
 // the copy says whether the server has recovered.
-//
-// Weighed: first sends of idempotent requests to doubted servers, copied late to a sound
-// one; health checks, which such servers pass.
 const (
-	// trialEvery is the time without a request after which a doubted server is tried. The
-	// users' rule looks at spans of 2 s. In a replay of 332 servers that hang (wide.yaml)
-	// 0.02 of the sound ones of a service with idempotent requests are out of use in such
-	// a span, 0.285 without trials; 3 s leaves 0.035, and 1.7 s copies 0.21 of the requests
-	// of a service of few servers (hangs.yaml).
+	// trialEvery is the time without a request after which a doubted server is tried: no
+	// server is to be out of use for 2 s, and more trials are more copies.
 	trialEvery = 1800 * time.Millisecond
 	// trialQuantile of the answers of sound servers come within the time that a trial is
 	// given; without one it counts as unanswered.
@@ -28,8 +22,7 @@
 	// connection and a busy host take longer.
 	leastTrial = 100 * time.Millisecond
 	// allowanceForTrials is the part of the retry allowance from which on no server is
-	// tried. Copies of requests that hang spend 0.8 of it in that replay; at 0.8 trials
-	// come too seldom (0.14 out of use).
+	// tried. Copies of requests that hang may spend most of it.
 	allowanceForTrials = 0.95
 )
 
--- a/internal/policy/trouble.go
+++ b/internal/policy/trouble.go
@@ -12,11 +12,10 @@
 // shows in some of them only; so segments tell what they see to one host, which tells all where
 // the sum is trouble (package trouble).
 const (
-	// troubleWindow is the time over which outcomes are counted, as in the
-	// users' rule; troubleShare the part of unserved requests from which on all
-	// servers are tried, also such as are believed to fail: then what is known
-	// of them helps little. The rule speaks of a tenth over all data centres, of
-	// which this one may have less. troubleChance more may fail by chance.
+	// troubleWindow is the time over which outcomes are counted, troubleShare the part
+	// of unserved requests of a segment from which on its service is in trouble: half of
+	// a tenth over all data centres, of which this one may have less. troubleChance more
+	// may fail by chance.
 	troubleWindow = 2 * time.Second
 	troubleShare  = 0.05
 	troubleChance = 3
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,14 +12,8 @@
 //
 // Requests that merely were at the same servers are told apart by their answers: a whole
 // answer to a content clears it, because what ends servers never gets one. Without that a
-// popular read is refused as soon as three servers end by themselves (1,905 of 9,736 requests
-// in four simulated minutes, 0 with it). A hold ends by itself: then one host at
-// a time sends the content once, by a grant of its first home.
-//
-// Weighed: every host tells every other of each end (a message to each host for each
-// request of each server that ends); an end that counts for one content only, the one in
-// quarantine (1 of 24,009 fewer refused, not worth its code); the caller's network address
-// as part of a content (the same request came from another one each time).
+// popular read is refused as soon as three servers end by themselves. A hold ends by itself:
+// then one host at a time sends the content once, by a grant of its first home.
 //
 // The package is pure: time is passed in, messages and decisions are handed out, nothing
 // runs by itself.
@@ -36,8 +30,7 @@
 )
 
 const (
-	// servers that must have ended while they had a content. The users' rule counts from
-	// the third on; with two, a request that is repeated once beside a server's own end
+	// servers that must have ended while they had a content. With two, a request that is repeated once beside a server's own end
 	// and the next would be refused.
 	serversEnded = 3
 	// callerEnded is the same for all requests of a caller on a route: one whose requests
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,11 +11,6 @@
 // hears, and a host that no longer hears the home goes on at its own part. So the parts
 // together keep the limit, whoever is cut off from whom, and nobody needs to know.
 //
-// Weighed: an equal share for each host (refuses 59 in 100 of what is allowed, because a
-// customer's callers sit on few hosts); a question for each request (exact, two messages
-// and a wait each); counts told to the home and a fraction told back (overspends for as
-// long as the counts are on their way). Figures: docs/design/shifted-work.md.
-//
 // The package is pure: time is passed in, messages are handed out, nothing runs by itself.
 package quota
 
@@ -37,9 +32,8 @@
 	// tell the home that the host is there.
 	usageEvery = 700 * time.Millisecond
 	// oftenUse is the use, in requests a second, from which on usages go out by
-	// themselves. Below it a request tells of itself by its question: with usages for
-	// 4 s after each request a host sends 33 messages a second in a simulation of 113
-	// hosts and 80 customers.
+	// themselves. Below it a request tells of itself by its question, which costs fewer
+	// messages.
 	oftenUse = 1.0
 	// creditLife is how long a credit may be spent: two usages, so that one may be lost.
 	creditLife = 1500 * time.Millisecond
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -11,10 +11,6 @@
 // there are, and arcs move by little when a host comes or goes. Where the hosts are few
 // an arc is the whole ring.
 //
-// Weighed: disjoint groups of hosts and servers (half of the messages, but groups of
-// some six servers differ by a sixth in size, and all change when their number does);
-// owner hosts (a hop, and a process more that may fail, for each request).
-//
 // The package is pure: lists in, lists out.
 package sharing
 
@@ -34,11 +30,8 @@
 	Servers int
 }
 
-// DefaultRule returns the rule for a fleet of any size. In replays of 440 hosts in five
-// data centres (large.yaml, large-burst.yaml) goodput is 0.971 and 0.954 with 8 hosts and
-// 5 servers, 0.969 and 0.952 with 12 and 8, 0.968 and 0.947 with 24 and 8, at 203, 328
-// and 571 messages a host and second; 4 and 3 begin to cost answers in time. Six servers
-// leave fleets of some twelve hosts a data centre with subsets that are everything.
+// DefaultRule returns the rule for a fleet of any size. Fleets of some twelve hosts a data
+// centre have subsets that are everything.
 func DefaultRule() Rule { return Rule{Hosts: 8, Servers: 6} }
 
 // width is the part of a ring of servers that one of so many hosts uses.
--- a/internal/trouble/trouble.go
+++ b/internal/trouble/trouble.go
@@ -4,9 +4,6 @@
 // every host's list (rendezvous), what the segment saw; the home tells all hosts where the sum is
 // trouble.
 //
-// Weighed: lower bounds for each segment by itself (in calm times they see trouble in chance, and
-// requests are lost at servers in spells); all hosts tell all (grows with the square of the hosts).
-//
 // The package is pure: time is passed in, what is to be told is returned.
 package trouble
 
@@ -22,9 +19,9 @@
 	// Lasts is for how long hosts hold a service for troubled after they are told. Segments
 	// tell every 500 ms: one report may be lost.
 	Lasts = 1500 * time.Millisecond
-	// share is the part of unserved requests from which on a service is in trouble. The users'
-	// rule speaks of a tenth, of which hosts do not see all: answers are lost on their way to
-	// callers, and requests on theirs to hosts.
+	// share is the part of unserved requests from which on a service is in trouble: below the
+	// tenth that counts for callers, because hosts do not see all. Answers are lost on their way
+	// to callers, and requests on theirs to hosts.
 	share = 0.06
 	// heardFor is how long a segment's report counts.
 	heardFor = 900 * time.Millisecond
