Soak: callers send each request once, also reads

By the host's log two requests with one content came 2 ms apart: the caller's client had sent the first again when its connection broke, and the second was refused truthfully. The switch that forbids it does nothing for requests without a body. The check is as it was; the test fails before (3 sends of 2 reads).

--- a/experiment/soak/callers.go
+++ b/experiment/soak/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
 // Paths of the deployment's routes. What follows is a request's own token, by
@@ -115,7 +116,8 @@
 		a.err = err
 		return
 	}
-	req.GetBody = nil // the client must not repeat a request by itself
+	req.GetBody = nil // the client must not repeat a request by itself, nor one without a body
+	req.Body = upstream.Body(req.Body)
 	req.Header.Set(dispatch.HeaderTimeout, strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	resp, err := c.client.Do(req)
 	if err != nil {
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -11,7 +11,9 @@
 
 // seeds of the short run: one with owner hosts, one with direct picking. A seed
 // that ever failed stays here with a line on its cause.
-var seeds = []uint64{1, 2}
+//
+//	104: a caller's own client sent a read twice when its connection broke
+var seeds = []uint64{1, 2, 104}
 
 // Every promise holds on real processes under faults from outside.
 func TestSoak(t *testing.T) {
