--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -165,7 +165,7 @@
 	over    bool
 	copies  int
 	returns int // how often the caller has come back
-	asks    int // how often leave was asked for that was not given
+	asks    int // how often a token was asked for that was not given
 }
 
 // flight is one send of a request.
@@ -225,7 +225,7 @@
 		return
 	}
 	if limit, limited := r.host.limits.view.Of(availability.ServerOf(r.route.Service, &placement.Server)); limited {
-		r.host.limits.take(limit, func(verdict quota.Verdict) { r.leave(placement, verdict) })
+		r.host.limits.take(limit, func(verdict quota.Verdict) { r.decided(placement, verdict) })
 		return
 	}
 	r.begin(placement)
@@ -240,8 +240,8 @@
 	}
 }
 
-// leave sends the request if its server's rate limit has room, else to another server.
-func (r *request) leave(placement *policy.Placement, verdict quota.Verdict) {
+// decided sends the request if its server's rate limit has room, else to another server.
+func (r *request) decided(placement *policy.Placement, verdict quota.Verdict) {
 	server := availability.ServerOf(r.route.Service, &placement.Server)
 	switch {
 	case verdict.OK && !r.over:
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -40,7 +40,7 @@
 	gossipFor  = 500 * time.Millisecond
 	// cutNoticed is when hosts take others for dead that they do not hear.
 	cutNoticed = 3 * time.Second
-	// mostAsked bounds the servers that one request asks for leave.
+	// mostAsked bounds the servers that one request asks for a token.
 	mostAsked = 8
 )
 
@@ -148,7 +148,7 @@
 	}
 }
 
-// take asks for leave to send to a server; decide is called at once or later.
+// take asks for a token to send to a server; decide is called at once or later.
 func (l *limits) take(limit ratelimit.Limit, decide func(quota.Verdict)) {
 	now := l.host.fleet.clock.Time()
 	switch l.way {
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -1,9 +1,11 @@
-// Package availability keeps which backend servers report that they want no requests from
-// this host: those that are leaving, and those that have asked for rest (503 with
-// Retry-After). One table serves every way in which a request can reach a server.
+// Package availability keeps which backend servers get no requests from this host by their own
+// reports: those that are leaving, those that have asked for rest (503 with Retry-After), and
+// those whose rate limit has no room. One table serves every way in which a request can reach a
+// server.
 //
-// Only what a server told this host itself is kept. Other hosts learn it from an answer of
-// their own: telling them would save one request a host, server and report.
+// Only what a server told this host itself is kept, and what this host was refused. Other hosts
+// learn of leaving and rest from an answer of their own: telling them would save one request a
+// host, server and report. Rate limits bind all hosts together: see package ratelimit.
 package availability
 
 import (
--- a/internal/dispatch/ratelimit.go
+++ b/internal/dispatch/ratelimit.go
@@ -20,28 +20,28 @@
 	// Heard takes what an answer says of its server's limit. sentAt is when the request was
 	// sent.
 	Heard(server process.Server, sentAt time.Time, said protocol.RateLimit)
-	// Take asks for leave to send one request to a server. The error is that of ctx.
+	// Take asks for a token, the right to send one request to a server. The error is that of ctx.
 	Take(ctx context.Context, limit ratelimit.Limit) (quota.Verdict, error)
-	// Return gives back the leave for a request of which no byte was sent.
+	// Return gives back the token of a request of which no byte was sent.
 	Return(server process.Server)
 	// Promise is when a request may come back that any of these servers would do for.
 	Promise(servers []process.Server) time.Duration
 }
 
-// leaveLife is how long leave to send holds: a host that stood still meanwhile would send what
-// other hosts have sent since.
-const leaveLife = time.Second
+// tokenLife is how long a token holds: a host that stood still meanwhile would send what other
+// hosts have sent since.
+const tokenLife = time.Second
 
-// leave is the right to send one request to a server that names a rate limit.
-type leave struct {
+// sendToken is the right to send one request to a server that names a rate limit.
+type sendToken struct {
 	server  process.Server
 	takenAt time.Time // of a clock that goes on while the machine is suspended
 }
 
-func (l *leave) isOld(now time.Time) bool { return now.Sub(l.takenAt) > leaveLife }
+func (t *sendToken) isOld(now time.Time) bool { return now.Sub(t.takenAt) > tokenLife }
 
-// takeLeave asks for leave to send to a server, nil if it names no limit.
-func (x *exchange) takeLeave(ctx context.Context, to destination) (*leave, *errs.Error) {
+// takeToken asks for a token to send to a server, nil if it names no limit.
+func (x *exchange) takeToken(ctx context.Context, to destination) (*sendToken, *errs.Error) {
 	limit, limited := x.d.snapshot().RateLimits.Of(to.server)
 	if !limited {
 		return nil, nil
@@ -56,19 +56,19 @@
 		x.d.servers.NoteNoRoom(to.server, verdict.AskAgain)
 		return nil, x.noRoom(to, "all hosts together have sent what its rate limit allows")
 	}
-	return &leave{server: to.server, takenAt: boottime.Now()}, nil
+	return &sendToken{server: to.server, takenAt: boottime.Now()}, nil
 }
 
-// holds forbids a send that needs leave and has none, or one that is too old: the server may
-// have named its limit since it was picked.
-func (x *exchange) holds(to destination, l *leave) error {
+// checkToken forbids a send that needs a token and has none, or one that is too old: the server
+// may have named its limit since it was picked.
+func (x *exchange) checkToken(to destination, t *sendToken) error {
 	_, limited := x.d.snapshot().RateLimits.Of(to.server)
 	switch {
 	case !limited:
 		return nil
-	case l == nil:
+	case t == nil:
 		return x.noRoom(to, "it named a rate limit before the request was sent")
-	case l.isOld(boottime.Now()):
+	case t.isOld(boottime.Now()):
 		return x.noRoom(to, "this host stood still before the request was sent")
 	default:
 		return nil
@@ -80,9 +80,9 @@
 	return errs.New(errs.KindNoRoom, "backend server "+to.server.ID+" got no request: "+why, "repeat the request after the time in Retry-After")
 }
 
-// giveBack returns leave that was not used.
-func (x *exchange) giveBack(l *leave) {
-	if l != nil {
-		x.d.rateLimits.Return(l.server)
+// returnToken gives back a token that was not used.
+func (x *exchange) returnToken(t *sendToken) {
+	if t != nil {
+		x.d.rateLimits.Return(t.server)
 	}
 }
--- a/internal/dispatch/ratelimit_test.go
+++ b/internal/dispatch/ratelimit_test.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// Leave to send is of no use to a host that stood still: others have had the room since.
-func TestLeaveGrowsOld(t *testing.T) {
+// A token is of no use to a host that stood still: others have had the room since.
+func TestTokenGrowsOld(t *testing.T) {
 	taken := time.Unix(1_700_000_000, 0)
-	l := &leave{takenAt: taken}
-	if l.isOld(taken.Add(leaveLife)) {
+	token := &sendToken{takenAt: taken}
+	if token.isOld(taken.Add(tokenLife)) {
 		t.Error("it is old before its time")
 	}
-	if !l.isOld(taken.Add(leaveLife + time.Nanosecond)) {
+	if !token.isOld(taken.Add(tokenLife + time.Nanosecond)) {
 		t.Error("it is never old")
 	}
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -53,16 +53,16 @@
 		return nil, upstream.NotSent(asTyped(err))
 	}
 	to.adjust(out.Header)
-	leave, withheld := x.takeLeave(ctx, to)
+	token, withheld := x.takeToken(ctx, to)
 	if withheld != nil {
 		return nil, upstream.NotSent(withheld)
 	}
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
-	answer, failure := to.via.Do(ctx, out, func() error { return x.lastLook(to, leave) }, to.maxIdle)
+	answer, failure := to.via.Do(ctx, out, func() error { return x.lastLook(to, token) }, to.maxIdle)
 	if failure != nil && !failure.Written {
-		x.giveBack(leave)
+		x.returnToken(token)
 	}
 	return answer, failure
 }
@@ -70,12 +70,12 @@
 // lastLook is asked right before the first byte leaves. A host that was paused must not act
 // on what it decided before; and a request may have waited for a connection while the server
 // said that it is leaving or wants rest, named a rate limit, or left the rotation.
-func (x *exchange) lastLook(to destination, l *leave) error {
+func (x *exchange) lastLook(to destination, t *sendToken) error {
 	now := time.Now()
 	if err := x.mayStillSend(to); err != nil {
 		return err
 	}
-	if err := x.holds(to, l); err != nil {
+	if err := x.checkToken(to, t); err != nil {
 		return err
 	}
 	if world.Passed(now, x.req.Deadline) {
--- a/internal/dispatch/serverstate_test.go
+++ b/internal/dispatch/serverstate_test.go
@@ -42,17 +42,18 @@
 	}
 }
 
-// Every request that leaves this host has leave of the server's rate limit, holds it up to its
-// first byte, and gives it back if that is not sent; what every answer says of a limit is heard.
-func TestAllSendsHaveLeaveOfRateLimits(t *testing.T) {
+// Every request that leaves this host takes a token of the server's rate limit, shows it right
+// before its first byte, and returns it if that is not sent; what every answer says of a limit is
+// heard.
+func TestAllSendsTakeTokensOfRateLimits(t *testing.T) {
 	calls := callsInPackage(t)
-	for _, call := range []string{"x.takeLeave", "x.giveBack"} {
+	for _, call := range []string{"x.takeToken", "x.returnToken"} {
 		if !slices.Contains(calls["send"], call) {
 			t.Errorf("send does not call %s", call)
 		}
 	}
-	if !slices.Contains(calls["lastLook"], "x.holds") {
-		t.Error("leave is not looked at before the first byte")
+	if !slices.Contains(calls["lastLook"], "x.checkToken") {
+		t.Error("the token is not looked at before the first byte")
 	}
 	if !slices.Contains(calls["sendToServer"], "x.d.rateLimits.Heard") {
 		t.Error("answers' rate limits are not heard")
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -118,7 +118,7 @@
 mutant "trailers hide the customer" internal/dispatch/request.go 's/^	r.hideCustomer(passed, marks)$//' ./platform -run TestTrailers
 mutant "refusal before the body" internal/frontend/problem.go 's/^	settleBody(w, r)$//' ./platform -run TestUnknownKeyIsRefusedBefore -timeout 20s
 mutant "rate limits are asked for" internal/dispatch/ratelimit.go 's/case !verdict.OK:/case false:/' ./platform -run AllServersLimited
-mutant "unused leave goes back" internal/dispatch/send.go 's/		x.giveBack(leave)/		_ = leave/' ./platform -run UnusedLeave
+mutant "unused token goes back" internal/dispatch/send.go 's/		x.returnToken(token)/		_ = token/' ./platform -run UnusedToken
 mutant "copies spare limited servers" internal/policy/copies.go 's/if r.Beside .*/if false {/' ./internal/policy -run Spared
 mutant "limited servers cost more" internal/policy/pick.go 's/if req.isLimited(b) {/if false {/' ./internal/policy -run Spared
 mutant "equal parts of small limits" internal/quota/quota.go 's/EqualParts: true, //' ./internal/quota -run Remember
