--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -32,8 +32,6 @@
 	// troubleUse is the part of the servers that must be in use while a service is in
 	// trouble.
 	troubleUse = 0.95
-	// troubleFailure is recentFailure in such a time.
-	troubleFailure = time.Second
 	// limitedShare is the part of a service's requests that are refused beyond their
 	// customers' limits from which on servers that are believed to fail are used too: such
 	// requests count as unserved. Then no server may be out of use for long, whatever is
@@ -86,7 +84,7 @@
 func (t *Table) breadthRule(now time.Time, req Request, spent float64) (breadth, float64) {
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
-		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
+		return breadth{anyBelief: true, after: recentFailure}, troubleUse
 	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
 		return breadth{always: !t.getsTrials(req) || spent >= allowanceForTrials}, 1
 	case t.getsTrials(req):
