--- a/internal/trouble/trouble.go
+++ b/internal/trouble/trouble.go
@@ -8,6 +8,7 @@
 package trouble
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -60,6 +61,7 @@
 // Take takes what a segment has seen, and returns the services that are in trouble, for all
 // hosts to be told. hosts is how many hosts there are.
 func (h *Home) Take(now time.Time, from string, outcomes []*peerpb.ServiceOutcomes, hosts int) []string {
+	h.forget(now)
 	var troubled []string
 	for _, o := range outcomes {
 		s, known := h.services[o.Service]
@@ -68,24 +70,19 @@
 			h.services[o.Service] = s
 		}
 		s.reports[from] = report{int(o.Served), int(o.Unserved), int(o.Hosts), now}
-		if now.Sub(s.toldAt) >= tellEvery && s.isTrouble(now, hosts) {
+		if now.Sub(s.toldAt) >= tellEvery && s.isTrouble(hosts) {
 			s.toldAt = now
 			troubled = append(troubled, o.Service)
 		}
 	}
-	h.forget(now)
 	return troubled
 }
 
 // isTrouble sums the reports. Segments that tell nothing served as much for each host as the
 // others, and all of it.
-func (s *service) isTrouble(now time.Time, hosts int) bool {
+func (s *service) isTrouble(hosts int) bool {
 	served, unserved, heard := 0, 0, 0
-	for from, r := range s.reports {
-		if now.Sub(r.at) > heardFor {
-			delete(s.reports, from)
-			continue
-		}
+	for _, r := range s.reports {
 		served += r.served
 		unserved += r.unserved
 		heard += r.hosts
@@ -95,14 +92,10 @@
 	return policy.IsTrouble(served, unserved, share)
 }
 
-// forget drops services of which nothing is told any more.
+// forget drops reports that are old, and services of which nothing is told any more.
 func (h *Home) forget(now time.Time) {
 	for name, s := range h.services {
-		for from, r := range s.reports {
-			if now.Sub(r.at) > heardFor {
-				delete(s.reports, from)
-			}
-		}
+		maps.DeleteFunc(s.reports, func(_ string, r report) bool { return now.Sub(r.at) > heardFor })
 		if len(s.reports) == 0 && now.Sub(s.toldAt) > Lasts {
 			delete(h.services, name)
 		}
