--- a/internal/daemon/trouble.go
+++ b/internal/daemon/trouble.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/trouble"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -58,6 +60,7 @@
 	if len(troubled) == 0 {
 		return
 	}
+	klog.InfoS("services in trouble, by the sum over all hosts", "services", troubled)
 	w.note(troubled)
 	w.send(&peerpb.Datagram{Troubled: troubled}, snap.Sharing.Everyone()...)
 }
