--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -121,14 +121,17 @@
 
 // noteOutcome counts an outcome of this host's own.
 func (svc *service) noteOutcome(now time.Time, done Done) {
-	switch done.Outcome {
-	case Good:
+	switch {
+	case done.Outcome == Good:
 		svc.served.add(now, troubleWindow, 1)
 		if done.late {
 			svc.late.add(now, troubleWindow, 1)
 		}
-	case Failed, Shed, lateError, staleConnection:
+	case done.Outcome.isUnserved():
 		svc.unserved.add(now, troubleWindow, 1)
+		if !done.explored {
+			svc.lost.add(now, troubleWindow, 1)
+		}
 	}
 }
 
--- a/internal/policy/trouble.go
+++ b/internal/policy/trouble.go
@@ -33,7 +33,8 @@
 }
 
 // Outcomes is what became of a service's requests at the hosts of a segment, in the newest half
-// of the window over which trouble is looked for.
+// of the window over which trouble is looked for. Requests that were sent to see how a server is
+// and were not served are left out: in trouble there are many, and it would never end.
 type Outcomes struct {
 	Service          string
 	Served, Unserved int
@@ -45,7 +46,7 @@
 	var all []Outcomes
 	for name, svc := range t.services {
 		served := svc.served.newest(now, troubleWindow, windowBuckets/2)
-		unserved := svc.unserved.newest(now, troubleWindow, windowBuckets/2)
+		unserved := svc.lost.newest(now, troubleWindow, windowBuckets/2)
 		if float64(unserved) > tellShare*float64(served+unserved) {
 			all = append(all, Outcomes{name, served, unserved})
 		}
--- a/internal/trouble/trouble.go
+++ b/internal/trouble/trouble.go
@@ -23,7 +23,7 @@
 	// share is the part of unserved requests from which on a service is in trouble: below the
 	// tenth that counts for callers, because hosts do not see all. Answers are lost on their way
 	// to callers, and requests on theirs to hosts.
-	share = 0.06
+	share = 0.04
 	// heardFor is how long a segment's report counts.
 	heardFor = 900 * time.Millisecond
 	// tellEvery is the least time between two words to all hosts about a service.
