--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -7,13 +7,11 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/experiment/simtime"
-	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/quota"
 	"github.com/pearshelf/pearshelf/internal/sharing"
-	"github.com/pearshelf/pearshelf/internal/trouble"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -28,7 +26,6 @@
 	table      *policy.Table
 	servers    *availability.Table
 	limits     *limits
-	trouble    *trouble.Home
 	sharing    *sharing.Fleet
 	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
@@ -42,7 +39,6 @@
 	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	h.limits = newLimits(h, f.limitWay)
-	h.trouble = trouble.NewHome()
 	return h
 }
 
@@ -98,43 +94,13 @@
 
 // send delivers a message after its way, unless it is lost.
 func (h *host) send(other *host, m sharing.Message) {
-	h.deliver(other, func() { other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Near) })
-}
-
-// tellOutcomes tells the homes of services what this host's segment has seen.
-func (h *host) tellOutcomes() {
-	if h.sharing == nil || !h.sharing.SpeaksForSegment() {
+	h.fleet.result.Messages++
+	if h.isCut() || other.isCut() || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
 		return
 	}
-	for _, seen := range h.table.Outcomes(h.fleet.clock.Time()) {
-		outcomes := []*peerpb.ServiceOutcomes{{Service: seen.Service, Served: uint32(seen.Served), Unserved: uint32(seen.Unserved), Hosts: uint32(h.sharing.SegmentSize())}}
-		home := h.fleet.byName[trouble.HomeOf(seen.Service, h.fleet.nodes())]
-		h.deliver(home, func() {
-			for _, service := range home.trouble.Take(h.fleet.clock.Time(), h.name, outcomes, len(h.fleet.hosts)) {
-				home.tellTrouble(service)
-			}
-		})
-	}
-}
-
-func (h *host) tellTrouble(service string) {
-	for _, other := range h.fleet.hosts {
-		h.deliver(other, func() {
-			other.table.NoteTrouble(service, h.fleet.clock.Time().Add(trouble.Lasts))
-		})
-	}
-}
-
-// deliver does something at another host after a message's way, unless it is lost.
-func (h *host) deliver(to *host, do func()) {
-	f := h.fleet
-	if to != h {
-		f.result.Messages++
-		if h.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
-			return
-		}
-	}
-	f.clock.After(f.delay(h.dataCentre, to.dataCentre), do)
+	h.fleet.clock.After(h.fleet.delay(h.dataCentre, other.dataCentre), func() {
+		other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Near)
+	})
 }
 
 // isCut reports whether the host hears of no other now.
@@ -145,7 +111,6 @@
 }
 
 func (h *host) refresh() {
-	h.tellOutcomes()
 	if h.table.Refresh(h.fleet.clock.Time()) {
 		h.tell()
 	}
@@ -467,9 +432,6 @@
 		r.finish(fl, policy.Done{Outcome: policy.Abandoned, Took: r.host.fleet.clock.Now - fl.sent})
 	}
 	r.flights = nil
-	if o == served && r.host.fleet.losesAnswer() {
-		o = failed
-	}
 	r.host.fleet.result.note(r, o)
 }
 
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -44,8 +44,6 @@
 	Far  config.Duration `yaml:"far"`
 	// Loss is the share of messages between hosts that are lost.
 	Loss float64 `yaml:"loss"`
-	// LostAnswers are answers that hosts have given and callers do not get.
-	LostAnswers Loss `yaml:"lost_answers"`
 	// Cut hosts serve callers and reach servers, but neither hear of other hosts nor
 	// are heard.
 	Cut Cut `yaml:"cut"`
@@ -58,13 +56,6 @@
 	Share float64         `yaml:"share"` // of the hosts
 }
 
-// Loss is a time in which a share of something is lost.
-type Loss struct {
-	From  config.Duration `yaml:"from"`
-	For   config.Duration `yaml:"for"`
-	Share float64         `yaml:"share"`
-}
-
 // Retry is the fleet's retry allowance.
 type Retry struct {
 	Share   float64         `yaml:"share"`
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -188,7 +188,12 @@
 }
 
 func (l *limits) takeAsHolder(now time.Time, limit ratelimit.Limit) quota.Verdict {
-	if !slices.Contains(rendezvous.Top(limit.Server.ID, l.host.fleet.nodes(), holders), l.host.name) {
+	f := l.host.fleet
+	nodes := make([]rendezvous.Node, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		nodes = append(nodes, rendezvous.NewNode(h.name, ""))
+	}
+	if !slices.Contains(rendezvous.Top(limit.Server.ID, nodes, holders), l.host.name) {
 		return quota.Verdict{RetryAfter: time.Second, AskAgain: time.Minute}
 	}
 	return l.takePart(now, limit, holders)
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -9,7 +9,6 @@
 
 	"github.com/pearshelf/pearshelf/experiment/simtime"
 	"github.com/pearshelf/pearshelf/internal/policy"
-	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/sharing"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -34,7 +33,6 @@
 	random  *rand.Rand
 	hosts   []*host
 	byName  map[string]*host
-	asNodes []rendezvous.Node
 	servers map[string]*server
 	views   map[string]*world.ServiceView
 	sent    map[string]*spending // by service
@@ -169,15 +167,6 @@
 	return s
 }
 
-// losesAnswer draws whether a caller does not get the answer that its host gives now.
-func (f *fleet) losesAnswer() bool {
-	lost := f.pattern.Network.LostAnswers
-	if lost.Share == 0 || f.clock.Now < time.Duration(lost.From) || f.clock.Now >= time.Duration(lost.From+lost.For) {
-		return false
-	}
-	return f.random.Float64() < lost.Share
-}
-
 // serviceOf is the service of a server.
 func (f *fleet) serviceOf(server string) string { return f.servers[server].service.Name }
 
@@ -187,16 +176,6 @@
 // sharedService is a service's servers on their rings.
 func (f *fleet) sharedService(name string) *sharing.Service { return f.views[name].Sharing }
 
-// nodes are the hosts as candidates for homes.
-func (f *fleet) nodes() []rendezvous.Node {
-	if f.asNodes == nil {
-		for _, h := range f.hosts {
-			f.asNodes = append(f.asNodes, rendezvous.NewNode(h.name, ""))
-		}
-	}
-	return f.asNodes
-}
-
 // anyHost is the host that a caller comes to.
 func (f *fleet) anyHost() *host { return f.hosts[f.random.IntN(len(f.hosts))] }
 
--- a/experiment/replay/use_test.go
+++ b/experiment/replay/use_test.go
@@ -29,24 +29,3 @@
 		t.Errorf("the pattern shows nothing: without the mechanisms at worst %.2f are out of use", without.Worst)
 	}
 }
-
-// Users see over a tenth of the requests unserved, the hosts of no segment enough of them to use
-// servers that they doubt; the sum over all hosts shows it.
-func TestTroubleThatNoSegmentSees(t *testing.T) {
-	t.Parallel()
-	pattern, err := Load("troubled-unseen")
-	if err != nil {
-		t.Fatal(err)
-	}
-	play := func(without ...policy.Mechanism) InTrouble {
-		var use InTrouble
-		for seed := range uint64(3) {
-			use.add(Run(pattern, Config{Seed: seed + 1, Without: without}).Use["post"])
-		}
-		return use
-	}
-	with, without := play(), play(policy.MechanismFleetTrouble)
-	if with.Moments == 0 || with.Worst > 0.04 || with.Worst > without.Worst/2 {
-		t.Errorf("%.2f of the sound servers are out of use at %d moments, %.2f without the sum", with.Worst, with.Moments, without.Worst)
-	}
-}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -106,20 +106,6 @@
 	t.notify()
 }
 
-// Outcomes returns what this host's segment saw of services of which a part was not served.
-func (t *Table) Outcomes() []policy.Outcomes {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.table.Outcomes(t.clock())
-}
-
-// NoteTrouble takes that a service is in trouble, by the sum over all hosts, for some time.
-func (t *Table) NoteTrouble(service string, length time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.table.NoteTrouble(service, t.clock().Add(length))
-}
-
 // RetryAfter is when a refused request should come back.
 func (t *Table) RetryAfter(service string) time.Duration {
 	t.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,7 +79,6 @@
 	guard   *contentGuard
 
 	rateLimits *rateLimiter
-	trouble    *troubleWatch
 
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the balancer asks the caller's listener
@@ -263,7 +262,6 @@
 	d.limiter = newCustomerLimiter(d, rand.Uint64())
 	d.rateLimits = newRateLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
-	d.trouble = newTroubleWatch(d)
 	d.metrics.WatchLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -40,7 +40,6 @@
 			return
 		case <-refresh.C:
 			l.table.Refresh()
-			l.d.trouble.tell()
 		case <-l.table.Changed():
 			wait(ctx, gatherFor)
 			l.tell()
@@ -91,8 +90,6 @@
 		d.rateLimits.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_SERVER_ENDS:
 		d.guard.receive(datagram)
-	case datagram.Kind == peerpb.Datagram_KIND_TROUBLE && d.balance != nil:
-		d.trouble.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_LOAD && d.balance != nil:
 		d.balance.Report(datagram.From, datagram.Life, datagram.Loads, datagram.Near)
 	default:
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,7 +26,6 @@
 	serverStates     *prometheus.CounterVec
 	sendsWithheld    *prometheus.CounterVec
 	rateLimited      *prometheus.CounterVec
-	trouble          *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -96,11 +95,7 @@
 		Name: "pearshelf_rate_limited_sends_total",
 		Help: "Sends to backend servers that name a rate limit, by whether it had room.",
 	}, []string{"allowed"})
-	m.trouble = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "pearshelf_service_troubled_total",
-		Help: "Times that this host was told that many requests of a service are not served, over all hosts.",
-	}, []string{"service"})
-	reg.MustRegister(m.trouble, m.rateLimited, m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.rateLimited, m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -140,9 +135,6 @@
 	m.rateLimited.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 }
 
-// Trouble counts a word that many requests of a service are not served, over all hosts.
-func (m *Metrics) Trouble(service string) { m.trouble.WithLabelValues(service).Inc() }
-
 // Added takes the time that the fleet added to a request on this host.
 func (m *Metrics) Added(service string, d time.Duration) {
 	m.added.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -29,9 +29,19 @@
 	// allowanceForBreadth is the part of the retry allowance that may be spent
 	// while idempotent requests try such servers.
 	allowanceForBreadth = 0.5
-	// troubleUse is the part of the servers that must be in use while a service is in
-	// trouble.
+	// troubleWindow is the time over which outcomes are counted, troubleShare the part
+	// of unserved requests from which on all servers are tried, also such as are believed
+	// to fail: then what is known of them helps little. It is half of a tenth over all
+	// data centres, of which this one may have less. troubleChance more may fail by chance.
+	troubleWindow = 2 * time.Second
+	troubleShare  = 0.05
+	troubleChance = 3
+	// troubleLeast is how many outcomes must be known.
+	troubleLeast = 20
+	// troubleUse is the part of the servers that must be in use in such a time.
 	troubleUse = 0.95
+	// troubleFailure is recentFailure in such a time.
+	troubleFailure = time.Second
 	// limitedShare is the part of a service's requests that are refused beyond their
 	// customers' limits from which on servers that are believed to fail are used too: such
 	// requests count as unserved. Then no server may be out of use for long, whatever is
@@ -84,7 +94,7 @@
 func (t *Table) breadthRule(now time.Time, req Request, spent float64) (breadth, float64) {
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
-		return breadth{anyBelief: true, after: recentFailure}, troubleUse
+		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
 	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
 		return breadth{always: !t.getsTrials(req) || spent >= allowanceForTrials}, 1
 	case t.getsTrials(req):
@@ -102,6 +112,20 @@
 	return req.Idempotent && !req.Last && t.has(MechanismTrials)
 }
 
+// troubled reports whether many requests of this data centre are unserved, over
+// the whole window or, where there are many requests, already over a half.
+func (svc *service) troubled(now time.Time) bool {
+	return svc.manyUnserved(now, windowBuckets+1) || svc.manyUnserved(now, windowBuckets/2)
+}
+
+// manyUnserved looks at the newest buckets of the window.
+func (svc *service) manyUnserved(now time.Time, buckets int) bool {
+	served := svc.served.newest(now, troubleWindow, buckets)
+	unserved := svc.unserved.newest(now, troubleWindow, buckets)
+	total := served + unserved
+	return total >= troubleLeast && float64(unserved) > troubleShare*float64(total)+troubleChance
+}
+
 // muchLimited reports whether many requests of this data centre are beyond their customers'
 // limits.
 func (svc *service) muchLimited(now time.Time) bool {
@@ -121,17 +145,14 @@
 
 // noteOutcome counts an outcome of this host's own.
 func (svc *service) noteOutcome(now time.Time, done Done) {
-	switch {
-	case done.Outcome == Good:
+	switch done.Outcome {
+	case Good:
 		svc.served.add(now, troubleWindow, 1)
 		if done.late {
 			svc.late.add(now, troubleWindow, 1)
 		}
-	case done.Outcome.isUnserved():
+	case Failed, Shed, lateError, staleConnection:
 		svc.unserved.add(now, troubleWindow, 1)
-		if !done.explored {
-			svc.lost.add(now, troubleWindow, 1)
-		}
 	}
 }
 
--- a/internal/policy/counts.go
+++ b/internal/policy/counts.go
@@ -10,7 +10,6 @@
 	lateErrors, staleConnections    uint64
 	requests, retries               uint64
 	late                            uint64 // of good, after the objective
-	explored                        uint64 // of unserved, sent to see how their servers are
 	limited                         uint64 // refused here, beyond their customers' limits
 	goodSlowness                    uint64 // of good answers, in millionths
 	silentMillinats                 uint64 // evidence of requests given up, in thousandths of log odds
@@ -36,9 +35,6 @@
 	case Unreachable:
 		c.unreachable++
 	}
-	if done.explored && done.Outcome.isUnserved() {
-		c.explored++
-	}
 }
 
 func countsOf(l *peerpb.BackendLoad) counts {
@@ -55,7 +51,6 @@
 		goodSlowness:     l.GoodSlownessPpm,
 		silentMillinats:  l.SilentMillinats,
 		limited:          l.Limited,
-		explored:         l.Explored,
 	}
 }
 
@@ -69,9 +64,6 @@
 // unserved counts the requests that brought their callers no good answer.
 func (c counts) unserved() uint64 { return c.failed + c.lateErrors + c.staleConnections + c.shed }
 
-// lost counts those of them that were not sent to see how their servers are.
-func (c counts) lost() uint64 { return c.unserved() - min(c.explored, c.unserved()) }
-
 // history is all but the newest outcome: of what a host first tells of a server,
 // only that is news. A failure comes first, because it is what is told to all.
 func (c counts) history() counts {
@@ -101,6 +93,5 @@
 		StaleConnections: c.staleConnections,
 		SilentMillinats:  c.silentMillinats,
 		Limited:          c.limited,
-		Explored:         c.explored,
 	}
 }
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -24,8 +24,6 @@
 	MechanismBreadth Mechanism = "breadth"
 	// MechanismTrouble uses nearly all servers while many requests are unserved.
 	MechanismTrouble Mechanism = "trouble"
-	// MechanismFleetTrouble looks for such times over all hosts, trouble.go.
-	MechanismFleetTrouble Mechanism = "fleet-trouble"
 	// MechanismDataCentre prefers servers of the own data centre.
 	MechanismDataCentre Mechanism = "own-data-centre"
 	// MechanismColdStart expects new servers to be slow.
@@ -50,7 +48,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechanismSpells, MechanismSilence, MechanismCopies, MechanismOutcomes, MechanismLoads,
-		MechanismToldLoad, MechanismBreadth, MechanismTrouble, MechanismFleetTrouble, MechanismDataCentre,
+		MechanismToldLoad, MechanismBreadth, MechanismTrouble, MechanismDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRoutes, MechanismYoungHosts, MechanismTrials, MechanismStanding,
 		MechanismReturnOneByOne,
 	}
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -40,11 +40,6 @@
 	Neutral
 )
 
-// isUnserved reports whether the request brought its caller no good answer.
-func (o Outcome) isUnserved() bool {
-	return o == Failed || o == Shed || o == lateError || o == staleConnection
-}
-
 // Done is the end of one request that Pick gave a server.
 type Done struct {
 	Outcome Outcome
@@ -64,8 +59,6 @@
 	// whether the answer came after the objective.
 	slowness float64
 	late     bool
-	// explored is set if the request was sent to see how its server is.
-	explored bool
 	// silence is the evidence, in log odds, of the time that it waited in vain.
 	silence float64
 }
@@ -78,7 +71,6 @@
 	}
 	svc := t.service(p.key.service)
 	svc.dirty = true
-	done.explored = p.explores
 	if p.process != s.process { // says nothing of the process that has the ID now
 		svc.totals.add(done)
 		svc.noteOutcome(now, done)
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -124,9 +124,6 @@
 	process int // of the server, see server
 	group   string
 	pending *pending
-	// explores is set if the request goes to the server to see how it is: because it must be
-	// in use whatever is known of it, or as a trial.
-	explores bool
 	// objectiveAt is when the request's latency objective is over.
 	objectiveAt time.Time
 }
@@ -153,7 +150,6 @@
 	server   *world.BackendView
 	row      *server
 	cost     float64
-	explores bool // the server has the request because it must be in use
 	eligible int
 }
 
@@ -204,12 +200,11 @@
 			continue
 		}
 		cost := t.cost(w.now, w.svc, s, b, load, w.req) + w.failure*s.failure(w.now, w.svc)
-		gain := 0.0
 		if b.DataCentre == w.req.DataCentre && t.has(MechanismBreadth) {
-			gain = s.breadthGain(w.now, w.svc, w.need)
+			cost -= s.breadthGain(w.now, w.svc, w.need)
 		}
-		if cost -= gain; cost < best.cost {
-			best.server, best.row, best.cost, best.explores = b, s, cost, gain > 0
+		if cost < best.cost {
+			best.server, best.row, best.cost = b, s, cost
 		}
 	}
 }
@@ -229,7 +224,6 @@
 		group:   req.Group,
 		pending: waiting,
 
-		explores:    best.explores,
 		objectiveAt: now.Add(req.objectiveLeft(now)),
 	}
 	s.inFlight++
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -86,7 +86,6 @@
 	svc.served.add(now, troubleWindow, int(is.good-was.good))
 	svc.late.add(now, troubleWindow, int(is.late-was.late))
 	svc.unserved.add(now, troubleWindow, int(is.unserved()-was.unserved()))
-	svc.lost.add(now, troubleWindow, int(is.lost()-min(was.lost(), is.lost())))
 	svc.limited.add(now, troubleWindow, int(is.limited-was.limited))
 }
 
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -109,12 +109,8 @@
 	staleAt time.Time
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
-	// lost are the unserved ones that were not sent to see how their servers are.
-	lost window
 	// limited requests of this data centre, refused beyond their customers' limits.
 	limited window
-	// troubledUntil is until when the service is in trouble by what all hosts see.
-	troubledUntil time.Time
 	// late of served, for admission.
 	late window
 	// priorities is the usual work of this host's requests by rank, in milliseconds.
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -46,7 +46,6 @@
 	placement := t.take(now, svc, best, req)
 	expected := time.Duration(svc.times.quantile(trialQuantile) * float64(placement.pending.expected))
 	placement.TrialFor = max(expected, leastTrial)
-	placement.explores = true
 	return placement, true
 }
 
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -14,11 +14,6 @@
 // The package is pure: lists in, lists out.
 package sharing
 
-import (
-	"maps"
-	"slices"
-)
-
 // Rule says how wide arcs are.
 type Rule struct {
 	// Hosts is how many hosts of a data centre share a server. More know more of a
@@ -56,7 +51,6 @@
 	rings     map[string]*ring // by data centre
 	addresses map[string]string
 	segment   []string // see Segment; addresses of the others
-	speaks    bool     // see SpeaksForSegment
 }
 
 // NewFleet places the live hosts, of which self is this one.
@@ -72,9 +66,7 @@
 	}
 	near := f.rings[self.DataCentre]
 	parts := max(near.len()/max(rule.Hosts, 1), 1)
-	segment := near.segment(self.Name, parts)
-	f.segment = f.addressesOf(segment)
-	f.speaks = len(segment) > 0 && segment[0] == self.Name
+	f.segment = f.addressesOf(near.segment(self.Name, parts))
 	return f
 }
 
@@ -103,13 +95,6 @@
 // SegmentSize is the number of hosts of this host's segment, itself included.
 func (f *Fleet) SegmentSize() int { return len(f.segment) + 1 }
 
-// SpeaksForSegment reports whether this host is the one of its segment that tells others what
-// the segment sees.
-func (f *Fleet) SpeaksForSegment() bool { return f.speaks }
-
-// Everyone returns the addresses of all other live hosts, in no order.
-func (f *Fleet) Everyone() []string { return slices.Collect(maps.Values(f.addresses)) }
-
 // Service is a service's servers on their rings.
 type Service struct {
 	rings map[string]*ring  // by data centre
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -236,19 +236,3 @@
 		}
 	}
 }
-
-// Each segment of a data centre has one host that speaks for it, whatever hosts there are.
-func TestOneHostSpeaksForASegment(t *testing.T) {
-	for _, hosts := range [][]int{{1}, {12, 8}, {34, 34, 33}, {110}} {
-		s := newSite(hosts, make([]int, len(hosts)))
-		spoken := 0 // hosts of the segments that somebody speaks for
-		for i := range s.hosts {
-			if f := fleet(s.hosts, i); f.SpeaksForSegment() {
-				spoken += f.SegmentSize()
-			}
-		}
-		if spoken != len(s.hosts) {
-			t.Errorf("hosts %v: the segments of %d of %d hosts are spoken for", hosts, spoken, len(s.hosts))
-		}
-	}
-}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -127,9 +127,6 @@
 mutant "limits of one process" internal/ratelimit/ratelimit.go 's/if !known || server.IsNewerThan(held.Server) {/if !known {/' ./internal/ratelimit
 mutant "limits are renewed" internal/ratelimit/listener.go 's|held.Until.Sub(now) < heldFor/2|false|' ./internal/ratelimit
 mutant "a limit told to all hosts" internal/daemon/ratelimit.go 's/	r.d.engine.Write(now, register)/	_ = register/' ./platform -run AllHostsKnow
-mutant "segments that tell nothing serve" internal/trouble/trouble.go 's|served += served \* silent / max(heard, 1)|_ = silent|' ./internal/trouble
-mutant "old reports of segments" internal/trouble/trouble.go 's/return now.Sub(r.at) > heardFor/return false/' ./internal/trouble
-mutant "trouble in the sum" internal/policy/trouble.go 's/return now.Before(svc.troubledUntil) ||/return/' ./experiment/replay -run NoSegmentSees
 mutant "parts are kept back" internal/quota/part.go 's/kept += u.part/kept += 0/' ./internal/quota
 mutant "repeated question" internal/quota/home.go 's/told.Ask != 0 \&\& told.Ask == u.ask/false/' ./internal/quota
 mutant "trials" internal/policy/trial.go 's/^	return now.Sub(s.lastSent) > trialEvery.*/	return false/' ./experiment/replay -run TestTrials
