--- a/experiment/quotas/quotas.go
+++ b/experiment/quotas/quotas.go
@@ -187,9 +187,8 @@
 		usual := part * f.conf.PerSecond
 		limit := customer.Limit{PerSecond: f.conf.LimitOver * usual, Burst: math.Ceil(f.conf.LimitOver * usual)}
 		if f.conf.ServerLimit > 0 {
-			named := ratelimit.Limit{PerSecond: f.conf.ServerLimit}
 			usual = f.conf.PerSecond / float64(f.conf.Customers)
-			limit = customer.Limit{PerSecond: named.Allowed(), Burst: named.Burst()}
+			limit = ratelimit.Limit{PerSecond: f.conf.ServerLimit}.Bound()
 		}
 		f.customers = append(f.customers, &account{name: fmt.Sprintf("customer-%02d", i), usual: usual, limit: limit, times: 1, ideal: bucketOf{tokens: limit.Burst}, due: make(map[int]int), served: make(map[int]int)})
 	}
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -67,15 +67,11 @@
 	l := &limits{host: h, way: way, listener: ratelimit.NewListener(), registers: register.NewStore(), view: ratelimit.NewView(nil), parts: make(map[process.Key]*part)}
 	l.table = quota.NewTable(h.name, quota.ServerRule(), func(name string) (customer.Limit, bool) {
 		limit, known := l.view.Named(process.Key{Service: h.fleet.serviceOf(name), ID: name})
-		return customerLimit(limit), known
+		return limit.Bound(), known
 	})
 	return l
 }
 
-func customerLimit(l ratelimit.Limit) customer.Limit {
-	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
-}
-
 // join tells the table of all hosts, and schedules what a cut changes.
 func (l *limits) join() {
 	f := l.host.fleet
@@ -153,7 +149,7 @@
 	now := l.host.fleet.clock.Time()
 	switch l.way {
 	case LimitsByHome:
-		verdict, decided := l.table.Take(now, limit.Server.ID, customerLimit(limit), decide)
+		verdict, decided := l.table.Take(now, limit.Server.ID, limit.Bound(), decide)
 		l.flush()
 		if decided {
 			decide(verdict)
--- a/internal/availability/availability.go
+++ b/internal/availability/availability.go
@@ -139,16 +139,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	held, known := (*t.view.Load())[server.Key()]
+	held, current := t.held(server)
 	switch {
-	case known && held.Server.IsNewerThan(server):
+	case !current:
 		return Change{} // a late answer of a process that has ended
 	case saysNothing:
 		return t.noteReturn(now, held, server)
+	default:
+		return t.note(now, held, server, said)
+	}
+}
+
+// held returns what is held of a server's process, nothing if that is of an earlier one. It
+// reports false if a later process is known.
+func (t *Table) held(server process.Server) (State, bool) {
+	held, known := (*t.view.Load())[server.Key()]
+	switch {
+	case !known:
+		return State{}, true
 	case server.IsNewerThan(held.Server):
-		held = State{}
+		return State{Server: held.Server}, true
+	default:
+		return held, !held.Server.IsNewerThan(server)
 	}
-	return t.note(now, held, server, said)
 }
 
 // note adds a server's report to what is held of its process.
@@ -177,12 +190,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	held, known := (*t.view.Load())[server.Key()]
-	switch {
-	case known && held.Server.IsNewerThan(server):
+	held, current := t.held(server)
+	if !current {
 		return
-	case server.IsNewerThan(held.Server):
-		held = State{}
 	}
 	held.Server = server
 	if !now.Before(held.NoRoomUntil) {
--- a/internal/daemon/ratelimit.go
+++ b/internal/daemon/ratelimit.go
@@ -28,7 +28,7 @@
 	limits := func(name string) (customer.Limit, bool) {
 		key, _ := process.ParseKey(name) // of another version of the daemon, and then not known
 		limit, known := d.engine.Snapshot().RateLimits.Named(key)
-		return limitOf(limit), known
+		return limit.Bound(), known
 	}
 	return &rateLimiter{
 		limiter:  newLimiter(d, peerpb.Datagram_KIND_SERVER_QUOTA, life, quota.ServerRule(), limits),
@@ -36,10 +36,6 @@
 	}
 }
 
-func limitOf(l ratelimit.Limit) customer.Limit {
-	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
-}
-
 // Heard implements dispatch.RateLimits.
 func (r *rateLimiter) Heard(server process.Server, sentAt time.Time, said protocol.RateLimit) {
 	if said.Unreadable != "" && r.listener.FirstUnreadable(server) {
@@ -78,7 +74,7 @@
 
 // Take implements dispatch.RateLimits.
 func (r *rateLimiter) Take(ctx context.Context, limit ratelimit.Limit) (quota.Verdict, error) {
-	verdict, err := r.take(ctx, limit.Server.Key().String(), limitOf(limit))
+	verdict, err := r.take(ctx, limit.Server.Key().String(), limit.Bound())
 	if err == nil {
 		r.d.metrics.RateLimited(verdict.OK)
 	}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/process"
 )
 
@@ -57,6 +58,11 @@
 // Burst is how many requests may come at one moment.
 func (l Limit) Burst() float64 { return 1 + burstSeconds*l.Allowed() }
 
+// Bound is the limit as package quota keeps it.
+func (l Limit) Bound() customer.Limit {
+	return customer.Limit{PerSecond: l.Allowed(), Burst: l.Burst()}
+}
+
 // isAbout reports whether the limit's value is another one.
 func (l Limit) isAbout(perSecond float64) bool {
 	return math.Abs(l.PerSecond-perSecond) <= samePart*l.PerSecond
