e2e: the restart of all hosts counts reads whatever the machine's speed

Traced by a line at each change of reader: (1) hosts started one after the other over 3 to 5 s are each rightly a reader until a better one is there; (2) with probes of 80 ms hosts of a data centre are seen to come and go (3 to 6 of 6), and the next in order reads; (3) direct_after. All three are what hosts should do. The hosts that are to read are started first, probes and direct_after leave time for a busy machine; the bound, the hosts and the restart at one moment stay. The order has one name, placement.ReaderOrder.

--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,11 +13,53 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/operator"
+	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/settings"
+	"github.com/pearshelf/pearshelf/internal/system/placement"
 	"github.com/pearshelf/pearshelf/standin/fleet"
 )
 
 const shardKey = "services/" + fleet.Shard
 
+// withPatientHosts gives hosts a machine's time to start: probes that a busy machine answers late
+// would make hosts take others for dead and read in their place, and those that have waited for a
+// configuration since direct_after would ask for it by themselves, both as they should.
+func withPatientHosts(c *fleet.Config) {
+	before := c.Settings
+	c.Settings = func(i int, s *settings.Settings) {
+		before(i, s)
+		s.Timing.ProbeInterval = config.Duration(2 * time.Second)
+		s.Timing.ProbeTimeout = config.Duration(time.Second)
+		s.Platform.DirectAfter = config.Duration(time.Minute)
+	}
+}
+
+// readersFirst returns the numbers of a fleet's hosts in the order in which they are to read the
+// platform. Started in another order one after the other, as by a busy machine, each host that
+// comes before all others so far is rightly a reader until the next one is there.
+func readersFirst(f *fleet.Fleet) []int {
+	nodes := make(map[string][]rendezvous.Node)
+	numbers := make(map[string]int)
+	for i := range f.Hosts {
+		s := f.Settings(i)
+		nodes[s.DataCentre] = append(nodes[s.DataCentre], rendezvous.NewNode(s.Host, s.DataCentre))
+		numbers[s.Host] = i
+	}
+	orders := make([][]string, 0, len(nodes))
+	for _, dataCentre := range slices.Sorted(maps.Keys(nodes)) {
+		orders = append(orders, placement.ReaderOrder(nodes[dataCentre]))
+	}
+	var all []int
+	for rank := range len(f.Hosts) {
+		for _, order := range orders {
+			if rank < len(order) {
+				all = append(all, numbers[order[rank]])
+			}
+		}
+	}
+	return all
+}
+
 // recorded counts the events of a kind on a host.
 func recorded(f *fleet.Fleet, i int, n event.Number) int {
 	count := 0
@@ -111,12 +155,12 @@
 	})
 
 	It("is read by the readers only when all hosts restart at once", func() {
-		f := start(18, []config.Service{shop(2)})
+		f := start(18, []config.Service{shop(2)}, withPatientHosts)
 		for _, d := range f.Hosts {
 			d.Kill()
 		}
 		before := f.Platform.Calls()
-		for i := range f.Hosts {
+		for _, i := range readersFirst(f) {
 			Expect(f.StartAgain(i)).To(Succeed())
 		}
 		for _, d := range f.Hosts {
--- a/internal/system/placement/placement.go
+++ b/internal/system/placement/placement.go
@@ -31,7 +31,7 @@
 		return
 	}
 	nodes := eligible(w)
-	w.ReaderOrder = rendezvous.Top("platform-reader", nodes[w.Self.DataCentre], len(nodes[w.Self.DataCentre]))
+	w.ReaderOrder = ReaderOrder(nodes[w.Self.DataCentre])
 	w.Readers = w.ReaderOrder[:min(w.ActiveReaders, len(w.ReaderOrder))]
 	for _, svc := range w.Services {
 		place(svc, nodes)
@@ -39,6 +39,11 @@
 	w.HostsChanged = false
 }
 
+// ReaderOrder returns the hosts of a data centre, those that are to read the platform first.
+func ReaderOrder(hosts []rendezvous.Node) []string {
+	return rendezvous.Top("platform-reader", hosts, len(hosts))
+}
+
 func eligible(w *world.World) map[string][]rendezvous.Node {
 	nodes := make(map[string][]rendezvous.Node)
 	for _, name := range w.HostNames() {
