--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -115,10 +115,20 @@
 func (x *exchange) knownOf(lease *place) string {
 	moment := x.d.servers.Now()
 	reason, state := moment.Of(x.serverOf(lease))
-	if reason == availability.Available {
+	return describeKnown(reason, state, moment.Time())
+}
+
+// describeKnown names a reason, and how long ago the server gave it. One whose rate limit has no
+// room need have said nothing of that kind.
+func describeKnown(reason availability.Reason, state availability.State, now time.Time) string {
+	switch {
+	case reason == availability.Available:
 		return ""
+	case state.SaidAt.IsZero():
+		return reason.String()
+	default:
+		return fmt.Sprintf("%s:said-%s-ago", reason, now.Sub(state.SaidAt).Round(time.Millisecond))
 	}
-	return fmt.Sprintf("%s:said-%s-ago", reason, moment.Time().Sub(state.SaidAt).Round(time.Millisecond))
 }
 
 // isAvailable reports whether a server takes requests, as it reports itself.
--- a/internal/dispatch/serverstate_test.go
+++ b/internal/dispatch/serverstate_test.go
@@ -9,6 +9,9 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/availability"
 )
 
 // Every answer of a backend server must pass sendToServer, or what the server says of itself
@@ -107,3 +110,22 @@
 		return ""
 	}
 }
+
+// A server whose rate limit has no room has given no word at any time: none is told of it.
+func TestDescribeKnown(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	said := availability.State{SaidAt: now.Add(-20 * time.Millisecond)}
+	for want, row := range map[string]struct {
+		reason availability.Reason
+		state  availability.State
+	}{
+		"":                      {availability.Available, said},
+		"leaving:said-20ms-ago": {availability.Leaving, said},
+		"resting:said-20ms-ago": {availability.Resting, said},
+		"no-room":               {availability.NoRoom, availability.State{}},
+	} {
+		if got := describeKnown(row.reason, row.state, now); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
