--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -36,8 +36,8 @@
 	DocumentWait    = 150 * time.Millisecond
 	DocumentRecheck = 10 * time.Millisecond
 	// ChangeGap is the least time between two revisions of a document that a host fetches
-	// from others. Backend servers that start together make hundreds of revisions within
-	// two seconds, and each takes a host some 3 ms of a whole core at 720 servers.
+	// from others: backend servers that start together make hundreds of revisions within two
+	// seconds, each of which costs a host processor time by the number of servers.
 	ChangeGap = 200 * time.Millisecond
 	// OthersReadFor is for how long after its start a host that has heard of others with
 	// documents leaves it to them to ask the platform for one that nobody has yet; then
