A send that never left this host is no use of its server

Cause: a server counted as used from its pick on. Servers that are doubted get a request each 1.8 s at most, so that the connections kept there have rested; where idle connections are closed, or may not be used after 0.2 s of rest (requests that run once), the send broke before a byte left, the server counted as used, and the request went to another. Class: a thing counted as done when it was begun. Why the mend holds: Finish takes the use back where nothing left, so that the next pick, of the same request, finds the server as it was; a neighbour's send is taken back when it tells that it could not connect.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -30,10 +30,12 @@
 	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
 	cuttable   bool // one of those that a cut takes
+	// kept is when this host last sent to a server, by the server's ID: its connection there.
+	kept map[string]time.Duration
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
-	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f}
+	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration)}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.servers = availability.NewTable(f.clock.Time)
@@ -196,8 +198,24 @@
 	r.begin(placement)
 }
 
+// connects reports whether a send to a server leaves: its connection there has not been closed, or
+// is new.
+func (h *host) connects(server string) bool {
+	idle := h.fleet.pattern.Network.Idle
+	now := h.fleet.clock.Now
+	last, kept := h.kept[server]
+	h.kept[server] = now
+	isTime := now >= time.Duration(idle.From) && now < time.Duration(idle.From+idle.For)
+	return !kept || !isTime || now-last <= time.Duration(idle.After)
+}
+
 // begin sends the request, with a trial beside it and a look at whether it needs a copy.
 func (r *request) begin(placement *policy.Placement) {
+	if !r.host.connects(placement.Server.ID) {
+		r.finishUnsent(placement)
+		r.place()
+		return
+	}
 	first := r.send(placement)
 	if len(r.flights) == 1 {
 		r.trial(first)
@@ -217,7 +235,7 @@
 	default:
 		r.host.servers.NoteNoRoom(server, verdict.AskAgain)
 	}
-	r.host.table.Finish(r.host.fleet.clock.Time(), placement, policy.Done{Outcome: policy.Neutral})
+	r.finishUnsent(placement)
 	r.asks++
 	switch {
 	case r.over:
@@ -435,6 +453,10 @@
 	r.host.fleet.result.note(r, o)
 }
 
+func (r *request) finishUnsent(placement *policy.Placement) {
+	r.host.table.Finish(r.host.fleet.clock.Time(), placement, policy.Done{Outcome: policy.Neutral, Unsent: true})
+}
+
 func (r *request) finish(fl *flight, done policy.Done) {
 	r.host.table.Finish(r.host.fleet.clock.Time(), fl.placement, done)
 	r.host.tell()
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -44,11 +44,21 @@
 	Far  config.Duration `yaml:"far"`
 	// Loss is the share of messages between hosts that are lost.
 	Loss float64 `yaml:"loss"`
+	// Idle connections of hosts to servers break.
+	Idle Idle `yaml:"idle"`
 	// Cut hosts serve callers and reach servers, but neither hear of other hosts nor
 	// are heard.
 	Cut Cut `yaml:"cut"`
 }
 
+// Idle is a time in which connections that a host has not used for After are closed: what it
+// sends next there does not leave.
+type Idle struct {
+	From  config.Duration `yaml:"from"`
+	For   config.Duration `yaml:"for"`
+	After config.Duration `yaml:"after"`
+}
+
 // Cut is a time in which some hosts hear of no other.
 type Cut struct {
 	From  config.Duration `yaml:"from"`
--- a/experiment/replay/use_test.go
+++ b/experiment/replay/use_test.go
@@ -29,3 +29,23 @@
 		t.Errorf("the pattern shows nothing: without the mechanisms at worst %.2f are out of use", without.Worst)
 	}
 }
+
+// Servers that are rarely used are those to which kept connections are closed when the next request
+// comes. A send that did not leave counted as a use, so that a third and more of the servers that
+// nothing spoke against had no request for 2 s while a tenth of all requests failed.
+func TestSoundServersAreUsedOverClosedConnections(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("troubled-idle")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sum := newResult(pattern)
+	for seed := range uint64(seeds) {
+		sum.add(Run(pattern, Config{Seed: seed + 1}))
+	}
+	got, total := sum.Use["post"], sum.Total()
+	t.Logf("%d moments, at worst %.2f out of use, unserved %.3f", got.Moments, got.Worst, total.Unserved())
+	if got.Moments == 0 || got.Broken > 0 {
+		t.Errorf("at %d of %d moments over %.1f of the sound servers were out of use, at worst %.2f", got.Broken, got.Moments, mostUnused, got.Worst)
+	}
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -94,6 +94,7 @@
 func (x *exchange) failed(ctx context.Context, lease *place, failure *upstream.Failure) *Refusal {
 	typed := asTyped(failure.Unwrap())
 	lease.try.end(string(typed.Kind))
+	lease.done.Unsent = !failure.Written
 	if isCallerGone(ctx) {
 		x.written = x.written || failure.Written
 		x.giveUp(lease)
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -45,6 +45,7 @@
 func (x *exchange) noteTrial(lease *place, got fetched) {
 	lease.done.Took = time.Since(lease.try.began)
 	if got.failure != nil {
+		lease.done.Unsent = !got.failure.Written
 		x.noteFailedTrial(lease, asTyped(got.failure.Unwrap()).Kind, got.failure.Dialled)
 		return
 	}
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -173,6 +173,15 @@
 	return s.belief(now, svc) < inSpell
 }
 
+// takeBackUse undoes a use whose request did not reach the server, unless there was another since:
+// else a server to which kept connections break, or that some hosts cannot reach, is out of use
+// although it counts as used.
+func (s *server) takeBackUse(at, before time.Time) {
+	if s.lastSent.Equal(at) {
+		s.lastSent = before
+	}
+}
+
 // breadthGain is what a request gains by going to a server that has had none
 // for long, where too few servers are in use.
 func (s *server) breadthGain(now time.Time, svc *service, need breadth) float64 {
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -81,6 +81,9 @@
 	s.inFlight--
 	s.removePending(p.pending)
 	s.dirty = true
+	if done.Unsent {
+		s.takeBackUse(p.usedAt, p.usedBefore)
+	}
 	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
 	done.late = now.After(p.objectiveAt)
 	if done.TimedOut || done.Outcome == Abandoned {
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -126,6 +126,8 @@
 	pending *pending
 	// objectiveAt is when the request's latency objective is over.
 	objectiveAt time.Time
+	// usedAt is when the server counts as used by this request, usedBefore its use before.
+	usedAt, usedBefore time.Time
 }
 
 // Pick returns the server that costs least, or a typed error if all are full
@@ -225,6 +227,8 @@
 		pending: waiting,
 
 		objectiveAt: now.Add(req.objectiveLeft(now)),
+		usedAt:      now,
+		usedBefore:  s.lastSent,
 	}
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -132,8 +132,8 @@
 	if t.has(MechanismOutcomes) {
 		s.learnPeer(now, p.counts, next)
 	}
-	if near && (!known || next.requests+next.retries > p.counts.requests+p.counts.retries) {
-		s.lastSent = now // a host tells of a server when it has just used it
+	if near {
+		s.learnUse(now, p, next, !known)
 	}
 	p.counts = next
 	p.at = now
@@ -145,6 +145,20 @@
 	}
 }
 
+// learnUse takes that another host has sent to a server, which it tells at once, or that it found
+// the server out of its reach.
+func (s *server) learnUse(now time.Time, p *peerLoad, next counts, first bool) {
+	sends := next.requests + next.retries - p.counts.requests - p.counts.retries
+	unreached := next.unreachable - p.counts.unreachable
+	switch {
+	case first || sends > unreached:
+		p.usedAt, p.usedBefore = now, s.lastSent
+		s.lastSent = now
+	case unreached > 0:
+		s.takeBackUse(p.usedAt, p.usedBefore)
+	}
+}
+
 // learnWaiting takes what requests of another host wait at a server. How long the
 // oldest was expected to take is estimated from the load that is known here and
 // the usual time of the service: its route is not told.
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -48,6 +48,8 @@
 	// expected to take.
 	oldest   time.Time
 	expected time.Duration
+	// usedAt is when the server counts as used by its last send, usedBefore the use before.
+	usedAt, usedBefore time.Time
 }
 
 // server is one row of the table.
@@ -71,7 +73,8 @@
 	slowness float64
 	// failedAt is when a request last failed there, at any host.
 	failedAt time.Time
-	// lastSent is when a host of this data centre last sent a request there.
+	// lastSent is when a host of this data centre last sent a request there that it has not
+	// found unsent since.
 	lastSent time.Time
 	// slots are how many requests it works on at a time, 0 if unknown here.
 	slots int
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -67,6 +67,8 @@
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
 mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
 mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
+mutant "a send that never left" internal/policy/outcome.go 's/	if done.Unsent {/	if false {/' ./internal/policy -run NeverLeft
+mutant "a server out of a neighbour's reach" internal/policy/report.go 's/	case unreached > 0:/	case false:/' ./internal/policy -run Unreached
 mutant "errors after work" internal/policy/outcome.go 's/done.FirstByte > quickError(p)/false/' ./internal/policy
 mutant "broken idle connections" internal/policy/retries.go 's/if is.staleConnections > was.staleConnections {/if false {/' ./internal/policy
 mutant "bound of idle time" internal/upstream/idle.go 's/if maxIdle > 0 \&\& idle > maxIdle {/if false {/' ./internal/upstream
