A server that resets new connections is out of reach, and tried once

What callers saw: 503, connection broke, though another server would have served them. Cause: a connection that breaks before a byte is written was taken for a kept one that the server had closed, which says nothing of it; a new one that breaks at once does. The request went there until eight connections had broken. With uses taken back where nothing left, doubted servers would have drawn more of these. Why it holds: such a server counts as out of this host's reach for a while, and as tried by the request.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -103,8 +103,7 @@
 	if !failure.Written {
 		x.broken++
 		x.free = true // no server had any of it
-		// An idle connection that the server closed says nothing against it.
-		if !failure.Dialled && typed.Kind == errs.KindDialFailed {
+		if isOutOfReach(failure, typed.Kind) {
 			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
 			x.tried = append(x.tried, lease.Server.ID)
 		}
@@ -124,6 +123,15 @@
 	return unknown(typed)
 }
 
+// isOutOfReach reports whether no byte can be brought to a server: no connection could be had, or a
+// new one broke at once. A kept connection that the server closed says nothing against it.
+func isOutOfReach(failure *upstream.Failure, kind errs.Kind) bool {
+	if !failure.Dialled {
+		return kind == errs.KindDialFailed
+	}
+	return kind == errs.KindBroken && !failure.Reused
+}
+
 func (x *exchange) observe(lease *place, kind peerpb.Observation_Kind, firstByte time.Duration) {
 	lease.note(kind, firstByte)
 	x.d.observer.Observe(&peerpb.Observation{
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -67,6 +67,7 @@
 mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
 mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
 mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
+mutant "a server that closes at once" internal/dispatch/send.go 's/return kind == errs.KindBroken \&\& !failure.Reused/return false/' ./platform -run ClosesAtOnce -count=20
 mutant "a send that never left" internal/policy/outcome.go 's/	if done.Unsent {/	if false {/' ./internal/policy -run NeverLeft
 mutant "a server out of a neighbour's reach" internal/policy/report.go 's/	case unreached > 0:/	case false:/' ./internal/policy -run Unreached
 mutant "errors after work" internal/policy/outcome.go 's/done.FirstByte > quickError(p)/false/' ./internal/policy
