--- a/experiment/replay/use_test.go
+++ b/experiment/replay/use_test.go
@@ -6,12 +6,11 @@
 	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
-// While a tenth to a half of the requests are not served, few of the servers that nothing
-// speaks against are out of use, although the work runs once and each try of a doubted
-// server may lose it.
-func TestSoundServersAreUsedInTrouble(t *testing.T) {
-	t.Parallel()
-	pattern, err := Load("troubled")
+// expectUse plays a pattern, and returns it: the users' rule on servers in use must hold at each
+// moment for which it asks, and there must be such moments.
+func expectUse(t *testing.T, name string) *Pattern {
+	t.Helper()
+	pattern, err := Load(name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -19,11 +18,20 @@
 	for seed := range uint64(seeds) {
 		sum.add(Run(pattern, Config{Seed: seed + 1}))
 	}
-	got := sum.Use["post"]
-	t.Logf("%d moments, at worst %.2f out of use", got.Moments, got.Worst)
+	got, total := sum.Use["post"], sum.Total()
+	t.Logf("%d moments, at worst %.2f out of use, unserved %.3f", got.Moments, got.Worst, total.Unserved())
 	if got.Moments == 0 || got.Broken > 0 {
 		t.Errorf("at %d of %d moments over %.1f of the sound servers were out of use, at worst %.2f", got.Broken, got.Moments, mostUnused, got.Worst)
 	}
+	return pattern
+}
+
+// While a tenth to a half of the requests are not served, few of the servers that nothing
+// speaks against are out of use, although the work runs once and each try of a doubted
+// server may lose it.
+func TestSoundServersAreUsedInTrouble(t *testing.T) {
+	t.Parallel()
+	pattern := expectUse(t, "troubled")
 	without := Run(pattern, Config{Seed: 1, Without: []policy.Mechanism{policy.MechanismTrouble, policy.MechanismBreadth}}).Use["post"]
 	if without.Broken == 0 {
 		t.Errorf("the pattern shows nothing: without the mechanisms at worst %.2f are out of use", without.Worst)
@@ -35,17 +43,5 @@
 // nothing spoke against had no request for 2 s while a tenth of all requests failed.
 func TestSoundServersAreUsedOverClosedConnections(t *testing.T) {
 	t.Parallel()
-	pattern, err := Load("troubled-idle")
-	if err != nil {
-		t.Fatal(err)
-	}
-	sum := newResult(pattern)
-	for seed := range uint64(seeds) {
-		sum.add(Run(pattern, Config{Seed: seed + 1}))
-	}
-	got, total := sum.Use["post"], sum.Total()
-	t.Logf("%d moments, at worst %.2f out of use, unserved %.3f", got.Moments, got.Worst, total.Unserved())
-	if got.Moments == 0 || got.Broken > 0 {
-		t.Errorf("at %d of %d moments over %.1f of the sound servers were out of use, at worst %.2f", got.Broken, got.Moments, mostUnused, got.Worst)
-	}
+	expectUse(t, "troubled-idle")
 }
