--- a/experiment/replay/ratelimit_test.go
+++ b/experiment/replay/ratelimit_test.go
@@ -43,13 +43,9 @@
 
 func playLimits(t *testing.T, name string, way LimitWay) *Result {
 	t.Helper()
-	pattern, err := Load(name)
+	_, sum, err := sumSeeds(name, limitSeeds, Config{Limits: way})
 	if err != nil {
 		t.Fatal(err)
 	}
-	sum := newResult(pattern)
-	for seed := range uint64(limitSeeds) {
-		sum.add(Run(pattern, Config{Seed: seed + 1, Limits: way}))
-	}
 	return sum
 }
--- a/experiment/replay/replay_test.go
+++ b/experiment/replay/replay_test.go
@@ -48,14 +48,24 @@
 	return sum.all, sum.routes
 }
 
-func playSeeds(name string, count int, without []policy.Mechanism) (*summary, error) {
+// sumSeeds plays a pattern by the seeds from 1 on, and adds what they gave.
+func sumSeeds(name string, count int, conf Config) (*Pattern, *Result, error) {
 	pattern, err := Load(name)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	sum := newResult(pattern)
 	for seed := range uint64(count) {
-		sum.add(Run(pattern, Config{Seed: seed + 1, Without: without}))
+		conf.Seed = seed + 1
+		sum.add(Run(pattern, conf))
+	}
+	return pattern, sum, nil
+}
+
+func playSeeds(name string, count int, without []policy.Mechanism) (*summary, error) {
+	_, sum, err := sumSeeds(name, count, Config{Without: without})
+	if err != nil {
+		return nil, err
 	}
 	s := &summary{all: sum.Total(), routes: make(map[string]*RouteResult)}
 	for _, route := range sum.Routes {
--- a/experiment/replay/use_test.go
+++ b/experiment/replay/use_test.go
@@ -10,14 +10,10 @@
 // moment for which it asks, and there must be such moments.
 func expectUse(t *testing.T, name string) *Pattern {
 	t.Helper()
-	pattern, err := Load(name)
+	pattern, sum, err := sumSeeds(name, seeds, Config{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	sum := newResult(pattern)
-	for seed := range uint64(seeds) {
-		sum.add(Run(pattern, Config{Seed: seed + 1}))
-	}
 	got, total := sum.Use["post"], sum.Total()
 	t.Logf("%d moments, at worst %.2f out of use, unserved %.3f", got.Moments, got.Worst, total.Unserved())
 	if got.Moments == 0 || got.Broken > 0 {
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -173,12 +173,22 @@
 	return s.belief(now, svc) < inSpell
 }
 
+// serverUse is a use of a server, and when it had been used before.
+type serverUse struct{ at, before time.Time }
+
+// noteUse counts a send to a server as a use of it.
+func (s *server) noteUse(now time.Time) serverUse {
+	u := serverUse{at: now, before: s.lastSent}
+	s.lastSent = now
+	return u
+}
+
 // takeBackUse undoes a use whose request did not reach the server, unless there was another since:
 // else a server to which kept connections break, or that some hosts cannot reach, is out of use
 // although it counts as used.
-func (s *server) takeBackUse(at, before time.Time) {
-	if s.lastSent.Equal(at) {
-		s.lastSent = before
+func (s *server) takeBackUse(u serverUse) {
+	if s.lastSent.Equal(u.at) {
+		s.lastSent = u.before
 	}
 }
 
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -82,7 +82,7 @@
 	s.removePending(p.pending)
 	s.dirty = true
 	if done.Unsent {
-		s.takeBackUse(p.usedAt, p.usedBefore)
+		s.takeBackUse(p.use)
 	}
 	done.slowness = float64(done.FirstByte) / float64(p.pending.atUsual)
 	done.late = now.After(p.objectiveAt)
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -126,8 +126,7 @@
 	pending *pending
 	// objectiveAt is when the request's latency objective is over.
 	objectiveAt time.Time
-	// usedAt is when the server counts as used by this request, usedBefore its use before.
-	usedAt, usedBefore time.Time
+	use         serverUse // of the server by this request
 }
 
 // Pick returns the server that costs least, or a typed error if all are full
@@ -227,13 +226,11 @@
 		pending: waiting,
 
 		objectiveAt: now.Add(req.objectiveLeft(now)),
-		usedAt:      now,
-		usedBefore:  s.lastSent,
+		use:         s.noteUse(now),
 	}
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
 	s.dirty = true
-	s.lastSent = now
 	svc.noteSent(now, t.conf.Retry.Window, s, req)
 	return placement
 }
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -152,10 +152,9 @@
 	unreached := next.unreachable - p.counts.unreachable
 	switch {
 	case first || sends > unreached:
-		p.usedAt, p.usedBefore = now, s.lastSent
-		s.lastSent = now
+		p.use = s.noteUse(now)
 	case unreached > 0:
-		s.takeBackUse(p.usedAt, p.usedBefore)
+		s.takeBackUse(p.use)
 	}
 }
 
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -48,8 +48,7 @@
 	// expected to take.
 	oldest   time.Time
 	expected time.Duration
-	// usedAt is when the server counts as used by its last send, usedBefore the use before.
-	usedAt, usedBefore time.Time
+	use      serverUse // of the server by its last send
 }
 
 // server is one row of the table.
