e2e: calls to the platform are counted once the fleet's start is over

Cause, by a list of all calls of that play: the window began with 3 calls made; the readers' first watches (index and hosts, after=0) of the fleet's start were yet to come and were counted as calls of the publication. Ruled out: a call too many by a host (each of the 30 is a reader's first watch, its next one, or a shard read). Now: the stand-in tells how many watches wait; the spec publishes when those of two readers in each of three data centres do, and no other host's.

--- a/e2e/configuration_test.go
+++ b/e2e/configuration_test.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// expectReadersWait waits until the calls of the fleet's start are over: two readers in each of
+// three data centres wait for a change of the index and of the hosts, and no other host does.
+func expectReadersWait(f *fleet.Fleet) {
+	GinkgoHelper()
+	Eventually(f.Platform.Waiting, patience).Should(Equal(2 * 3 * 2))
+}
+
 // publishAndWait publishes the fleet's document and waits until the requests of every
 // host are served by it.
 func publishAndWait(f *fleet.Fleet) {
@@ -92,7 +99,8 @@
 
 var _ = Describe("the configuration", func() {
 	It("is in force on every host, with few calls to the platform", func() {
-		f := start(12, []config.Service{shop(3)})
+		f := start(12, []config.Service{shop(3)}, withPatientHosts)
+		expectReadersWait(f)
 		before := f.Platform.Calls()
 		revision, err := f.Publish()
 		Expect(err).NotTo(HaveOccurred())
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -37,6 +37,7 @@
 	changed  chan struct{}
 	down     bool
 	calls    uint64
+	waiting  int
 }
 
 // Start runs a stand-in on loopback.
@@ -150,6 +151,13 @@
 	return p.calls
 }
 
+// Waiting returns the number of watches that wait for a change now.
+func (p *Platform) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting
+}
+
 func (p *Platform) read(key string) (v value, ok bool, changed <-chan struct{}, down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -163,6 +171,27 @@
 	p.calls++
 }
 
+// wait lets a watch wait for a change; it returns false if the watch has ended before one.
+func (p *Platform) wait(w http.ResponseWriter, r *http.Request, changed <-chan struct{}, timeout <-chan time.Time) bool {
+	p.addWaiting(1)
+	defer p.addWaiting(-1)
+	select {
+	case <-changed:
+		return true
+	case <-timeout:
+		w.WriteHeader(http.StatusNotModified)
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (p *Platform) addWaiting(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting += n
+}
+
 func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
 	p.count()
 	key, ok := strings.CutPrefix(r.URL.Path, keysPath)
@@ -188,12 +217,7 @@
 			http.Error(w, "no such key", http.StatusNotFound)
 			return
 		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			w.WriteHeader(http.StatusNotModified)
-			return
-		case <-r.Context().Done():
+		if !p.wait(w, r, changed, timer.C) {
 			return
 		}
 	}
