Logs: servers that fall out of use, and why; pearshelf unused reads them

Sight for the rule on servers in use: a host writes a line when a server of its subset has had no request of its data centre for 2 s (why, belief, whether many requests are unserved or beyond limits), and one when it has had one again; 20 lines a second at most, none while a service has no requests. pearshelf unused joins them over hosts. lineLimit moves to logging.Limit, which both kinds use.

--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -35,6 +35,7 @@
 	Timeline  timeline       `cmd:"" help:"Events of all hosts in causal order."`
 	Explain   explainRequest `cmd:"" help:"What became of a request and why, from the logs of the hosts. Example: explain 9c41d07be2a35f68 logs/*.log"`
 	Account   accountLogs    `cmd:"" help:"Why requests were not served, summed over the logs of the hosts. Example: account --by service logs/*.log"`
+	Unused    unusedServers  `cmd:"" help:"Backend servers that got no requests, and why, from the logs of the hosts. Example: unused --service checkout --at 12:52:20 logs/*.log"`
 	KeyDigest keyDigest      `cmd:"" help:"Print the digest of a customer's key for key_digests; the key is read from standard input. Example: pearshelf key-digest < key.txt"`
 	Config    struct {
 		Check checkConfig `cmd:"" help:"Check a shard document before it is published."`
@@ -85,6 +86,18 @@
 	return app.Account(explain.Grouping(a.By), a.Logs, os.Stdin)
 }
 
+type unusedServers struct {
+	Service string        `help:"Only servers of this service."`
+	Least   time.Duration `help:"Only those that got none for so long." default:"2s"`
+	At      string        `help:"Only those that got none at this time of day, as in the logs: 15:04:05.000."`
+	Logs    []string      `arg:"" optional:"" help:"Logs of the hosts, each named after its host; standard input if none." type:"existingfile"`
+}
+
+// Run reads logs without a fleet.
+func (u *unusedServers) Run(app *operator.App) error {
+	return app.Unused(u.Service, u.Least, u.At, u.Logs, os.Stdin)
+}
+
 type keyDigest struct{}
 
 // Run prints the digest of a key without a fleet.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -106,6 +106,14 @@
 	t.notify()
 }
 
+// UseChanges returns the servers that have fallen out of use or are in use again since it was
+// last called.
+func (t *Table) UseChanges(view *world.ServiceView, req policy.Request) []policy.UseChange {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.UseChanges(t.clock(), view, req)
+}
+
 // RetryAfter is when a refused request should come back.
 func (t *Table) RetryAfter(service string) time.Duration {
 	t.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -317,6 +317,8 @@
 	if d.balance != nil {
 		reporter := &loadReporter{d: d, table: d.balance}
 		d.wg.Go(func() { reporter.run(d.ctx) })
+		uses := newUseLog(d)
+		d.wg.Go(func() { uses.run(d.ctx) })
 	}
 	d.serve(d.callerServer, d.listeners.caller)
 	if d.readyServer != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/logging"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
@@ -79,7 +80,7 @@
 	rateLimits RateLimits
 
 	requestLog requestLog
-	stateLines lineLimit
+	stateLines *logging.Limit
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -126,8 +127,8 @@
 		marks:      conf.Protocol,
 		servers:    parts.Availability,
 		rateLimits: parts.RateLimits,
-		stateLines: lineLimit{perSecond: stateLinesPerSecond},
-		requestLog: requestLog{limit: lineLimit{perSecond: linesPerSecond}},
+		stateLines: logging.NewLimit(stateLinesPerSecond),
+		requestLog: requestLog{limit: logging.NewLimit(linesPerSecond)},
 		services:   make(map[string]*serviceState),
 	}
 }
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -71,10 +71,10 @@
 }
 
 func (d *Dispatcher) recordState(number event.Number, server process.Server, detail string) {
-	if !d.stateLines.allows(time.Now()) {
+	if !d.stateLines.Allows(time.Now()) {
 		return
 	}
-	if missed := d.stateLines.missed.Swap(0); missed > 0 {
+	if missed := d.stateLines.TakeMissed(); missed > 0 {
 		klog.InfoS("events about what servers say of themselves were left out", "missed", missed)
 	}
 	d.events.Record(number, server.Service, server.ID, detail)
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/logging"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -115,32 +116,10 @@
 	return text.String()
 }
 
-// lineLimit bounds log lines of one kind. Those that are missed are counted and told with
-// the next line.
-type lineLimit struct {
-	perSecond int64
-	second    atomic.Int64
-	lines     atomic.Int64
-	missed    atomic.Int64
-}
-
-// allows reports whether one more line may be written now.
-func (l *lineLimit) allows(now time.Time) bool {
-	second := now.Unix()
-	if l.second.Swap(second) != second {
-		l.lines.Store(0)
-	}
-	if l.lines.Add(1) > l.perSecond {
-		l.missed.Add(1)
-		return false
-	}
-	return true
-}
-
 // requestLog bounds the lines about requests.
 type requestLog struct {
 	plain atomic.Uint64
-	limit lineLimit
+	limit *logging.Limit
 }
 
 // wants reports whether a request gets a line: all that failed, were refused,
@@ -149,7 +128,7 @@
 	if plain && l.plain.Add(1)%sampleOneIn != 0 {
 		return false
 	}
-	return l.limit.allows(now)
+	return l.limit.Allows(now)
 }
 
 // slowAfter is the time from which on a served request counts as slow.
@@ -202,5 +181,5 @@
 		"version", snap.Revisions[world.KeyPublished],
 		"servers", servers,
 		"tries", tries.String(),
-		"missed", d.requestLog.limit.missed.Swap(0))
+		"missed", d.requestLog.limit.TakeMissed())
 }
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/explain"
@@ -66,6 +67,41 @@
 	return t
 }
 
+// Unused prints which servers were out of use, and why, by the logs of the hosts: those of a
+// service, all if empty, for least or longer. at is a time of day as logs have it, empty for any.
+func (a *App) Unused(service string, least time.Duration, at string, files []string, stream io.Reader) error {
+	logs, err := readLogs(files, stream)
+	if err != nil {
+		return err
+	}
+	moment, err := logs.TimeOfDay(at)
+	if err != nil {
+		return err
+	}
+	return a.print(unusedTable(logs.Unused(service, least, moment)))
+}
+
+func unusedTable(unused explain.Unused) Table {
+	t := Table{
+		Columns: []string{"from", "for", "service", "backend", "hosts", "why"},
+		Summary: fmt.Sprintf("%d times that a server was out of use; hosts left out %d lines", len(unused.Spans), unused.Missed),
+	}
+	for _, span := range unused.Spans {
+		t.Rows = append(t.Rows, []string{
+			span.From.Format(timeOfDay),
+			span.Length(),
+			span.Service,
+			span.Server,
+			fmt.Sprintf("%d of %d", span.Hosts, span.Sharing),
+			span.Why(),
+		})
+	}
+	return t
+}
+
+// timeOfDay is how moments of a log are printed.
+const timeOfDay = "15:04:05.000"
+
 // explanation is a report as the tool prints it.
 func explanation(r explain.Report) Table {
 	t := Table{Columns: []string{"part", "what"}, Summary: "cause: " + r.Cause}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -75,6 +75,7 @@
 	// lastSent is when a host of this data centre last sent a request there that it has not
 	// found unsent since.
 	lastSent time.Time
+	watch    useWatch
 	// slots are how many requests it works on at a time, 0 if unknown here.
 	slots int
 	// coldUntil is until when a new server is slow.
@@ -219,7 +220,7 @@
 	if !again {
 		return
 	}
-	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent}
+	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent, watch: s.watch}
 	fresh.spell = spell{probability: stationary, at: now}
 	for _, peer := range s.peers {
 		peer.inFlight = 0
--- /dev/null
+++ b/internal/policy/unused_test.go
@@ -0,0 +1,97 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/protocol"
+)
+
+// expectUseChange looks once and expects that just one server has changed.
+func expectUseChange(t *testing.T, table *Table, now time.Time, req Request, want UseChange) {
+	t.Helper()
+	req.Service, req.DataCentre = "s", "dc1"
+	changes := table.UseChanges(now, view(3), req)
+	if len(changes) != 1 {
+		t.Fatalf("%d changes: %v, want one", len(changes), changes)
+	}
+	got := changes[0]
+	got.Belief, got.Idle = 0, 0
+	want.Service = "s"
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func expectNoUseChange(t *testing.T, table *Table, now time.Time) {
+	t.Helper()
+	if changes := table.UseChanges(now, view(3), Request{Service: "s", DataCentre: "dc1"}); len(changes) > 0 {
+		t.Errorf("changes: %v", changes)
+	}
+}
+
+// A server that gets no request for 2 s is told of once, with what speaks against it, and once
+// more when it gets one. The others go on being used.
+func TestServersOutOfUseAreTold(t *testing.T) {
+	good := Done{Outcome: Good, FirstByte: 100 * time.Millisecond}
+	cases := map[string]struct {
+		last Done // of the server that falls out of use
+		said map[string]protocol.ServerState
+		why  WhyUnused
+	}{
+		"believed to fail":    {last: Done{Outcome: Failed}, why: UnusedBelief},
+		"nothing against it":  {last: good, why: UnusedForNoReason},
+		"asked for rest":      {last: good, said: map[string]protocol.ServerState{"b0": {Rest: time.Minute}}, why: "resting"},
+		"says that it leaves": {last: good, said: map[string]protocol.ServerState{"b0": {Leaving: true}}, why: "leaving"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table, now := newTable()
+			v := view(3)
+			for _, id := range []string{"b0", "b1", "b2"} {
+				use(t, table, now, v, id, good)
+			}
+			use(t, table, now, v, "b0", c.last)
+			expectNoUseChange(t, table, now)
+			for range 3 {
+				now = now.Add(outOfUse / 3)
+				use(t, table, now, v, "b1", good)
+				use(t, table, now, v, "b2", good)
+			}
+			now = now.Add(time.Millisecond)
+			req := Request{Availability: said(now, c.said)}
+			expectUseChange(t, table, now, req, UseChange{Server: "b0", Why: c.why})
+			expectNoUseChange(t, table, now)
+			use(t, table, now, v, "b0", good)
+			expectUseChange(t, table, now, req, UseChange{Server: "b0", InUse: true})
+			expectNoUseChange(t, table, now)
+		})
+	}
+}
+
+// A service that has no requests has no server out of use.
+func TestNoServerIsOutOfUseWithoutRequests(t *testing.T) {
+	table, now := newTable()
+	v := view(3)
+	expectNoUseChange(t, table, now)
+	for _, id := range []string{"b0", "b1", "b2"} {
+		use(t, table, now, v, id, Done{Outcome: Good, FirstByte: 100 * time.Millisecond})
+	}
+	expectNoUseChange(t, table, now)
+	expectNoUseChange(t, table, now.Add(10*outOfUse))
+}
+
+// A server that has never had a request is out of use from when it was first looked at.
+func TestNewServerIsOutOfUseFromItsFirstSight(t *testing.T) {
+	table, now := newTable()
+	v := view(3)
+	good := Done{Outcome: Good, FirstByte: 100 * time.Millisecond}
+	use(t, table, now, v, "b1", good)
+	use(t, table, now, v, "b2", good)
+	table.row(now, key{"s", "b0"}, &v.Backends[0])
+	expectNoUseChange(t, table, now)
+	now = now.Add(outOfUse)
+	use(t, table, now, v, "b1", good)
+	use(t, table, now, v, "b2", good)
+	expectUseChange(t, table, now, Request{}, UseChange{Server: "b0", Why: UnusedForNoReason})
+}
