Replay: rate limits that fall and rise are held against what is named at each moment

The check took a server's limit as it was first named. It now sums what the server names over the window.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -290,7 +290,7 @@
 	f.clock.After(delay, func() {
 		if !fl.job.over {
 			f.said.arrived(f.clock.Now, fl.from.name, fl.server.id)
-			f.limits.arrived(f.clock.Now, fl.from.name, fl.server.id, fl.server.namesLimit())
+			f.limits.arrived(f.clock.Now, fl.from.name, fl.server)
 			fl.server.take(fl.job)
 		}
 	})
@@ -329,7 +329,7 @@
 	fl.from.servers.Learn(server, a.said)
 	fl.from.limits.hear(server, fl.sent, a.said.Limit)
 	f.said.answered(f.clock.Now, fl.from.name, fl.server.id, a.said)
-	f.limits.answered(f.clock.Now, fl.from.name, fl.server.id, a.said.Limit)
+	f.limits.answered(f.clock.Now, fl.from.name, fl.server, a.said.Limit)
 	if fl.letGo {
 		fl.letGo = false
 		r.finish(fl, policy.Done{Outcome: outcomeOf(result), FirstByte: took, Load: load})
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -251,12 +251,12 @@
 	limitSlack  = 5
 )
 
-// limitCheck holds what reaches a server against the limit that it names.
+// limitCheck holds what reaches a server against the limits that it names.
 type limitCheck struct {
-	perSecond float64
-	since     time.Duration
-	told      map[string]time.Duration // by host, when it first passed on an answer
-	fromTold  []time.Duration          // arrivals from hosts that it had told
+	server   *server
+	since    time.Duration
+	told     map[string]time.Duration // by host, when it first passed on an answer
+	fromTold []time.Duration          // arrivals from hosts that it had told
 	// arrivals counts requests of all hosts, from limitCounts on.
 	arrivals int
 	last     time.Duration
@@ -265,14 +265,14 @@
 // limitChecks are by server.
 type limitChecks map[string]*limitCheck
 
-func (c limitChecks) answered(now time.Duration, host, server string, said protocol.RateLimit) {
+func (c limitChecks) answered(now time.Duration, host string, server *server, said protocol.RateLimit) {
 	if !said.Named {
 		return
 	}
-	check, known := c[server]
+	check, known := c[server.id]
 	if !known {
-		check = &limitCheck{perSecond: said.PerSecond, since: now, told: make(map[string]time.Duration)}
-		c[server] = check
+		check = &limitCheck{server: server, since: now, told: make(map[string]time.Duration)}
+		c[server.id] = check
 	}
 	if _, told := check.told[host]; !told {
 		check.told[host] = now
@@ -280,11 +280,10 @@
 	check.last = now
 }
 
-// arrived takes a request that has come to a server. names is whether the server names a limit
-// at that moment.
-func (c limitChecks) arrived(now time.Duration, host, server string, names bool) {
-	check, known := c[server]
-	if !known || !names || now < check.since+limitCounts {
+// arrived takes a request that has come to a server.
+func (c limitChecks) arrived(now time.Duration, host string, server *server) {
+	check, known := c[server.id]
+	if !known || !server.namesLimit() || now < check.since+limitCounts {
 		return
 	}
 	check.arrivals++
@@ -293,6 +292,15 @@
 	}
 }
 
+// allowed is how many requests the rule allows in the window that ends at a time. The server had
+// named its limit for limitCounts then.
+func (c *limitCheck) allowed(to time.Duration) float64 {
+	from := to - limitWindow
+	beforeNamed := max(c.since-from, 0)
+	limit := c.server.limitAllows(from, to)
+	return limitExcess*limit*float64(limitWindow)/float64(limitWindow-beforeNamed) + limitSlack
+}
+
 // LimitUse is how rate limits of servers were kept.
 type LimitUse struct {
 	// Worst is the most requests of any server in any window, from hosts that it had told, by
@@ -305,16 +313,15 @@
 func (c limitChecks) use() LimitUse {
 	var use LimitUse
 	for _, check := range c {
-		allowed := limitExcess*check.perSecond*limitWindow.Seconds() + limitSlack
 		first := 0
 		for i, at := range check.fromTold {
 			for check.fromTold[first] < at-limitWindow {
 				first++
 			}
-			use.Worst = max(use.Worst, float64(i-first+1)/allowed)
+			use.Worst = max(use.Worst, float64(i-first+1)/check.allowed(at))
 		}
 		use.Sent += float64(check.arrivals)
-		use.Room += check.perSecond * max(check.last-check.since-limitCounts, 0).Seconds()
+		use.Room += check.server.limitAllows(check.since+limitCounts, check.last)
 	}
 	return use
 }
--- a/experiment/replay/ratelimit_test.go
+++ b/experiment/replay/ratelimit_test.go
@@ -8,7 +8,7 @@
 func TestRateLimitsAreKept(t *testing.T) {
 	t.Parallel()
 	const most = 0.8 // of what the rule allows
-	for _, name := range []string{"limit-some", "limit-third", "limit-all", "limit-all-cut", "limit-all-low"} {
+	for _, name := range []string{"limit-some", "limit-third", "limit-all", "limit-all-cut", "limit-all-low", "limit-falls"} {
 		pattern, err := Load(name)
 		if err != nil {
 			t.Fatal(err)
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -117,6 +117,20 @@
 	return slices.ContainsFunc(s.faults, func(f Fault) bool { return f.Kind == KindLimit && s.isNow(f) })
 }
 
+// limitAllows is how many requests the limits that the server names let through in a time, by the
+// value that is in force at each moment.
+func (s *server) limitAllows(from, to time.Duration) float64 {
+	var allowed float64
+	for _, f := range s.faults {
+		if f.Kind != KindLimit {
+			continue
+		}
+		begin, end := max(from, time.Duration(f.From)), min(to, time.Duration(f.From+f.For))
+		allowed += f.PerSecond * max(end-begin, 0).Seconds()
+	}
+	return allowed
+}
+
 // answer ends a request with what the server says of itself now.
 func (s *server) answer(j *job, result reply) {
 	j.over = true
