--- a/experiment/replay/bound.go
+++ b/experiment/replay/bound.go
@@ -80,9 +80,10 @@
 	if q.random.Float64() < r.route.OwnErrors && (!r.route.Idempotent || r.route.Attempts < 2) {
 		o = failed
 	}
-	s.running++
+	j := &job{route: r.route}
+	s.working = append(s.working, j)
 	q.fleet.clock.After(work, func() {
-		s.running--
+		s.leave(j)
 		q.fleet.result.note(r, o)
 		q.begin()
 	})
@@ -105,7 +106,7 @@
 
 func (q *centralQueue) free() *server {
 	for _, s := range q.servers {
-		if s.running < s.service.Slots && !s.inSpell && !s.faulty() {
+		if len(s.working) < s.service.Slots && !s.inSpell && !s.faulty() {
 			return s
 		}
 	}
--- /dev/null
+++ b/experiment/replay/guard.go
@@ -0,0 +1,163 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/content"
+	"github.com/pearshelf/pearshelf/internal/quarantine"
+)
+
+// guard is a host's side of the quarantine of requests that end servers.
+type guard struct {
+	host    *host
+	table   *quarantine.Table
+	view    *quarantine.View
+	off     bool // what the daemon's way is compared with
+	ticking bool
+}
+
+func newGuard(h *host, off bool) *guard {
+	return &guard{host: h, table: quarantine.NewTable(h.name), view: quarantine.NewView(nil), off: off}
+}
+
+func (g *guard) join() {
+	g.host.watchFleet(func(v fleetView) {
+		g.table.SetFleet(g.host.fleet.clock.Time(), quarantine.Fleet{Version: v.version, Homes: v.homes})
+		g.flush()
+	})
+}
+
+func (g *guard) setView(view *quarantine.View) {
+	g.view = view
+	g.table.SetView(view)
+}
+
+// refuses reports whether requests of a content are refused now.
+func (g *guard) refuses(id content.ID) bool {
+	held := g.view.Get(id)
+	if held == nil {
+		return false
+	}
+	now := g.host.fleet.clock.Time()
+	tries := !now.Before(held.Until) && g.table.Trial(now, held)
+	g.flush()
+	return !tries
+}
+
+// ended takes that a server has ended while it had a request.
+func (g *guard) ended(id content.ID, service, server string) {
+	if g.off {
+		return
+	}
+	now := g.host.fleet.clock.Time()
+	g.table.Ended(now, id, quarantine.End{Service: service, Server: server, At: now})
+	g.flush()
+}
+
+// served takes that a server has answered a request.
+func (g *guard) served(id content.ID) {
+	if g.table.Watches() || !g.view.Empty() {
+		g.table.Served(g.host.fleet.clock.Time(), id)
+		g.flush()
+	}
+}
+
+// flush sends what the table has to tell, carries out what it has decided, and sees to its next
+// tick.
+func (g *guard) flush() {
+	f := g.host.fleet
+	for _, m := range g.table.Messages() {
+		to := f.byName[m.To]
+		f.result.Messages++
+		if g.host.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
+			continue
+		}
+		datagram := &peerpb.Datagram{From: g.host.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants}
+		f.clock.After(f.delay(g.host.dataCentre, to.dataCentre), func() { to.guard.receive(datagram) })
+	}
+	for _, decision := range g.table.Decisions() {
+		g.carryOut(decision)
+	}
+	g.tick()
+}
+
+func (g *guard) receive(datagram *peerpb.Datagram) {
+	g.table.Receive(g.host.fleet.clock.Time(), datagram)
+	g.flush()
+}
+
+func (g *guard) carryOut(decision quarantine.Decision) {
+	if decision.Quarantine == nil {
+		g.host.registers.announce(quarantine.Lift(decision.Cleared))
+		return
+	}
+	if g.view.Supersedes(decision.Quarantine) {
+		return
+	}
+	r, err := decision.Quarantine.Register(g.host.fleet.clock.Time())
+	if err != nil {
+		panic(fmt.Sprint("a quarantine that cannot be encoded: ", err))
+	}
+	g.host.registers.announce(r)
+}
+
+// tick does what the time calls for, as long as it calls for something.
+func (g *guard) tick() {
+	due := g.table.Due()
+	if g.ticking || due.IsZero() {
+		return
+	}
+	g.ticking = true
+	f := g.host.fleet
+	f.clock.After(max(due.Sub(f.clock.Time()), time.Millisecond), func() {
+		g.ticking = false
+		g.table.Tick(f.clock.Time())
+		g.flush()
+	})
+}
+
+// contents is how many contents the requests of a route have that end no servers.
+const contents = 20
+
+// drawContent draws what a request of a route is, and whether it ends the servers that run it;
+// empty in patterns in which none does.
+func (f *fleet) drawContent(route *Route) (content string, deadly bool) {
+	if !f.pattern.endsServers() {
+		return "", false
+	}
+	ends := route.Ends
+	isTime := f.clock.Now >= time.Duration(ends.From) && f.clock.Now < time.Duration(ends.From+ends.For)
+	if isTime && f.random.Float64() < ends.Share {
+		return fmt.Sprint(route.Name, " ends ", f.random.IntN(ends.Contents)), true
+	}
+	return fmt.Sprint(route.Name, " ", f.random.IntN(contents)), false
+}
+
+func contentID(name string) content.ID { return content.Of(content.Request{Target: name}) }
+
+// EndedServers is what requests that end servers did.
+type EndedServers struct {
+	// Ends counts servers that ended, Most those that one content ended.
+	Ends, Most int
+	// Innocent counts requests of other contents that were refused for one that ends servers.
+	Innocent  int
+	byContent map[string]int
+}
+
+// ended counts a server that a content has ended.
+func (e *EndedServers) ended(content string) {
+	if e.byContent == nil {
+		e.byContent = make(map[string]int)
+	}
+	e.byContent[content]++
+	e.Ends++
+	e.Most = max(e.Most, e.byContent[content])
+}
+
+func (e *EndedServers) add(other EndedServers) {
+	e.Ends += other.Ends
+	e.Most = max(e.Most, other.Most)
+	e.Innocent += other.Innocent
+}
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -25,7 +25,9 @@
 	fleet      *fleet
 	table      *policy.Table
 	servers    *availability.Table
+	registers  *registers
 	limits     *limits
+	guard      *guard
 	sharing    *sharing.Fleet
 	views      map[string]*world.ServiceView // of this host: each has its own subsets
 	telling    bool
@@ -40,7 +42,9 @@
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
+	h.registers = newRegisters(h)
 	h.limits = newLimits(h, f.limitWay)
+	h.guard = newGuard(h, f.withoutQuarantine)
 	return h
 }
 
@@ -131,8 +135,10 @@
 	expiry  *simtime.Timer
 	over    bool
 	copies  int
-	returns int // how often the caller has come back
-	asks    int // how often a token was asked for that was not given
+	content string
+	deadly  bool // ends the servers that run it
+	returns int  // how often the caller has come back
+	asks    int  // how often a token was asked for that was not given
 }
 
 // flight is one send of a request.
@@ -151,9 +157,25 @@
 func (h *host) serve(route *Route) {
 	r := &request{host: h, route: route, asked: h.fleet.clock.Now}
 	r.expiry = h.fleet.clock.After(time.Duration(route.Timeout), r.expire)
+	r.content, r.deadly = h.fleet.drawContent(route)
+	if r.isQuarantined() {
+		r.end(refused)
+		return
+	}
 	r.place()
 }
 
+// isQuarantined reports whether the request is refused for having ended servers.
+func (r *request) isQuarantined() bool {
+	if r.content == "" || !r.host.guard.refuses(contentID(r.content)) {
+		return false
+	}
+	if !r.deadly {
+		r.host.fleet.result.Ended.Innocent++
+	}
+	return true
+}
+
 func (r *request) deadline() time.Duration { return r.asked + time.Duration(r.route.Timeout) }
 
 func (r *request) policyRequest() policy.Request {
@@ -282,6 +304,9 @@
 	f := r.host.fleet
 	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now, from: r.host}
 	fl.job = &job{route: r.route, deadline: r.deadline()}
+	if r.deadly {
+		fl.job.ended = func() { f.result.Ended.ended(r.content) }
+	}
 	delay := f.delay(r.host.dataCentre, fl.server.dataCentre)
 	fl.job.done = func(a answer) { f.clock.After(delay, func() { r.answered(fl, a) }) }
 	f.spent(r.route.Service).note(f.clock.Now, r.arrived > 0 || len(r.flights) > 0)
@@ -340,12 +365,25 @@
 		return // given up meanwhile
 	}
 	r.flights = slices.Delete(r.flights, i, i+1)
+	if result == replyUnreachable {
+		r.tried = append(r.tried, fl.server.id)
+		r.finish(fl, policy.Done{Outcome: policy.Unreachable, Unsent: true})
+		r.place()
+		return
+	}
 	r.arrived++
 	switch result {
 	case replyGood:
 		r.ran++
 		r.finish(fl, policy.Done{Outcome: policy.Good, FirstByte: took, Load: load})
+		r.host.guard.served(contentID(r.content))
 		r.end(served)
+	case replyBroken:
+		r.ran++
+		r.tried = append(r.tried, fl.server.id)
+		r.finish(fl, policy.Done{Outcome: policy.Failed, Took: took})
+		r.host.guard.ended(contentID(r.content), r.route.Service, fl.server.id)
+		r.again(failed)
 	case replyError:
 		r.ran++
 		r.tried = append(r.tried, fl.server.id)
@@ -380,7 +418,7 @@
 	}
 	mayRun := r.route.Idempotent || r.ran == 0
 	f := r.host.fleet
-	if !mayRun || r.ran >= r.attempts() || !r.host.table.AllowRetry(f.clock.Time(), r.route.Service, r.policyRequest().Fleet) {
+	if !mayRun || r.ran >= r.attempts() || r.isQuarantined() || !r.host.table.AllowRetry(f.clock.Time(), r.route.Service, r.policyRequest().Fleet) {
 		r.end(otherwise)
 		return
 	}
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"embed"
 	"os"
+	"slices"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -84,6 +85,8 @@
 	Queue int `yaml:"queue"`
 	// Rest is what a server asks for that refuses for lack of room.
 	Rest config.Duration `yaml:"rest"`
+	// Restart is how long a server is down that a request has ended.
+	Restart config.Duration `yaml:"restart"`
 	// Spells come to each server by itself.
 	Spells Spells `yaml:"spells"`
 	// Faults come to a share of the servers at a set time.
@@ -142,6 +145,16 @@
 	// Returns is how often a refused caller comes back, when it is told to and within
 	// its timeout; its objective counts from its first try.
 	Returns int `yaml:"returns"`
+	// Ends are those of its requests that end the servers which run them.
+	Ends Ends `yaml:"ends"`
+}
+
+// Ends are requests that end the servers which run them.
+type Ends struct {
+	From     config.Duration `yaml:"from"`
+	For      config.Duration `yaml:"for"`
+	Share    float64         `yaml:"share"`    // of the route's requests
+	Contents int             `yaml:"contents"` // how many different ones there are
 }
 
 // Work is the distribution of a request's work: log-normal, with a tail.
@@ -203,6 +216,9 @@
 		if !names[r.Service] {
 			return bad("route "+r.Name, "name a service of the pattern in `service`")
 		}
+		if r.Ends.Share > 0 && r.Ends.Contents < 1 {
+			return bad("route "+r.Name, "give `ends.contents` of 1 or more")
+		}
 		if r.Rate <= 0 || r.Work.Mean <= 0 || r.Timeout <= 0 || r.Objective <= 0 {
 			return bad("route "+r.Name, "give `rate`, `work.mean`, `objective` and `timeout` above 0")
 		}
@@ -226,6 +242,11 @@
 	}
 }
 
+// endsServers reports whether any request ends the servers that run it.
+func (p *Pattern) endsServers() bool {
+	return slices.ContainsFunc(p.Routes, func(r Route) bool { return r.Ends.Share > 0 })
+}
+
 // factor is what a route's rate is multiplied by at a time.
 func (p *Pattern) factor(route string, at time.Duration) float64 {
 	factor := 1.0
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -5,13 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quota"
 	"github.com/pearshelf/pearshelf/internal/ratelimit"
-	"github.com/pearshelf/pearshelf/internal/register"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -34,27 +32,19 @@
 const (
 	// holders is how many hosts use a server with LimitsByHolders.
 	holders = 4
-	// gossipFrom and gossipFor are when other hosts learn of a limit: gossip passes some
-	// hosts, each of which waits for its next datagram.
-	gossipFrom = 50 * time.Millisecond
-	gossipFor  = 500 * time.Millisecond
-	// cutNoticed is when hosts take others for dead that they do not hear.
-	cutNoticed = 3 * time.Second
 	// mostAsked bounds the servers that one request asks for a token.
 	mostAsked = 8
 )
 
 // limits is a host's side of the rate limits that servers name.
 type limits struct {
-	host      *host
-	way       LimitWay
-	listener  *ratelimit.Listener
-	registers *register.Store
-	view      *ratelimit.View
-	table     *quota.Table
-	parts     map[process.Key]*part
-	stamps    uint64
-	ticking   bool
+	host     *host
+	way      LimitWay
+	listener *ratelimit.Listener
+	view     *ratelimit.View
+	table    *quota.Table
+	parts    map[process.Key]*part
+	ticking  bool
 }
 
 // part is a host's own bucket of a limit, where no home holds it.
@@ -64,7 +54,7 @@
 }
 
 func newLimits(h *host, way LimitWay) *limits {
-	l := &limits{host: h, way: way, listener: ratelimit.NewListener(), registers: register.NewStore(), view: ratelimit.NewView(nil), parts: make(map[process.Key]*part)}
+	l := &limits{host: h, way: way, listener: ratelimit.NewListener(), view: ratelimit.NewView(nil), parts: make(map[process.Key]*part)}
 	l.table = quota.NewTable(h.name, quota.ServerRule(), func(name string) (customer.Limit, bool) {
 		limit, known := l.view.Named(process.Key{Service: h.fleet.serviceOf(name), ID: name})
 		return limit.Bound(), known
@@ -72,31 +62,13 @@
 	return l
 }
 
-// join tells the table of all hosts, and schedules what a cut changes.
+// join tells the table of all hosts, and of what a cut changes.
 func (l *limits) join() {
-	f := l.host.fleet
-	l.setFleet(1)
-	if cut := f.pattern.Network.Cut; cut.For > 0 {
-		f.clock.After(time.Duration(cut.From)+cutNoticed, func() { l.setFleet(2) })
-		f.clock.After(time.Duration(cut.From+cut.For)+gossipFor, func() {
-			l.setFleet(3)
-			l.spreadAll()
-		})
-	}
-}
-
-func (l *limits) setFleet(version uint64) {
-	f := l.host.fleet
-	fleet := quota.Fleet{Version: version, Size: len(f.hosts), Settled: true}
-	live := make(map[string]bool)
-	for _, other := range f.hosts {
-		if other == l.host || !other.isCut() && !l.host.isCut() {
-			live[other.name] = true
-			fleet.Homes = append(fleet.Homes, rendezvous.NewNode(other.name, ""))
-		}
-	}
-	fleet.Live = func(name string) bool { return live[name] }
-	l.table.SetFleet(f.clock.Time(), fleet)
+	l.host.watchFleet(func(v fleetView) {
+		fleet := quota.Fleet{Version: v.version, Size: len(l.host.fleet.hosts), Settled: true, Homes: v.homes}
+		fleet.Live = func(name string) bool { return v.live[name] }
+		l.table.SetFleet(l.host.fleet.clock.Time(), fleet)
+	})
 }
 
 // hear takes what an answer says of its server's limit.
@@ -113,35 +85,7 @@
 	if err != nil {
 		panic(fmt.Sprint("a report that cannot be encoded: ", err))
 	}
-	l.stamps++
-	r.Stamp = &peerpb.Stamp{Clock: uint64(f.clock.Now) + l.stamps, Host: l.host.name}
-	l.merge(r)
-	l.spread(r)
-}
-
-func (l *limits) merge(r *peerpb.Register) {
-	if l.registers.Merge(l.host.fleet.clock.Time(), r) {
-		l.view = ratelimit.ViewOf(l.registers)
-	}
-}
-
-// spread tells all other hosts, as gossip would.
-func (l *limits) spread(r *peerpb.Register) {
-	f := l.host.fleet
-	for _, other := range f.hosts {
-		delay := gossipFrom + time.Duration(f.random.Float64()*float64(gossipFor-gossipFrom))
-		f.clock.After(delay, func() {
-			if other != l.host && !l.host.isCut() && !other.isCut() {
-				other.limits.merge(r)
-			}
-		})
-	}
-}
-
-func (l *limits) spreadAll() {
-	for _, r := range l.registers.All(l.host.fleet.clock.Time()) {
-		l.spread(r)
-	}
+	l.host.registers.write(r)
 }
 
 // take asks for a token to send to a server; decide is called at once or later.
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -22,6 +22,8 @@
 	Sharing sharing.Rule
 	// Limits is how rate limits of servers are kept, LimitsByHome if empty.
 	Limits LimitWay
+	// WithoutQuarantine leaves out the quarantine of requests that end servers.
+	WithoutQuarantine bool
 }
 
 // fleet is all that takes part in a replay.
@@ -39,8 +41,9 @@
 	said    *saidCheck
 	limits  limitChecks
 	// limitWay is how hosts keep to servers' rate limits.
-	limitWay LimitWay
-	result   *Result
+	limitWay          LimitWay
+	withoutQuarantine bool
+	result            *Result
 }
 
 // Run plays a pattern once. The same pattern and configuration give the same result.
@@ -61,8 +64,9 @@
 		said:    &saidCheck{states: make(map[saidKey]*saidState)},
 		limits:  make(limitChecks),
 
-		limitWay: cmp.Or(conf.Limits, LimitsByHome),
-		result:   newResult(pattern),
+		limitWay:          cmp.Or(conf.Limits, LimitsByHome),
+		withoutQuarantine: conf.WithoutQuarantine,
+		result:            newResult(pattern),
 	}
 	f.addServers()
 	f.addHosts(conf)
@@ -137,6 +141,8 @@
 	for _, h := range f.hosts {
 		h.join()
 		h.limits.join()
+		h.guard.join()
+		h.registers.join()
 	}
 }
 
--- a/experiment/replay/report.go
+++ b/experiment/replay/report.go
@@ -68,6 +68,9 @@
 	if limits := c.Policy.Limits; limits.Room > 0 {
 		fmt.Fprintf(w, "rate limits of servers: at most %.2f of what the rule allows in 4 s; %.2f of the room was used\n", limits.Worst, limits.Sent/limits.Room)
 	}
+	if ended := c.Policy.Ended; ended.Ends > 0 {
+		fmt.Fprintf(w, "servers that requests ended: %d, at most %d by one content; %d requests of other contents were refused for it\n", ended.Ends, ended.Most, ended.Innocent)
+	}
 	_, err := fmt.Fprintf(w, "requests to a server over 2 s after it said that it leaves: %d; rests with more than two requests of a host: %d, at most %d\n",
 		c.Policy.AfterLeaving, c.Policy.OverRest, c.Policy.InRest)
 	return err
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -57,6 +57,8 @@
 	AfterLeaving, InRest, OverRest int
 	// Limits is how rate limits that servers named were kept.
 	Limits LimitUse
+	// Ended is what requests did that end the servers which run them.
+	Ended EndedServers
 	// Runs is how often each server was sent a request.
 	Runs    map[string]int
 	reasons map[string]int
@@ -128,6 +130,7 @@
 	}
 	r.Messages += other.Messages
 	r.Limits.add(other.Limits)
+	r.Ended.add(other.Ended)
 	r.AfterLeaving += other.AfterLeaving
 	r.OverRest += other.OverRest
 	r.InRest = max(r.InRest, other.InRest)
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -23,8 +23,13 @@
 	replyGood reply = iota
 	replyError
 	replyShed
+	replyBroken      // the server ended while it had the request
+	replyUnreachable // it had ended before the request came
 )
 
+// endsAfter is how long a request that ends servers has run by then.
+const endsAfter = 10 * time.Millisecond
+
 // answer is what a server sends back, and what it says of itself with it.
 type answer struct {
 	reply reply
@@ -39,6 +44,9 @@
 	done     func(answer)
 	end      *simtime.Timer
 	over     bool
+	// ended is called when the request has ended the server that ran it, nil for one that
+	// does not end servers.
+	ended func()
 }
 
 // server is a backend server with slots and a queue.
@@ -48,12 +56,14 @@
 	service    *Service
 	clock      *simtime.Clock
 	random     *rand.Rand
-	running    int
+	working    []*job
 	queue      []*job
 	inSpell    bool
 	// lastTaken is when a request last came, lastFailed when one last met trouble.
 	lastTaken, lastFailed time.Duration
 	faults                []Fault // those that come to this server
+	// downUntil is when the server has started again after it ended.
+	downUntil time.Duration
 }
 
 func newServer(service *Service, dataCentre, number int, c *simtime.Clock, random *rand.Rand) *server {
@@ -134,7 +144,7 @@
 // answer ends a request with what the server says of itself now.
 func (s *server) answer(j *job, result reply) {
 	j.over = true
-	a := answer{reply: result, said: protocol.ServerState{Load: &protocol.Load{Running: s.running, Waiting: len(s.queue)}}}
+	a := answer{reply: result, said: protocol.ServerState{Load: &protocol.Load{Running: len(s.working), Waiting: len(s.queue)}}}
 	if result == replyShed {
 		a.said.Rest = time.Duration(s.service.Rest)
 	}
@@ -153,9 +163,15 @@
 
 // take begins a request, queues it or sheds it.
 func (s *server) take(j *job) {
+	if s.clock.Now < s.downUntil {
+		s.lastFailed = s.clock.Now
+		j.over = true
+		j.done(answer{reply: replyUnreachable})
+		return
+	}
 	s.lastTaken = s.clock.Now
 	switch {
-	case s.running < s.service.Slots:
+	case len(s.working) < s.service.Slots:
 		s.begin(j)
 	case len(s.queue) < s.service.Queue:
 		s.queue = append(s.queue, j)
@@ -175,7 +191,14 @@
 		s.next()
 		return
 	}
-	s.running++
+	s.working = append(s.working, j)
+	if j.ended != nil {
+		j.end = s.clock.After(min(endsAfter, left), func() {
+			s.endProcess()
+			j.ended()
+		})
+		return
+	}
 	result := replyGood
 	work := time.Duration(factor * float64(draw(j.route.Work, s.random)))
 	switch {
@@ -193,13 +216,34 @@
 }
 
 func (s *server) finish(j *job, result reply) {
-	s.running--
+	s.leave(j)
 	s.answer(j, result)
 	s.next()
 }
 
+// leave takes a request from those that the server works on.
+func (s *server) leave(j *job) {
+	i := slices.Index(s.working, j)
+	s.working = slices.Delete(s.working, i, i+1)
+}
+
+// endProcess ends the server with all requests that it has.
+func (s *server) endProcess() {
+	s.lastFailed = s.clock.Now
+	s.downUntil = s.clock.Now + time.Duration(s.service.Restart)
+	jobs := slices.Concat(s.working, s.queue)
+	s.working, s.queue = nil, nil
+	for _, j := range jobs {
+		j.over = true
+		if j.end != nil {
+			j.end.Stop()
+		}
+		j.done(answer{reply: replyBroken})
+	}
+}
+
 func (s *server) next() {
-	for s.running < s.service.Slots && len(s.queue) > 0 {
+	for len(s.working) < s.service.Slots && len(s.queue) > 0 {
 		j := s.queue[0]
 		s.queue = s.queue[1:]
 		s.begin(j)
@@ -220,7 +264,7 @@
 		return // still on its way here
 	}
 	j.end.Stop()
-	s.running--
+	s.leave(j)
 	s.next()
 }
 
