A request beside those that end servers is cleared by an answer at any host

Cause: the homes of a content hear of its answers only from hosts that have seen a server end under it, 3 or 4 of 40; answers in between at the others were not known. Class: evidence for is gathered over all hosts, evidence against from few. Now each host remembers for 10 s what it passed on answers to (bounded; bodies up to 8 KiB), and tells the homes of an answer that refutes a new quarantine; where it remembers one from before the ends it may try the content once, at once: the request waits 50 ms at most for the home's grant. What was never answered is not tried early.

--- a/experiment/replay/guard.go
+++ b/experiment/replay/guard.go
@@ -31,19 +31,20 @@
 
 func (g *guard) setView(view *quarantine.View) {
 	g.view = view
-	g.table.SetView(view)
+	g.table.SetView(g.host.fleet.clock.Time(), view)
+	g.flush()
 }
 
-// refuses reports whether requests of a content are refused now.
-func (g *guard) refuses(id content.ID) bool {
+// refuses reports whether requests of a content are refused now; asked is set if the host has asked
+// to try this one.
+func (g *guard) refuses(id content.ID) (refused, asked bool) {
 	held := g.view.Get(id)
 	if held == nil {
-		return false
+		return false, false
 	}
-	now := g.host.fleet.clock.Time()
-	tries := !now.Before(held.Until) && g.table.Trial(now, held)
+	tries, asked := g.table.Trial(g.host.fleet.clock.Time(), held)
 	g.flush()
-	return !tries
+	return !tries, asked
 }
 
 // ended takes that a server has ended while it had a request.
@@ -58,10 +59,8 @@
 
 // served takes that a server has answered a request.
 func (g *guard) served(id content.ID) {
-	if g.table.Watches() || !g.view.Empty() {
-		g.table.Served(g.host.fleet.clock.Time(), id)
-		g.flush()
-	}
+	g.table.Served(g.host.fleet.clock.Time(), id)
+	g.flush()
 }
 
 // flush sends what the table has to tell, carries out what it has decided, and sees to its next
@@ -118,6 +117,9 @@
 	})
 }
 
+// grantWait is how long a request waits to be granted a trial, as in the daemon.
+const grantWait = 50 * time.Millisecond
+
 // contents is how many contents the requests of a route have that end no servers.
 const contents = 20
 
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -158,22 +158,52 @@
 	r := &request{host: h, route: route, asked: h.fleet.clock.Now}
 	r.expiry = h.fleet.clock.After(time.Duration(route.Timeout), r.expire)
 	r.content, r.deadly = h.fleet.drawContent(route)
-	if r.isQuarantined() {
-		r.end(refused)
+	r.enter()
+}
+
+// enter places the request, or refuses it for having ended servers.
+func (r *request) enter() {
+	refuses, asked := r.quarantined()
+	switch {
+	case !refuses:
+		r.place()
+	case asked:
+		r.host.fleet.clock.After(grantWait, r.enterAgain)
+	default:
+		r.endQuarantined()
+	}
+}
+
+// enterAgain is enter for a request that has waited to be granted a trial.
+func (r *request) enterAgain() {
+	if r.over {
+		return
+	}
+	if refuses, _ := r.quarantined(); refuses {
+		r.endQuarantined()
 		return
 	}
 	r.place()
 }
 
-// isQuarantined reports whether the request is refused for having ended servers.
-func (r *request) isQuarantined() bool {
-	if r.content == "" || !r.host.guard.refuses(contentID(r.content)) {
-		return false
+func (r *request) quarantined() (refused, asked bool) {
+	if r.content == "" {
+		return false, false
 	}
+	return r.host.guard.refuses(contentID(r.content))
+}
+
+// isQuarantined reports whether the request is not sent again, for having ended servers.
+func (r *request) isQuarantined() bool {
+	refused, _ := r.quarantined()
+	return refused
+}
+
+func (r *request) endQuarantined() {
 	if !r.deadly {
 		r.host.fleet.result.Ended.Innocent++
 	}
-	return true
+	r.end(refused)
 }
 
 func (r *request) deadline() time.Duration { return r.asked + time.Duration(r.route.Timeout) }
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -27,10 +27,15 @@
 	snapshot *world.Snapshot // the one that the table knows
 	timer    *time.Timer
 	timerFor time.Time // when the timer is due
+	granted  chan struct{}
 }
 
+// grantWait is how long a request waits to be granted a trial: some round trips between data
+// centres.
+const grantWait = 50 * time.Millisecond
+
 func newContentGuard(d *Daemon) *contentGuard {
-	return &contentGuard{d: d, table: quarantine.NewTable(d.settings.Host)}
+	return &contentGuard{d: d, table: quarantine.NewTable(d.settings.Host), granted: make(chan struct{})}
 }
 
 // Active implements dispatch.Quarantine.
@@ -55,19 +60,45 @@
 	return nil, onTrial
 }
 
-// tries reports whether a request may be sent to see whether it still ends servers.
+// tries reports whether a request may be sent to see whether it still ends servers. It waits for
+// the answer of the content's first home, if it has asked that: the next request of the content may
+// come to this host much later.
 func (q *contentGuard) tries(held *quarantine.Quarantine) bool {
-	if time.Now().Before(held.Until) {
-		return false
+	granted := q.nextGrant()
+	tried, asked := q.trial(held)
+	if asked {
+		select {
+		case <-granted:
+		case <-time.After(grantWait):
+		}
+		tried, _ = q.trial(held)
 	}
-	tried := false
-	q.do(func(now time.Time) { tried = q.table.Trial(now, held) })
 	if tried {
 		klog.InfoS("content tried", "content", held.Content.Label(), "scope", held.Scope, "service", held.Service, "trials", held.Trials, "host", q.d.settings.Host)
 	}
 	return tried
 }
 
+func (q *contentGuard) trial(held *quarantine.Quarantine) (tried, asked bool) {
+	q.do(func(now time.Time) { tried, asked = q.table.Trial(now, held) })
+	return tried, asked
+}
+
+// nextGrant is closed when another host next grants a trial to this one.
+func (q *contentGuard) nextGrant() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.granted
+}
+
+// noteGrant wakes those that wait for a grant.
+func (q *contentGuard) noteGrant() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	close(q.granted)
+	q.granted = make(chan struct{})
+}
+
 // Ended implements dispatch.Quarantine.
 func (q *contentGuard) Ended(subject quarantine.Subject, service, server string) {
 	q.d.metrics.ServerEnded(service)
@@ -90,6 +121,9 @@
 // receive takes what another host tells.
 func (q *contentGuard) receive(datagram *peerpb.Datagram) {
 	q.do(func(now time.Time) { q.table.Receive(now, datagram) })
+	if len(datagram.TrialGrants) > 0 {
+		q.noteGrant()
+	}
 }
 
 func (q *contentGuard) tick() {
@@ -105,7 +139,7 @@
 	snap := q.d.engine.Snapshot()
 	if snap != q.snapshot {
 		q.snapshot = snap
-		q.table.SetView(snap.Quarantine)
+		q.table.SetView(now, snap.Quarantine)
 		q.table.SetFleet(now, quarantine.Fleet{Version: snap.HostsVersion, Homes: snap.Homes})
 	}
 	work(now)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,7 +51,7 @@
 // Quarantine knows which requests end servers, over all hosts.
 type Quarantine interface {
 	// Active reports whether any content is in quarantine or under suspicion here. As long
-	// as none is, requests need not be identified.
+	// as none is, requests need not be checked.
 	Active() bool
 	// Check returns the quarantine for which a request is refused now, nil if it may be
 	// sent. onTrial is set if it may be sent once, to one server.
--- a/internal/dispatch/ended.go
+++ b/internal/dispatch/ended.go
@@ -127,10 +127,17 @@
 	return x.inRotation(lease.Server) && x.d.snapshot().Fresh(time.Now(), boottime.Suspended())
 }
 
-// noteServed clears the request of having ended servers, where anything is suspected: what
-// ends servers never gets a whole answer.
+// maxNotedBody bounds the bodies, in bytes, whose digest is worth noting that the request was
+// answered while no content is suspected.
+const maxNotedBody = 8 << 10
+
+// noteServed clears the request of having ended servers: what ends servers never gets a whole
+// answer.
 func (x *exchange) noteServed(status int) {
-	if status < http.StatusInternalServerError && x.d.quarantine.Active() {
+	if status >= http.StatusInternalServerError {
+		return
+	}
+	if len(x.req.body.kept) <= maxNotedBody || x.d.quarantine.Active() {
 		x.d.quarantine.Served(x.req.subject())
 	}
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -74,7 +74,7 @@
 				}
 			}
 		}
-		h.table.SetView(ViewOf(h.store))
+		h.table.SetView(f.now, ViewOf(h.store))
 		h.table.SetFleet(f.now, Fleet{Version: f.version, Homes: homes})
 	}
 	f.deliver()
@@ -124,7 +124,7 @@
 	for _, h := range f.hosts {
 		if h.side == from.side {
 			h.store.Merge(f.now, r)
-			h.table.SetView(ViewOf(h.store))
+			h.table.SetView(f.now, ViewOf(h.store))
 		}
 	}
 }
@@ -166,8 +166,10 @@
 func (f *fleet) triedBy(id content.ID) []string {
 	var by []string
 	for _, h := range f.hosts {
-		if q := h.table.view.Get(id); q != nil && h.table.Trial(f.now, q) {
-			by = append(by, h.name)
+		if q := h.table.view.Get(id); q != nil {
+			if tries, _ := h.table.Trial(f.now, q); tries {
+				by = append(by, h.name)
+			}
 		}
 	}
 	return by
--- a/internal/quarantine/innocent_test.go
+++ b/internal/quarantine/innocent_test.go
@@ -113,7 +113,11 @@
 func (s *simulation) send(r flight) {
 	table := s.f.hosts[r.host].table
 	for _, id := range (Subject{Content: r.id, Caller: r.caller}).IDs() {
-		if q := table.view.Get(id); q != nil && (s.f.now.Before(q.Until) || !table.Trial(s.f.now, q)) {
+		q := table.view.Get(id)
+		if q == nil {
+			continue
+		}
+		if tries, _ := table.Trial(s.f.now, q); !tries {
 			s.refuse(r)
 			return
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,8 +12,11 @@
 //
 // Requests that merely were at the same servers are told apart by their answers: a whole
 // answer to a content clears it, because what ends servers never gets one. Without that a
-// popular read is refused as soon as three servers end by themselves. A hold ends by itself:
-// then one host at a time sends the content once, by a grant of its first home.
+// popular read is refused as soon as three servers end by themselves. Each host remembers for
+// some seconds what it has passed on answers to, because homes hear of answers only from hosts
+// that have seen a server end. A hold ends by itself: then one host at a time sends the content
+// once, by a grant of its first home; at once where a host remembers an answer from before the
+// ends.
 //
 // The package is pure: time is passed in, messages and decisions are handed out, nothing
 // runs by itself.
@@ -30,8 +33,8 @@
 )
 
 const (
-	// servers that must have ended while they had a content. With two, a request that is repeated once beside a server's own end
-	// and the next would be refused.
+	// serversEnded is how many servers must have ended while they had a content. With two, a
+	// request that is repeated once beside a server's own end and the next would be refused.
 	serversEnded = 3
 	// callerEnded is the same for all requests of a caller on a route: one whose requests
 	// differ each time is found by it. Twice as many, because a caller has several requests
@@ -68,6 +71,8 @@
 	trialFor = 2 * time.Hour
 	// trialPause is when another trial may begin if one told nothing.
 	trialPause = 10 * time.Second
+	// liftAgain is when a host decides once more that a quarantine ends, if it is still held.
+	liftAgain = time.Second
 	// maxSuspects bounds the contents that a host has evidence of, some 400 bytes each.
 	// When full the oldest goes: a content that comes again is found by its next ends.
 	maxSuspects = 4096
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -73,7 +73,18 @@
 		t.cleared[id] = now
 		t.due.Add(now.Add(knownFor))
 	}
-	if t.view.Get(id) != nil {
-		t.decisions = append(t.decisions, Decision{Cleared: id})
+	t.lift(now, id)
+}
+
+// lift ends the quarantine of a content, once: many hosts may tell of answers before all know.
+func (t *Table) lift(now time.Time, id content.ID) {
+	if t.view.Get(id) == nil {
+		return
+	}
+	if at, decided := t.lifted[id]; decided && now.Sub(at) < liftAgain {
+		return
 	}
+	t.lifted[id] = now
+	t.due.Add(now.Add(liftAgain))
+	t.decisions = append(t.decisions, Decision{Cleared: id})
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -27,12 +28,15 @@
 	// cleared is when contents were last answered that had been suspects; older ends of
 	// them do not count.
 	cleared map[content.ID]time.Time
+	answers *answers
 	due     wakeup.Next
 	// trials are when this host, as first home, last let a content be tried; asked when it
 	// last asked another one, and granted until when it may send a content itself.
 	trials  map[content.ID]time.Time
 	asked   map[content.ID]time.Time
 	granted map[content.ID]time.Time
+	// lifted is when this host last decided that a quarantine ends.
+	lifted map[content.ID]time.Time
 
 	out       []Message
 	decisions []Decision
@@ -48,9 +52,11 @@
 		fleet:    Fleet{Homes: []rendezvous.Node{rendezvous.NewNode(self, "")}},
 		suspects: make(map[content.ID]*suspect),
 		cleared:  make(map[content.ID]time.Time),
+		answers:  newAnswers(),
 		trials:   make(map[content.ID]time.Time),
 		asked:    make(map[content.ID]time.Time),
 		granted:  make(map[content.ID]time.Time),
+		lifted:   make(map[content.ID]time.Time),
 	}
 }
 
@@ -67,11 +73,29 @@
 	}
 }
 
-// SetView tells of the contents in quarantine, and of those that were lifted.
-func (t *Table) SetView(view *View) { t.view = view }
+// SetView tells of the contents in quarantine, and of those that were lifted. Of one that this host
+// has seen answered meanwhile it tells the homes: they have decided by what hosts told that lost the
+// content to servers' ends, and hear of answers from these hosts only.
+func (t *Table) SetView(now time.Time, view *View) {
+	before := t.view
+	t.view = view
+	for _, q := range view.All() {
+		if before.Get(q.Content) == nil && q.Trials == 0 && t.answers.refute(q) {
+			t.refuted(now, q.Content)
+		}
+	}
+}
 
-// Watches reports whether this host has evidence of any content: only then must it be told
-// of answers.
+// refuted takes that an answer by way of this host clears a content. Only homes lift the
+// quarantine: all hosts may have had such an answer.
+func (t *Table) refuted(now time.Time, id content.ID) {
+	t.tellServed(id)
+	if slices.Contains(t.homesOf(id), t.self) {
+		t.clear(now, id)
+	}
+}
+
+// Watches reports whether this host has evidence of any content.
 func (t *Table) Watches() bool { return len(t.suspects) > 0 }
 
 // Ended takes what this host has seen itself.
@@ -87,15 +111,21 @@
 
 // Served takes that a server has answered a request of a content whole.
 func (t *Table) Served(now time.Time, id content.ID) {
+	t.answers.note(now, id)
 	if t.suspects[id] == nil && t.view.Get(id) == nil {
 		return
 	}
+	t.tellServed(id)
+	t.clear(now, id)
+}
+
+// tellServed tells the homes of a content that it was answered.
+func (t *Table) tellServed(id content.ID) {
 	for _, home := range t.homesOf(id) {
 		if home != t.self {
 			t.out = append(t.out, Message{To: home, Served: [][]byte{id[:]}})
 		}
 	}
-	t.clear(now, id)
 }
 
 // Receive takes what another host tells.
@@ -156,6 +186,7 @@
 	forgetBefore(t.trials, now.Add(-trialPause))
 	forgetBefore(t.asked, now.Add(-askAgain))
 	forgetBefore(t.granted, now)
+	forgetBefore(t.lifted, now.Add(-liftAgain))
 }
 
 // forgetBefore drops what is older.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -267,11 +267,11 @@
 		}
 	}
 	q := at.table.view.Get(bad)
-	if at.table.Trial(f.now, q) {
+	if tries, _ := at.table.Trial(f.now, q); tries {
 		t.Fatal("it was tried without a grant")
 	}
 	f.deliver()
-	if !at.table.Trial(f.now, q) {
+	if tries, _ := at.table.Trial(f.now, q); !tries {
 		t.Fatal("no grant came")
 	}
 	if tried := f.triedBy(bad); len(tried) != 0 {
@@ -401,7 +401,7 @@
 	lift := Lift(bad)
 	lift.Stamp = &peerpb.Stamp{Clock: uint64(hlc.FromTime(f.now.Add(100 * time.Millisecond))), Host: "h1"}
 	store.Merge(f.now, lift)
-	second.SetView(ViewOf(store))
+	second.SetView(f.now, ViewOf(store))
 	second.Tick(f.now.Add(time.Second))
 	if decisions := second.Decisions(); len(decisions) != 0 {
 		t.Errorf("%d decisions after the lift", len(decisions))
