--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -398,4 +398,3 @@
 	r.host.table.Finish(r.host.fleet.clock.Time(), fl.placement, done)
 	r.host.tell()
 }
-
