--- a/experiment/replay/replay_test.go
+++ b/experiment/replay/replay_test.go
@@ -187,8 +187,7 @@
 	everyone := sharing.Rule{Hosts: pattern.Hosts, Servers: 1}
 	subsets, all := Run(pattern, Config{Seed: 1}), Run(pattern, Config{Seed: 1, Sharing: everyone})
 	got, before := subsets.Total(), all.Total()
-	// One seed of this pattern differs from the next by a tenth of what is unserved; over
-	// six, subsets have 0.0241 unserved and sharing with everyone 0.0250.
+	// What is unserved differs by a tenth from one seed of this pattern to the next.
 	if got.Goodput() < before.Goodput()-0.005 || got.Unserved() > 1.2*before.Unserved() {
 		t.Errorf("goodput %.4f and %.4f unserved, with everyone %.4f and %.4f", got.Goodput(), got.Unserved(), before.Goodput(), before.Unserved())
 	}
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -24,7 +24,7 @@
 }
 
 // A request that may have run at one owner host is not told as not run because
-// the next one refused it. Found by soak seed 1.
+// the next one refused it.
 func TestRefusalAfterAnOwnerBrokeOff(t *testing.T) {
 	x := &exchange{req: &Request{ID: "r1", Idempotent: true}, w: httptest.NewRecorder(), written: true}
 	done, err := x.relay(context.Background(), world.OwnerView{Host: "h2"}, refusedByOwner("r1"))
--- a/internal/policy/breadth_test.go
+++ b/internal/policy/breadth_test.go
@@ -9,8 +9,7 @@
 )
 
 // In a time of trouble nearly all servers without a failure in the last second
-// are in use within the users' 2 s, also such as are believed to fail. Found by a
-// hunt on swanreach-tix-grown: scale-1, seed 399772632348.
+// are in use within the users' 2 s, also such as are believed to fail.
 func TestTroubleUsesAllServers(t *testing.T) {
 	const servers = 20
 	table, now := newTable()
--- a/internal/quarantine/innocent_test.go
+++ b/internal/quarantine/innocent_test.go
@@ -204,9 +204,8 @@
 	}
 }
 
-// Requests that did nothing wrong are served: without the answers that clear them 1,905 of
-// the 9,736 of the second load are refused, all of them popular reads. The figures are sums
-// of four seeds.
+// Requests that did nothing wrong are served: popular reads by the answers that clear them. The
+// bounds are for sums of four seeds.
 func TestRequestsThatDidNothingWrong(t *testing.T) {
 	loads := []struct {
 		name string
--- a/internal/system/rotation/rotation.go
+++ b/internal/system/rotation/rotation.go
@@ -185,8 +185,7 @@
 
 // removePathFaults takes out what fails from this host only, while half of the servers
 // stay: a host that sees nearly all of them fail has seen a request that ends them, one after
-// the other, or its own network. Without that a host refused all requests for 11 s after
-// such a request had come to it (soak).
+// the other, or its own network, and would refuse all requests.
 func (p *plan) removePathFaults() {
 	stays := max(p.floor, (len(p.svc.Backends)+1)/2)
 	for _, b := range p.svc.Backends {
