--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -27,7 +27,7 @@
 	snapshot *world.Snapshot // the one that the table knows
 	timer    *time.Timer
 	timerFor time.Time // when the timer is due
-	granted  chan struct{}
+	granted  chan struct{} // closed with the next grant of another host
 }
 
 // grantWait is how long a request waits to be granted a trial: some round trips between data
@@ -84,7 +84,7 @@
 	return tried, asked
 }
 
-// nextGrant is closed when another host next grants a trial to this one.
+// nextGrant returns a channel that is closed when another host next grants a trial to this one.
 func (q *contentGuard) nextGrant() <-chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -75,7 +75,8 @@
 	// lastSent is when a host of this data centre last sent a request there that it has not
 	// found unsent since.
 	lastSent time.Time
-	watch    useWatch
+	// watch is what UseChanges has seen of it.
+	watch useWatch
 	// slots are how many requests it works on at a time, 0 if unknown here.
 	slots int
 	// coldUntil is until when a new server is slow.
--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -43,8 +43,11 @@
 	return a.older[id]
 }
 
-// remember reports whether a content was answered of late.
-func (a *answers) remember(id content.ID) bool { return !a.last(id).IsZero() }
+// remember reports whether a content was answered of late. On a host that answers little, older
+// answers are still held.
+func (a *answers) remember(now time.Time, id content.ID) bool {
+	return now.Sub(a.last(id)) <= 2*answersFor
+}
 
 // refute reports whether an answer shows that a content does not end servers: what ended before
 // it is no evidence, and what is left would be too little.
--- a/internal/quarantine/answers_test.go
+++ b/internal/quarantine/answers_test.go
@@ -99,13 +99,16 @@
 	a.note(now, kept)
 	for _, step := range []time.Duration{answersFor / 2, answersFor} {
 		a.note(now.Add(step), idOf("other"))
-		if !a.remember(kept) {
+		if !a.remember(now.Add(step), kept) {
 			t.Errorf("forgotten after %s", step)
 		}
 	}
+	if a.remember(now.Add(2*answersFor+time.Second), kept) {
+		t.Error("remembered for ever by a host that answers nothing more")
+	}
 	a.note(now.Add(2*answersFor), idOf("other"))
 	a.note(now.Add(3*answersFor+time.Second), idOf("other"))
-	if a.remember(kept) {
-		t.Error("remembered for ever")
+	if !a.last(kept).IsZero() {
+		t.Error("held for ever")
 	}
 }
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -18,7 +18,7 @@
 		delete(t.granted, id)
 		return now.Before(until), false
 	}
-	if now.Before(q.Until) && !(q.allowsEarlyTrial(now) && t.answers.remember(id)) {
+	if now.Before(q.Until) && !(q.allowsEarlyTrial(now) && t.answers.remember(now, id)) {
 		return false, false
 	}
 	first := t.homesOf(id)[0]
