--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -26,7 +26,7 @@
 	table    *quarantine.Table
 	snapshot *world.Snapshot // the one that the table knows
 	timer    *time.Timer
-	timerFor time.Time // when the timer is due
+	timerFor time.Time     // when the timer is due
 	granted  chan struct{} // closed with the next grant of another host
 }
 
