--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	BackendAvailable     Number = 413
 	BackendLimited       Number = 414
 	BackendUnlimited     Number = 415
+	BackendKeptAbsent    Number = 416
 	DirectiveAccepted    Number = 501
 	DirectiveRefused     Number = 502
 	DirectiveMerged      Number = 503
@@ -97,6 +98,7 @@
 	BackendAvailable:     "backend-available",
 	BackendLimited:       "backend-limited",
 	BackendUnlimited:     "backend-unlimited",
+	BackendKeptAbsent:    "backend-kept-absent",
 	DirectiveAccepted:    "directive-accepted",
 	DirectiveRefused:     "directive-refused",
 	DirectiveMerged:      "directive-merged",
--- a/internal/system/configsync/absence.go
+++ b/internal/system/configsync/absence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -20,6 +21,7 @@
 		}
 		if _, absent := w.Absent[b.ID]; !absent && grace > 0 && !b.Leaving {
 			w.Absent[b.ID] = world.AbsentBackend{Service: service, Until: now.Add(grace)}
+			w.Record(now, event.BackendKeptAbsent, service, b.ID, grace.Round(time.Millisecond).String())
 		}
 		if absent, ok := w.Absent[b.ID]; ok && now.Before(absent.Until) {
 			listed = append(listed, b)
--- a/internal/system/configsync/absence_test.go
+++ b/internal/system/configsync/absence_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// A reader that was cut off from the platform by itself comes back and lists one server less. Others
+// have had answers of the platform all the time: no registration has lapsed, and the server is
+// gone. It got requests for 2.2 s more, later than it must.
+func TestServerRemovedWhileOneReaderWasCutOffIsGone(t *testing.T) {
+	h := newDiscoveringHost(t)
+	h.run(10*time.Second, from(0))
+	h.registered(2, 2200*time.Millisecond, "b1")
+	if h.uses("b2") {
+		t.Fatal("b2 is used after its registration was removed while the platform answered others")
+	}
+}
+
 // What a host keeps for a while it does not pass on as the platform's list.
 func TestKeptServersAreNotPassedOn(t *testing.T) {
 	h := newDiscoveringHost(t)
