A list by a reader that alone was cut off from the platform keeps no server in use

Cause: a reader that had no answer of the platform for 2.5 s says in its next lists that registrations may have lapsed meanwhile, and each host uses servers that such a list lacks for 2.2 s more. Class: one host's view taken for all hosts'. Now a host keeps such servers only if, as far as it hears, no host of its data centre had an answer for 2.5 s, or this ended less than 3 s ago. The test of the lapse plays the outage that it tells of; before it took the reader's word.

--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -48,7 +48,7 @@
 }
 
 // PlatformAnswered notes that the platform has answered this host's watch.
-func (e *Engine) PlatformAnswered(now time.Time) { e.documents.Answered(now) }
+func (e *Engine) PlatformAnswered(now time.Time) { e.documents.Answered(e.world, now) }
 
 // Write stores a register of this host's and passes it on.
 func (e *Engine) Write(now time.Time, r *peerpb.Register) {
--- a/internal/system/configsync/absence.go
+++ b/internal/system/configsync/absence.go
@@ -12,8 +12,13 @@
 // keepAbsent adds to the registered backend servers those that were registered
 // before and whose absence may be due to the platform's own. It is this host's
 // choice alone: what hosts pass on to others is what the platform holds. The
-// reader says in its list for how long registrations may still be missing.
+// reader says in its list for how long registrations may still be missing. It may have been
+// cut off from the platform alone: where others had answers meanwhile, a server that is not listed
+// has left, and must get no more requests.
 func keepAbsent(w *world.World, now time.Time, service string, held, listed []config.Backend, grace time.Duration) []config.Backend {
+	if !w.Platform.MayHaveLapsed(now) {
+		grace = 0
+	}
 	for _, b := range held {
 		if slices.ContainsFunc(listed, func(l config.Backend) bool { return l.ID == b.ID }) {
 			delete(w.Absent, b.ID)
--- a/internal/system/configsync/absence_test.go
+++ b/internal/system/configsync/absence_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -45,11 +46,18 @@
 	}
 }
 
+// awayFor lets the platform be away: a reader is heard that gets no answers.
+func (h *standInHost) awayFor(d time.Duration) {
+	since := h.now
+	h.run(d, func() *peerpb.Datagram { return from(h.now.Sub(since))() })
+}
+
 // Registrations lapse while the platform is away: a server that is missing just
 // after its return is used on, until about 2 s are over; one that comes back
 // stays.
 func TestLapsedServersAreKeptForAWhile(t *testing.T) {
 	h := newDiscoveringHost(t)
+	h.awayFor(3 * time.Second)
 	h.registered(2, 2*time.Second) // both registrations have lapsed
 	if !h.uses("b1") || !h.uses("b2") {
 		t.Fatal("servers whose registrations lapsed with the platform are dropped at once")
@@ -77,6 +85,17 @@
 	}
 }
 
+// The platform's return is heard of before the first list after it.
+func TestLapsedServersAreKeptAfterTheReturnIsHeard(t *testing.T) {
+	h := newDiscoveringHost(t)
+	h.awayFor(4 * time.Second)
+	h.run(300*time.Millisecond, from(0))
+	h.registered(2, 2*time.Second)
+	if !h.uses("b1") || !h.uses("b2") {
+		t.Fatal("servers whose registrations lapsed with the platform are dropped at once")
+	}
+}
+
 // What a host keeps for a while it does not pass on as the platform's list.
 func TestKeptServersAreNotPassedOn(t *testing.T) {
 	h := newDiscoveringHost(t)
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -49,12 +49,16 @@
 }
 
 // Answered notes that the platform has answered this host's watch.
-func (s *System) Answered(now time.Time) { s.standIn.answered = now }
+func (s *System) Answered(w *world.World, now time.Time) {
+	s.standIn.answered = now
+	w.Platform.Answered(now)
+}
 
 // Heartbeat takes a reader's heartbeat.
 func (s *System) Heartbeat(w *world.World, now time.Time, d *peerpb.Datagram) {
 	s.standIn.heard = now
 	fresh := now.Add(-time.Duration(d.AnswerAgeMs) * time.Millisecond)
+	w.Platform.Answered(fresh)
 	if fresh.After(s.standIn.fresh) {
 		s.standIn.fresh = fresh
 	}
--- a/internal/system/configsync/takeover_test.go
+++ b/internal/system/configsync/takeover_test.go
@@ -99,7 +99,7 @@
 func TestHeartbeatCarriesRevisions(t *testing.T) {
 	reader := newStandInHost("h0")
 	reader.run(time.Second, nil)
-	reader.system.Answered(reader.now)
+	reader.system.Answered(reader.world, reader.now)
 	configsync.Accept(reader.world, reader.now, "services/a", 7, []byte("services: []\n"))
 	reader.world.Out.Take()
 	reader.system.Run(reader.world, reader.now)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -221,6 +221,8 @@
 	// Absent are the registered backend servers that the platform no longer
 	// lists and this host still uses for a while, by ID.
 	Absent map[string]AbsentBackend
+	// Platform is when the platform answered a host of this data centre.
+	Platform PlatformAnswers
 	// DirectPicking is set where every host picks backend servers by itself.
 	DirectPicking bool
 	Registers     *register.Store
