--- a/internal/policy/unused.go
+++ b/internal/policy/unused.go
@@ -47,10 +47,10 @@
 
 // UseChanges looks at the servers of req.DataCentre in this host's subset of a service, and
 // returns those that have fallen out of use or are in use again since it was last called. While
-// the service has no requests there are none: nothing could be in use.
+// there are fewer requests than servers there are none: some must be out of use.
 func (t *Table) UseChanges(now time.Time, view *world.ServiceView, req Request) []UseChange {
 	svc, known := t.services[req.Service]
-	if !known || !svc.hasRequests(now) {
+	if !known || svc.requests(now) < near(view, req.DataCentre) {
 		return nil
 	}
 	var changes []UseChange
@@ -76,9 +76,20 @@
 	return changes
 }
 
-// hasRequests reports whether this data centre has had requests of the service of late.
-func (svc *service) hasRequests(now time.Time) bool {
-	return svc.served.sum(now, troubleWindow)+svc.unserved.sum(now, troubleWindow)+svc.limited.sum(now, troubleWindow) > 0
+// requests counts those of this data centre that have ended of late.
+func (svc *service) requests(now time.Time) int {
+	return svc.served.sum(now, troubleWindow) + svc.unserved.sum(now, troubleWindow) + svc.limited.sum(now, troubleWindow)
+}
+
+// near counts the servers of this data centre in a host's subset, 1 at the least.
+func near(view *world.ServiceView, dataCentre string) int {
+	count := 0
+	for _, b := range view.Candidates() {
+		if b.DataCentre == dataCentre {
+			count++
+		}
+	}
+	return max(count, 1)
 }
 
 // changesUse notes whether the server is out of use, and reports whether that is new.
