--- a/experiment/replay/guard.go
+++ b/experiment/replay/guard.go
@@ -66,15 +66,10 @@
 // flush sends what the table has to tell, carries out what it has decided, and sees to its next
 // tick.
 func (g *guard) flush() {
-	f := g.host.fleet
 	for _, m := range g.table.Messages() {
-		to := f.byName[m.To]
-		f.result.Messages++
-		if g.host.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
-			continue
-		}
+		to := g.host.fleet.byName[m.To]
 		datagram := &peerpb.Datagram{From: g.host.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants}
-		f.clock.After(f.delay(g.host.dataCentre, to.dataCentre), func() { to.guard.receive(datagram) })
+		g.host.deliver(to, func() { to.guard.receive(datagram) })
 	}
 	for _, decision := range g.table.Decisions() {
 		g.carryOut(decision)
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -97,13 +97,17 @@
 
 // send delivers a message after its way, unless it is lost.
 func (h *host) send(other *host, m sharing.Message) {
-	h.fleet.result.Messages++
-	if h.isCut() || other.isCut() || h.fleet.random.Float64() < h.fleet.pattern.Network.Loss {
+	h.deliver(other, func() { other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Near) })
+}
+
+// deliver does something at another host after a message's way, unless it is lost.
+func (h *host) deliver(to *host, do func()) {
+	f := h.fleet
+	f.result.Messages++
+	if h.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
 		return
 	}
-	h.fleet.clock.After(h.fleet.delay(h.dataCentre, other.dataCentre), func() {
-		other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Near)
-	})
+	f.clock.After(f.delay(h.dataCentre, to.dataCentre), do)
 }
 
 // isCut reports whether the host hears of no other now.
--- a/experiment/replay/ratelimit.go
+++ b/experiment/replay/ratelimit.go
@@ -150,14 +150,9 @@
 
 // flush sends what the table has to tell.
 func (l *limits) flush() {
-	f := l.host.fleet
 	for _, m := range l.table.Messages() {
-		to := f.byName[m.To]
-		f.result.Messages++
-		if l.host.isCut() || to.isCut() || f.random.Float64() < f.pattern.Network.Loss {
-			continue
-		}
-		f.clock.After(f.delay(l.host.dataCentre, to.dataCentre), func() { to.limits.receive(l.host.name, m) })
+		to := l.host.fleet.byName[m.To]
+		l.host.deliver(to, func() { to.limits.receive(l.host.name, m) })
 	}
 }
 
