--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -49,16 +49,7 @@
 }
 
 func (o *observer) run(ctx context.Context) {
-	ticker := time.NewTicker(o.every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.flush()
-		}
-	}
+	repeat(ctx, o.every, o.flush)
 }
 
 func (o *observer) flush() {
--- a/internal/daemon/recheck.go
+++ b/internal/daemon/recheck.go
@@ -37,16 +37,7 @@
 
 // Run asks until ctx ends.
 func (r *rechecker) Run(ctx context.Context) {
-	ticker := time.NewTicker(recheckRound)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		r.round(ctx)
-	}
+	repeat(ctx, recheckRound, func() { r.round(ctx) })
 }
 
 func (r *rechecker) round(ctx context.Context) {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// repeat does something at even times until ctx ends.
+func repeat(ctx context.Context, every time.Duration, do func()) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // Kill ends the host at once, as a crash would.
 func (d *Daemon) Kill() {
 	d.cancel()
--- a/internal/daemon/uselog.go
+++ b/internal/daemon/uselog.go
@@ -31,16 +31,7 @@
 }
 
 func (u *useLog) run(ctx context.Context) {
-	ticker := time.NewTicker(useLogEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			u.write(u.d.engine.Snapshot())
-		}
-	}
+	repeat(ctx, useLogEvery, func() { u.write(u.d.engine.Snapshot()) })
 }
 
 func (u *useLog) write(snap *world.Snapshot) {
