--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -46,9 +46,7 @@
 	var account Account
 	rows := make(map[accountKey]*AccountRow)
 	for _, r := range l.requests {
-		if missed, err := strconv.Atoi(r.fields["missed"]); err == nil { // 0 where an older log has none
-			account.Missed += missed
-		}
+		account.Missed += r.missed()
 		if r.served() {
 			continue
 		}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -54,6 +54,16 @@
 	return l, true
 }
 
+// missed is how many lines of its kind the host left out before this one, 0 where an older log
+// does not tell.
+func (l line) missed() int {
+	missed, err := strconv.Atoi(l.fields["missed"])
+	if err != nil {
+		return 0
+	}
+	return missed
+}
+
 func unquote(value string) string {
 	if plain, err := strconv.Unquote(value); err == nil {
 		return plain
--- a/internal/explain/unused.go
+++ b/internal/explain/unused.go
@@ -69,9 +69,7 @@
 		if e.message != logging.OutOfUse && e.message != logging.InUse {
 			continue
 		}
-		if n, err := strconv.Atoi(e.fields["missed"]); err == nil { // a line cut short has none
-			*missed += n
-		}
+		*missed += e.missed()
 		if service != "" && e.fields["service"] != service {
 			continue
 		}
