--- a/experiment/replay/ratelimit_test.go
+++ b/experiment/replay/ratelimit_test.go
@@ -25,7 +25,7 @@
 }
 
 // limitSeeds is how often each pattern of rate limits is played.
-const limitSeeds = 1
+const limitSeeds = 2
 
 // Where all servers name limits their room is used, by one bucket a server as by no other way
 // that keeps them: few hosts that hold a part each leave some and serve fewer.
