Breadth: servers are kept in use only where there are requests enough for it

Cause: breadth.go wanted 0.8 of a data centre's servers in use each 1.8 s. With 0.29 requests a second and server that takes 1.5 times the requests there are, so each pick went to the server of which least was known.

Now a pick goes to a server out of use only if that takes at most 0.3 of the service's requests, all of them while many are unserved. A server that joins gets its first request at once all the same, and a pick that finds nothing good in its subset compares 128 others at most.

TestTroubleUsesAllServers now also counts the sends of its unserved requests, which the rule goes by; bound unchanged.

--- /dev/null
+++ b/experiment/replay/fleet_test.go
@@ -0,0 +1,24 @@
+package replay
+
+import "testing"
+
+// Hundreds of hosts before thousands of servers: a server gets a request every few seconds, and a
+// third of the servers is in a spell. To keep four fifths of them in use took more requests than
+// there were, so that each went to the server of which the least was known: 0.88 were answered in
+// time, and more servers were out of use at each moment of trouble than the users' rule allows.
+func TestServersWithFewRequests(t *testing.T) {
+	t.Parallel()
+	_, sum, err := sumSeeds("fleet", seeds, Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := sum.Total()
+	if total.Goodput() < 0.95 {
+		t.Errorf("goodput %.3f, %.3f unserved", total.Goodput(), total.Unserved())
+	}
+	for service, use := range sum.Use {
+		if use.Broken > 0 {
+			t.Errorf("%s: at %d moments over %.1f of the sound servers were out of use, at worst %.2f", service, use.Broken, mostUnused, use.Worst)
+		}
+	}
+}
--- a/internal/policy/breadth.go
+++ b/internal/policy/breadth.go
@@ -49,6 +49,13 @@
 	limitedShare = 0.06
 	// unusedGain outweighs any belief in a spell, and no blocked path.
 	unusedGain = 2.0
+	// calmEffort is the most of a service's requests that may go to servers for the only
+	// reason that they are out of use, in calm times. Each of them risks a spell; more than
+	// that costs more than what is learnt of these servers is worth.
+	calmEffort = 0.3
+	// wholeEffort: where too many requests are unserved all of them may. Where even that would
+	// not bring enough servers into use, breadth is of no help.
+	wholeEffort = 1.0
 )
 
 // breadth is the need for more servers in use.
@@ -60,13 +67,17 @@
 	always bool
 	// after a failure for which time a server need not be used.
 	after time.Duration
+	// share of the servers must be in use, and at most effort of the requests may be spent on
+	// it.
+	share  float64
+	effort float64
 }
 
 // breadth looks at this data centre's servers in the subset: each server is in the
 // subsets of hosts that look after it. spent is the part of the retry
 // allowance that is spent.
 func (t *Table) breadth(now time.Time, view *world.ServiceView, req Request, spent float64) breadth {
-	need, share := t.breadthRule(now, req, spent)
+	need := t.breadthRule(now, req, spent)
 	svc := t.service(req.Service)
 	candidates, used := 0, 0
 	servers := view.Candidates()
@@ -86,26 +97,34 @@
 			}
 		}
 	}
-	need.narrow = float64(used) < share*float64(candidates)
+	wanted := need.share * float64(candidates)
+	need.narrow = float64(used) < wanted && svc.effortFor(now, wanted) <= need.effort
 	return need
 }
 
 // breadthRule returns which servers must be in use, and what part of them.
-func (t *Table) breadthRule(now time.Time, req Request, spent float64) (breadth, float64) {
+func (t *Table) breadthRule(now time.Time, req Request, spent float64) breadth {
 	switch {
 	case t.has(MechanismTrouble) && t.service(req.Service).troubled(now):
-		return breadth{anyBelief: true, after: troubleFailure}, troubleUse
+		return breadth{anyBelief: true, after: troubleFailure, share: troubleUse, effort: wholeEffort}
 	case t.has(MechanismTrouble) && t.service(req.Service).muchLimited(now):
-		return breadth{always: !t.getsTrials(req) || spent >= allowanceForTrials}, 1
+		return breadth{always: !t.getsTrials(req) || spent >= allowanceForTrials, share: 1, effort: wholeEffort}
 	case t.getsTrials(req):
-		return breadth{after: recentFailure}, idempotentShare
+		return breadth{after: recentFailure, share: idempotentShare, effort: calmEffort}
 	case req.Idempotent && !req.Last && spent < allowanceForBreadth:
-		return breadth{anyBelief: true, after: recentFailure}, idempotentShare
+		return breadth{anyBelief: true, after: recentFailure, share: idempotentShare, effort: calmEffort}
 	default:
-		return breadth{after: recentFailure}, breadthShare
+		return breadth{after: recentFailure, share: breadthShare, effort: calmEffort}
 	}
 }
 
+// effortFor is the part of the service's requests that it takes to keep a number of servers in
+// use, if each is sent one each unusedFor; over 1 if there are too few requests.
+func (svc *service) effortFor(now time.Time, servers float64) float64 {
+	sends := float64(svc.sends.sum(now, troubleWindow))
+	return servers * float64(troubleWindow) / float64(unusedFor) / max(sends, 1)
+}
+
 // getsTrials reports whether doubted servers are tried by copies of such a request, so that
 // its first send need not go there.
 func (t *Table) getsTrials(req Request) bool {
@@ -176,6 +195,16 @@
 // serverUse is a use of a server, and when it had been used before.
 type serverUse struct{ at, before time.Time }
 
+// noteSends counts requests at the servers of this host's subset, by it and by the hosts that tell
+// it of theirs.
+func (svc *service) noteSends(now time.Time, n uint64) {
+	svc.sends.add(now, troubleWindow, int(n))
+}
+
+// isUntried reports whether a server has joined and had no request yet. Where there are fewer
+// requests than servers it would wait for long: known servers cost less.
+func (s *server) isUntried() bool { return s.joined && s.lastSent.IsZero() }
+
 // noteUse counts a send to a server as a use of it.
 func (s *server) noteUse(now time.Time) serverUse {
 	u := serverUse{at: now, before: s.lastSent}
@@ -195,6 +224,9 @@
 // breadthGain is what a request gains by going to a server that has had none
 // for long, where too few servers are in use.
 func (s *server) breadthGain(now time.Time, svc *service, need breadth) float64 {
+	if s.isUntried() && !now.Before(s.pathUntil) {
+		return unusedGain
+	}
 	if need.narrow && now.Sub(s.lastSent) > unusedFor && s.mustBeUsed(now, svc, need) {
 		return unusedGain
 	}
--- a/internal/policy/breadth_test.go
+++ b/internal/policy/breadth_test.go
@@ -26,6 +26,7 @@
 	}
 	later := now.Add(2 * unusedFor)
 	svc.unserved.add(later, troubleWindow, 100)
+	svc.noteSends(later, 100)
 	used := make(map[string]bool)
 	for range servers {
 		used[mustPick(t, table, later, v, Request{First: true}).Server.ID] = true
--- /dev/null
+++ b/internal/policy/fewrequests_test.go
@@ -0,0 +1,120 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// learnAll lets a table know each server by an answer, and by its requests at a rate a server.
+func learnAll(t *testing.T, table *Table, now time.Time, servers int) {
+	t.Helper()
+	v := view(servers)
+	for i := range servers {
+		use(t, table, now, v, fmt.Sprint("b", i), Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
+	}
+}
+
+// pickedOutOfUse sends requests at a rate a server and returns the part of them that went to
+// servers which had been out of use for longer than they need be. All servers are sound.
+func pickedOutOfUse(t *testing.T, perServer float64) float64 {
+	t.Helper()
+	const servers = 40
+	table, now := newTable()
+	v := view(servers)
+	learnAll(t, table, now, servers)
+	picked, idle := 0, 0
+	gap := time.Duration(float64(time.Second) / perServer / servers)
+	begin := now.Add(2 * troubleWindow)
+	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(gap) {
+		before := make(map[string]time.Time)
+		for i := range servers {
+			id := fmt.Sprint("b", i)
+			before[id] = table.servers[key{"s", id}].lastSent
+		}
+		p := mustPick(t, table, now, v, Request{First: true})
+		table.Finish(now, p, Done{Outcome: Good, FirstByte: 200 * time.Millisecond})
+		if now.Before(begin) {
+			continue
+		}
+		picked++
+		if now.Sub(before[p.Server.ID]) > unusedFor {
+			idle++
+		}
+	}
+	return float64(idle) / float64(picked)
+}
+
+// Requests go to servers only because these are out of use where there are requests enough to
+// keep servers in use. Where servers get one every few seconds such picks would be nearly all,
+// each to a server of which the least is known.
+func TestBreadthIsForServicesWithRequestsEnough(t *testing.T) {
+	few, many := pickedOutOfUse(t, 0.3), pickedOutOfUse(t, 3)
+	if few > 0.5 {
+		t.Errorf("at 0.3 requests a second and server %.2f of them went to servers out of use", few)
+	}
+	if many < 0.05 {
+		t.Errorf("at 3 requests a second and server %.2f of them went to servers out of use", many)
+	}
+}
+
+// A server that joins gets a request soon, also where there are few.
+func TestServerThatJoinsIsTried(t *testing.T) {
+	table, now := newTable()
+	learnAll(t, table, now, 20)
+	now = now.Add(10 * time.Second)
+	for range 4 { // that they are good is known well
+		learnAll(t, table, now, 20)
+	}
+	now = now.Add(100 * time.Millisecond)
+	if p := mustPick(t, table, now, view(21), Request{First: true}); p.Server.ID != "b20" {
+		t.Errorf("the next request went to %s, want the server that has joined", p.Server.ID)
+	}
+	if p := mustPick(t, table, now, view(21), Request{First: true}); p.Server.ID == "b20" {
+		t.Error("the request after it went to the server that has joined too")
+	}
+}
+
+// A pick that finds no good server in the subset looks at a bounded number of others.
+func TestOverflowIsBounded(t *testing.T) {
+	compared := make(map[int]int)
+	for _, servers := range []int{100, 400, 3600} {
+		table, now := newTable()
+		v := view(servers)
+		v.Subset = v.Backends[:10]
+		for i := range 10 {
+			for range 3 {
+				use(t, table, now, v, fmt.Sprint("b", i), Done{Outcome: Failed, FirstByte: time.Millisecond})
+			}
+		}
+		p := mustPick(t, table, now, v, Request{First: true})
+		if p.Server.ID <= "b9" && len(p.Server.ID) == 2 {
+			t.Errorf("of %d servers one of the failing subset was picked", servers)
+		}
+		compared[servers] = len(table.servers)
+	}
+	if compared[3600] > compared[400]*3/2 {
+		t.Errorf("of 3600 servers %d were compared, of 400 %d", compared[3600], compared[400])
+	}
+}
+
+// BenchmarkPick is one pick that overflows.
+func BenchmarkPick(b *testing.B) {
+	for _, servers := range []int{27, 400, 3592} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			table, now := newTable()
+			v := view(servers)
+			v.Subset = v.Backends[:10]
+			for i := range 10 {
+				table.row(now, key{"s", fmt.Sprint("b", i)}, &v.Backends[i], false).spell.failed(now)
+			}
+			for b.Loop() {
+				p, err := table.Pick(now, v, Request{Service: "s", DataCentre: "dc1", First: true})
+				if err != nil {
+					b.Fatal(err)
+				}
+				table.Finish(now, p, Done{Outcome: Neutral})
+			}
+		})
+	}
+}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -61,6 +61,9 @@
 	// which the others are compared too. A server of which nothing is known costs about
 	// as much, for the chance that it is in a spell.
 	overflowCost = 0.35
+	// overflowSample bounds the servers outside the subset that one pick compares: a pick
+	// must not cost more where a service has thousands of servers.
+	overflowSample = 128
 	// limitedCost is the cost of a server that names a rate limit: others are asked first
 	// while they serve.
 	limitedCost = 0.1
@@ -172,12 +175,25 @@
 	}
 	t.weigh(weigh, view.Candidates(), &best)
 	if view.Subset != nil && len(view.Subset) < len(view.Backends) && best.cost > overflowCost {
-		best.eligible = 0
-		t.weigh(weigh, view.Backends, &best)
+		weigh.overflow = true
+		t.overflow(weigh, view.Backends, &best)
 	}
 	return best
 }
 
+// overflow compares servers of the whole service, from a random one on where they are many.
+func (t *Table) overflow(w weighing, servers []world.BackendView, best *choice) {
+	if len(servers) <= overflowSample {
+		best.eligible = 0
+		t.weigh(w, servers, best)
+		return
+	}
+	first := t.conf.Random.IntN(len(servers))
+	end := min(first+overflowSample, len(servers))
+	t.weigh(w, servers[first:end], best)
+	t.weigh(w, servers[:overflowSample-(end-first)], best)
+}
+
 // weighing is what servers are compared by.
 type weighing struct {
 	now     time.Time
@@ -185,6 +201,9 @@
 	req     Request
 	need    breadth
 	failure float64 // the cost of a failed try
+	// overflow is set for servers outside the subset: one that is seen there for the first
+	// time need not be new.
+	overflow bool
 }
 
 // weigh puts the server that costs least in best, if it costs less.
@@ -195,7 +214,7 @@
 			continue
 		}
 		best.eligible++
-		s := t.row(w.now, key{w.req.Service, b.ID}, b)
+		s := t.row(w.now, key{w.req.Service, b.ID}, b, w.overflow)
 		load := s.load(w.now)
 		if load >= float64(b.Slots*queuePerSlot) || s.inFlight > 0 && t.returnsOneByOne(w.req, b) {
 			continue
@@ -228,6 +247,7 @@
 		objectiveAt: now.Add(req.objectiveLeft(now)),
 		use:         s.noteUse(now),
 	}
+	svc.noteSends(now, 1)
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
 	s.dirty = true
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -116,7 +116,7 @@
 		return
 	}
 	k := key{l.Service, l.Backend}
-	s := t.row(now, k, nil)
+	s := t.row(now, k, nil, false)
 	p, known := s.peers[host]
 	if !known {
 		p = &peerLoad{}
@@ -133,7 +133,7 @@
 		s.learnPeer(now, p.counts, next)
 	}
 	if near {
-		s.learnUse(now, p, next, !known)
+		t.service(l.Service).learnUse(now, s, p, next, !known)
 	}
 	p.counts = next
 	p.at = now
@@ -147,11 +147,15 @@
 
 // learnUse takes that another host has sent to a server, which it tells at once, or that it found
 // the server out of its reach.
-func (s *server) learnUse(now time.Time, p *peerLoad, next counts, first bool) {
+func (svc *service) learnUse(now time.Time, s *server, p *peerLoad, next counts, first bool) {
 	sends := next.requests + next.retries - p.counts.requests - p.counts.retries
 	unreached := next.unreachable - p.counts.unreachable
 	switch {
-	case first || sends > unreached:
+	case first:
+		svc.noteSends(now, 1)
+		p.use = s.noteUse(now)
+	case sends > unreached:
+		svc.noteSends(now, sends-unreached)
 		p.use = s.noteUse(now)
 	case unreached > 0:
 		s.takeBackUse(p.use)
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -77,6 +77,8 @@
 	lastSent time.Time
 	// watch is what UseChanges has seen of it.
 	watch useWatch
+	// joined is set for a server that this host has seen join.
+	joined bool
 	// slots are how many requests it works on at a time, 0 if unknown here.
 	slots int
 	// coldUntil is until when a new server is slow.
@@ -113,6 +115,8 @@
 	staleAt time.Time
 	// served and unserved requests of this data centre, for breadth.
 	served, unserved window
+	// sends to the servers of this host's subset, by all hosts that use them.
+	sends window
 	// limited requests of this data centre, refused beyond their customers' limits.
 	limited window
 	// late of served, for admission.
@@ -178,8 +182,10 @@
 	return svc
 }
 
-// row returns a server's row, made if absent.
-func (t *Table) row(now time.Time, k key, view *world.BackendView) *server {
+// row returns a server's row, made if absent. view is nil where another host tells of the
+// server. A server of the subset that is seen for the first time has just started; one that is
+// met outside it need not have.
+func (t *Table) row(now time.Time, k key, view *world.BackendView, outside bool) *server {
 	s, ok := t.servers[k]
 	if ok {
 		if view != nil {
@@ -193,8 +199,9 @@
 		s.slots = view.Slots
 		s.started = view.Started
 	}
-	if view != nil && t.service(k.service).known {
+	if view != nil && t.service(k.service).known && !outside {
 		t.startCold(now, s, view)
+		s.joined = true
 	}
 	t.servers[k] = s
 	return s
--- a/internal/policy/unused_test.go
+++ b/internal/policy/unused_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	useOthers()
-	table.row(now, key{"s", "b0"}, &v.Backends[0])
+	table.row(now, key{"s", "b0"}, &v.Backends[0], false)
 	expectNoUseChange(t, table, now)
 	now = now.Add(outOfUse)
 	useOthers()
