Registered servers are followed by changes; evacuation and cold servers

Cause: each change of any server was handed to each host as the whole list: servers x changes x hosts. Hosts decoded it, compared it with what they held (each server against all others) and built rings, subsets and rotation anew. Above 1 MB (some 8,000 servers) the list was refused.

Now a host holds a table (package registry) and asks for what changed after its revision; a digest tells where it differs, and then it gets the whole list. Rings and services are brought up to date by what changed. Rotation no longer runs each tick for every service where hosts pick directly.

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -357,7 +357,10 @@
 
 // answerDocument answers once the host has the document or waits for it no longer.
 func (h *Host) answerDocument(now time.Time, req *peerpb.DocumentRequest, until time.Time, answer func(*peerpb.DocumentResponse)) {
-	resp, coming := h.engine.AnswerDocument(now, req)
+	resp, coming, err := h.engine.AnswerDocument(now, req)
+	if err != nil {
+		panic(err) // a fault of the program
+	}
 	if coming && now.Before(until) {
 		h.in(configsync.DocumentRecheck, h.life, func(now time.Time) { h.answerDocument(now, req, until, answer) })
 		return
--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -60,8 +60,12 @@
 	h.views = make(map[string]*world.ServiceView, len(h.fleet.views))
 	for name, all := range h.fleet.views {
 		view := *all
+		used := make(map[string]bool)
+		for _, id := range h.sharing.Subset(all.Sharing) {
+			used[id] = true
+		}
 		for _, b := range all.Backends {
-			if h.sharing.Uses(all.Sharing, b.ID) {
+			if used[b.ID] {
 				view.Subset = append(view.Subset, b)
 			}
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	MaxBackendsPerShard  = 20_000
 	minDuration          = time.Millisecond
 	documentLimitBytes   = 1 << 20
+	discoveredLimitBytes = 8 << 20 // 20,000 registered servers of at most 400 bytes
 	remedyFixAndPublish  = "correct the document and publish it again; the last good one stays in force"
 	allowedDetectionText = "fast or careful"
 )
@@ -132,6 +133,9 @@
 	Objective Duration `yaml:"objective" json:"objective,omitempty"`
 	// Public routes need no customer's key.
 	Public bool `yaml:"public" json:"public,omitempty"`
+	// HomeRegions are the only regions in which requests may be run. Default: none, and
+	// they may be run anywhere.
+	HomeRegions []string `yaml:"home_regions" json:"home_regions,omitempty"`
 }
 
 // Share is one service's part of a split route.
@@ -170,6 +174,10 @@
 	AllowMissingEcho bool `yaml:"allow_missing_echo" json:"allow_missing_echo,omitempty"`
 	// Probe checks suspect and ejected backend servers.
 	Probe Probe `yaml:"probe" json:"probe,omitempty"`
+	// ColdPerSecond is how many requests a second a server takes from all hosts together
+	// while it is warming up after its start; it may end if it gets many more. Default: 0, no
+	// limit.
+	ColdPerSecond float64 `yaml:"cold_per_second" json:"cold_per_second,omitempty"`
 	// Routes lead to the service.
 	Routes []Route `yaml:"routes" json:"routes,omitempty"`
 	// Backends serve it.
@@ -187,12 +195,24 @@
 }
 
 // Discovered is the value of the backends key: the backend servers that have
-// registered themselves, for services that list none of their own.
+// registered themselves, for services that list none of their own. It is the whole list, or
+// a change to one.
 type Discovered struct {
+	// Base is the revision of the list that this changes, 0 for a whole list.
+	Base uint64 `yaml:"base" json:"base,omitempty"`
+	// Digest is of the whole list after the change; see package registry. Default: 0, not
+	// told.
+	Digest uint64 `yaml:"digest" json:"digest,omitempty"`
+	// Evacuated are the data centres whose servers get no requests. A change names all of
+	// them too. Default: none.
+	Evacuated []string `yaml:"evacuated" json:"evacuated,omitempty"`
+	// Removed are the IDs of servers that are no longer registered, in a change.
+	Removed []string `yaml:"removed" json:"removed,omitempty"`
 	// AbsenceGrace is how much longer a registration may be missing although its
 	// server lives, because the platform has come back from an outage. Default: 0.
-	AbsenceGrace Duration            `yaml:"absence_grace" json:"absence_grace,omitempty"`
-	Backends     []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
+	AbsenceGrace Duration `yaml:"absence_grace" json:"absence_grace,omitempty"`
+	// Backends are all servers, or those that the change adds or replaces.
+	Backends []DiscoveredBackend `yaml:"backends" json:"backends,omitempty"`
 }
 
 // DiscoveredBackend is one registered backend server.
@@ -224,7 +244,7 @@
 // ParseDocument reads and checks a shard and fills in defaults.
 func ParseDocument(raw []byte) (*Document, error) {
 	doc := &Document{}
-	if err := decode(raw, doc); err != nil {
+	if err := decode(raw, doc, documentLimitBytes); err != nil {
 		return nil, err
 	}
 	check := &checker{}
@@ -240,7 +260,7 @@
 // hide all others.
 func ParseDiscovered(raw []byte) (found *Discovered, faults []string, err error) {
 	found = &Discovered{}
-	if err := decode(raw, found); err != nil {
+	if err := decode(raw, found, discoveredLimitBytes); err != nil {
 		return nil, nil, err
 	}
 	check := &checker{}
@@ -260,7 +280,7 @@
 // ParseHostList reads and checks the host list.
 func ParseHostList(raw []byte) (*HostList, error) {
 	list := &HostList{}
-	if err := decode(raw, list); err != nil {
+	if err := decode(raw, list, documentLimitBytes); err != nil {
 		return nil, err
 	}
 	check := &checker{}
@@ -277,15 +297,15 @@
 // ParseIndex reads the index.
 func ParseIndex(raw []byte) (*Index, error) {
 	index := &Index{}
-	if err := decode(raw, index); err != nil {
+	if err := decode(raw, index, documentLimitBytes); err != nil {
 		return nil, err
 	}
 	return index, nil
 }
 
-func decode(raw []byte, into any) error {
-	if len(raw) > documentLimitBytes {
-		return errs.New(errs.KindConfig, fmt.Sprintf("document has %d bytes, allowed are %d", len(raw), documentLimitBytes), "split it into more shards")
+func decode(raw []byte, into any, limitBytes int) error {
+	if len(raw) > limitBytes {
+		return errs.New(errs.KindConfig, fmt.Sprintf("document has %d bytes, allowed are %d", len(raw), limitBytes), "split it into more shards")
 	}
 	err := decodeStrict(raw, into)
 	if errors.Is(err, io.EOF) {
@@ -414,6 +434,9 @@
 	c.between(at+".queue", svc.Queue, 0, MaxSlots)
 	c.duration(at+".timeout", svc.Timeout)
 	c.duration(at+".queue_wait", svc.QueueWait)
+	if !(svc.ColdPerSecond >= 0) {
+		c.addf("%s.cold_per_second: %g is negative or no number", at, svc.ColdPerSecond)
+	}
 	if svc.Detection != DetectionFast && svc.Detection != DetectionCareful {
 		c.addf("%s.detection: %q must be %s", at, svc.Detection, allowedDetectionText)
 	}
--- a/internal/config/customers.go
+++ b/internal/config/customers.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/region"
 )
 
 // Customer is one customer of the fleet. Where any document has customers, every
@@ -22,6 +23,9 @@
 	PerSecond float64 `yaml:"per_second" json:"per_second,omitempty"`
 	// Burst is how many requests may come at once beyond that. Default: 0.
 	Burst float64 `yaml:"burst" json:"burst,omitempty"`
+	// HomeRegions are the only regions in which its requests may be run. Default: none, and
+	// they may be run anywhere.
+	HomeRegions []string `yaml:"home_regions" json:"home_regions,omitempty"`
 }
 
 // Entry returns the customer's row. The document must have passed its checks.
@@ -30,6 +34,7 @@
 		Name:     c.Name,
 		Priority: c.Priority,
 		Limit:    customer.Limit{PerSecond: c.PerSecond, Burst: c.Burst},
+		Homes:    region.HomesOf(c.HomeRegions),
 	}}
 	for _, text := range c.KeyDigests {
 		if digest, err := customer.ParseDigest(text); err == nil {
--- a/internal/customer/customer.go
+++ b/internal/customer/customer.go
@@ -1,5 +1,7 @@
 package customer
 
+import "github.com/pearshelf/pearshelf/internal/region"
+
 // Customer is one row of the table.
 type Customer struct {
 	// Name is told to backend servers.
@@ -8,6 +10,8 @@
 	Priority *int
 	// Limit is over all hosts together.
 	Limit Limit
+	// Homes are where its requests may be run.
+	Homes region.Homes
 }
 
 // Limit bounds the rate of requests.
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -25,9 +26,13 @@
 	for give := time.Now().Add(configsync.DocumentWait); ; {
 		var resp *peerpb.DocumentResponse
 		var coming bool
-		err := s.d.engine.Do(ctx, func(_ *world.World, now time.Time) { resp, coming = s.d.engine.AnswerDocument(now, req) })
-		if err != nil || !coming || time.Now().After(give) {
-			return resp, err
+		var failed error
+		err := s.d.engine.Do(ctx, func(_ *world.World, now time.Time) { resp, coming, failed = s.d.engine.AnswerDocument(now, req) })
+		if err != nil || failed != nil {
+			return nil, cmp.Or(err, failed)
+		}
+		if !coming || time.Now().After(give) {
+			return resp, nil
 		}
 		wait(ctx, configsync.DocumentRecheck)
 	}
--- a/internal/daemon/ratelimit.go
+++ b/internal/daemon/ratelimit.go
@@ -27,7 +27,7 @@
 func newRateLimiter(d *Daemon, life uint64) *rateLimiter {
 	limits := func(name string) (customer.Limit, bool) {
 		key, _ := process.ParseKey(name) // of another version of the daemon, and then not known
-		limit, known := d.engine.Snapshot().RateLimits.Named(key)
+		limit, known := d.engine.Snapshot().RateLimits.Bound(key)
 		return limit.Bound(), known
 	}
 	return &rateLimiter{
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -298,7 +298,7 @@
 	if e.wokeAt.IsZero() {
 		w.FreshUntil = now.Add(e.conf.Freshness)
 	}
-	e.snapshot.Store(e.views.build(w, e.ready))
+	e.snapshot.Store(e.views.build(w, now, e.ready))
 }
 
 func (e *Engine) isReady(now time.Time) bool {
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -147,17 +147,13 @@
 
 // AnswerDocument answers a host that asks for a document newer than it holds. coming is
 // set if this host has none but is fetching it.
-func (e *Engine) AnswerDocument(now time.Time, req *peerpb.DocumentRequest) (resp *peerpb.DocumentResponse, coming bool) {
+func (e *Engine) AnswerDocument(now time.Time, req *peerpb.DocumentRequest) (resp *peerpb.DocumentResponse, coming bool, err error) {
 	doc, ok := e.world.Documents[req.Key]
 	if !ok {
-		return &peerpb.DocumentResponse{}, false
+		return &peerpb.DocumentResponse{}, false, nil
 	}
-	resp = &peerpb.DocumentResponse{Revision: doc.Revision}
-	if doc.Revision > req.After {
-		resp.Document = doc.Raw
-		return resp, false
-	}
-	return resp, now.Before(doc.Fetching)
+	resp, err = configsync.Answer(e.world, now, doc, req.After)
+	return resp, len(resp.GetDocument()) == 0 && now.Before(doc.Fetching), err
 }
 
 // Synced notes that a peer has answered a full comparison.
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -8,6 +8,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/customer"
+	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/ratelimit"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
@@ -35,6 +36,8 @@
 	fleetSize         int
 	quarantine        *quarantine.View
 	rateLimits        *ratelimit.View
+	// coldChanges is when the next cold server is warm, zero for none.
+	coldChanges time.Time
 }
 
 func newViewBuilder(forwarding bool) *viewBuilder {
@@ -48,9 +51,9 @@
 	}
 }
 
-func (v *viewBuilder) build(w *world.World, ready bool) *world.Snapshot {
+func (v *viewBuilder) build(w *world.World, now time.Time, ready bool) *world.Snapshot {
 	v.buildFleet(w)
-	v.buildServices(w)
+	servicesChanged := v.buildServices(w)
 	v.buildClaimants(w)
 	v.buildRevisions(w)
 	if w.QuarantineChanged {
@@ -59,6 +62,10 @@
 	}
 	if w.RateLimitsChanged {
 		v.rateLimits = ratelimit.ViewOf(w.Registers)
+	}
+	isWarm := !v.coldChanges.IsZero() && !now.Before(v.coldChanges)
+	if w.RateLimitsChanged || servicesChanged || isWarm {
+		v.limitCold(w, now)
 		w.RateLimitsChanged = false
 	}
 	return &world.Snapshot{
@@ -86,7 +93,30 @@
 	}
 }
 
-func (v *viewBuilder) buildServices(w *world.World) {
+// limitCold adds the limits of cold servers to those that servers name.
+func (v *viewBuilder) limitCold(w *world.World, now time.Time) {
+	var cold []ratelimit.Cold
+	v.coldChanges = time.Time{}
+	for name, svc := range w.Services {
+		if svc.Config.ColdPerSecond <= 0 {
+			continue
+		}
+		for _, b := range svc.Backends {
+			if !now.Before(b.ColdUntil) {
+				continue
+			}
+			server := process.Server{Service: name, ID: b.Config.ID, Started: b.Config.Started}
+			cold = append(cold, ratelimit.Cold{Server: server, PerSecond: svc.Config.ColdPerSecond, Until: b.ColdUntil})
+			if v.coldChanges.IsZero() || b.ColdUntil.Before(v.coldChanges) {
+				v.coldChanges = b.ColdUntil
+			}
+		}
+	}
+	v.rateLimits = v.rateLimits.WithCold(cold)
+}
+
+// buildServices renews the views of services that have changed, and reports whether any has.
+func (v *viewBuilder) buildServices(w *world.World) bool {
 	changed := make(map[string]*world.ServiceView)
 	for name, svc := range w.Services {
 		if svc.Dirty {
@@ -95,7 +125,7 @@
 		}
 	}
 	if len(changed) == 0 && !w.ServicesChanged {
-		return
+		return false
 	}
 	next := make(map[string]*world.ServiceView, len(w.Services))
 	for name := range w.Services {
@@ -108,6 +138,7 @@
 		v.buildCustomers(w)
 	}
 	w.ServicesChanged = false
+	return true
 }
 
 func (v *viewBuilder) buildRoutes(w *world.World) {
@@ -141,6 +172,7 @@
 		OwnerCount:  max(len(active), 1),
 		SharesSlots: position >= 0 && v.forwarding,
 	}
+	view.Backends = make([]world.BackendView, 0, len(svc.Backends))
 	for i, b := range svc.Backends {
 		if b.Rotation.In {
 			view.Backends = append(view.Backends, backendView(b, shareOf(b.Config.Slots, i, position, len(active))))
@@ -148,16 +180,47 @@
 	}
 	v.addOwners(w, svc, view)
 	if !v.forwarding {
-		dataCentres := make(map[string]string, len(view.Backends))
-		for i := range view.Backends {
-			dataCentres[view.Backends[i].ID] = view.Backends[i].DataCentre
-		}
-		view.Sharing = sharing.NewService(dataCentres)
+		view.Sharing = shareAmong(v.services[svc.Config.Name], view.Backends)
 		v.chooseSubset(view)
 	}
 	return view
 }
 
+// shareAmong places the servers in rotation on rings, by what has changed since the view
+// before; that may be nil.
+func shareAmong(before *world.ServiceView, backends []world.BackendView) *sharing.Service {
+	var held []world.BackendView
+	rings := &sharing.Service{}
+	if before != nil && before.Sharing != nil {
+		held, rings = before.Backends, before.Sharing
+	}
+	var joined, left []sharing.Server
+	for len(held) > 0 || len(backends) > 0 {
+		switch {
+		case len(held) == 0 || len(backends) > 0 && backends[0].ID < held[0].ID:
+			joined = append(joined, serverOnRing(&backends[0]))
+			backends = backends[1:]
+		case len(backends) == 0 || held[0].ID < backends[0].ID:
+			left = append(left, serverOnRing(&held[0]))
+			held = held[1:]
+		default:
+			if held[0].DataCentre != backends[0].DataCentre {
+				left = append(left, serverOnRing(&held[0]))
+				joined = append(joined, serverOnRing(&backends[0]))
+			}
+			held, backends = held[1:], backends[1:]
+		}
+	}
+	if len(joined)+len(left) == 0 {
+		return rings
+	}
+	return rings.With(joined, left)
+}
+
+func serverOnRing(b *world.BackendView) sharing.Server {
+	return sharing.Server{Name: b.ID, DataCentre: b.DataCentre}
+}
+
 func backendView(b *world.BackendServer, share int) world.BackendView {
 	return world.BackendView{
 		ID:             b.Config.ID,
@@ -264,10 +327,12 @@
 
 // chooseSubset picks the servers that this host uses.
 func (v *viewBuilder) chooseSubset(view *world.ServiceView) {
-	view.Subset = make([]world.BackendView, 0, len(view.Subset))
-	for _, b := range view.Backends {
-		if v.sharing.Uses(view.Sharing, b.ID) {
-			view.Subset = append(view.Subset, b)
+	names := v.sharing.Subset(view.Sharing)
+	slices.Sort(names)
+	view.Subset = make([]world.BackendView, 0, len(names))
+	for _, name := range names {
+		if b := view.Backend(name); b != nil {
+			view.Subset = append(view.Subset, *b)
 		}
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,6 +36,7 @@
 	ConfigOlder          Number = 303
 	PlatformLost         Number = 304
 	PlatformBack         Number = 305
+	ListIncomplete       Number = 306
 	BackendSuspect       Number = 401
 	BackendCleared       Number = 402
 	BackendVoted         Number = 403
@@ -52,6 +53,8 @@
 	BackendLimited       Number = 414
 	BackendUnlimited     Number = 415
 	BackendKeptAbsent    Number = 416
+	EvacuationBegan      Number = 417
+	EvacuationEnded      Number = 418
 	DirectiveAccepted    Number = 501
 	DirectiveRefused     Number = 502
 	DirectiveMerged      Number = 503
@@ -83,6 +86,7 @@
 	ConfigOlder:          "config-older-ignored",
 	PlatformLost:         "platform-lost",
 	PlatformBack:         "platform-back",
+	ListIncomplete:       "list-incomplete",
 	BackendSuspect:       "backend-suspect",
 	BackendCleared:       "backend-cleared",
 	BackendVoted:         "backend-voted",
@@ -99,6 +103,8 @@
 	BackendLimited:       "backend-limited",
 	BackendUnlimited:     "backend-unlimited",
 	BackendKeptAbsent:    "backend-kept-absent",
+	EvacuationBegan:      "evacuation-began",
+	EvacuationEnded:      "evacuation-ended",
 	DirectiveAccepted:    "directive-accepted",
 	DirectiveRefused:     "directive-refused",
 	DirectiveMerged:      "directive-merged",
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -69,7 +69,11 @@
 }
 
 // View is the limits of all servers, as all hosts have them. It does not change.
-type View struct{ limits map[process.Key]Limit }
+type View struct {
+	limits map[process.Key]Limit
+	// cold are the limits of servers that have just started.
+	cold map[process.Key]Limit
+}
 
 // NewView returns a view of limits.
 func NewView(limits []Limit) *View {
@@ -81,24 +85,35 @@
 }
 
 // Empty reports whether no server has a limit.
-func (v *View) Empty() bool { return v == nil || len(v.limits) == 0 }
+func (v *View) Empty() bool { return v == nil || len(v.limits)+len(v.cold) == 0 }
 
 // isFull reports whether no further limit is held.
 func (v *View) isFull() bool { return v != nil && len(v.limits) >= maxLimits }
 
 // Of returns the limit of a server's process; false if it has none.
 func (v *View) Of(server process.Server) (Limit, bool) {
-	if v.Empty() {
+	limit, known := v.Bound(server.Key())
+	if !known || server.IsNewerThan(limit.Server) {
 		return Limit{}, false
 	}
-	held, known := v.limits[server.Key()]
-	if !known || server.IsNewerThan(held.Server) {
+	return limit, true
+}
+
+// Bound returns what binds a server whatever its process: the limit that it names or the one
+// of its cold time, the lower if there are both.
+func (v *View) Bound(key process.Key) (Limit, bool) {
+	if v.Empty() {
 		return Limit{}, false
 	}
-	return held, true
+	named, isNamed := v.limits[key]
+	cold, isCold := v.cold[key]
+	if isCold && (!isNamed || cold.PerSecond < named.PerSecond) {
+		return cold, true
+	}
+	return named, isNamed
 }
 
-// Named returns the limit of a server whatever its process.
+// Named returns the limit that a server names, whatever its process.
 func (v *View) Named(key process.Key) (Limit, bool) {
 	if v.Empty() {
 		return Limit{}, false
--- a/internal/sharing/ring.go
+++ b/internal/sharing/ring.go
@@ -9,30 +9,58 @@
 
 // ring holds names in the order of their hash. A member's place is its rank as a part
 // of the ring, so that members are spread evenly: the places of hashes themselves would
-// leave gaps.
+// leave gaps. A ring does not change.
 type ring struct {
-	names []string
-	rank  map[string]int
+	names  []string
+	hashes []uint64 // of names
 }
 
-func newRing(names []string) *ring {
-	type hashed struct {
-		hash uint64
-		name string
+// hashed is a name with its hash.
+type hashed struct {
+	hash uint64
+	name string
+}
+
+func hashOf(name string) hashed { return hashed{xxhash.Sum64String(name), name} }
+
+func (h hashed) compare(other hashed) int {
+	return cmp.Or(cmp.Compare(h.hash, other.hash), cmp.Compare(h.name, other.name))
+}
+
+func newRing(names []string) *ring { return (*ring)(nil).with(names, nil) }
+
+// with returns the ring after some names have joined and left.
+func (r *ring) with(joined, left []string) *ring {
+	added := make([]hashed, 0, len(joined))
+	for _, name := range joined {
+		added = append(added, hashOf(name))
 	}
-	order := make([]hashed, 0, len(names))
-	for _, name := range names {
-		order = append(order, hashed{xxhash.Sum64String(name), name})
+	slices.SortFunc(added, hashed.compare)
+	next := &ring{names: make([]string, 0, r.len()+len(added)), hashes: make([]uint64, 0, r.len()+len(added))}
+	gone := make(map[string]bool, len(left))
+	for _, name := range left {
+		gone[name] = true
+	}
+	for i := range r.len() {
+		for len(added) > 0 && added[0].compare(r.at(i)) < 0 {
+			next.append(added[0])
+			added = added[1:]
+		}
+		if len(gone) == 0 || !gone[r.names[i]] {
+			next.append(r.at(i))
+		}
 	}
-	slices.SortFunc(order, func(a, b hashed) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
-	})
-	r := &ring{names: make([]string, 0, len(names)), rank: make(map[string]int, len(names))}
-	for i, member := range order {
-		r.names = append(r.names, member.name)
-		r.rank[member.name] = i
+	for _, h := range added {
+		next.append(h)
 	}
-	return r
+	return next
+}
+
+func (r *ring) at(i int) hashed { return hashed{r.hashes[i], r.names[i]} }
+
+func (r *ring) append(h hashed) {
+	r.names = append(r.names, h.name)
+	r.hashes = append(r.hashes, h.hash)
 }
 
 func (r *ring) len() int {
@@ -42,13 +70,49 @@
 	return len(r.names)
 }
 
+// rank is a member's position in the order.
+func (r *ring) rank(name string) (int, bool) {
+	if r == nil {
+		return 0, false
+	}
+	sought := hashOf(name)
+	i, _ := slices.BinarySearch(r.hashes, sought.hash)
+	for ; i < len(r.hashes) && r.hashes[i] == sought.hash; i++ {
+		if r.names[i] == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // place is where a member stands, from 0 up to 1.
 func (r *ring) place(name string) (float64, bool) {
-	if r == nil {
+	rank, ok := r.rank(name)
+	if !ok {
 		return 0, false
 	}
-	rank, ok := r.rank[name]
-	return float64(rank) / float64(max(len(r.names), 1)), ok
+	return r.placeAt(rank), true
+}
+
+func (r *ring) placeAt(rank int) float64 { return float64(rank) / float64(max(len(r.names), 1)) }
+
+// arc returns the members in the arc of a width that begins at start.
+func (r *ring) arc(start, width float64) []string {
+	n := r.len()
+	if width >= 1 {
+		return r.members()
+	}
+	var found []string
+	first := int(start * float64(n))
+	for ahead := range n {
+		i := (first + ahead) % n
+		if inArc(start, width, r.placeAt(i)) {
+			found = append(found, r.names[i])
+		} else if ahead > 1 { // the first may lie just before start
+			break
+		}
+	}
+	return found
 }
 
 // inArc reports whether a place lies in the arc of a width that begins at start.
@@ -88,7 +152,7 @@
 
 // segment returns the members of the same one of count equal parts of the ring.
 func (r *ring) segment(name string, count int) []string {
-	rank, ok := r.rank[name]
+	rank, ok := r.rank(name)
 	if !ok {
 		return nil
 	}
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -14,6 +14,8 @@
 // The package is pure: lists in, lists out.
 package sharing
 
+import "maps"
+
 // Rule says how wide arcs are.
 type Rule struct {
 	// Hosts is how many hosts of a data centre share a server. More know more of a
@@ -95,42 +97,78 @@
 // SegmentSize is the number of hosts of this host's segment, itself included.
 func (f *Fleet) SegmentSize() int { return len(f.segment) + 1 }
 
-// Service is a service's servers on their rings.
+// Service is a service's servers on their rings. It does not change.
 type Service struct {
-	rings map[string]*ring  // by data centre
-	of    map[string]string // data centre, by server
+	rings map[string]*ring // by data centre
 }
 
 // NewService places servers, whose data centres are given by their names.
 func NewService(dataCentres map[string]string) *Service {
-	s := &Service{rings: make(map[string]*ring), of: dataCentres}
-	names := make(map[string][]string)
-	for server, dataCentre := range dataCentres {
-		names[dataCentre] = append(names[dataCentre], server)
+	joined := make([]Server, 0, len(dataCentres))
+	for name, dataCentre := range dataCentres {
+		joined = append(joined, Server{Name: name, DataCentre: dataCentre})
 	}
-	for dataCentre, in := range names {
-		s.rings[dataCentre] = newRing(in)
+	return (&Service{}).With(joined, nil)
+}
+
+// Server is a server on a ring.
+type Server struct {
+	Name       string
+	DataCentre string
+}
+
+// With returns the service after servers have joined and left. Rings of data centres without
+// either stay as they are.
+func (s *Service) With(joined, left []Server) *Service {
+	added, gone := namesOf(joined), namesOf(left)
+	next := &Service{rings: maps.Clone(s.rings)}
+	if next.rings == nil {
+		next.rings = make(map[string]*ring)
+	}
+	for dataCentre := range gone {
+		if _, both := added[dataCentre]; !both {
+			added[dataCentre] = nil
+		}
 	}
-	return s
+	for dataCentre, names := range added {
+		next.rings[dataCentre] = next.rings[dataCentre].with(names, gone[dataCentre])
+	}
+	return next
 }
 
-// Uses reports whether a server is in this host's subset.
-func (f *Fleet) Uses(s *Service, server string) bool {
-	servers := s.rings[s.of[server]]
-	place, ok := servers.place(server)
-	if !ok {
-		return false
+func namesOf(servers []Server) map[string][]string {
+	names := make(map[string][]string)
+	for _, s := range servers {
+		names[s.DataCentre] = append(names[s.DataCentre], s.Name)
+	}
+	return names
+}
+
+// find returns the ring on which a server is and its place there.
+func (s *Service) find(server string) (on *ring, place float64, ok bool) {
+	for _, r := range s.rings {
+		if place, ok := r.place(server); ok {
+			return r, place, true
+		}
 	}
+	return nil, 0, false
+}
+
+// Subset returns the servers that this host uses.
+func (f *Fleet) Subset(s *Service) []string {
 	own := f.rings[f.self.DataCentre]
 	start, _ := own.place(f.self.Name)
-	return inArc(start, f.rule.width(own.len(), servers.len()), place)
+	var subset []string
+	for _, servers := range s.rings {
+		subset = append(subset, servers.arc(start, f.rule.width(own.len(), servers.len()))...)
+	}
+	return subset
 }
 
 // Audience returns the addresses of the other hosts of a data centre whose subsets hold
 // a server.
 func (f *Fleet) Audience(s *Service, server, dataCentre string) []string {
-	servers := s.rings[s.of[server]]
-	place, ok := servers.place(server)
+	servers, place, ok := s.find(server)
 	if !ok {
 		return nil
 	}
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -15,6 +15,8 @@
 	hosts   []Host
 	service *Service
 	servers []string
+	// dataCentre is where each server is.
+	dataCentre map[string]string
 }
 
 func newSite(hosts, servers []int) *site {
@@ -33,6 +35,7 @@
 			s.servers = append(s.servers, name)
 		}
 	}
+	s.dataCentre = of
 	s.service = NewService(of)
 	return s
 }
@@ -45,10 +48,8 @@
 // uses returns a host's subset.
 func (s *site) uses(f *Fleet) map[string]bool {
 	subset := make(map[string]bool)
-	for _, server := range s.servers {
-		if f.Uses(s.service, server) {
-			subset[server] = true
-		}
+	for _, server := range f.Subset(s.service) {
+		subset[server] = true
 	}
 	return subset
 }
@@ -85,7 +86,7 @@
 	for _, dataCentre := range slices.Sorted(maps.Keys(users[s.servers[0]])) {
 		least, most := len(hosts), 0
 		for _, server := range s.servers {
-			if s.service.of[server] == s.service.of[s.servers[0]] {
+			if s.dataCentre[server] == s.dataCentre[s.servers[0]] {
 				least, most = min(least, users[server][dataCentre]), max(most, users[server][dataCentre])
 			}
 		}
@@ -118,7 +119,7 @@
 		for _, dataCentre := range []string{"dc0", "dc1", "dc2"} {
 			var users []string
 			for i, h := range s.hosts {
-				if i != 5 && h.DataCentre == dataCentre && fleet(s.hosts, i).Uses(s.service, server) {
+				if i != 5 && h.DataCentre == dataCentre && s.uses(fleet(s.hosts, i))[server] {
 					users = append(users, h.Name)
 				}
 			}
@@ -236,3 +237,43 @@
 		}
 	}
 }
+
+// Rings that are brought up to date by changes are those that are made anew, and so are subsets
+// and audiences.
+func TestChangedServiceIsAsMadeAnew(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 1))
+	s := newSite([]int{30, 20}, []int{40, 17})
+	changed := s.service
+	held := make(map[string]string)
+	for _, server := range s.servers {
+		held[server] = fmt.Sprint("dc", server[1:2])
+	}
+	for round := range 60 {
+		var joined, left []Server
+		for _, name := range slices.Sorted(maps.Keys(held)) {
+			if random.IntN(20) == 0 {
+				left = append(left, Server{name, held[name]})
+				delete(held, name)
+			}
+		}
+		for i := range random.IntN(5) {
+			one := Server{fmt.Sprintf("new%d-%d", round, i), fmt.Sprint("dc", random.IntN(3))}
+			joined = append(joined, one)
+			held[one.Name] = one.DataCentre
+		}
+		changed = changed.With(joined, left)
+		anew := NewService(held)
+		f := fleet(s.hosts, random.IntN(len(s.hosts)))
+		got, want := f.Subset(changed), f.Subset(anew)
+		slices.Sort(got)
+		slices.Sort(want)
+		if !slices.Equal(got, want) {
+			t.Fatalf("round %d: subset %v, made anew %v", round, got, want)
+		}
+		for name := range held {
+			if !slices.Equal(f.Audience(changed, name, "dc0"), f.Audience(anew, name, "dc0")) {
+				t.Fatalf("round %d: audience of %s differs", round, name)
+			}
+		}
+	}
+}
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -21,7 +21,7 @@
 func Accept(w *world.World, now time.Time, key string, revision uint64, raw []byte) {
 	doc := w.Document(key)
 	doc.Fetching = time.Time{}
-	if revision <= doc.Revision {
+	if revision < doc.Revision || revision == doc.Revision && !doc.Incomplete {
 		noteOlder(w, now, doc, revision)
 		return
 	}
@@ -29,14 +29,18 @@
 	if revision == doc.Refused {
 		return
 	}
-	if err := applyGuarded(w, now, key, raw); err != nil {
+	err := applyGuarded(w, now, doc, revision, raw)
+	if isIncomplete(err) {
+		noteIncomplete(w, now, doc, err)
+		return
+	}
+	if err != nil {
 		doc.Refused = revision
 		doc.RefusedReason = err.Error()
 		w.Record(now, event.ConfigRefused, "", "", fmt.Sprintf("%s revision %d: %v", key, revision, err))
 		return
 	}
 	doc.Revision = revision
-	doc.Raw = raw
 	doc.Fetching = now.Add(ChangeGap)
 	doc.RefusedReason = ""
 	w.HeadsChanged = true
@@ -76,23 +80,28 @@
 
 // applyGuarded refuses a document that makes this host panic: each host that reads it would
 // end, and again after each start.
-func applyGuarded(w *world.World, now time.Time, key string, raw []byte) (err error) {
+func applyGuarded(w *world.World, now time.Time, doc *world.Document, revision uint64, raw []byte) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = errs.New(errs.KindConfig, fmt.Sprintf("this host failed to read it: %v", cause), "publish an older version, and report the document")
 		}
 	}()
-	return apply(w, now, key, raw)
+	if doc.Key == world.KeyDiscovered {
+		return applyDiscovered(w, now, doc, revision, raw)
+	}
+	if err := applyWhole(w, now, doc.Key, raw); err != nil {
+		return err
+	}
+	doc.Raw = raw
+	return nil
 }
 
-func apply(w *world.World, now time.Time, key string, raw []byte) error {
+func applyWhole(w *world.World, now time.Time, key string, raw []byte) error {
 	switch key {
 	case world.KeyIndex:
 		return applyIndex(w, now, raw)
 	case world.KeyHosts:
 		return applyHosts(w, raw)
-	case world.KeyDiscovered:
-		return applyDiscovered(w, now, raw)
 	default:
 		return applyShard(w, now, key, raw)
 	}
@@ -189,33 +198,6 @@
 	return nil
 }
 
-// applyDiscovered replaces the registered backend servers.
-func applyDiscovered(w *world.World, now time.Time, raw []byte) error {
-	found, faults, err := config.ParseDiscovered(raw)
-	if err != nil {
-		return err
-	}
-	for _, fault := range faults {
-		w.Record(now, event.BackendMisregistered, "", "", fault)
-	}
-	next := make(map[string][]config.Backend)
-	for _, b := range found.Backends {
-		next[b.Service] = append(next[b.Service], b.Backend)
-	}
-	held := w.Discovered
-	for name, backends := range held {
-		next[name] = keepAbsent(w, now, name, backends, next[name], time.Duration(found.AbsenceGrace))
-	}
-	w.Discovered = next
-	for name, svc := range w.Services {
-		if svc.ListsBackends || slices.Equal(held[name], next[name]) {
-			continue
-		}
-		applyService(w, now, svc.Document, svc.Config)
-	}
-	return nil
-}
-
 // withDiscovered returns the configuration with the registered backend
 // servers, unless it lists its own.
 func withDiscovered(w *world.World, svc *world.Service, conf *config.Service) *config.Service {
@@ -245,14 +227,16 @@
 	for _, b := range conf.Backends {
 		svc.Backends = append(svc.Backends, mergeBackend(w, now, held, b))
 	}
-	slices.SortFunc(svc.Backends, func(a, b *world.BackendServer) int { return cmp.Compare(a.Config.ID, b.Config.ID) })
-	svc.Busy = svc.Busy || known
+	slices.SortFunc(svc.Backends, byID)
+	svc.Busy = svc.Busy || known && !w.DirectPicking
 	w.Services[conf.Name] = svc
 }
 
+func byID(a, b *world.BackendServer) int { return cmp.Compare(a.Config.ID, b.Config.ID) }
+
 func mergeBackend(w *world.World, now time.Time, svc *world.Service, conf config.Backend) *world.BackendServer {
 	if svc == nil {
-		return &world.BackendServer{Config: conf, Since: now}
+		return &world.BackendServer{Config: conf, Since: now, ColdUntil: coldUntil(now, conf)}
 	}
 	held := svc.Backend(conf.ID)
 	if held == nil || !held.Config.SameProcess(&conf) {
@@ -262,12 +246,19 @@
 		if w.DirectPicking {
 			state = world.BackendHealthy
 		}
-		return &world.BackendServer{Config: conf, State: state, Since: now}
+		return &world.BackendServer{Config: conf, State: state, Since: now, ColdUntil: coldUntil(now, conf)}
 	}
 	kept := *held
+	if kept.Config != conf {
+		kept.ColdUntil = coldUntil(now, conf)
+	}
 	kept.Config = conf
 	if conf.Leaving && !held.Config.Leaving {
 		w.Record(now, event.BackendLeaving, svc.Config.Name, conf.ID, "marked by the platform")
 	}
 	return &kept
 }
+
+func coldUntil(now time.Time, conf config.Backend) time.Time {
+	return now.Add(time.Duration(conf.Warmup))
+}
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -157,6 +157,7 @@
 	dropAbsent(w, now)
 	s.chooseReader(w, now)
 	s.followHeads(w, now)
+	s.followIncomplete(w, now)
 	s.followIndex(w, now)
 	s.poll(w, now)
 	s.beat(w, now)
@@ -277,7 +278,7 @@
 	}
 	doc.Fetching = now.Add(retryAfter(doc))
 	doc.Attempts++
-	f := world.Fetch{Key: doc.Key, After: doc.Revision, Platform: plan.platform || doc.Attempts > PlatformAfter}
+	f := world.Fetch{Key: doc.Key, After: doc.Held(), Platform: plan.platform || doc.Attempts > PlatformAfter}
 	if !plan.platform {
 		f.Peers = s.sources(w, doc, plan)
 	}
--- /dev/null
+++ b/internal/system/configsync/discovered.go
@@ -0,0 +1,197 @@
+package configsync
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/registry"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// The list of registered backend servers is kept in step by changes: at thousands of servers
+// the whole list, for each host at each change, would grow with the cube of the fleet.
+
+// applyDiscovered takes a whole list of the registered backend servers or a change to it.
+func applyDiscovered(w *world.World, now time.Time, doc *world.Document, revision uint64, raw []byte) error {
+	list, faults, err := config.ParseDiscovered(raw)
+	if err != nil {
+		return err
+	}
+	if doc.Incomplete && list.Base > 0 {
+		return registry.GapError{Base: list.Base}
+	}
+	for _, fault := range faults {
+		w.Record(now, event.BackendMisregistered, "", "", fault)
+	}
+	updates, err := w.Registry.Apply(now, revision, list)
+	var gap registry.GapError
+	if errors.As(err, &gap) {
+		return err
+	}
+	doc.Incomplete = false
+	applyUpdates(w, now, updates, time.Duration(list.AbsenceGrace))
+	applyEvacuated(w, now, list.Evacuated)
+	if list.Base == 0 {
+		return nil // nothing else could be asked for
+	}
+	return err
+}
+
+// isIncomplete reports whether a change did not fit what is held.
+func isIncomplete(err error) bool {
+	var gap registry.GapError
+	var digest registry.DigestError
+	return errors.As(err, &gap) || errors.As(err, &digest)
+}
+
+// noteIncomplete asks for the whole document.
+func noteIncomplete(w *world.World, now time.Time, doc *world.Document, cause error) {
+	doc.Incomplete = true
+	w.Record(now, event.ListIncomplete, "", "", doc.Key+": "+cause.Error())
+}
+
+// followIncomplete fetches documents of which a change did not fit, also where nobody
+// announces them.
+func (s *System) followIncomplete(w *world.World, now time.Time) {
+	for _, key := range w.Required {
+		if doc := w.Document(key); doc.Incomplete {
+			s.fetch(w, now, doc, fetchPlan{platform: IsReader(w)})
+		}
+	}
+}
+
+// Answer returns the revision that this host holds of a document and the document, or the
+// change to it, that brings a host which holds an older revision up to date.
+func Answer(w *world.World, now time.Time, doc *world.Document, after uint64) (*peerpb.DocumentResponse, error) {
+	if doc.Incomplete {
+		return &peerpb.DocumentResponse{}, nil
+	}
+	resp := &peerpb.DocumentResponse{Revision: doc.Revision}
+	if doc.Revision <= after {
+		return resp, nil
+	}
+	if doc.Key != world.KeyDiscovered {
+		resp.Document = doc.Raw
+		return resp, nil
+	}
+	raw, err := json.Marshal(w.Registry.Since(now, after))
+	if err != nil {
+		return nil, errs.Wrap(err, errs.KindConfig, "list of backend servers cannot be written", "report this as a fault of pearshelf")
+	}
+	resp.Document = raw
+	return resp, nil
+}
+
+// applyUpdates brings the services up to date.
+func applyUpdates(w *world.World, now time.Time, updates []registry.Update, grace time.Duration) {
+	if !w.Platform.MayHaveLapsed(now) {
+		grace = 0
+	}
+	touched := make(map[string][]replacement)
+	for _, u := range updates {
+		if u.Before != nil && (u.After == nil || u.After.Service != u.Before.Service) {
+			name := u.Before.Service
+			if u.After != nil || !keepAbsent(w, now, u.Before, grace) {
+				touched[name] = append(touched[name], replacement{id: u.ID})
+			}
+		}
+		if u.After != nil {
+			name := u.After.Service
+			delete(w.Absent, u.ID)
+			touched[name] = append(touched[name], replacement{id: u.ID, backend: &u.After.Backend})
+		}
+	}
+	for name, replaced := range touched {
+		replaceBackends(w, now, name, replaced)
+	}
+}
+
+// replacement is the new row of a backend server, nil for none.
+type replacement struct {
+	id      string
+	backend *config.Backend
+}
+
+// replaceBackends gives some servers of a service, ordered by ID, new rows.
+func replaceBackends(w *world.World, now time.Time, service string, replaced []replacement) {
+	w.Discovered[service] = merge(w.Discovered[service], replaced,
+		func(held config.Backend) string { return held.ID },
+		func(b config.Backend) config.Backend { return b })
+	held, ok := w.Services[service]
+	if !ok || held.ListsBackends {
+		return
+	}
+	svc := *held
+	conf := *held.Config
+	conf.Backends = w.Discovered[service]
+	svc.Config = &conf
+	svc.Backends = merge(held.Backends, replaced,
+		func(held *world.BackendServer) string { return held.Config.ID },
+		func(b config.Backend) *world.BackendServer { return mergeBackend(w, now, held, b) })
+	svc.Dirty = true
+	svc.Busy = svc.Busy || !w.DirectPicking
+	w.Services[service] = &svc
+}
+
+// merge returns rows, which are ordered by ID, with some replaced, added or left out.
+func merge[T any](held []T, replaced []replacement, idOf func(T) string, row func(config.Backend) T) []T {
+	next := make([]T, 0, len(held)+len(replaced))
+	for _, r := range replaced {
+		n, found := slices.BinarySearchFunc(held, r.id, func(h T, id string) int { return cmp.Compare(idOf(h), id) })
+		next = append(next, held[:n]...)
+		held = held[n:]
+		if found {
+			held = held[1:]
+		}
+		if r.backend != nil {
+			next = append(next, row(*r.backend))
+		}
+	}
+	return append(next, held...)
+}
+
+// applyEvacuated takes which data centres' servers get no requests.
+func applyEvacuated(w *world.World, now time.Time, evacuated []string) {
+	next := slices.Compact(slices.Sorted(slices.Values(evacuated)))
+	if slices.Equal(next, w.Evacuated) {
+		return
+	}
+	for _, dataCentre := range next {
+		if !slices.Contains(w.Evacuated, dataCentre) {
+			w.Record(now, event.EvacuationBegan, "", "", describeEvacuation(w, dataCentre))
+		}
+	}
+	for _, dataCentre := range w.Evacuated {
+		if !slices.Contains(next, dataCentre) {
+			w.Record(now, event.EvacuationEnded, "", "", dataCentre)
+		}
+	}
+	w.Evacuated = next
+	for _, svc := range w.Services {
+		svc.Dirty = true
+	}
+}
+
+// describeEvacuation names the servers that get no more requests, by service.
+func describeEvacuation(w *world.World, dataCentre string) string {
+	var parts []string
+	for _, name := range w.ServiceNames() {
+		n := 0
+		for _, b := range w.Services[name].Backends {
+			if b.Config.DataCentre == dataCentre {
+				n++
+			}
+		}
+		parts = append(parts, fmt.Sprintf("%d of %s", n, name))
+	}
+	return dataCentre + ": no requests to its servers (" + strings.Join(parts, ", ") + ")"
+}
--- a/internal/system/rotation/rotation.go
+++ b/internal/system/rotation/rotation.go
@@ -25,18 +25,19 @@
 	TrialRequests = 5
 	TrialTime     = 5 * time.Second
 
-	trialWeight   = 0.1
-	lastWeight    = 0.05 // kept only for the floor
-	suspectWeight = 0.3
-	fullWeight    = 1.0
-	reasonLeaving = "leaving"
-	reasonDrained = "drained"
-	reasonEjected = "ejected"
-	reasonPath    = "path-fault"
-	reasonFloor   = "kept-for-floor"
-	reasonTrial   = "trial"
-	reasonSlow    = "slow-start"
-	reasonSuspect = "suspect"
+	trialWeight     = 0.1
+	lastWeight      = 0.05 // kept only for the floor
+	suspectWeight   = 0.3
+	fullWeight      = 1.0
+	reasonLeaving   = "leaving"
+	reasonEvacuated = "evacuated"
+	reasonDrained   = "drained"
+	reasonEjected   = "ejected"
+	reasonPath      = "path-fault"
+	reasonFloor     = "kept-for-floor"
+	reasonTrial     = "trial"
+	reasonSlow      = "slow-start"
+	reasonSuspect   = "suspect"
 )
 
 // System is the rotation step.
@@ -57,6 +58,7 @@
 	now   time.Time
 	svc   *world.Service
 	floor int
+	// next are the rotations of servers other than full: nearly all are in full rotation.
 	next  map[*world.BackendServer]world.Rotation
 	in    int // servers in rotation
 	whole int // of these, open to non-idempotent requests
@@ -68,7 +70,7 @@
 		now:   now,
 		svc:   svc,
 		floor: Floor(w, svc),
-		next:  make(map[*world.BackendServer]world.Rotation, len(svc.Backends)),
+		next:  make(map[*world.BackendServer]world.Rotation),
 	}
 	tallies := verdict.Count(w, svc.Config.Name)
 	for _, b := range svc.Backends {
@@ -117,23 +119,33 @@
 	p.svc.Busy = true
 }
 
-// admit takes in every server that the platform does not mark as leaving. A
-// marked one is going away, so it is no capacity that a floor could keep.
+// admit takes in every server but those that the platform marks as leaving, or whose data
+// centre it evacuates. They must get nothing, so they are no capacity that a floor could keep.
 func (p *plan) admit() {
 	for _, b := range p.svc.Backends {
-		if b.Config.Leaving {
+		switch {
+		case b.Config.Leaving:
 			p.next[b] = world.Rotation{Reason: reasonLeaving}
-			continue
+		case slices.Contains(p.w.Evacuated, b.Config.DataCentre):
+			p.next[b] = world.Rotation{Reason: reasonEvacuated}
+		default:
+			p.in++
 		}
-		p.next[b] = world.Rotation{In: true, Weight: fullWeight}
-		p.in++
 	}
 	p.whole = p.in
 }
 
+// of returns the rotation that a server is to have.
+func (p *plan) of(b *world.BackendServer) world.Rotation {
+	if next, ok := p.next[b]; ok {
+		return next
+	}
+	return world.Rotation{In: true, Weight: fullWeight}
+}
+
 // remove takes a server out while more than least stay, and reports whether it is out.
 func (p *plan) remove(b *world.BackendServer, reason string, least int) bool {
-	if !p.next[b].In {
+	if !p.of(b).In {
 		return true
 	}
 	if p.in <= least {
@@ -200,7 +212,7 @@
 func (p *plan) restrict() {
 	var doubtful []*world.BackendServer
 	for _, b := range p.svc.Backends {
-		if p.next[b].In && (b.State == world.BackendSuspect || b.State == world.BackendTrial) {
+		if p.of(b).In && (b.State == world.BackendSuspect || b.State == world.BackendTrial) {
 			doubtful = append(doubtful, b)
 		}
 	}
@@ -213,7 +225,7 @@
 }
 
 func (p *plan) restrictOne(b *world.BackendServer) {
-	r := p.next[b]
+	r := p.of(b)
 	if r.Reason == reasonFloor {
 		return
 	}
@@ -242,7 +254,7 @@
 
 func (p *plan) apply() {
 	for _, b := range p.svc.Backends {
-		next := p.next[b]
+		next := p.of(b)
 		if next == b.Rotation {
 			continue
 		}
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -1,6 +1,8 @@
 package world
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
@@ -39,7 +41,7 @@
 // ServiceView is what the request path knows of a service.
 type ServiceView struct {
 	Config *config.Service
-	// Backends are the servers in rotation. Where hosts pick directly, Subset are those
+	// Backends are the servers in rotation, ordered by ID. Where hosts pick directly, Subset are those
 	// that this host uses unless none of them serves, and Sharing says who else does.
 	Backends []BackendView
 	Subset   []BackendView
@@ -65,6 +67,26 @@
 	return v.Backends
 }
 
+// Within returns the view with only the servers of some data centres.
+func (v *ServiceView) Within(allowed func(dataCentre string) bool) *ServiceView {
+	outside := func(b BackendView) bool { return !allowed(b.DataCentre) }
+	within := *v
+	within.Backends = slices.DeleteFunc(slices.Clone(v.Backends), outside)
+	if v.Subset != nil {
+		within.Subset = slices.DeleteFunc(slices.Clone(v.Subset), outside)
+	}
+	return &within
+}
+
+// Backend returns a server in rotation by ID, or nil.
+func (v *ServiceView) Backend(id string) *BackendView {
+	i, found := slices.BinarySearchFunc(v.Backends, id, func(b BackendView, id string) int { return cmp.Compare(b.ID, id) })
+	if !found {
+		return nil
+	}
+	return &v.Backends[i]
+}
+
 // Snapshot is an immutable view for the request path.
 type Snapshot struct {
 	Self Identity
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -13,6 +13,7 @@
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/register"
+	"github.com/pearshelf/pearshelf/internal/registry"
 )
 
 // Keys of the platform's documents.
@@ -66,6 +67,9 @@
 	// Refused is the highest revision whose content was refused, and why.
 	Refused       uint64
 	RefusedReason string
+	// Incomplete is set where a change did not fit what is held: only the whole document
+	// helps.
+	Incomplete bool
 	// Fetching is until when a fetch is under way.
 	Fetching time.Time
 	// Attempts counts fetches since the last success.
@@ -75,9 +79,21 @@
 // Lacks reports whether a revision is newer than what this host holds, and not
 // one that it refused.
 func (d *Document) Lacks(revision uint64) bool {
+	if d.Incomplete {
+		return revision >= d.Revision
+	}
 	return revision > d.Revision && revision > d.Refused
 }
 
+// Held is the revision from which on this host can apply a change, 0 if it needs the whole
+// document.
+func (d *Document) Held() uint64 {
+	if d.Incomplete {
+		return 0
+	}
+	return d.Revision
+}
+
 // BackendState is the graded judgement of a backend server.
 type BackendState int
 
@@ -131,9 +147,11 @@
 
 // BackendServer is one row of the backend server table.
 type BackendServer struct {
-	Config    config.Backend
-	State     BackendState
-	Since     time.Time // of State
+	Config config.Backend
+	State  BackendState
+	Since  time.Time // of State
+	// ColdUntil is until when the server is slow and takes few requests after its start.
+	ColdUntil time.Time
 	Detection Detection
 	Rotation  Rotation
 }
@@ -215,9 +233,14 @@
 	SharedRoutes map[string][]config.Route
 	// Customers are those of all documents, by document.
 	Customers map[string][]config.Customer
-	// Discovered are the registered backend servers by service; they serve the
-	// services whose configuration lists none.
+	// Registry is what the platform lists of the backend servers that have registered
+	// themselves.
+	Registry *registry.Table
+	// Discovered are the registered backend servers that this host uses, by service and
+	// ordered by ID; they serve the services whose configuration lists none.
 	Discovered map[string][]config.Backend
+	// Evacuated are the data centres whose backend servers get no requests, in order.
+	Evacuated []string
 	// Absent are the registered backend servers that the platform no longer
 	// lists and this host still uses for a while, by ID.
 	Absent map[string]AbsentBackend
@@ -280,6 +303,8 @@
 		Required:      []string{KeyIndex},
 		Polled:        []string{KeyIndex, KeyHosts},
 		Registers:     register.NewStore(),
+		Registry:      registry.New(),
+		Discovered:    make(map[string][]config.Backend),
 		StartedAt:     now,
 	}
 }
