Home regions: requests run only where their route and customer allow

A request sees the servers of its homes only, so first sends, retries, copies, trials and resumed downloads keep to them; the last look before the first byte checks it again. Without a server in a home it is refused at once as not run. Owner hosts outside a home get nothing, and idempotency keys are spread over hosts in the homes. Regions come from the settings.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -14,7 +14,6 @@
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
-	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // network joins tables without sockets; calls take a random time, and releases
@@ -58,17 +57,17 @@
 	return &peerpb.ReleaseResponse{}, nil
 }
 
-// newNetwork returns n hosts old enough to grant, and their snapshot.
-func newNetwork(n int, horizon, delay time.Duration) (*network, *world.Snapshot) {
+// newNetwork returns n hosts old enough to grant.
+func newNetwork(n int, horizon, delay time.Duration) (*network, claims.Claimable) {
 	net := &network{tables: make(map[string]*claims.Table), down: make(map[string]bool), delay: delay}
-	snap := &world.Snapshot{ClaimantAddress: make(map[string]string)}
+	among := claims.Claimable{Addresses: make(map[string]string)}
 	for i := range n {
 		host := fmt.Sprintf("h%d", i)
 		net.tables[host] = oldTable(horizon)
-		snap.Claimants = append(snap.Claimants, rendezvous.NewNode(host, fmt.Sprintf("dc%d", i%3)))
-		snap.ClaimantAddress[host] = host
+		among.Hosts = append(among.Hosts, rendezvous.NewNode(host, fmt.Sprintf("dc%d", i%3)))
+		among.Addresses[host] = host
 	}
-	return net, snap
+	return net, among
 }
 
 func oldTable(horizon time.Duration) *claims.Table {
@@ -84,7 +83,7 @@
 // Of requests with one key at one time, through different hosts and with slow
 // releases of tries that gave way, at most one gets the claim.
 func TestOneHolderUnderSlowReleases(t *testing.T) {
-	net, snap := newNetwork(9, time.Minute, 2*time.Millisecond)
+	net, among := newNetwork(9, time.Minute, 2*time.Millisecond)
 	const rounds = 20
 	won := int64(0)
 	for round := range rounds {
@@ -95,7 +94,7 @@
 			host := fmt.Sprintf("h%d", i)
 			c := claims.NewCoordinator(host, net.tables[host], net, time.Second)
 			wg.Go(func() {
-				if _, err := c.Claim(t.Context(), snap, key, fmt.Sprint("request-", i), time.Minute); err == nil {
+				if _, err := c.Claim(t.Context(), among, key, fmt.Sprint("request-", i), time.Minute); err == nil {
 					holders.Add(1)
 				}
 			})
@@ -107,7 +106,7 @@
 			if holders.Load() == 0 {
 				break
 			}
-			if _, err := c.Claim(t.Context(), snap, key, "late", time.Minute); err == nil {
+			if _, err := c.Claim(t.Context(), among, key, "late", time.Minute); err == nil {
 				holders.Add(1)
 			}
 			net.travel(2 * net.delay)
@@ -123,20 +122,20 @@
 }
 
 func TestReleasedKeyCanBeClaimedAgainButFinishedCannot(t *testing.T) {
-	net, snap := newNetwork(6, time.Minute, 0)
+	net, among := newNetwork(6, time.Minute, 0)
 	c := claims.NewCoordinator("h0", net.tables["h0"], net, time.Second)
 	key := claims.Key{Service: "s", Key: "k"}
-	first, err := c.Claim(t.Context(), snap, key, "r1", time.Minute)
+	first, err := c.Claim(t.Context(), among, key, "r1", time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
 	first.Release(false)
 	var second *claims.Claim
 	for second == nil { // the release travels in the background
-		second, _ = c.Claim(t.Context(), snap, key, "r2", time.Minute)
+		second, _ = c.Claim(t.Context(), among, key, "r2", time.Minute)
 	}
 	second.Release(true)
-	if _, err := c.Claim(t.Context(), snap, key, "r3", time.Minute); errs.KindOf(err) != errs.KindClaimHeld {
+	if _, err := c.Claim(t.Context(), among, key, "r3", time.Minute); errs.KindOf(err) != errs.KindClaimHeld {
 		t.Fatalf("want the key held, got %v", err)
 	}
 }
@@ -144,12 +143,12 @@
 // The claim survives two claimants that are gone, and is refused beyond.
 func TestQuorumOfClaimants(t *testing.T) {
 	for down, want := range map[int]errs.Kind{2: "", 3: errs.KindClaimRefused} {
-		net, snap := newNetwork(6, time.Minute, 0)
+		net, among := newNetwork(6, time.Minute, 0)
 		for i := range down {
 			net.down[fmt.Sprintf("h%d", i+1)] = true
 		}
 		c := claims.NewCoordinator("h0", net.tables["h0"], net, time.Second)
-		if _, err := c.Claim(t.Context(), snap, claims.Key{Service: "s", Key: "a"}, "r", time.Minute); errs.KindOf(err) != want {
+		if _, err := c.Claim(t.Context(), among, claims.Key{Service: "s", Key: "a"}, "r", time.Minute); errs.KindOf(err) != want {
 			t.Errorf("%d of 6 down: got %v", down, err)
 		}
 	}
@@ -180,21 +179,21 @@
 // An owner that could not get a claim releases it late; the same request may by
 // then have got its claim through another owner, and must keep it.
 func TestLateReleaseOfAnotherOwnerFreesNothing(t *testing.T) {
-	net, snap := newNetwork(6, time.Minute, 5*time.Millisecond)
+	net, among := newNetwork(6, time.Minute, 5*time.Millisecond)
 	key := claims.Key{Service: "s", Key: "k"}
 	first := claims.NewCoordinator("h0", net.tables["h0"], net, time.Second)
-	held, err := first.Claim(t.Context(), snap, key, "request", time.Minute)
+	held, err := first.Claim(t.Context(), among, key, "request", time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
 	held.Release(false) // travels for up to 100 ms
 	second := claims.NewCoordinator("h1", net.tables["h1"], net, time.Second)
 	for err = errors.New("not yet"); err != nil; {
-		_, err = second.Claim(t.Context(), snap, key, "request", time.Minute)
+		_, err = second.Claim(t.Context(), among, key, "request", time.Minute)
 	}
 	third := claims.NewCoordinator("h2", net.tables["h2"], net, time.Second)
 	for range 3 * lateTries {
-		if _, err := third.Claim(t.Context(), snap, key, "other", time.Minute); err == nil {
+		if _, err := third.Claim(t.Context(), among, key, "other", time.Minute); err == nil {
 			t.Fatal("a late release freed a key that is held")
 		}
 		net.travel(2 * net.delay)
@@ -206,7 +205,7 @@
 // is forgotten, or it would run a second time.
 func TestAskingEndsBeforeTheHorizon(t *testing.T) {
 	const horizon = 200 * time.Millisecond
-	net, snap := newNetwork(6, horizon, 0)
+	net, among := newNetwork(6, horizon, 0)
 	key := claims.Key{Service: "s", Key: "k"}
 	for _, host := range []string{"h0", "h1", "h2", "h3"} { // a quorum that has run
 		net.tables[host].Claim(key, "z-high", time.Minute)
@@ -214,7 +213,7 @@
 	}
 	net.down["h3"] = true
 	other := claims.NewCoordinator("h5", net.tables["h5"], net, 10*horizon)
-	if _, err := other.Claim(t.Context(), snap, key, "a-low", time.Minute); errs.KindOf(err) != errs.KindClaimHeld {
+	if _, err := other.Claim(t.Context(), among, key, "a-low", time.Minute); errs.KindOf(err) != errs.KindClaimHeld {
 		t.Fatalf("want the key held, got %v", err)
 	}
 }
--- a/internal/claims/coordinator.go
+++ b/internal/claims/coordinator.go
@@ -13,7 +13,6 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
-	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 const (
@@ -84,6 +83,13 @@
 	err      error
 }
 
+// Claimable is the hosts among which a key is spread, with their addresses by name. All hosts
+// must name the same ones for a key.
+type Claimable struct {
+	Hosts     []rendezvous.Node
+	Addresses map[string]string
+}
+
 // Claim asks the claimants of a key. It returns a typed error if another
 // request holds it (KindClaimHeld) or no quorum answered (KindClaimRefused); in
 // both cases nothing stays claimed for the request.
@@ -91,8 +97,8 @@
 // Requests that come at the same moment may split the claimants. The one with
 // the lowest identity then keeps what it has and asks again, the others give
 // way, so that one of them gets the quorum.
-func (c *Coordinator) Claim(ctx context.Context, snap *world.Snapshot, key Key, requestID string, hold time.Duration) (*Claim, error) {
-	held, hosts := c.newClaim(snap, key, requestID)
+func (c *Coordinator) Claim(ctx context.Context, among Claimable, key Key, requestID string, hold time.Duration) (*Claim, error) {
+	held, hosts := c.newClaim(among, key, requestID)
 	// Answers that come after the quorum are still waited for, so that a
 	// release never overtakes its claim.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
@@ -111,8 +117,8 @@
 
 // newClaim names the claimants. The identity is new for each call, because a
 // late release of one call must not free the next.
-func (c *Coordinator) newClaim(snap *world.Snapshot, key Key, requestID string) (*Claim, []string) {
-	hosts := rendezvous.Spread(key.Service+"/"+key.Key, snap.Claimants, Claimants)
+func (c *Coordinator) newClaim(among Claimable, key Key, requestID string) (*Claim, []string) {
+	hosts := rendezvous.Spread(key.Service+"/"+key.Key, among.Hosts, Claimants)
 	cl := &Claim{
 		coordinator: c,
 		key:         key,
@@ -120,7 +126,7 @@
 		addresses:   make(map[string]string, len(hosts)),
 	}
 	for _, host := range hosts {
-		cl.addresses[host] = snap.ClaimantAddress[host]
+		cl.addresses[host] = among.Addresses[host]
 	}
 	return cl, hosts
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -276,6 +276,7 @@
 		Forwarding:  *d.settings.Forwarding,
 		PeerScheme:  scheme,
 		Protocol:    d.protocol,
+		Regions:     d.settings.Regions,
 		BufferBytes: int64(d.settings.Backend.BufferBytes),
 		BeforeWrite: d.hooks.BeforeWrite,
 	}, dispatch.Parts{
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/slots"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -34,6 +35,8 @@
 	PeerScheme string
 	// Protocol is what callers and backend servers speak.
 	Protocol *protocol.Protocol
+	// Regions gives the region of each data centre.
+	Regions region.Map
 	// BufferBytes is the longest answer that is read whole before its caller
 	// gets any of it, 0 for none. Larger mends more answers that break off and
 	// costs memory and time to the first byte.
@@ -79,6 +82,7 @@
 	servers    *availability.Table
 	rateLimits RateLimits
 
+	homes      homeViews
 	requestLog requestLog
 	stateLines *logging.Limit
 
@@ -160,10 +164,13 @@
 		w:     w,
 		req:   req,
 		snap:  snap,
-		view:  view,
+		view:  d.viewFor(req, view),
 		state: d.service(req.Service),
 		start: time.Now(),
 	}
+	if refusal := x.noServerInHome(view); refusal != nil {
+		return refusal
+	}
 	ctx, stop := x.headerDeadline(req.in.Context())
 	defer stop()
 	if d.forwards(req, view, snap) {
@@ -198,8 +205,8 @@
 // forwards reports whether an owner host should take the request. An owner
 // whose own network looks faulty lets the other owners work.
 func (d *Dispatcher) forwards(req *Request, view *world.ServiceView, snap *world.Snapshot) bool {
-	if !d.conf.Forwarding || req.ForwardedBy != "" {
-		return false
+	if !d.conf.Forwarding || req.ForwardedBy != "" || !req.Homes.Allow(d.conf.Regions, snap.Self.DataCentre) {
+		return false // owners are in this host's data centre
 	}
 	if view.SelfOwner {
 		return snap.Distrust && len(view.Owners) > 0
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/claims"
@@ -118,7 +117,7 @@
 		return nil, nil
 	}
 	key := claims.Key{Service: x.req.Service, Key: x.req.Key}
-	claim, err := x.d.claims.Claim(ctx, x.snap, key, x.req.ID, time.Until(x.req.Deadline))
+	claim, err := x.d.claims.Claim(ctx, x.claimants(), key, x.req.ID, time.Until(x.req.Deadline))
 	if err == nil {
 		return claim, nil
 	}
@@ -189,7 +188,7 @@
 func (x *exchange) refresh() {
 	x.snap = x.d.snapshot()
 	if view, ok := x.snap.Services[x.req.Service]; ok {
-		x.view = view
+		x.view = x.d.viewFor(x.req, view)
 	}
 }
 
@@ -198,9 +197,8 @@
 	if !ok {
 		return false
 	}
-	return slices.ContainsFunc(view.Backends, func(b world.BackendView) bool {
-		return b.ID == server.ID && (x.req.Idempotent || !b.IdempotentOnly)
-	})
+	b := view.Backend(server.ID)
+	return b != nil && (x.req.Idempotent || !b.IdempotentOnly)
 }
 
 // mayRetry reports whether another try is allowed. Tries that put no load on
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -17,6 +17,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
+	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -78,6 +79,8 @@
 	Priority int
 	// Group names requests with answers of about one size: their route.
 	Group string
+	// Homes are where the request may be run, and to which hosts anything of it may go.
+	Homes region.Homes
 	// ForwardedBy is the entry host, on an owner.
 	ForwardedBy string
 
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -24,6 +24,8 @@
 	// are zero for an owner host.
 	view   *world.ServiceView
 	server process.Server
+	// dataCentre is the server's.
+	dataCentre string
 	// adjust changes the outgoing headers.
 	adjust func(http.Header)
 }
@@ -38,6 +40,8 @@
 		view:    x.view,
 		server:  x.serverOf(lease),
 		adjust:  x.target(lease),
+
+		dataCentre: lease.Server.DataCentre,
 	}
 }
 
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -143,6 +142,10 @@
 	if to.server.ID == "" {
 		return nil // an owner host
 	}
+	if !x.req.Homes.Allow(x.d.conf.Regions, to.dataCentre) {
+		x.d.metrics.SendWithheld("home-region")
+		return x.outsideHome("backend server " + to.server.ID + " is outside the home regions of the request")
+	}
 	reason, _ := x.d.servers.Of(to.server)
 	switch reason {
 	case availability.Leaving:
@@ -159,21 +162,17 @@
 // stillInRotation forbids a send to a server that has left the rotation since it was picked.
 func (x *exchange) stillInRotation(to destination) error {
 	view := x.d.snapshot().Services[x.req.Service]
-	if view == to.view || view == nil || isListed(view, to.server) {
+	if view == to.view || view == nil || view.Backend(to.server.ID) != nil {
 		return nil
 	}
 	x.d.metrics.SendWithheld("out-of-rotation")
 	return errs.New(errs.KindLeaving, "backend server "+to.server.ID+" left the rotation before the request was sent", "repeat the request")
 }
 
-func isListed(view *world.ServiceView, server process.Server) bool {
-	return slices.ContainsFunc(view.Backends, func(b world.BackendView) bool { return b.ID == server.ID })
-}
-
 // isWithheld reports whether a send was stopped before its first byte because of what is
 // known of the server: that says nothing new of it.
 func isWithheld(kind errs.Kind) bool {
-	return kind == errs.KindLeaving || kind == errs.KindResting || kind == errs.KindNoRoom
+	return kind == errs.KindLeaving || kind == errs.KindResting || kind == errs.KindNoRoom || kind == errs.KindOutsideHome
 }
 
 // noneAvailable is the refusal of a request whose servers all say that they are leaving or
--- a/internal/frontend/customer.go
+++ b/internal/frontend/customer.go
@@ -26,6 +26,7 @@
 	switch {
 	case holder != nil:
 		req.Customer = holder.Name
+		req.Homes = req.Homes.And(holder.Homes)
 		if holder.Priority != nil {
 			req.Priority = *holder.Priority
 		}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -21,6 +21,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -170,6 +171,7 @@
 	req.Group = match.Group
 	req.Objective = match.Objective
 	req.Priority = match.Priority
+	req.Homes = match.Homes
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	holder, err := f.identify(req, r, snap, match)
@@ -219,6 +221,7 @@
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	req.Customer = r.Header.Get(protocol.HeaderCustomer)
 	req.ForwardedBy = r.Header.Get(dispatch.HeaderForwardedBy)
+	req.Homes = homesHere(snap, r, req)
 	left, err := strconv.ParseInt(r.Header.Get(protocol.HeaderDeadline), 10, 64)
 	if err != nil || req.Service == "" || id == "" {
 		return refuse(http.StatusBadRequest, errs.KindBadRequest, "forwarded request lacks a header", "run one version of the daemon on all hosts")
@@ -235,6 +238,16 @@
 	return !ok || match.Service != service || match.Idempotent
 }
 
+// homesHere returns the homes of a forwarded request by this host's own configuration.
+func homesHere(snap *world.Snapshot, r *http.Request, req *dispatch.Request) region.Homes {
+	match, _ := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	homes := match.Homes
+	if holder := snap.Customers.Named(req.Customer); holder != nil {
+		homes = homes.And(holder.Homes)
+	}
+	return homes
+}
+
 func (f *Frontend) dispatch(w http.ResponseWriter, req *dispatch.Request) error {
 	start := time.Now()
 	err := f.dispatcher.Serve(w, req)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/region"
 )
 
 // Match is the result of a lookup.
@@ -27,6 +28,8 @@
 	Priority int
 	// Public routes need no customer's key.
 	Public bool
+	// Homes are where requests may be run.
+	Homes region.Homes
 }
 
 type rule struct {
@@ -87,6 +90,7 @@
 			Objective:  time.Duration(r.Objective),
 			Priority:   r.Priority,
 			Public:     r.Public,
+			Homes:      region.HomesOf(r.HomeRegions),
 		},
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -17,6 +18,7 @@
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -175,15 +177,18 @@
 	// Host is this host's unique name.
 	Host string `yaml:"host"`
 	// DataCentre is where the host stands.
-	DataCentre string   `yaml:"data_centre"`
-	Caller     Caller   `yaml:"caller"`
-	Peer       Peer     `yaml:"peer"`
-	Operator   Operator `yaml:"operator"`
-	Platform   Platform `yaml:"platform"`
-	Timing     Timing   `yaml:"timing"`
-	Retry      Retry    `yaml:"retry"`
-	Policy     Policy   `yaml:"policy"`
-	Backend    Backend  `yaml:"backend"`
+	DataCentre string `yaml:"data_centre"`
+	// Regions gives the region of each data centre, for requests that may be run in some
+	// regions only. Default: none; such requests are refused then.
+	Regions  region.Map `yaml:"regions"`
+	Caller   Caller     `yaml:"caller"`
+	Peer     Peer       `yaml:"peer"`
+	Operator Operator   `yaml:"operator"`
+	Platform Platform   `yaml:"platform"`
+	Timing   Timing     `yaml:"timing"`
+	Retry    Retry      `yaml:"retry"`
+	Policy   Policy     `yaml:"policy"`
+	Backend  Backend    `yaml:"backend"`
 	// Forwarding sends requests to the owner hosts of their service. Default:
 	// true. If false, every host picks by itself and the hosts tell each other
 	// what they see.
@@ -304,6 +309,9 @@
 func (c *checker) settings(s *Settings) {
 	c.word("host", s.Host)
 	c.word("data_centre", s.DataCentre)
+	for _, dataCentre := range slices.Sorted(maps.Keys(s.Regions)) {
+		c.word("regions."+dataCentre, s.Regions[dataCentre])
+	}
 	c.addresses(s)
 	c.forwarding(s)
 	c.secured("peer", s.Peer.TLS, s.Peer.Insecure)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -43,7 +43,7 @@
 mutant "identity of a claim" internal/claims/coordinator.go 's|id:          requestID + "/" + ulid.Make().String(),|id: requestID + ulid.ULID{}.String(),|' ./internal/claims
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
 mutant "young hosts abstain" internal/claims/table.go 's/now.Sub(t.startedAt) < t.horizon/false/' ./internal/claims
-mutant "revision only grows" internal/system/configsync/apply.go 's/if revision <= doc.Revision {/if revision == doc.Revision {/' ./internal/system/configsync
+mutant "revision only grows" internal/system/configsync/apply.go 's/if revision < doc.Revision || revision == doc.Revision \&\& !doc.Incomplete {/if revision == doc.Revision {/' ./internal/system/configsync
 mutant "new host asks peers" internal/engine/engine.go 's/\&\& configsync.Current(e.world)/\&\& (e.world.Index != nil || configsync.Current(e.world))/' ./internal/engine
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
@@ -51,7 +51,7 @@
 mutant "one request after a rest" internal/policy/availability.go 's/return t.has(MechanismReturnOneByOne) \&\& .*/return false/' ./internal/policy -run ReturnsWithOne
 mutant "a server's report at an owner's pick" internal/slots/pool.go 's/return req.Available == nil || req.Available(b)/return true/' ./internal/slots
 mutant "a server's report at the first byte" internal/dispatch/send.go 's/if err := x.mayStillSend(to); err != nil {/if err := x.mayStillSend(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
-mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || isListed(view, to.server) {/if view == nil || len(view.Backends) >= 0 {/' ./platform -run UpToTheFirstByte
+mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || view.Backend(to.server.ID) != nil {/if view == nil || len(view.Backends) >= 0 {/' ./platform -run UpToTheFirstByte
 mutant "whose report" internal/dispatch/serverstate.go 's/return !x.isMisdirected(answer) \&\& .*/return !x.isMisdirected(answer) || echo != ""/' ./platform -run WhoseReport
 mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
@@ -64,7 +64,19 @@
 mutant "asking ends" internal/claims/coordinator.go "s/time.Now().After(giveUp)/giveUp.IsZero()/" ./internal/claims
 mutant "stand-in for a silent reader" internal/system/configsync/takeover.go 's/silent > silentAfter/silent > time.Hour/' ./internal/system/configsync
 mutant "stand-in for a stale reader" internal/system/configsync/takeover.go 's/stale > due/stale > due+time.Hour/' ./internal/system/configsync
-mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/grace > 0 \&\& !b.Leaving/false/' ./internal/system/configsync
+mutant "grace for lapsed registrations" internal/system/configsync/absence.go 's/if grace <= 0 || b.Leaving {/if true {/' ./internal/system/configsync
+mutant "a change that does not fit" internal/registry/registry.go 's/if list.Base > t.revision {/if false {/' ./internal/registry
+mutant "a digest that differs" internal/registry/registry.go 's/list.Digest != 0 \&\& list.Digest != t.digest/false/' ./internal/registry
+mutant "the whole list is asked for" internal/system/configsync/discovered.go 's/	doc.Incomplete = true$//' ./internal/engine -run WholeList
+mutant "changes in place of lists" internal/registry/registry.go 's/if revision == 0 || revision < t.complete {/if true {/' ./internal/registry -run Bytes
+mutant "evacuation" internal/system/rotation/rotation.go 's/slices.Contains(p.w.Evacuated, b.Config.DataCentre)/false/' ./internal/engine -run Evacuated
+mutant "home regions" internal/region/region.go 's/known \&\& slices.Contains(h.regions, region)/known \&\& region != ""/' ./platform -run Homes
+mutant "homes of route and customer" internal/frontend/customer.go 's/^		req.Homes = req.Homes.And(holder.Homes)$//' ./platform -run Homes
+mutant "cold servers" internal/engine/views.go 's/if svc.Config.ColdPerSecond <= 0 {/if true {/' ./platform -run ColdServer
+mutant "cold again" internal/registry/registry.go 's/ || now.Add(time.Duration(other.Warmup)).Sub(e.coldUntil) > coldAgain \&\& other.Warmup > 0//' ./platform -run ColdAgain
+mutant "breadth where requests are enough" internal/policy/breadth.go 's/ \&\& svc.effortFor(now, wanted) <= need.effort//' ./internal/policy -run RequestsEnough
+mutant "servers that join" internal/policy/breadth.go 's/func (s \*server) isUntried() bool { return .* }/func (s *server) isUntried() bool { return false }/' ./internal/policy -run Joins
+mutant "bounded overflow" internal/policy/pick.go 's/	overflowSample = 128$/	overflowSample = 100000/' ./internal/policy -run Overflow
 mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
 mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
 mutant "a server that closes at once" internal/dispatch/send.go 's/return kind == errs.KindBroken \&\& !failure.Reused/return false/' ./platform -run ClosesAtOnce -count=20
