A content that one host has seen answered is tried by whichever host gets it next

Cause of the known red TestRequestsBesideThoseThatEndServersAreServed: within the first 10 s of a hold only a host that remembers an answer asks to try the content; requests at others were refused until one of these came by. Now hosts that remember one tell the content's first home, and every host asks it.

--- a/experiment/replay/guard.go
+++ b/experiment/replay/guard.go
@@ -68,7 +68,7 @@
 func (g *guard) flush() {
 	for _, m := range g.table.Messages() {
 		to := g.host.fleet.byName[m.To]
-		datagram := &peerpb.Datagram{From: g.host.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants}
+		datagram := &peerpb.Datagram{From: g.host.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants, AnsweredBefore: m.Answered}
 		g.host.deliver(to, func() { to.guard.receive(datagram) })
 	}
 	for _, decision := range g.table.Decisions() {
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -183,6 +183,8 @@
 			Served:      m.Served,
 			TrialAsks:   m.Asks,
 			TrialGrants: m.Grants,
+
+			AnsweredBefore: m.Answered,
 		}, address)
 	}
 }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -86,12 +86,12 @@
 		again = false
 		for _, h := range f.hosts {
 			for _, m := range h.table.Messages() {
-				f.sent += proto.Size(&peerpb.Datagram{From: h.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants})
+				f.sent += proto.Size(&peerpb.Datagram{From: h.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants, AnsweredBefore: m.Answered})
 				to, ok := f.hosts[m.To]
 				if !ok || to.side != h.side || f.rng.Float64() < f.lose {
 					continue
 				}
-				to.table.Receive(f.now, &peerpb.Datagram{From: h.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants})
+				to.table.Receive(f.now, &peerpb.Datagram{From: h.name, Ends: m.Ends, Served: m.Served, TrialAsks: m.Asks, TrialGrants: m.Grants, AnsweredBefore: m.Answered})
 				again = true
 			}
 			for _, d := range h.table.Decisions() {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -35,6 +35,9 @@
 	trials  map[content.ID]time.Time
 	asked   map[content.ID]time.Time
 	granted map[content.ID]time.Time
+	// answeredBefore is when hosts told this one, as first home, that they had seen a content
+	// in quarantine answered before.
+	answeredBefore map[content.ID]time.Time
 	// lifted is when this host last decided that a quarantine ends.
 	lifted map[content.ID]time.Time
 
@@ -56,7 +59,10 @@
 		trials:   make(map[content.ID]time.Time),
 		asked:    make(map[content.ID]time.Time),
 		granted:  make(map[content.ID]time.Time),
-		lifted:   make(map[content.ID]time.Time),
+
+		answeredBefore: make(map[content.ID]time.Time),
+
+		lifted: make(map[content.ID]time.Time),
 	}
 }
 
@@ -80,12 +86,27 @@
 	before := t.view
 	t.view = view
 	for _, q := range view.All() {
-		if before.Get(q.Content) == nil && q.Trials == 0 && t.answers.refute(q) {
+		switch {
+		case before.Get(q.Content) != nil || q.Trials > 0:
+		case t.answers.refute(q):
 			t.refuted(now, q.Content)
+		case t.answers.remember(now, q.Content):
+			t.tellAnsweredBefore(now, q.Content)
 		}
 	}
 }
 
+// tellAnsweredBefore lets the first home of a content know that it most likely does nothing wrong,
+// so that whichever host gets it next may try it.
+func (t *Table) tellAnsweredBefore(now time.Time, id content.ID) {
+	first := t.homesOf(id)[0]
+	if first == t.self {
+		t.answeredBefore[id] = now
+		return
+	}
+	t.out = append(t.out, Message{To: first, Answered: [][]byte{id[:]}})
+}
+
 // refuted takes that an answer by way of this host clears a content. Only homes lift the
 // quarantine: all hosts may have had such an answer.
 func (t *Table) refuted(now time.Time, id content.ID) {
@@ -149,6 +170,9 @@
 			t.out = append(t.out, Message{To: d.From, Grants: [][]byte{id[:]}})
 		}
 	}
+	for _, id := range idsOf(d.AnsweredBefore) {
+		t.answeredBefore[id] = now
+	}
 	for _, id := range idsOf(d.TrialGrants) {
 		t.granted[id] = now.Add(trialPause)
 	}
@@ -186,6 +210,7 @@
 	forgetBefore(t.trials, now.Add(-trialPause))
 	forgetBefore(t.asked, now.Add(-askAgain))
 	forgetBefore(t.granted, now)
+	forgetBefore(t.answeredBefore, now.Add(-earlyTrials))
 	forgetBefore(t.lifted, now.Add(-liftAgain))
 }
 
--- a/internal/quarantine/tell.go
+++ b/internal/quarantine/tell.go
@@ -16,6 +16,8 @@
 	Served [][]byte
 	Asks   [][]byte // contents that this host would try
 	Grants [][]byte // contents that the other host may try
+	// Answered are contents in quarantine that this host has seen answered before.
+	Answered [][]byte
 }
 
 func (t *Table) homesOf(id content.ID) []string {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -92,7 +92,8 @@
 mutant "an answer clears a content" internal/quarantine/suspect.go 's/^	delete(t.suspects, id)$//' ./internal/quarantine -run 'Nothing|AnswerClears'
 mutant "an answer at any host clears" internal/quarantine/table.go 's/q.Trials == 0 \&\& t.answers.refute(q)/false/' ./internal/quarantine -run AnswerAtAnyHost
 mutant "answered before, tried early" internal/quarantine/trial.go 's/now.Sub(began) < earlyTrials/now.Before(began)/' ./internal/quarantine -run AnsweredBefore
-mutant "never answered, not tried early" internal/quarantine/trial.go 's/ \&\& t.answers.remember(now, id)//' ./internal/quarantine -run WithoutAnswer
+mutant "never answered, not tried early" internal/quarantine/trial.go 's/ \&\& t.wasAnswered(now, q.Content)//' ./internal/quarantine -run WithoutAnswer
+mutant "an answer at another host, tried early" internal/quarantine/table.go 's/^			t.tellAnsweredBefore(now, q.Content)$//' ./experiment/replay -run BesideThose
 mutant "one end counts once" internal/quarantine/suspect.go 's/if slices.ContainsFunc(s.ends, end.same) {/if slices.ContainsFunc(s.ends, end.same) \&\& false {/' ./internal/quarantine -run OneServerCountsOnce
 mutant "ends are told again" internal/quarantine/table.go 's/s.tellAgain = now.Add(tellAgainAfter)/s.tellAgain = time.Time{}/' ./internal/quarantine -run LostMessages
 mutant "new homes are told" internal/quarantine/table.go 's/^		t.tellNewHomes(now, s)$/		_ = s/' ./internal/quarantine -run HomesAreKilled
