--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -103,7 +103,9 @@
 	ready     bool
 	whenReady chan struct{} // closed once this host is ready
 	known     []string      // addresses of other hosts, as of this tick
-	headTold  bool          // another host has told of a revision since the last tick
+	// joinedHosts have joined since the last tick.
+	joinedHosts []string
+	headTold    bool // another host has told of a revision since the last tick
 }
 
 // New returns an engine that starts at now.
@@ -161,6 +163,7 @@
 	e.known = e.knownAddresses()
 	e.world.Settled = e.settled(now)
 	e.expireRegisters(now)
+	e.recordJoined(now)
 	for _, system := range e.systems {
 		system.Run(e.world, now)
 	}
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -199,7 +199,7 @@
 
 func (e *Engine) recordMember(now time.Time, m, was *peerpb.Member) {
 	if was == nil {
-		e.world.Record(now, event.MemberJoined, "", "", m.Host)
+		e.joinedHosts = append(e.joinedHosts, m.Host)
 		return
 	}
 	if m.Liveness == was.Liveness {
@@ -214,6 +214,24 @@
 	e.world.Record(now, numbers[m.Liveness], "", "", m.Host)
 }
 
+// maxNamed is how many hosts one event names.
+const maxNamed = 4
+
+// recordJoined tells of the hosts that have joined since the last tick in one event: at a start
+// of all each host hears of all others within seconds.
+func (e *Engine) recordJoined(now time.Time) {
+	joined := e.joinedHosts
+	if len(joined) == 0 {
+		return
+	}
+	e.joinedHosts = nil
+	detail := strings.Join(joined[:min(len(joined), maxNamed)], " ")
+	if more := len(joined) - maxNamed; more > 0 {
+		detail += fmt.Sprintf(" and %d more", more)
+	}
+	e.world.Record(now, event.MemberJoined, "", "", detail)
+}
+
 // Refuted records that this host denied a report of its own death.
 func (e *Engine) Refuted(now time.Time) {
 	e.world.Record(now, event.MemberRefuted, "", "", "another host held this one for dead")
