Bodies that a host holds are bounded by its memory

Answers are read whole up to backend.buffer_bytes (1 MB on the users' platform) and small request bodies are kept: callers that read or send slowly could make a host of 136 MB hold any amount.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/pearshelf/pearshelf/internal/frontend"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
+	"github.com/pearshelf/pearshelf/internal/memory"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/peer"
 	"github.com/pearshelf/pearshelf/internal/platform"
@@ -79,6 +80,7 @@
 	guard   *contentGuard
 
 	rateLimits *rateLimiter
+	memory     *memory.Budget
 
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the balancer asks the caller's listener
@@ -263,6 +265,8 @@
 	d.limiter = newCustomerLimiter(d, rand.Uint64())
 	d.rateLimits = newRateLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
+	d.memory = memory.NewBudget(int64(d.settings.MemoryMB) << 20)
+	d.metrics.WatchHeldBytes(d.memory.Held)
 	d.metrics.WatchLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
@@ -293,6 +297,7 @@
 		Quarantine:   d.guard,
 		Availability: d.servers,
 		RateLimits:   d.rateLimits,
+		Memory:       d.memory,
 	})
 }
 
@@ -360,6 +365,9 @@
 // Availability returns what servers have told this host of themselves.
 func (d *Daemon) Availability() *availability.Table { return d.servers }
 
+// HeldBytes is how many bytes of bodies this host holds.
+func (d *Daemon) HeldBytes() int64 { return d.memory.Held() }
+
 // Events returns the host's ring of events.
 func (d *Daemon) Events() *event.Log { return d.events }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/logging"
+	"github.com/pearshelf/pearshelf/internal/memory"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
@@ -81,6 +82,7 @@
 	marks      *protocol.Protocol
 	servers    *availability.Table
 	rateLimits RateLimits
+	memory     *memory.Budget
 
 	homes      homeViews
 	requestLog requestLog
@@ -112,6 +114,8 @@
 	Availability *availability.Table
 	// RateLimits keeps to the limits that servers name.
 	RateLimits RateLimits
+	// Memory bounds the bodies that are held.
+	Memory *memory.Budget
 }
 
 // New returns a dispatcher.
@@ -131,6 +135,7 @@
 		marks:      conf.Protocol,
 		servers:    parts.Availability,
 		rateLimits: parts.RateLimits,
+		memory:     parts.Memory,
 		stateLines: logging.NewLimit(stateLinesPerSecond),
 		requestLog: requestLog{limit: logging.NewLimit(linesPerSecond)},
 		services:   make(map[string]*serviceState),
@@ -156,8 +161,10 @@
 	if !ok {
 		return notRun(errs.New(errs.KindNoRoute, "service "+req.Service+" is not configured here", "repeat the request; see config diff if it persists"), 0)
 	}
-	if err := req.body.keep(); err != nil {
-		return &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: asTyped(err)}
+	returnMemory, refusal := d.keepBody(req)
+	defer returnMemory()
+	if refusal != nil {
+		return refusal
 	}
 	x := &exchange{
 		d:     d,
@@ -178,7 +185,7 @@
 			return err
 		}
 	}
-	refusal := x.truthful(x.serveOwned(ctx))
+	refusal = x.truthful(x.serveOwned(ctx))
 	x.logRequest(refusal)
 	if refusal == nil {
 		return nil
@@ -186,6 +193,19 @@
 	return refusal
 }
 
+// keepBody reads a small body into memory and returns what gives the memory back.
+func (d *Dispatcher) keepBody(req *Request) (returnMemory func(), refusal *Refusal) {
+	size := req.body.keepBytes()
+	if !d.memory.Take(size) {
+		return func() {}, notRun(errs.New(errs.KindMemory, "this host holds as many bodies as its memory allows", "repeat the request after the time in Retry-After; add hosts"), defaultRetryAfter)
+	}
+	returnMemory = func() { d.memory.Return(size) }
+	if err := req.body.keep(); err != nil {
+		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: asTyped(err)}
+	}
+	return returnMemory, nil
+}
+
 // truthful returns the refusal that an error is, nil for none. What may have run
 // at an earlier owner host or backend server is not told as not run.
 func (x *exchange) truthful(err error) *Refusal {
--- a/internal/dispatch/fetch.go
+++ b/internal/dispatch/fetch.go
@@ -67,7 +67,7 @@
 	case !x.isAnswerTo(answer, to.view):
 		got.kind = answerForeign
 	default:
-		got.broken = readWhole(answer, x.d.conf.BufferBytes)
+		got.broken = readWhole(answer, x.d.conf.BufferBytes, x.d.memory)
 	}
 	return got
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -128,6 +128,14 @@
 	trailer func()
 }
 
+// keepBytes is how much memory keep needs.
+func (b *replayBody) keepBytes() int64 {
+	if b.streamed || b.isKept {
+		return 0
+	}
+	return max(b.length, 0)
+}
+
 // keep reads a small body into memory, so that it can be sent again.
 func (b *replayBody) keep() error {
 	if b.streamed || b.isKept {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -29,6 +29,7 @@
 	KindLeaving       Kind = "backend-server-leaving"
 	KindResting       Kind = "backend-server-resting"
 	KindNoRoom        Kind = "backend-server-rate-limit"
+	KindMemory        Kind = "host-memory"
 	KindOutsideHome   Kind = "outside-home-region"
 	KindCustomerLimit Kind = "customer-limit"
 	KindUnknownKey    Kind = "unknown-key"
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -157,3 +157,11 @@
 	}
 	m.platformCalls.WithLabelValues(result).Inc()
 }
+
+// WatchHeldBytes publishes how many bytes of bodies the host holds.
+func (m *Metrics) WatchHeldBytes(held func() int64) {
+	m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pearshelf_held_bytes",
+		Help: "Bytes of bodies that this host holds for callers and backend servers.",
+	}, func() float64 { return float64(held()) }))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	DefaultEventRing       = 8192
 	MaxBufferBytes         = 16 << 20
 	maxCores               = 4096
+	maxMemoryMB            = 16 << 20
 	DefaultDirectAfter     = 2 * time.Second
 	DefaultDirectSpread    = 3 * time.Second
 )
@@ -184,7 +185,10 @@
 	Regions region.Map `yaml:"regions"`
 	// Cores is the part of the machine's processor that this host may use, in cores. The
 	// hosts that may use most read the platform for the others. Default: 0, not known.
-	Cores    float64  `yaml:"cores"`
+	Cores float64 `yaml:"cores"`
+	// MemoryMB is the memory that this host may use, in MiB. A quarter of it may hold bodies
+	// of callers and backend servers that are slow. Default: 0, as for 512.
+	MemoryMB int      `yaml:"memory_mb"`
 	Caller   Caller   `yaml:"caller"`
 	Peer     Peer     `yaml:"peer"`
 	Operator Operator `yaml:"operator"`
@@ -313,6 +317,9 @@
 func (c *checker) settings(s *Settings) {
 	c.word("host", s.Host)
 	c.word("data_centre", s.DataCentre)
+	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
+		c.addf("memory_mb", "%d is outside 0 to %d", s.MemoryMB, maxMemoryMB)
+	}
 	if !(s.Cores >= 0 && s.Cores <= maxCores) {
 		c.addf("cores", "%g is outside 0 to %d", s.Cores, maxCores)
 	}
