--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -267,6 +267,7 @@
 	d.guard = newContentGuard(d)
 	d.memory = memory.NewBudget(int64(d.settings.MemoryMB) << 20)
 	d.metrics.WatchHeldBytes(d.memory.Held)
+	d.metrics.WatchControl(d.datagrams)
 	d.metrics.WatchLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -32,6 +32,7 @@
 			return nil, cmp.Or(err, failed)
 		}
 		if !coming || time.Now().After(give) {
+			s.d.metrics.DocumentSent(req.Key, len(resp.GetDocument()))
 			return resp, nil
 		}
 		wait(ctx, configsync.DocumentRecheck)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -26,6 +26,7 @@
 	serverStates     *prometheus.CounterVec
 	sendsWithheld    *prometheus.CounterVec
 	rateLimited      *prometheus.CounterVec
+	documentBytes    *prometheus.CounterVec
 }
 
 // addedBuckets are in seconds, around the target of 1.2 ms.
@@ -40,6 +41,10 @@
 			Help:    "Time to the final answer on the entry host, by service and outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.004, 2, 12),
 		}, []string{"service", "outcome"}),
+		documentBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_document_sent_bytes_total",
+			Help: "Bytes of documents and changes to them given to other hosts, before compression, by document.",
+		}, []string{"document"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearshelf_retries_total",
 			Help: "Requests that could be sent again, by service and whether the allowance let them.",
@@ -95,7 +100,7 @@
 		Name: "pearshelf_rate_limited_sends_total",
 		Help: "Sends to backend servers that name a rate limit, by whether it had room.",
 	}, []string{"allowed"})
-	reg.MustRegister(m.rateLimited, m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.limited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.added, m.observationsLost, m.ticks, m.membersLive, m.platformCalls)
 	return m
 }
 
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -77,10 +77,13 @@
 	conn   *net.UDPConn
 	sealer *Sealer
 
-	sentBytes     atomic.Uint64
 	receivedBytes atomic.Uint64
+	sentByKind    [kinds]atomic.Uint64
 }
 
+// kinds bounds the kinds of datagrams that are counted apart.
+const kinds = 32
+
 // ListenDatagrams opens the socket.
 func ListenDatagrams(address string, sealer *Sealer) (*Datagrams, error) {
 	at, err := netip.ParseAddrPort(address)
@@ -103,20 +106,23 @@
 		return
 	}
 	sealed := d.sealer.seal(raw)
+	sent := &d.sentByKind[min(uint(datagram.Kind), kinds-1)]
 	for _, address := range to {
-		d.sendTo(address, sealed)
+		sent.Add(uint64(d.sendTo(address, sealed)))
 	}
 }
 
-func (d *Datagrams) sendTo(address string, sealed []byte) {
+// sendTo returns how many bytes were sent.
+func (d *Datagrams) sendTo(address string, sealed []byte) int {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		klog.V(2).InfoS("datagram has no address", "peer", address, "err", err)
-		return
+		return 0
 	}
-	if _, err := d.conn.WriteToUDPAddrPort(sealed, at); err == nil {
-		d.sentBytes.Add(uint64(len(sealed)))
+	if _, err := d.conn.WriteToUDPAddrPort(sealed, at); err != nil {
+		return 0 // like any lost datagram
 	}
+	return len(sealed)
 }
 
 // Receive calls handle with each datagram's payload until the socket closes.
@@ -142,7 +148,21 @@
 
 // Bytes returns the bytes sent and received so far.
 func (d *Datagrams) Bytes() (sent, received uint64) {
-	return d.sentBytes.Load(), d.receivedBytes.Load()
+	for i := range d.sentByKind {
+		sent += d.sentByKind[i].Load()
+	}
+	return sent, d.receivedBytes.Load()
+}
+
+// SentByKind returns the bytes sent so far by kind of datagram.
+func (d *Datagrams) SentByKind() map[string]uint64 {
+	sent := make(map[string]uint64)
+	for i := range d.sentByKind {
+		if n := d.sentByKind[i].Load(); n > 0 {
+			sent[peerpb.Datagram_Kind(i).String()] = n
+		}
+	}
+	return sent
 }
 
 // Close closes the socket.
