--- a/experiment/loops/loops_test.go
+++ b/experiment/loops/loops_test.go
@@ -264,3 +264,33 @@
 	}
 	return count
 }
+
+// With ten servers a host, a change of one server costs a host the same bytes whatever the size of
+// the fleet: hosts pass on what changed, not the list.
+func TestBytesOfAChangeDoNotGrow(t *testing.T) {
+	perChange := make(map[int]float64)
+	for _, hosts := range []int{60, 300} {
+		f := newFleet(hosts, 8)
+		servers := 10 * hosts
+		f.documents[world.KeyDiscovered] = document{revision: 1, raw: manyServers(servers, 0)}
+		agree(t, f, "start", 2500*time.Millisecond)
+		f.Run(10 * time.Second)
+		const changes, pause = 10, 400 * time.Millisecond
+		atRest := f.Sent().Bytes
+		f.Run(changes * pause)
+		before := f.Sent().Bytes
+		for n := range changes {
+			f.Publish(world.KeyDiscovered, manyServers(servers, n))
+			f.Run(pause)
+		}
+		if lacking := lackingServers(f, f.documents[world.KeyDiscovered].revision); lacking > 0 {
+			t.Errorf("%d of %d hosts lack the last change %s later", lacking, hosts, pause)
+		}
+		extra := (f.Sent().Bytes - before) - (before - atRest)
+		perChange[hosts] = float64(extra) / changes / float64(hosts)
+	}
+	t.Logf("bytes a host and change: %.0f among 60 hosts, %.0f among 300", perChange[60], perChange[300])
+	if perChange[300] > 1.5*perChange[60] {
+		t.Errorf("a change costs a host %.0f bytes among 60 hosts and %.0f among 300", perChange[60], perChange[300])
+	}
+}
