--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -26,7 +26,7 @@
 	CA      string           `help:"CA certificate of the hosts, PEM." type:"path"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Show      statement      `cmd:"" help:"List a table: hosts, services, backends, routes, customers, limits, ratelimits, availability, quarantine, directives or documents. Example: show backends where service=checkout and state=ejected"`
+	Show      statement      `cmd:"" help:"List a table: hosts, services, backends, routes, customers, limits, ratelimits, availability, evacuations, quarantine, directives or documents. Example: show backends where service=checkout and state=ejected"`
 	Drain     statement      `cmd:"" help:"Give a backend server no new work. Example: drain backend checkout/b12"`
 	Undrain   statement      `cmd:"" help:"End a drain. Example: undrain backend checkout/b12"`
 	Stop      statement      `cmd:"" help:"Planned stop of a host. Example: stop host h7"`
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -30,14 +30,15 @@
 type lister func(w *world.World, now time.Time) table
 
 var listers = map[string]lister{
-	"hosts":      listHosts,
-	"services":   listServices,
-	"backends":   listBackends,
-	"routes":     listRoutes,
-	"customers":  listCustomers,
-	"quarantine": listQuarantine,
-	"directives": listDirectives,
-	"documents":  listDocuments,
+	"hosts":       listHosts,
+	"services":    listServices,
+	"backends":    listBackends,
+	"routes":      listRoutes,
+	"customers":   listCustomers,
+	"quarantine":  listQuarantine,
+	"evacuations": listEvacuations,
+	"directives":  listDirectives,
+	"documents":   listDocuments,
 }
 
 // What this host knows beside its tables.
@@ -106,6 +107,23 @@
 	return t
 }
 
+// listEvacuations shows the data centres whose servers get no requests.
+func listEvacuations(w *world.World, _ time.Time) table {
+	t := table{columns: []string{"data_centre", "backends"}}
+	for _, dataCentre := range w.Evacuated {
+		count := 0
+		for _, svc := range w.Services {
+			for _, b := range svc.Backends {
+				if b.Config.DataCentre == dataCentre {
+					count++
+				}
+			}
+		}
+		t.rows = append(t.rows, []string{dataCentre, strconv.Itoa(count)})
+	}
+	return t
+}
+
 func listServices(w *world.World, _ time.Time) table {
 	t := table{columns: []string{"service", "detection", "floor", "backends", "in_rotation", "owners", "watchers", "document"}}
 	for _, name := range w.ServiceNames() {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -1,6 +1,6 @@
 // Package query parses the operators' language:
 //
-//	show hosts|services|backends|routes|customers|limits|ratelimits|availability|quarantine|directives|documents [where f=v and g!=w]
+//	show hosts|services|backends|routes|customers|limits|ratelimits|availability|evacuations|quarantine|directives|documents [where f=v and g!=w]
 //	drain backend SERVICE/ID [expect VERSION]
 //	undrain backend SERVICE/ID [expect VERSION]
 //	stop host NAME
@@ -29,7 +29,7 @@
 
 // Show lists rows of a table.
 type Show struct {
-	Table string      `parser:"@( 'hosts' | 'services' | 'backends' | 'routes' | 'customers' | 'limits' | 'ratelimits' | 'availability' | 'quarantine' | 'directives' | 'documents' )"`
+	Table string      `parser:"@( 'hosts' | 'services' | 'backends' | 'routes' | 'customers' | 'limits' | 'ratelimits' | 'availability' | 'evacuations' | 'quarantine' | 'directives' | 'documents' )"`
 	Where []Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
 }
 
