--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -175,6 +175,7 @@
 	req := r.policyRequest()
 	req.Exclude = append(slices.Clone(r.tried), first.placement.Server.ID)
 	req.Beside = true
+	req.FirstBelief = first.placement.Belief
 	if placement, ok := r.host.table.Trial(r.host.fleet.clock.Time(), r.host.views[r.route.Service], req); ok {
 		r.copies++
 		r.send(placement)
@@ -232,6 +233,7 @@
 	req := r.policyRequest()
 	req.Exclude = append(slices.Clone(r.tried), first.placement.Server.ID)
 	req.Beside = true
+	req.FirstBelief = first.placement.Belief
 	copyNow, after := r.host.table.Review(f.clock.Time(), view, req, first.placement)
 	switch {
 	case copyNow:
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -79,6 +79,7 @@
 func (x *exchange) requestBeside(first *place) policy.Request {
 	request := x.policyRequest()
 	request.Beside = true
+	request.FirstBelief = first.belief
 	request.Exclude = slices.Concat(request.Exclude, []string{first.Server.ID})
 	return request
 }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -100,8 +100,10 @@
 	Availability availability.Moment
 	// RateLimits is what servers take from all hosts together, of those that name it.
 	RateLimits *ratelimit.View
-	// Beside is set for a send beside another one that is under way.
-	Beside bool
+	// Beside is set for a send beside another one that is under way, whose server is believed
+	// to fail by FirstBelief.
+	Beside      bool
+	FirstBelief float64
 	// Asked is when the request came to this host, and Deadline when its caller
 	// gives up.
 	Asked    time.Time
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -21,6 +21,10 @@
 	// leastTrial is the least such time, for services that answer at once: a new
 	// connection and a busy host take longer.
 	leastTrial = 100 * time.Millisecond
+	// soundFirst is the belief up to which the server that has the request is sound enough for a
+	// trial beside it. A trial is one of the servers that the request may have: where the first
+	// most likely fails, it is needed for one that does not.
+	soundFirst = 0.1
 	// allowanceForTrials is the part of the retry allowance from which on no server is
 	// tried. Copies of requests that hang may spend most of it.
 	allowanceForTrials = 0.95
@@ -30,7 +34,7 @@
 // fail, if one is due and the retry allowance is mostly there. req.Exclude names the
 // servers that the request has had.
 func (t *Table) Trial(now time.Time, view *world.ServiceView, req Request) (*Placement, bool) {
-	if !t.has(MechanismTrials) || !req.Idempotent {
+	if !t.has(MechanismTrials) || !req.Idempotent || req.FirstBelief > soundFirst {
 		return nil, false
 	}
 	svc := t.service(req.Service)
