--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,7 +72,7 @@
 mutant "evacuation" internal/system/rotation/rotation.go 's/slices.Contains(p.w.Evacuated, b.Config.DataCentre)/false/' ./internal/engine -run Evacuated
 mutant "home regions" internal/region/region.go 's/known \&\& slices.Contains(h.regions, region)/known \&\& region != ""/' ./platform -run Homes
 mutant "homes of route and customer" internal/frontend/customer.go 's/^		req.Homes = req.Homes.And(holder.Homes)$//' ./platform -run Homes
-mutant "cold servers" internal/engine/views.go 's/if svc.Config.ColdPerSecond <= 0 {/if true {/' ./platform -run ColdServer
+mutant "cold servers" internal/engine/serviceview.go 's/if svc.Config.ColdPerSecond <= 0 {/if true {/' ./platform -run ColdServer
 mutant "cold again" internal/registry/registry.go 's/ || now.Add(time.Duration(other.Warmup)).Sub(e.coldUntil) > coldAgain \&\& other.Warmup > 0//' ./platform -run ColdAgain
 mutant "breadth where requests are enough" internal/policy/breadth.go 's/ \&\& svc.effortFor(now, wanted) <= need.effort//' ./internal/policy -run RequestsEnough
 mutant "servers that join" internal/policy/breadth.go 's/func (s \*server) isUntried() bool { return .* }/func (s *server) isUntried() bool { return false }/' ./internal/policy -run Joins
