A server that a host meets for the first time need not be new

Cause: a row made after a service's first pick was held for a server that has just started (belief 0.05). Now only servers that joined a service which the host knew count as new, for 10 s.

--- a/internal/engine/servers_test.go
+++ b/internal/engine/servers_test.go
@@ -157,3 +157,15 @@
 		})
 	}
 }
+
+// A server is new on a host if it joined a service that the host knew, not if the host met it with
+// its first list or its subset moved.
+func TestOnlyServersThatJoinAreNew(t *testing.T) {
+	h := newDirectHost(t, 9)
+	h.deliver(2, &config.Discovered{Base: 1, Backends: []config.DiscoveredBackend{registered(9, 1)}})
+	for _, b := range h.Snapshot().Services["shop"].Backends {
+		if isNew := !b.JoinedAt.IsZero(); isNew != (b.ID == registered(9, 1).ID) {
+			t.Errorf("server %s: joined at %v", b.ID, b.JoinedAt)
+		}
+	}
+}
--- a/internal/engine/serviceview.go
+++ b/internal/engine/serviceview.go
@@ -76,6 +76,7 @@
 		DataCentre:     b.Config.DataCentre,
 		Warmup:         time.Duration(b.Config.Warmup),
 		Started:        b.Config.Started,
+		JoinedAt:       b.JoinedAt,
 		Slots:          b.Config.Slots,
 		Share:          share,
 		IdempotentOnly: b.Rotation.IdempotentOnly,
--- a/internal/policy/fewrequests_test.go
+++ b/internal/policy/fewrequests_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // learnAll lets a table know each server by an answer, and by its requests at a rate a server.
@@ -58,6 +60,15 @@
 	}
 }
 
+// joinedFrom is a service of count servers, those from first on have just joined.
+func joinedFrom(first, count int, now time.Time) *world.ServiceView {
+	v := view(count)
+	for i := first; i < count; i++ {
+		v.Backends[i].JoinedAt = now
+	}
+	return v
+}
+
 // A server that joins gets a request soon, also where there are few.
 func TestServerThatJoinsIsTried(t *testing.T) {
 	table, now := newTable()
@@ -67,16 +78,17 @@
 		learnAll(t, table, now, 20)
 	}
 	now = now.Add(100 * time.Millisecond)
-	if p := mustPick(t, table, now, view(21), Request{First: true, Idempotent: true}); p.Server.ID != "b20" {
+	if p := mustPick(t, table, now, joinedFrom(20, 21, now), Request{First: true, Idempotent: true}); p.Server.ID != "b20" {
 		t.Errorf("the next request went to %s, want the server that has joined", p.Server.ID)
 	}
-	if p := mustPick(t, table, now, view(21), Request{First: true, Idempotent: true}); p.Server.ID == "b20" {
+	if p := mustPick(t, table, now, joinedFrom(20, 21, now), Request{First: true, Idempotent: true}); p.Server.ID == "b20" {
 		t.Error("the request after it went to the server that has joined too")
 	}
 	const joined, sent = 30, 40
 	tried := 0
+	more := joinedFrom(20, 21+joined, now)
 	for range sent {
-		p := mustPick(t, table, now, view(21+joined), Request{First: true})
+		p := mustPick(t, table, now, more, Request{First: true})
 		if row := table.servers[p.key]; row.joined && p.use.before.IsZero() {
 			tried++
 		}
@@ -119,7 +131,7 @@
 			v := view(servers)
 			v.Subset = v.Backends[:10]
 			for i := range 10 {
-				table.row(now, key{"s", fmt.Sprint("b", i)}, &v.Backends[i], false).spell.failed(now)
+				table.row(now, key{"s", fmt.Sprint("b", i)}, &v.Backends[i]).spell.failed(now)
 			}
 			for b.Loop() {
 				p, err := table.Pick(now, v, Request{Service: "s", DataCentre: "dc1", First: true})
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -139,7 +139,6 @@
 func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Placement, error) {
 	best := t.choose(now, view, req)
 	svc := t.service(req.Service)
-	svc.known = true
 	if best.server == nil {
 		return nil, t.none(req, best.eligible)
 	}
@@ -177,7 +176,6 @@
 	}
 	t.weigh(weigh, view.Candidates(), &best)
 	if view.Subset != nil && len(view.Subset) < len(view.Backends) && best.cost > overflowCost {
-		weigh.overflow = true
 		t.overflow(weigh, view.Backends, &best)
 	}
 	return best
@@ -203,9 +201,6 @@
 	req     Request
 	need    breadth
 	failure float64 // the cost of a failed try
-	// overflow is set for servers outside the subset: one that is seen there for the first
-	// time need not be new.
-	overflow bool
 }
 
 // weigh puts the server that costs least in best, if it costs less.
@@ -216,7 +211,7 @@
 			continue
 		}
 		best.eligible++
-		s := t.row(w.now, key{w.req.Service, b.ID}, b, w.overflow)
+		s := t.row(w.now, key{w.req.Service, b.ID}, b)
 		load := s.load(w.now)
 		if load >= float64(b.Slots*queuePerSlot) || s.inFlight > 0 && t.returnsOneByOne(w.req, b) {
 			continue
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -116,7 +116,7 @@
 		return
 	}
 	k := key{l.Service, l.Backend}
-	s := t.row(now, k, nil, false)
+	s := t.row(now, k, nil)
 	p, known := s.peers[host]
 	if !known {
 		p = &peerLoad{}
--- a/internal/policy/restart_test.go
+++ b/internal/policy/restart_test.go
@@ -74,7 +74,7 @@
 	}
 	again := view(1)
 	again.Backends[0].Started = 2000
-	table.row(now, key{"s", "b0"}, &again.Backends[0], false)
+	table.row(now, key{"s", "b0"}, &again.Backends[0])
 	if loss := table.lossWaiting(now, svc, req, waiting); loss != 1 {
 		t.Errorf("loss %.2f after the restart", loss)
 	}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -105,9 +105,6 @@
 	usual       time.Duration
 	times       times
 	silentShare float64
-	// known is set once this host has seen the service's servers: those that it
-	// sees later have just started.
-	known bool
 	// own is what this host sent, for RetryRule.
 	own sent
 	// staleAt is when an idle connection to one of its servers last broke under a
@@ -183,9 +180,8 @@
 }
 
 // row returns a server's row, made if absent. view is nil where another host tells of the
-// server. A server of the subset that is seen for the first time has just started; one that is
-// met outside it need not have.
-func (t *Table) row(now time.Time, k key, view *world.BackendView, outside bool) *server {
+// server.
+func (t *Table) row(now time.Time, k key, view *world.BackendView) *server {
 	s, ok := t.servers[k]
 	if ok {
 		if view != nil {
@@ -199,7 +195,7 @@
 		s.slots = view.Slots
 		s.started = view.Started
 	}
-	if view != nil && t.service(k.service).known && !outside {
+	if view != nil && isNew(now, view) {
 		t.startCold(now, s, view)
 		s.joined = true
 	}
@@ -207,6 +203,15 @@
 	return s
 }
 
+// newFor is for how long a server counts as one that has just started after it joined. A server
+// that this host meets for the first time may be an old one: subsets move whenever hosts or
+// servers come and go.
+const newFor = 10 * time.Second
+
+func isNew(now time.Time, view *world.BackendView) bool {
+	return !view.JoinedAt.IsZero() && now.Sub(view.JoinedAt) < newFor
+}
+
 // startCold holds a server for one that has just started.
 func (t *Table) startCold(now time.Time, s *server, view *world.BackendView) {
 	if t.has(MechanismColdStart) {
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -406,12 +406,21 @@
 	}
 }
 
-// The servers that a host finds when it starts may be in a spell; one that joins
-// later has just started and is held for sound.
+// The servers that a host finds when it starts may be in a spell, and so may one that comes into its
+// subset because other hosts or servers came and went; one that joins has just started and is
+// held for sound.
 func TestNewServersAreTrusted(t *testing.T) {
 	table, now := newTable()
 	use(t, table, now, view(2), "b0", Done{Outcome: Neutral})
-	mustPick(t, table, now, view(3), Request{})
+	moved := view(5)
+	moved.Backends[2].JoinedAt = now
+	moved.Backends[3].JoinedAt = now.Add(-time.Minute)
+	mustPick(t, table, now, moved, Request{})
+	for _, id := range []string{"b3", "b4"} {
+		if met := table.servers[key{"s", id}].spell.now(now); met < 0.9*stationary {
+			t.Errorf("belief %.2f of %s that is no new server, want %.2f", met, id, stationary)
+		}
+	}
 	if found := table.servers[key{"s", "b0"}].spell.now(now); found < 0.9*stationary {
 		t.Errorf("belief %.2f of a server found at the start, want %.2f", found, stationary)
 	}
--- a/internal/policy/unused_test.go
+++ b/internal/policy/unused_test.go
@@ -96,7 +96,7 @@
 		}
 	}
 	useOthers()
-	table.row(now, key{"s", "b0"}, &v.Backends[0], false)
+	table.row(now, key{"s", "b0"}, &v.Backends[0])
 	expectNoUseChange(t, table, now)
 	now = now.Add(outOfUse)
 	useOthers()
--- a/internal/system/configsync/apply.go
+++ b/internal/system/configsync/apply.go
@@ -246,7 +246,11 @@
 		if w.DirectPicking {
 			state = world.BackendHealthy
 		}
-		return &world.BackendServer{Config: conf, State: state, Since: now, ColdUntil: coldUntil(now, conf)}
+		joined := &world.BackendServer{Config: conf, State: state, Since: now, ColdUntil: coldUntil(now, conf)}
+		if len(svc.Backends) > 0 {
+			joined.JoinedAt = now
+		}
+		return joined
 	}
 	kept := *held
 	if kept.Config != conf {
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -25,6 +25,8 @@
 	Warmup time.Duration
 	// Started is when its process started, in Unix milliseconds, 0 if not told.
 	Started int64
+	// JoinedAt is when it joined, zero if it was there before this host.
+	JoinedAt time.Time
 	// Share is how many of the slots are this host's own; see SharesSlots.
 	Share          int
 	IdempotentOnly bool
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -153,6 +153,9 @@
 	Config config.Backend
 	State  BackendState
 	Since  time.Time // of State
+	// JoinedAt is when the server, or its process, joined a service that this host knew; zero if
+	// it was there before.
+	JoinedAt time.Time
 	// ColdUntil is until when the server is slow and takes few requests after its start.
 	ColdUntil time.Time
 	Detection Detection
