--- a/internal/policy/fewrequests_test.go
+++ b/internal/policy/fewrequests_test.go
@@ -123,6 +123,22 @@
 	}
 }
 
+// The only server that takes requests is found among thousands.
+func TestOverflowFindsTheLastServer(t *testing.T) {
+	table, now := newTable()
+	v := view(3600)
+	v.Subset = v.Backends[:10]
+	var taken []string
+	for i := range v.Backends {
+		if i != 2000 {
+			taken = append(taken, v.Backends[i].ID)
+		}
+	}
+	if p := mustPick(t, table, now, v, Request{First: true, Exclude: taken}); p.Server.ID != "b2000" {
+		t.Errorf("picked %s", p.Server.ID)
+	}
+}
+
 // BenchmarkPick is one pick that overflows.
 func BenchmarkPick(b *testing.B) {
 	for _, servers := range []int{27, 400, 3592} {
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -181,17 +181,20 @@
 	return best
 }
 
-// overflow compares servers of the whole service, from a random one on where they are many.
+// overflow compares servers of the whole service: where they are many some from a random one on,
+// and all of them only if none of these may have the request.
 func (t *Table) overflow(w weighing, servers []world.BackendView, best *choice) {
-	if len(servers) <= overflowSample {
-		best.eligible = 0
-		t.weigh(w, servers, best)
-		return
+	if len(servers) > overflowSample {
+		first := t.conf.Random.IntN(len(servers))
+		end := min(first+overflowSample, len(servers))
+		t.weigh(w, servers[first:end], best)
+		t.weigh(w, servers[:overflowSample-(end-first)], best)
+		if best.server != nil {
+			return
+		}
 	}
-	first := t.conf.Random.IntN(len(servers))
-	end := min(first+overflowSample, len(servers))
-	t.weigh(w, servers[first:end], best)
-	t.weigh(w, servers[:overflowSample-(end-first)], best)
+	best.eligible = 0
+	t.weigh(w, servers, best)
 }
 
 // weighing is what servers are compared by.
