A restart of all hosts: few read the list of servers, and tell that they do

After 2 s each of 586 hosts heard no reader, stood in for it and listed too; 1.5 GB through the store's link, no listing came to its end within its 1.5 s a page, and all began anew each second.

Readers now tell from the first tick that they read; each page counts as an answer; hosts that hear a reader wait for the list; a whole document has 1.5 s a host instead of 0.5; a host writes and compresses what it gives others once and not for each asker (the compressor of the HTTP layer is gone).

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -42,7 +42,9 @@
 	StartWithin time.Duration
 	// Loss is the share of datagrams that are lost.
 	Loss float64
-	Seed uint64
+	// ListTakes is how long it takes to read the whole list of servers from the platform.
+	ListTakes time.Duration
+	Seed      uint64
 	// Documents are what the platform holds at first, by key.
 	Documents map[string][]byte
 }
@@ -317,7 +319,11 @@
 	if h.TurnedAway {
 		return
 	}
-	h.in(storeDelay, e.life, func(now time.Time) {
+	delay := storeDelay
+	if f.Key == world.KeyDiscovered && f.After == 0 {
+		delay += h.fleet.conf.ListTakes
+	}
+	h.in(delay, e.life, func(now time.Time) {
 		if doc, ok := h.fleet.documents[f.Key]; ok && f.After < doc.revision {
 			h.engine.Document(now, f.Key, doc.revision, doc.raw)
 		}
@@ -337,7 +343,11 @@
 		ended = true
 		switch {
 		case resp != nil && resp.Revision > f.After:
-			h.engine.Document(now, f.Key, resp.Revision, resp.Document)
+			raw, err := configsync.Content(resp)
+			if err != nil {
+				panic(err) // a fault of the program
+			}
+			h.engine.Document(now, f.Key, resp.Revision, raw)
 		case len(f.Peers) > 1:
 			f.Peers = f.Peers[1:]
 			e.askDocument(f)
@@ -345,7 +355,7 @@
 			h.engine.FetchedNothing(now, f.Key)
 		}
 	}
-	h.in(configsync.PeerTimeout, e.life, func(now time.Time) { end(now, nil) })
+	h.in(configsync.TimeoutOf(f), e.life, func(now time.Time) { end(now, nil) })
 	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
 	h.reach(f.Peers[0], func(to *Host, now time.Time) {
 		to.answerDocument(now, req, now.Add(configsync.DocumentWait), func(resp *peerpb.DocumentResponse) {
--- a/experiment/loops/loops_test.go
+++ b/experiment/loops/loops_test.go
@@ -297,3 +297,23 @@
 		t.Errorf("a change costs a host %.0f bytes among 60 hosts and %.0f among 300", perChange[60], perChange[300])
 	}
 }
+
+// All hosts are killed and start again, and the list of servers takes seconds to be read from the
+// platform. Each host read it for itself, again each second, when it had not come from others two
+// seconds after the start; with thousands of servers none came to its end.
+func TestFewReadALongList(t *testing.T) {
+	for _, hosts := range []int{60, 240} {
+		f := newFleet(hosts, 11)
+		f.conf.ListTakes = 5 * time.Second
+		agree(t, f, "start", 2500*time.Millisecond)
+		f.Run(8 * time.Second)
+		back := restart(f, func(*Host) bool { return true })
+		before, begin := f.Fetches, f.Now()
+		f.RunUntil(12*time.Second, 50*time.Millisecond, func() bool { return f.Ready() == back })
+		took, reads := f.Now()-begin, f.Fetches-before
+		t.Logf("%d of %d hosts ready after %s, %d reads", f.Ready(), back, took, reads)
+		if f.Ready() < back || reads > 40 {
+			t.Errorf("%d of %d hosts ready after %s, %d reads of the platform", f.Ready(), back, took, reads)
+		}
+	}
+}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -156,7 +156,7 @@
 }
 
 func (f *effects) fetchFrom(address string, fetch world.Fetch) bool {
-	ctx, cancel := context.WithTimeout(f.d.ctx, configsync.PeerTimeout)
+	ctx, cancel := context.WithTimeout(f.d.ctx, configsync.TimeoutOf(fetch))
 	defer cancel()
 	resp, err := f.d.clients.Peer(address).Document(ctx, &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After})
 	if err != nil {
@@ -166,7 +166,12 @@
 	if resp.Revision <= fetch.After {
 		return false
 	}
-	f.d.publishDocument(fetch.Key, resp.Revision, resp.Document)
+	raw, err := configsync.Content(resp)
+	if err != nil {
+		klog.ErrorS(err, "document of a peer not used", "key", fetch.Key, "peer", address)
+		return false
+	}
+	f.d.publishDocument(fetch.Key, resp.Revision, raw)
 	return true
 }
 
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/go-chi/chi/v5/middleware"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/pearshelf/pearshelf/internal/admin"
@@ -15,12 +14,6 @@
 	"github.com/pearshelf/pearshelf/internal/peer"
 )
 
-const (
-	gzipLevel     = 5
-	protobufMedia = "application/protobuf"
-	documentCall  = peerpb.PeerPathPrefix + "Document"
-)
-
 func (d *Daemon) makeServers() error {
 	front := frontend.New(frontend.Config{
 		Limiter:         d.limiter,
@@ -71,9 +64,6 @@
 	router := chi.NewRouter()
 	calls := peerpb.NewPeerServer(&peerService{d: d})
 	router.Mount(peerpb.PeerPathPrefix, calls)
-	// Documents only: a compressor takes 0.8 MB, and at the start of a fleet hundreds of
-	// hosts ask for a comparison at once.
-	router.With(middleware.Compress(gzipLevel, protobufMedia)).Handle(documentCall, calls)
 	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
 	forwarded := front.ForwardHandler()
 	d.peerServer = d.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -25,10 +25,12 @@
 	// FirstFetchRetry is the same for a document that this host holds no revision of:
 	// where all hosts start at once, hosts with a small part of a core take that long for
 	// it, and asking again makes them slower.
-	FirstFetchRetry = 600 * time.Millisecond
-	// PeerTimeout is how long one host may take to answer with a document, before the next
-	// one of a fetch is asked.
-	PeerTimeout = 500 * time.Millisecond
+	FirstFetchRetry = 1500 * time.Millisecond
+	// PeerTimeout is how long one host may take to answer with a change, before the next
+	// one of a fetch is asked, FirstPeerTimeout the same for a whole document: the list of
+	// thousands of servers takes a small host that long to write, send and read.
+	PeerTimeout      = 500 * time.Millisecond
+	FirstPeerTimeout = 1500 * time.Millisecond
 	// DocumentWait is how long an asker waits for a document that the host it asks is
 	// fetching itself, which looks for it each DocumentRecheck: it asks again after
 	// FetchRetry. At a start of all hosts each step of the tree then takes one fetch
@@ -256,6 +258,9 @@
 // fromPeers reports whether a document that this host lacks is to be had from others:
 // one has announced it, or the platform has none yet and others look.
 func (s *System) fromPeers(w *world.World, now time.Time, doc *world.Document) bool {
+	if s.standIn.hearsReader && now.Sub(s.standIn.heard) <= silentAfter {
+		return true // a reader has it soon, or this host takes its place
+	}
 	if w.Registers.Stamp(HeadKey(doc.Key)) != nil {
 		return doc.Attempts <= HolderAfter
 	}
@@ -288,8 +293,16 @@
 	w.Out.Fetches = append(w.Out.Fetches, f)
 }
 
+// TimeoutOf is how long one host may take to answer a fetch.
+func TimeoutOf(f world.Fetch) time.Duration {
+	if f.After == 0 {
+		return FirstPeerTimeout
+	}
+	return PeerTimeout
+}
+
 func retryAfter(doc *world.Document) time.Duration {
-	if doc.Revision == 0 {
+	if doc.Held() == 0 {
 		return FirstFetchRetry
 	}
 	return FetchRetry
--- a/internal/system/configsync/discovered.go
+++ b/internal/system/configsync/discovered.go
@@ -2,16 +2,13 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/config"
-	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/registry"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -69,28 +66,6 @@
 	}
 }
 
-// Answer returns the revision that this host holds of a document and the document, or the
-// change to it, that brings a host which holds an older revision up to date.
-func Answer(w *world.World, now time.Time, doc *world.Document, after uint64) (*peerpb.DocumentResponse, error) {
-	if doc.Incomplete {
-		return &peerpb.DocumentResponse{}, nil
-	}
-	resp := &peerpb.DocumentResponse{Revision: doc.Revision}
-	if doc.Revision <= after {
-		return resp, nil
-	}
-	if doc.Key != world.KeyDiscovered {
-		resp.Document = doc.Raw
-		return resp, nil
-	}
-	raw, err := json.Marshal(w.Registry.Since(now, after))
-	if err != nil {
-		return nil, errs.Wrap(err, errs.KindConfig, "list of backend servers cannot be written", "report this as a fault of pearshelf")
-	}
-	resp.Document = raw
-	return resp, nil
-}
-
 // applyUpdates brings the services up to date.
 func applyUpdates(w *world.World, now time.Time, updates []registry.Update, grace time.Duration) {
 	if !w.Platform.MayHaveLapsed(now) {
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -42,6 +42,8 @@
 	// got an answer from the platform.
 	heard time.Time
 	fresh time.Time
+	// hearsReader is set once a reader was heard.
+	hearsReader bool
 	// answered is when the platform last answered this host's own watch.
 	answered time.Time
 	// reading is set while this host stands in for a reader.
@@ -61,10 +63,9 @@
 // Heartbeat takes a reader's heartbeat.
 func (s *System) Heartbeat(w *world.World, now time.Time, d *peerpb.Datagram) {
 	s.standIn.heard = now
-	fresh := now.Add(-time.Duration(d.AnswerAgeMs) * time.Millisecond)
-	w.Platform.Answered(fresh)
-	if fresh.After(s.standIn.fresh) {
-		s.standIn.fresh = fresh
+	s.standIn.hearsReader = true
+	if !d.Unanswered {
+		s.heardAnswer(w, now.Add(-time.Duration(d.AnswerAgeMs)*time.Millisecond))
 	}
 	for _, head := range d.Heads {
 		doc := w.Document(head.Key)
@@ -74,6 +75,14 @@
 	}
 }
 
+// heardAnswer takes when the platform last answered a reader.
+func (s *System) heardAnswer(w *world.World, at time.Time) {
+	w.Platform.Answered(at)
+	if at.After(s.standIn.fresh) {
+		s.standIn.fresh = at
+	}
+}
+
 // chooseReader decides whether this host stands in for a reader.
 func (s *System) chooseReader(w *world.World, now time.Time) {
 	if !s.conf.StandIn {
@@ -118,16 +127,18 @@
 func (s *System) beat(w *world.World, now time.Time) {
 	changed := w.HeadsChanged
 	w.HeadsChanged = false
-	if !s.conf.StandIn || !IsReader(w) || s.standIn.answered.IsZero() {
+	if !s.conf.StandIn || !IsReader(w) {
 		return
 	}
 	if now.Before(s.standIn.next) && !changed {
 		return
 	}
 	s.standIn.next = now.Add(HeartbeatEvery)
-	d := &peerpb.Datagram{
-		Kind:        peerpb.Datagram_KIND_HEARTBEAT,
-		AnswerAgeMs: uint32(now.Sub(s.standIn.answered).Milliseconds()),
+	d := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_HEARTBEAT}
+	if s.standIn.answered.IsZero() {
+		d.Unanswered = true // else all hosts would read until this one has the whole list
+	} else {
+		d.AnswerAgeMs = uint32(now.Sub(s.standIn.answered).Milliseconds())
 	}
 	for _, key := range w.Required {
 		d.Heads = append(d.Heads, &peerpb.Head{Key: key, Revision: w.Document(key).Revision})
--- a/internal/system/configsync/takeover_test.go
+++ b/internal/system/configsync/takeover_test.go
@@ -138,3 +138,29 @@
 		}
 	}
 }
+
+// A reader tells that it reads before the platform has answered it: to list thousands of servers
+// takes seconds. Other hosts held it for gone, and all read the whole list at once.
+func TestUnansweredReaderIsHeard(t *testing.T) {
+	reader := newStandInHost("h0")
+	reader.system.Run(reader.world, reader.now)
+	beats := reader.world.Out.Heartbeats
+	if len(beats) != 1 || !beats[0].Datagram.Unanswered {
+		t.Fatalf("heartbeats %v of a reader without an answer yet, want one that says so", beats)
+	}
+	other := newStandInHost("h5")
+	other.run(5*time.Second, func() *peerpb.Datagram { return beats[0].Datagram })
+	if configsync.IsReader(other.world) {
+		t.Error("a host reads although it hears a reader that waits for its first answer")
+	}
+	for _, f := range other.world.Out.Fetches {
+		if f.Platform {
+			t.Errorf("it asks the platform for %s", f.Key)
+		}
+	}
+	next := newStandInHost("h1")
+	next.run(5*time.Second, func() *peerpb.Datagram { return beats[0].Datagram })
+	if !configsync.IsReader(next.world) {
+		t.Error("the next in rank does not stand in for a reader that gets no answer in 5 s")
+	}
+}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -73,12 +73,21 @@
 	// Incomplete is set where a change did not fit what is held: only the whole document
 	// helps.
 	Incomplete bool
+	// Answers are what other hosts were given of it last.
+	Answers DocumentAnswers
 	// Fetching is until when a fetch is under way.
 	Fetching time.Time
 	// Attempts counts fetches since the last success.
 	Attempts int
 }
 
+// DocumentAnswers are answers to other hosts by the revision that they hold.
+type DocumentAnswers struct {
+	Revision uint64
+	MadeAt   time.Time
+	ByHeld   map[uint64]*peerpb.DocumentResponse
+}
+
 // Lacks reports whether a revision is newer than what this host holds, and not
 // one that it refused.
 func (d *Document) Lacks(revision uint64) bool {
