--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -265,7 +265,7 @@
 	d.limiter = newCustomerLimiter(d, rand.Uint64())
 	d.rateLimits = newRateLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
-	d.memory = memory.NewBudget(int64(d.settings.MemoryMB) << 20)
+	d.memory = memory.NewBudget(int64(d.settings.MemoryMB * (1 << 20)))
 	d.metrics.WatchHeldBytes(d.memory.Held)
 	d.metrics.WatchControl(d.datagrams)
 	d.metrics.WatchLimits(d.limiter)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -188,7 +188,7 @@
 	Cores float64 `yaml:"cores"`
 	// MemoryMB is the memory that this host may use, in MiB. A quarter of it may hold bodies
 	// of callers and backend servers that are slow. Default: 0, as for 512.
-	MemoryMB int      `yaml:"memory_mb"`
+	MemoryMB float64  `yaml:"memory_mb"`
 	Caller   Caller   `yaml:"caller"`
 	Peer     Peer     `yaml:"peer"`
 	Operator Operator `yaml:"operator"`
@@ -317,8 +317,8 @@
 func (c *checker) settings(s *Settings) {
 	c.word("host", s.Host)
 	c.word("data_centre", s.DataCentre)
-	if s.MemoryMB < 0 || s.MemoryMB > maxMemoryMB {
-		c.addf("memory_mb", "%d is outside 0 to %d", s.MemoryMB, maxMemoryMB)
+	if !(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB) {
+		c.addf("memory_mb", "%g is outside 0 to %d", s.MemoryMB, maxMemoryMB)
 	}
 	if !(s.Cores >= 0 && s.Cores <= maxCores) {
 		c.addf("cores", "%g is outside 0 to %d", s.Cores, maxCores)
