The list of servers after a restart of all: few ask the platform, large readers serve their data centre

A host that hears no other waits 0.5 s; one that hears others leaves the list to the readers. The hosts of a data centre ask its reader itself where its capacity bears that, in place of a tree of four levels; one that holds nothing does not ask the announced holder in a large fleet.

--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -45,6 +45,9 @@
 	// documents leaves it to them to ask the platform for one that nobody has yet; then
 	// readers are chosen.
 	OthersReadFor = 2 * time.Second
+	// AloneFor is for how long after its start a host that hears no other waits for one before it
+	// asks the platform: a small host that starts with all others takes that long to hear of them.
+	AloneFor = 500 * time.Millisecond
 	// AskAgainAfter is the pause after a fetch that brought nothing.
 	AskAgainAfter = 50 * time.Millisecond
 	// HolderAfter fetches from the parent without success, the announced holder
@@ -235,8 +238,15 @@
 // poll asks the platform directly, rarely, and early only without an index.
 func (s *System) poll(w *world.World, now time.Time) {
 	if lacksRequired(w) && !now.Before(s.directAt) {
+		if early := w.StartedAt.Add(AloneFor); s.conf.StandIn && !s.conf.First && len(w.Hosts) <= 1 && now.Before(early) {
+			s.directAt = early // others may be heard by then
+			return
+		}
 		s.directAt = now.Add(max(s.conf.DirectAfter, RepeatDirectAfter) + jitter(s.rng, s.conf.DirectSpread))
 		for _, key := range w.Polled {
+			if s.leavesToReaders(w, key) {
+				continue
+			}
 			if doc := w.Document(key); doc.Revision == 0 && !s.fromPeers(w, now, doc) {
 				w.Out.Fetches = append(w.Out.Fetches, world.Fetch{Key: key, Platform: true})
 			}
@@ -255,6 +265,13 @@
 	}
 }
 
+// leavesToReaders reports whether this host gets a document from those that read it, or reads it
+// itself only in the place of a reader that is not heard: the list of thousands of servers takes
+// the platform some megabytes for each host. A host that hears no other reads it itself.
+func (s *System) leavesToReaders(w *world.World, key string) bool {
+	return key == world.KeyDiscovered && s.conf.StandIn && !s.conf.First && len(w.Hosts) > 1
+}
+
 // fromPeers reports whether a document that this host lacks is to be had from others:
 // one has announced it, or the platform has none yet and others look.
 func (s *System) fromPeers(w *world.World, now time.Time, doc *world.Document) bool {
@@ -324,8 +341,8 @@
 	var addresses []string
 	if above := parent(w, doc.Key); above != nil && doc.Attempts <= HolderAfter && !plan.near {
 		addresses = append(addresses, above.Address)
-		if doc.Revision > 0 {
-			return addresses
+		if doc.Revision > 0 || len(w.ReaderOrder) > nearReaderHosts {
+			return addresses // the holder cannot give the whole document to a large fleet
 		}
 	}
 	if h, ok := w.Hosts[plan.holder]; ok && plan.holder != w.Self.Host && h.Live() && !slices.Contains(addresses, h.Address) {
@@ -354,12 +371,24 @@
 	return []string{live[s.rng.IntN(len(live))]}
 }
 
+// servesHosts is how many hosts can get a document from one host at a time.
+func servesHosts(w *world.World, host string) int {
+	h, ok := w.Hosts[host]
+	if !ok {
+		return 0
+	}
+	return max(nearReaderHosts, int(h.Capacity)/capacityPerHost)
+}
+
 // parent returns the host above this one in the key's tree: the readers of the
 // data centre at the root, then the other hosts in rank order.
 func parent(w *world.World, key string) *world.Host {
 	if IsReader(w) {
 		return nil
 	}
+	if len(w.Readers) > 0 && w.Readers[0] != w.Self.Host && len(w.ReaderOrder) <= servesHosts(w, w.Readers[0]) {
+		return w.Hosts[w.Readers[0]]
+	}
 	order := slices.Clone(w.Readers)
 	var rest []rendezvous.Node
 	for _, name := range w.HostNames() {
--- a/internal/system/configsync/takeover.go
+++ b/internal/system/configsync/takeover.go
@@ -25,8 +25,10 @@
 	staleStep = 200 * time.Millisecond
 	// nearReaderHosts is up to how many hosts of a data centre fetch a document
 	// from its reader themselves: a step of the tree costs up to FetchRetry, and
-	// the reader sends at most some 2 MB for a change of 50 KB.
+	// the reader sends at most some 2 MB for a change of 50 KB. A large reader serves
+	// one for each capacityPerHost, in thousandths of a core.
 	nearReaderHosts = 40
+	capacityPerHost = 4
 	// silentAfter is when a host that hears no reader at all reads by itself: it
 	// may be cut off from its peers. Five heartbeats would be lost by then.
 	silentAfter = 1250 * time.Millisecond
@@ -70,7 +72,7 @@
 	for _, head := range d.Heads {
 		doc := w.Document(head.Key)
 		if doc.Lacks(head.Revision) {
-			s.fetch(w, now, doc, fetchPlan{holder: d.From, near: len(w.ReaderOrder) <= nearReaderHosts})
+			s.fetch(w, now, doc, fetchPlan{holder: d.From, near: len(w.ReaderOrder) <= servesHosts(w, d.From)})
 		}
 	}
 }
