Full comparisons are mostly with hosts of the own data centre

Cause: each host compares its whole state with a random live one each 30 s; while documents change, digests differ and all rows go over, four in five times to another data centre.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -21,6 +21,9 @@
 	// youngSyncHosts is up to how many hosts a young host compares its full state
 	// with known hosts again: three known hosts then answer some 20 a second each.
 	youngSyncHosts = 60
+	// farComparisons: one in so many full comparisons is with a host of another data centre.
+	// What gossip has lost there is made up by any of a data centre's hosts.
+	farComparisons = 8
 	// farTellings is how often all hosts of a data centre together tell a change to
 	// the hosts of each other one. Bytes between data centres are dear, and of 20
 	// datagrams all are lost never; within a data centre each host sends each change
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -254,8 +254,8 @@
 	targets := l.youngTargets(now, known)
 	if !now.Before(l.nextSync) {
 		l.nextSync = now.Add(l.conf.SyncInterval)
-		for _, m := range l.randomLive(1, "") {
-			targets = append(targets, m.Address)
+		if address, ok := l.comparesWith(); ok {
+			targets = append(targets, address)
 		}
 	}
 	if now.Before(l.nextConnect) {
@@ -269,6 +269,20 @@
 	return append(targets, absent[l.rng.IntN(len(absent))])
 }
 
+// comparesWith draws a live member for a full comparison: most often one of this data centre, because
+// states differ for a moment whenever anything changes, and bytes between data centres are dear.
+func (l *List) comparesWith() (address string, ok bool) {
+	lists := l.rows.sorted(l.conf.Host)
+	among := lists.near
+	if len(among) == 0 || len(lists.far) > 0 && l.rng.IntN(farComparisons) == 0 {
+		among = lists.far
+	}
+	if len(among) == 0 {
+		return "", false
+	}
+	return among[l.rng.IntN(len(among))].Address, true
+}
+
 // youngTargets returns known hosts with which a host that has just started compares its
 // state: several at first, then one at each of youngSyncs. Where many start together, the
 // known ones may start last, and their first answers name few. In large fleets they could
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -80,6 +80,7 @@
 mutant "requests with little time" internal/policy/patience.go 's/return shortest > 0 \&\& queue/return false \&\& queue/' ./experiment/replay -run LittleTime
 mutant "hosts wait for a reader that lists" internal/system/configsync/configsync.go 's/if s.standIn.hearsReader \&\& now.Sub(s.standIn.heard) <= silentAfter {/if false {/' ./experiment/loops -run LongList
 mutant "readers are heard before their first answer" internal/system/configsync/takeover.go 's/if !s.conf.StandIn || !IsReader(w) {/if !s.conf.StandIn || !IsReader(w) || s.standIn.answered.IsZero() {/' ./internal/system/configsync -run UnansweredReader
+mutant "comparisons stay near" internal/membership/config.go 's/farComparisons = 8$/farComparisons = 1/' ./internal/membership -run ComparisonsStayNear
 mutant "bounded overflow" internal/policy/pick.go 's/	overflowSample = 128$/	overflowSample = 100000/' ./internal/policy -run Overflow
 mutant "late reports" internal/policy/report.go 's/if next.before(p.counts) {/if false {/' ./internal/policy
 mutant "servers stay in use" internal/policy/breadth.go 's/return unusedGain/return 0/' ./internal/policy
