--- a/experiment/replay/placing_test.go
+++ b/experiment/replay/placing_test.go
@@ -3,9 +3,9 @@
 import "testing"
 
 // Hundreds of hosts before thousands of servers: a server gets a request every few seconds, and a
-// third of the servers is in a spell. To keep four fifths of them in use took more requests than
-// there were, so that each went to the server of which the least was known: 0.88 were answered in
-// time, and more servers were out of use at each moment of trouble than the users' rule allows.
+// third of the servers is in a spell. To keep most of them in use took more requests than there were,
+// so that each went to the server of which the least was known; and still more servers were out of use
+// at moments of trouble than the users' rule allows.
 func TestServersWithFewRequests(t *testing.T) {
 	t.Parallel()
 	_, sum, err := sumSeeds("fleet", seeds, Config{})
@@ -24,8 +24,7 @@
 }
 
 // More comes than a service can carry, most of it with four seconds to wait, a little of it with one.
-// The queue stood at what four seconds allow, and 0.71 of the requests with one ran out of time in
-// it, against 0.32 of the others.
+// The queue stood at what four seconds allow, and most requests with one ran out of time in it.
 func TestRequestsWithLittleTimeAreNotStarved(t *testing.T) {
 	t.Parallel()
 	_, routes := play(t, "mixed-timeouts")
