Views of home regions that are over are not kept

Up to 64 views of all servers of a service were held by pointers to views that are over: some 1 MB each at 6,000 servers, as often as the list changes. Now the newest of each service and homes.

--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -13,20 +13,21 @@
 // to send keeps to them: first sends, retries, copies, trials and the rest of a download. The
 // last look before the first byte checks it once more.
 
-// maxHomeViews bounds the views that are kept, some 100 bytes a server each.
+// maxHomeViews bounds the views that are kept, some 150 bytes a server each.
 const maxHomeViews = 64
 
-// homeViews keeps the views of services that requests with homes see. It is safe for concurrent
-// use.
+// homeViews keeps the views of services that requests with homes see, the newest of each. It is
+// safe for concurrent use.
 type homeViews struct {
 	mu    sync.Mutex
-	views map[homeView]*world.ServiceView
+	views map[homesAt]homeView
 }
 
-type homeView struct {
-	whole *world.ServiceView
-	homes string
-}
+// homesAt names a service and the homes of a request.
+type homesAt struct{ service, homes string }
+
+// homeView is what a view of a service has within some homes.
+type homeView struct{ whole, within *world.ServiceView }
 
 // viewFor returns what a request may see of a service.
 func (d *Dispatcher) viewFor(req *Request, whole *world.ServiceView) *world.ServiceView {
@@ -35,16 +36,16 @@
 	}
 	d.homes.mu.Lock()
 	defer d.homes.mu.Unlock()
-	at := homeView{whole: whole, homes: req.Homes.String()}
-	if view, known := d.homes.views[at]; known {
-		return view
+	at := homesAt{service: req.Service, homes: req.Homes.String()}
+	if held, known := d.homes.views[at]; known && held.whole == whole {
+		return held.within
 	}
 	if d.homes.views == nil || len(d.homes.views) >= maxHomeViews {
-		d.homes.views = make(map[homeView]*world.ServiceView)
+		d.homes.views = make(map[homesAt]homeView)
 	}
-	view := whole.Within(func(dataCentre string) bool { return req.Homes.Allow(d.conf.Regions, dataCentre) })
-	d.homes.views[at] = view
-	return view
+	within := whole.Within(func(dataCentre string) bool { return req.Homes.Allow(d.conf.Regions, dataCentre) })
+	d.homes.views[at] = homeView{whole: whole, within: within}
+	return within
 }
 
 // noServerInHome refuses at once a request that no server of its homes can run, nil if there is
