--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -113,11 +113,7 @@
 	for _, dataCentre := range w.Evacuated {
 		count := 0
 		for _, svc := range w.Services {
-			for _, b := range svc.Backends {
-				if b.Config.DataCentre == dataCentre {
-					count++
-				}
-			}
+			count += svc.CountIn(dataCentre)
 		}
 		t.rows = append(t.rows, []string{dataCentre, strconv.Itoa(count)})
 	}
--- a/internal/system/configsync/discovered.go
+++ b/internal/system/configsync/discovered.go
@@ -160,13 +160,7 @@
 func describeEvacuation(w *world.World, dataCentre string) string {
 	var parts []string
 	for _, name := range w.ServiceNames() {
-		n := 0
-		for _, b := range w.Services[name].Backends {
-			if b.Config.DataCentre == dataCentre {
-				n++
-			}
-		}
-		parts = append(parts, fmt.Sprintf("%d of %s", n, name))
+		parts = append(parts, fmt.Sprintf("%d of %s", w.Services[name].CountIn(dataCentre), name))
 	}
 	return dataCentre + ": no requests to its servers (" + strings.Join(parts, ", ") + ")"
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -203,6 +203,17 @@
 	return s.Backends[i]
 }
 
+// CountIn returns how many backend servers the service has in a data centre.
+func (s *Service) CountIn(dataCentre string) int {
+	count := 0
+	for _, b := range s.Backends {
+		if b.Config.DataCentre == dataCentre {
+			count++
+		}
+	}
+	return count
+}
+
 // Watches reports whether a host is one of the watchers.
 func (s *Service) Watches(host string) bool { return slices.Contains(s.Watchers, host) }
 
