Logs and metrics that tell a host's own path from servers that fail

pearshelf_server_connections_total counts attempts to connect to backend servers by result; the line of a server that goes out of use names the host that last reported evidence against it, and its kind. No decision reads either. daemon.Hooks.DialServer lets tests simulate a fault of one host's path.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,9 @@
 	BeforeWrite func(*dispatch.Request)
 	// BeforeTick is called before each scheduled tick of the control loop.
 	BeforeTick func()
+	// DialServer replaces net.Dialer for connections to backend servers, to simulate a fault of
+	// this host's path to them.
+	DialServer upstream.DialFunc
 }
 
 // Adapter connects a host to a platform other than the built-in one.
@@ -73,6 +76,7 @@
 	observer        *observer
 	platformWatcher *platformWatcher
 	backends        *upstream.Transport
+	liveness        *upstream.LivenessChecker
 	owners          *upstream.Transport
 	probes          *http.Client
 
@@ -216,7 +220,12 @@
 		return err
 	}
 	d.clients = peer.NewClients(tlsConf)
-	d.backends = upstream.NewTransport(upstream.Config{DialTimeout: time.Duration(d.settings.Backend.DialTimeout)})
+	d.backends = upstream.NewTransport(upstream.Config{
+		DialTimeout: time.Duration(d.settings.Backend.DialTimeout),
+		Dial:        d.hooks.DialServer,
+		OnDial:      d.metrics.ServerConnection,
+	})
+	d.liveness = upstream.NewLivenessChecker(d.hooks.DialServer)
 	d.owners = upstream.NewTransport(upstream.Config{TLS: tlsConf, DialTimeout: upstream.DefaultDialTimeout})
 	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	d.platformWatcher = &platformWatcher{d: d}
@@ -291,6 +300,7 @@
 	}, dispatch.Dependencies{
 		Snapshot: d.engine.Snapshot,
 		Backends: d.backends,
+		Liveness: d.liveness,
 		Owners:   d.owners,
 		Claims:   claims.NewCoordinator(d.settings.Host, d.claims, d.clients, time.Duration(d.settings.Timing.ClaimTimeout)),
 		Observer: d.observer,
--- a/internal/daemon/uselog.go
+++ b/internal/daemon/uselog.go
@@ -61,6 +61,8 @@
 		"belief", change.Belief,
 		"troubled", change.Degraded,
 		"limited", change.Limited,
+		"accuser", change.Accuser,
+		"evidence", change.Evidence,
 		"hosts", u.hostCount(snap, change),
 		"missed", u.limit.TakeSuppressed())
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 	conf         Config
 	snapshot     func() *world.Snapshot
 	backends     *upstream.Transport
-	fates        *upstream.LivenessChecker
+	liveness     *upstream.LivenessChecker
 	owners       *upstream.Transport
 	claims       *claims.Coordinator
 	observer     Observer
@@ -102,6 +102,8 @@
 type Dependencies struct {
 	Snapshot func() *world.Snapshot
 	Backends *upstream.Transport
+	// Liveness checks servers whose connections have broken.
+	Liveness *upstream.LivenessChecker
 	Owners   *upstream.Transport
 	Claims   *claims.Coordinator
 	Observer Observer
@@ -125,7 +127,7 @@
 		conf:            conf,
 		snapshot:        deps.Snapshot,
 		backends:        deps.Backends,
-		fates:           upstream.NewLivenessChecker(),
+		liveness:        deps.Liveness,
 		owners:          deps.Owners,
 		claims:          deps.Claims,
 		observer:        deps.Observer,
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -113,7 +113,7 @@
 func (x *exchange) recordFate(lease *serverLease) { lease.attempt.fate = x.fateOf(lease).String() }
 
 func (x *exchange) fateOf(lease *serverLease) upstream.Liveness {
-	fate := x.d.fates.Check(lease.Server.Address)
+	fate := x.d.liveness.Check(lease.Server.Address)
 	if fate == upstream.LivenessEnded && x.isEvidence(lease) {
 		x.d.quarantine.RecordCrash(x.req.subject(), x.req.Service, lease.Server.ID)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,7 +3,11 @@
 package metrics
 
 import (
+	"context"
+	"errors"
+	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +30,7 @@
 	serverStates     *prometheus.CounterVec
 	sendsWithheld    *prometheus.CounterVec
 	rateLimited      *prometheus.CounterVec
+	serverConns      *prometheus.CounterVec
 	documentBytes    *prometheus.CounterVec
 }
 
@@ -101,7 +106,11 @@
 		Name: "pearshelf_rate_limited_sends_total",
 		Help: "Sends to backend servers that name a rate limit, by whether it had room.",
 	}, []string{"allowed"})
-	reg.MustRegister(m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.serverConns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_server_connections_total",
+		Help: "Attempts to open a connection to a backend server, by result: established, refused, timeout or error.",
+	}, []string{"result"})
+	reg.MustRegister(m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -146,6 +155,29 @@
 	m.rateLimited.WithLabelValues(strconv.FormatBool(allowed)).Inc()
 }
 
+// ServerConnection counts an attempt to open a connection to a backend server. err is nil if it
+// was established. Attempts that this host cancelled are not counted.
+func (m *Metrics) ServerConnection(err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	m.serverConns.WithLabelValues(connectionResult(err)).Inc()
+}
+
+func connectionResult(err error) string {
+	var netErr net.Error
+	switch {
+	case err == nil:
+		return "established"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return "timeout"
+	default:
+		return "error"
+	}
+}
+
 // AddedLatency records the latency that the fleet added to a request on this host.
 func (m *Metrics) AddedLatency(service string, d time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -129,7 +129,7 @@
 		return // a datagram that arrived out of order
 	}
 	if t.has(MechanismSharedOutcomes) {
-		s.recordPeerOutcomes(now, p.counts, next)
+		s.recordPeerOutcomes(now, host, p.counts, next)
 	}
 	if isPeer {
 		t.service(l.Service).recordPeerUse(now, s, p, next, !known)
@@ -198,7 +198,20 @@
 // whose order and timing are unknown.
 const maxOutcomesPerReport = 4
 
-func (s *server) recordPeerOutcomes(now time.Time, previous, current counts) {
+// accusation is the latest evidence against a server that another host reported.
+type accusation struct {
+	host     string
+	evidence string
+}
+
+// Evidence that another host reports against a server, as logged.
+const (
+	evidenceFailed      = "failed"
+	evidenceUnreachable = "unreachable"
+	evidenceUnanswered  = "unanswered"
+)
+
+func (s *server) recordPeerOutcomes(now time.Time, host string, previous, current counts) {
 	good := current.good - previous.good
 	for range min(good, maxOutcomesPerReport) {
 		s.health.observeSuccess(now)
@@ -206,6 +219,7 @@
 	for range min(current.failed-previous.failed, maxOutcomesPerReport) {
 		s.health.observeFailure(now)
 		s.failedAt = now
+		s.accused = accusation{host, evidenceFailed}
 	}
 	weak := current.lateErrors - previous.lateErrors + current.staleConnections - previous.staleConnections
 	for range min(weak, maxOutcomesPerReport) {
@@ -213,9 +227,11 @@
 	}
 	if current.unreachable > previous.unreachable {
 		s.health.observeUnreachable(now)
+		s.accused = accusation{host, evidenceUnreachable}
 	}
 	if current.silentMillinats > previous.silentMillinats {
 		s.recordUnanswered(now, min(float64(current.silentMillinats-previous.silentMillinats)/1000, maxUnansweredLogOdds))
+		s.accused = accusation{host, evidenceUnanswered}
 	}
 	if good > 0 {
 		s.recordSlowness(float64(current.goodSlowness-previous.goodSlowness) / 1e6 / float64(good))
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -73,6 +73,8 @@
 	slowness float64
 	// failedAt is when a request last failed on this server, at any host.
 	failedAt time.Time
+	// accused is the latest evidence of another host, for logs.
+	accused accusation
 	// lastSent is when a host of this data centre last sent the server a request that was not
 	// later found unsent.
 	lastSent time.Time
--- a/internal/policy/unused.go
+++ b/internal/policy/unused.go
@@ -32,11 +32,14 @@
 	Idle time.Duration
 	// Why, Belief, Degraded and Limited are only set for a server that went out of use: the
 	// probability that it is failing, and whether many requests of the service are unserved or
-	// refused beyond their customers' limits.
+	// refused beyond their customers' limits. Accuser is the host that last reported evidence
+	// against the server, and Evidence its kind; both are empty if there was none.
 	Why      UnusedReason
 	Belief   float64
 	Degraded bool
 	Limited  bool
+	Accuser  string
+	Evidence string
 }
 
 // usageWatch is the state of UseChanges for one server.
@@ -70,6 +73,7 @@
 			change.Belief = s.belief(now, svc)
 			change.Degraded = svc.isDegraded(now)
 			change.Limited = svc.isHeavilyLimited(now)
+			change.Accuser, change.Evidence = s.accused.host, s.accused.evidence
 		}
 		changes = append(changes, change)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -93,10 +93,12 @@
 	return true
 }
 
-// trackingDial returns a dial function whose connections are of type trackedConn.
-func trackingDial(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// trackingDial returns a dial function whose connections are of type trackedConn. onDial is called
+// with the result of each attempt.
+func trackingDial(dial DialFunc, onDial func(error)) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
+		onDial(err)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/liveness.go
+++ b/internal/upstream/liveness.go
@@ -57,13 +57,18 @@
 	expires time.Time
 }
 
-// NewLivenessChecker returns a checker that opens TCP connections.
-func NewLivenessChecker() *LivenessChecker {
-	dialer := &net.Dialer{Timeout: checkTimeout}
+// NewLivenessChecker returns a checker that opens TCP connections with dial, or with a net.Dialer
+// if dial is nil.
+func NewLivenessChecker(dial DialFunc) *LivenessChecker {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &LivenessChecker{
 		checks: make(map[string]*livenessCheck),
 		dial: func(ctx context.Context, address string) error {
-			conn, err := dialer.DialContext(ctx, "tcp", address)
+			ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+			defer cancel()
+			conn, err := dial(ctx, "tcp", address)
 			if err == nil {
 				conn.Close()
 			}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,13 +40,26 @@
 	// on an unresponsive address sooner, but the kernel retransmits a lost SYN only
 	// after 1 s.
 	DialTimeout time.Duration
+	// Dial opens the connections. The default is a net.Dialer with DialTimeout.
+	Dial DialFunc
+	// OnDial, if set, is called with the result of each attempt to open a connection. It must
+	// not block.
+	OnDial func(err error)
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewTransport returns a Transport with the given configuration.
 func NewTransport(conf Config) *Transport {
-	dialer := &net.Dialer{Timeout: conf.DialTimeout}
+	if conf.Dial == nil {
+		conf.Dial = (&net.Dialer{Timeout: conf.DialTimeout}).DialContext
+	}
+	if conf.OnDial == nil {
+		conf.OnDial = func(error) {}
+	}
 	return &Transport{http: &http.Transport{
-		DialContext:         trackingDial(dialer),
+		DialContext:         trackingDial(conf.Dial, conf.OnDial),
 		TLSClientConfig:     conf.TLS,
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		IdleConnTimeout:     idleConnTimeout,
