--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -31,12 +31,17 @@
 	cuttable   bool // one of those that a cut takes
 	// kept is when this host last sent to a server, by the server's ID: its connection there.
 	kept map[string]time.Duration
+	// losesPath is set for a host that Paths concerns. hung are the servers to which its kept
+	// connection has been used up since.
+	losesPath bool
+	hung      map[string]bool
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
-	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration)}
+	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration), hung: make(map[string]bool)}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
+	h.losesPath = f.losesPath(pathStreamHosts+uint64(number), f.pattern.Network.Paths.Hosts)
 	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	h.registers = newRegisters(h)
@@ -130,7 +135,7 @@
 
 // serve takes a request from a caller.
 func (h *host) serve(route *Route) {
-	r := &request{host: h, route: route, asked: h.fleet.clock.Now}
+	r := &request{host: h, entry: h, route: route, asked: h.fleet.clock.Now}
 	r.expiry = h.fleet.clock.After(time.Duration(route.Timeout), r.expire)
 	r.content, r.deadly = h.fleet.drawContent(route)
 	r.enter()
--- /dev/null
+++ b/experiment/replay/paths.go
@@ -0,0 +1,91 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// dialTimeout is how long a host waits for a new connection to a server, as hosts do on the
+	// users' platform.
+	dialTimeout = 250 * time.Millisecond
+	// pathGrace is the time after the start of a loss of path from which what callers get is
+	// compared, by the users' rule.
+	pathGrace = 3 * time.Second
+)
+
+// PathResult is what callers got while some hosts had lost their path to servers, by the hosts
+// that they came to.
+type PathResult struct {
+	// Cut counts requests at hosts without a path, Others those at the other hosts.
+	Cut, Others ServedShare
+}
+
+// ServedShare counts requests, and those of them that were served.
+type ServedShare struct{ Asked, Served int }
+
+// Share is the share of the requests that were served.
+func (s ServedShare) Share() float64 { return float64(s.Served) / float64(max(s.Asked, 1)) }
+
+func (s *ServedShare) count(o outcome) {
+	s.Asked++
+	if o == served {
+		s.Served++
+	}
+}
+
+func (r *PathResult) add(other PathResult) {
+	r.Cut.Asked += other.Cut.Asked
+	r.Cut.Served += other.Cut.Served
+	r.Others.Asked += other.Others.Asked
+	r.Others.Served += other.Others.Served
+}
+
+// isOn reports whether paths are lost at a time, from a while after the start.
+func (p Paths) isOn(now, after time.Duration) bool {
+	return now >= time.Duration(p.From)+after && now < time.Duration(p.From+p.For)
+}
+
+// Streams of random numbers that decide which hosts and servers lose their paths.
+const (
+	pathStreamHosts   = 20_000
+	pathStreamServers = 40_000
+)
+
+// losesPath draws whether a host or server is among the given share of those that lose paths. It has
+// a stream of its own, so that other patterns play as without it.
+func (f *fleet) losesPath(stream uint64, share float64) bool {
+	return rand.New(rand.NewPCG(f.seed, stream)).Float64() < share
+}
+
+// reaches reports whether the host reaches a server now.
+func (h *host) reaches(s *server) bool {
+	return !h.losesPath || !s.losesPath || !h.fleet.pattern.Network.Paths.isOn(h.fleet.clock.Now, 0)
+}
+
+// sendIntoCut is the send of a request that does not reach its server. On the one connection that the
+// host has kept it gets no answer, a new connection cannot be made.
+func (r *request) sendIntoCut(fl *flight) {
+	if !fl.from.hung[fl.server.id] {
+		fl.from.hung[fl.server.id] = true
+		return
+	}
+	r.host.fleet.clock.After(dialTimeout, func() {
+		if !fl.job.over {
+			fl.job.over = true
+			r.answered(fl, answer{reply: replyUnreachable})
+		}
+	})
+}
+
+// notePath counts a request that came to a host while paths were lost.
+func (r *Result) notePath(q *request, o outcome) {
+	if !q.host.fleet.pattern.Network.Paths.isOn(q.asked, pathGrace) {
+		return
+	}
+	if q.entry.losesPath {
+		r.Paths.Cut.count(o)
+	} else {
+		r.Paths.Others.count(o)
+	}
+}
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -50,6 +50,18 @@
 	// Cut hosts serve callers and reach servers, but neither hear of other hosts nor
 	// are heard.
 	Cut Cut `yaml:"cut"`
+	// Paths of hosts to servers are lost, while hosts hear each other.
+	Paths Paths `yaml:"paths"`
+}
+
+// Paths is a time in which some hosts do not reach some servers: what is sent on an open
+// connection gets no answer, and new connections cannot be made.
+type Paths struct {
+	From config.Duration `yaml:"from"`
+	For  config.Duration `yaml:"for"`
+	// Hosts and Servers are the shares of the hosts and of the servers concerned.
+	Hosts   float64 `yaml:"hosts"`
+	Servers float64 `yaml:"servers"`
 }
 
 // Idle is a time in which connections that a host has not used for After are closed: what it
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -115,6 +115,7 @@
 		for number := range n {
 			random := rand.New(rand.NewPCG(f.seed, uint64(len(f.servers))+10_000))
 			s := newServer(service, dataCentre, number, f.clock, random)
+			s.losesPath = f.losesPath(pathStreamServers+uint64(len(f.servers)), f.pattern.Network.Paths.Servers)
 			f.servers[s.id] = s
 			all = append(all, s)
 		}
--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -13,7 +13,8 @@
 
 // request is a caller's request on its way, as dispatch keeps it.
 type request struct {
-	host    *host
+	host    *host // that serves it now
+	entry   *host // to which the caller came first
 	route   *Route
 	asked   time.Duration
 	tried   []string
@@ -212,6 +213,11 @@
 	f.spent(r.route.Service).note(f.clock.Now, r.arrived > 0 || len(r.flights) > 0)
 	r.flights = append(r.flights, fl)
 	f.result.Runs[fl.server.id]++
+	if !fl.from.reaches(fl.server) {
+		r.sendIntoCut(fl)
+		r.host.tell()
+		return fl
+	}
 	f.clock.After(delay, func() {
 		if !fl.job.over {
 			f.said.arrived(f.clock.Now, fl.from.name, fl.server.id)
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -59,6 +59,8 @@
 	Limits LimitUse
 	// Ended is what requests did that end the servers which run them.
 	Ended EndedServers
+	// Paths is what callers got while paths to servers were lost.
+	Paths PathResult
 	// Runs is how often each server was sent a request.
 	Runs    map[string]int
 	reasons map[string]int
@@ -85,6 +87,7 @@
 func (r *Result) note(q *request, o outcome) {
 	took := q.host.fleet.clock.Now - q.asked
 	second := &r.Seconds[int(q.asked/time.Second)]
+	r.notePath(q, o)
 	route := r.route(q.route.Name)
 	route.Asked++
 	r.use(q.route.Service).ended(q.host.fleet.clock.Now, o)
@@ -130,6 +133,7 @@
 	}
 	r.Messages += other.Messages
 	r.Limits.add(other.Limits)
+	r.Paths.add(other.Paths)
 	r.Ended.add(other.Ended)
 	r.AfterLeaving += other.AfterLeaving
 	r.OverRest += other.OverRest
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -64,6 +64,7 @@
 	faults                []Fault // those that come to this server
 	// downUntil is when the server has started again after it ended.
 	downUntil time.Duration
+	losesPath bool // one of those that Paths concerns
 }
 
 func newServer(service *Service, dataCentre, number int, c *simtime.Clock, random *rand.Rand) *server {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -93,12 +93,16 @@
 	return true
 }
 
-// trackingDial returns a dial function whose connections are of type trackedConn. onDial is called
-// with the result of each attempt.
-func trackingDial(dial DialFunc, onDial func(error)) DialFunc {
+// trackingDial returns a dial function whose connections are of type trackedConn.
+func trackingDial(conf Config) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		onDial(err)
+		if conf.DialTimeout > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, conf.DialTimeout)
+			defer cancel()
+		}
+		conn, err := conf.Dial(ctx, network, address)
+		conf.OnDial(err)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -40,7 +40,7 @@
 	// on an unresponsive address sooner, but the kernel retransmits a lost SYN only
 	// after 1 s.
 	DialTimeout time.Duration
-	// Dial opens the connections. The default is a net.Dialer with DialTimeout.
+	// Dial opens the connections. The default is a net.Dialer.
 	Dial DialFunc
 	// OnDial, if set, is called with the result of each attempt to open a connection. It must
 	// not block.
@@ -53,13 +53,13 @@
 // NewTransport returns a Transport with the given configuration.
 func NewTransport(conf Config) *Transport {
 	if conf.Dial == nil {
-		conf.Dial = (&net.Dialer{Timeout: conf.DialTimeout}).DialContext
+		conf.Dial = (&net.Dialer{}).DialContext
 	}
 	if conf.OnDial == nil {
 		conf.OnDial = func(error) {}
 	}
 	return &Transport{http: &http.Transport{
-		DialContext:         trackingDial(conf.Dial, conf.OnDial),
+		DialContext:         trackingDial(conf),
 		TLSClientConfig:     conf.TLS,
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		IdleConnTimeout:     idleConnTimeout,
