A host without a path to servers no longer talks the others out of them

Cause: each failed connection (6 to 1) and each unanswered request (up to 55 to 1) counted against the server at all hosts, whatever the reporting host knew of its own path; hung requests counted as load and as uses of servers that never got them. Evidence: 'accuser' in the lines of servers out of use names the hosts without a path. Now a host checks whether it reaches a server before it blames it: a request that is overdue opens a connection to its server; a failed connection is told to others only once another server was reached since, and they leave it out if the server has answered one of them in the last second.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -35,6 +35,8 @@
 	// connection has been used up since.
 	losesPath bool
 	hung      map[string]bool
+	// pathReview is the next call of checkPaths, nil if none is due.
+	pathReview *simtime.Timer
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
--- a/experiment/replay/paths.go
+++ b/experiment/replay/paths.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
 const (
@@ -78,6 +80,37 @@
 	})
 }
 
+// checkPaths opens the connections that the policy asks for, as the daemon does.
+func (h *host) checkPaths() {
+	clock := h.fleet.clock
+	due, after := h.table.DuePathChecks(clock.Time(), h.views)
+	for _, check := range due {
+		h.check(check)
+	}
+	if h.pathReview != nil {
+		h.pathReview.Stop()
+		h.pathReview = nil
+	}
+	if after > 0 {
+		h.pathReview = clock.After(after, h.checkPaths)
+	}
+}
+
+// check connects to a server: the answer comes after a round trip, or not at all.
+func (h *host) check(check policy.PathCheck) {
+	s, clock := h.fleet.servers[check.Server], h.fleet.clock
+	reached := h.reaches(s) && clock.Now >= s.downUntil
+	took := 2 * h.fleet.delay(h.dataCentre, s.dataCentre)
+	if !h.reaches(s) {
+		took = dialTimeout
+	}
+	clock.After(took, func() {
+		h.table.PathChecked(clock.Time(), check, reached)
+		h.tell()
+		h.checkPaths()
+	})
+}
+
 // notePath counts a request that came to a host while paths were lost.
 func (r *Result) notePath(q *request, o outcome) {
 	if !q.host.fleet.pattern.Network.Paths.isOn(q.asked, pathGrace) {
--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -139,6 +139,9 @@
 		return
 	}
 	first := r.send(placement)
+	if r.host.pathReview == nil {
+		r.host.checkPaths()
+	}
 	if len(r.flights) == 1 {
 		r.trial(first)
 		r.review(first)
@@ -275,6 +278,7 @@
 	if result == replyUnreachable {
 		r.tried = append(r.tried, fl.server.id)
 		r.finish(fl, policy.Result{Outcome: policy.Unreachable, Unsent: true})
+		r.host.checkPaths()
 		r.place()
 		return
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -17,9 +17,13 @@
 	clock       func() time.Time
 	incarnation uint64
 	changed     chan struct{}
+	// pathWork receives when path checks may be due before pathReviewAt.
+	pathWork chan struct{}
 
 	mu    sync.Mutex
 	table *policy.Table
+	// pathReviewAt is when DuePathChecks will be called again, zero if only after pathWork.
+	pathReviewAt time.Time
 }
 
 // NewTable returns the table of a host that starts now, as given by clock. If
@@ -32,6 +36,7 @@
 		clock:       clock,
 		incarnation: rand.Uint64(),
 		changed:     make(chan struct{}, 1),
+		pathWork:    make(chan struct{}, 1),
 		table:       policy.NewTable(clock(), conf),
 	}
 }
@@ -44,13 +49,59 @@
 // other hosts. Signals that are not yet received are merged into one.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
-func (t *Table) notify() {
+func (t *Table) notify() { signal(t.changed) }
+
+// signal makes a channel receive, unless it already does.
+func signal(c chan struct{}) {
 	select {
-	case t.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// PathWork returns a channel that receives when DuePathChecks is to be called earlier than it asked
+// for.
+func (t *Table) PathWork() <-chan struct{} { return t.pathWork }
+
+// DuePathChecks returns the checks of this host's path to servers that are due, and after which time
+// to call it again; 0 means after PathWork.
+func (t *Table) DuePathChecks(views map[string]*world.ServiceView) (due []policy.PathCheck, after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	due, after = t.table.DuePathChecks(now, views)
+	t.pathReviewAt = time.Time{}
+	if after > 0 {
+		t.pathReviewAt = now.Add(after)
+	}
+	return due, after
+}
+
+// PathChecked records the result of a check.
+func (t *Table) PathChecked(check policy.PathCheck, reached bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.table.PathChecked(t.clock(), check, reached)
+	signal(t.pathWork)
+	t.notify()
+}
+
+// PathState is what a host knows of its path to the backend servers.
+type PathState struct {
+	// Lost is set if the host has lost its path to all servers.
+	Lost bool
+	// Unreachable is the number of servers that could not be connected to since one last was.
+	Unreachable int
+}
+
+// PathState returns the state of this host's path to the servers.
+func (t *Table) PathState(views map[string]*world.ServiceView) PathState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	return PathState{Lost: t.table.PathLost(now, views), Unreachable: t.table.PathEvidence(now)}
+}
+
 // Lease is the placement of a request at a server, which lasts until Finish.
 type Lease struct {
 	*policy.Placement
@@ -65,6 +116,9 @@
 		defer l.table.mu.Unlock()
 		l.table.table.Finish(l.table.clock(), l.Placement, done)
 		l.table.notify()
+		if done.Outcome == policy.Unreachable || done.ServerUnreachable {
+			signal(l.table.pathWork)
+		}
 	})
 }
 
@@ -78,6 +132,9 @@
 		return nil, err
 	}
 	t.notify()
+	if t.pathReviewAt.IsZero() {
+		signal(t.pathWork) // the request may become overdue
+	}
 	return &Lease{Placement: placement, table: t}, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -340,6 +340,8 @@
 		d.wg.Go(func() { reporter.run(d.ctx) })
 		useLog := newUseLog(d)
 		d.wg.Go(func() { useLog.run(d.ctx) })
+		paths := newPathChecker(d)
+		d.wg.Go(func() { paths.run(d.ctx) })
 	}
 	d.serve(d.callerServer, d.listeners.caller)
 	if d.readyServer != nil {
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -110,10 +110,13 @@
 
 // recordFate checks whether a server whose connection broke during the request is still running,
 // and reports a crash if it is not.
-func (x *exchange) recordFate(lease *serverLease) { lease.attempt.fate = x.fateOf(lease).String() }
+func (x *exchange) recordFate(lease *serverLease) {
+	lease.attempt.fate = x.checkLiveness(lease).String()
+}
 
-func (x *exchange) fateOf(lease *serverLease) upstream.Liveness {
+func (x *exchange) checkLiveness(lease *serverLease) upstream.Liveness {
 	fate := x.d.liveness.Check(lease.Server.Address)
+	lease.done.ServerUnreachable = fate != upstream.LivenessAlive
 	if fate == upstream.LivenessEnded && x.isEvidence(lease) {
 		x.d.quarantine.RecordCrash(x.req.subject(), x.req.Service, lease.Server.ID)
 	}
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -21,6 +21,7 @@
 		return false, x.handleFailure(ctx, lease, result.failure)
 	}
 	response := result.response
+	lease.done.NewConnection = !response.Reused
 	x.attemptsArrived++
 	reportLoad(lease, result.reported)
 	lease.attempt.reported = formatState(result.reported)
--- a/internal/dispatch/trial.go
+++ b/internal/dispatch/trial.go
@@ -51,6 +51,7 @@
 		return
 	}
 	response := result.response
+	lease.done.NewConnection = !response.Reused
 	reportLoad(lease, result.reported)
 	switch {
 	case result.kind == responseNotRun && x.isMisdirected(response):
@@ -79,7 +80,7 @@
 	case !dialled:
 		x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
 	default:
-		x.fateOf(lease) // the log line of its request has already been written
+		x.checkLiveness(lease) // the log line of its request has already been written
 		x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,8 @@
 	BackendKeptAbsent    Number = 416
 	EvacuationBegan      Number = 417
 	EvacuationEnded      Number = 418
+	PathLost             Number = 419
+	PathRegained         Number = 420
 	DirectiveAccepted    Number = 501
 	DirectiveRefused     Number = 502
 	DirectiveMerged      Number = 503
@@ -109,6 +111,8 @@
 	BackendKeptAbsent:    "backend-kept-absent",
 	EvacuationBegan:      "evacuation-began",
 	EvacuationEnded:      "evacuation-ended",
+	PathLost:             "path-lost",
+	PathRegained:         "path-regained",
 	DirectiveAccepted:    "directive-accepted",
 	DirectiveRefused:     "directive-refused",
 	DirectiveMerged:      "directive-merged",
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,6 +31,8 @@
 	sendsWithheld    *prometheus.CounterVec
 	rateLimited      *prometheus.CounterVec
 	serverConns      *prometheus.CounterVec
+	pathChecks       *prometheus.CounterVec
+	pathLost         prometheus.Gauge
 	documentBytes    *prometheus.CounterVec
 }
 
@@ -110,7 +112,15 @@
 		Name: "pearshelf_server_connections_total",
 		Help: "Attempts to open a connection to a backend server, by result: established, refused, timeout or error.",
 	}, []string{"result"})
-	reg.MustRegister(m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.pathChecks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_path_checks_total",
+		Help: "Connections opened to backend servers to find out whether this host reaches them, by result.",
+	}, []string{"reached"})
+	m.pathLost = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "pearshelf_path_lost",
+		Help: "1 while this host reaches no backend server, otherwise 0.",
+	})
+	reg.MustRegister(m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -178,6 +188,21 @@
 	}
 }
 
+// PathCheck counts a connection that was opened to a backend server to find out whether this host
+// reaches it.
+func (m *Metrics) PathCheck(reached bool) {
+	m.pathChecks.WithLabelValues(strconv.FormatBool(reached)).Inc()
+}
+
+// SetPathLost sets whether this host has lost its path to the backend servers.
+func (m *Metrics) SetPathLost(lost bool) {
+	value := 0.0
+	if lost {
+		value = 1
+	}
+	m.pathLost.Set(value)
+}
+
 // AddedLatency records the latency that the fleet added to a request on this host.
 func (m *Metrics) AddedLatency(service string, d time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/counts.go
+++ b/internal/policy/counts.go
@@ -13,6 +13,8 @@
 	limited                         uint64 // refused by this host beyond their customers' limits
 	goodSlowness                    uint64 // sum over good answers, in millionths
 	silentMillinats                 uint64 // evidence of abandoned requests, in thousandths of log odds
+	// confirmedUnreachable is the part of unreachable after which this host reached another server.
+	confirmedUnreachable uint64
 }
 
 // add counts one outcome.
@@ -51,6 +53,8 @@
 		goodSlowness:     l.GoodSlownessPpm,
 		silentMillinats:  l.SilentMillinats,
 		limited:          l.Limited,
+
+		confirmedUnreachable: l.ConfirmedUnreachable,
 	}
 }
 
@@ -95,5 +99,7 @@
 		StaleConnections: c.staleConnections,
 		SilentMillinats:  c.silentMillinats,
 		Limited:          c.limited,
+
+		ConfirmedUnreachable: c.confirmedUnreachable,
 	}
 }
--- a/internal/policy/coverage.go
+++ b/internal/policy/coverage.go
@@ -179,7 +179,7 @@
 		if done.late {
 			svc.late.add(now, outcomeWindow, 1)
 		}
-	case Failed, Shed, lateError, staleConnection:
+	case Failed, Shed, lateError, staleConnection, unattributed:
 		svc.unserved.add(now, outcomeWindow, 1)
 	}
 }
--- a/internal/policy/fewrequests_test.go
+++ b/internal/policy/fewrequests_test.go
@@ -89,7 +89,7 @@
 	more := joinedFrom(20, 21+joined, now)
 	for range sent {
 		p := mustPick(t, table, now, more, Request{FirstAttempt: true})
-		if row := table.servers[p.key]; row.joined && p.use.before.IsZero() {
+		if row := table.servers[p.key]; row.joined && p.pending.use.before.IsZero() {
 			tried++
 		}
 		table.Finish(now, p, Result{Outcome: Good, FirstByte: 200 * time.Millisecond})
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -39,6 +39,9 @@
 	Abandoned
 	// Neutral means that nothing was learned about the server.
 	Neutral
+	// unattributed is a failed request without an answer from a server that this host cannot connect
+	// to. Finish distinguishes it from Failed.
+	unattributed
 )
 
 // Result describes the end of a request that Pick placed on a server.
@@ -58,6 +61,11 @@
 	Unsent bool
 	// TimedOut is set for a failed request that had no answer when its time ran out.
 	TimedOut bool
+	// NewConnection is set if an answer came on a connection that was opened for the request.
+	NewConnection bool
+	// ServerUnreachable is set if the connection broke and the server could not be connected to
+	// after that.
+	ServerUnreachable bool
 	// slowness is the ratio of FirstByte to what is typical for the route and the queue. late is
 	// set if the answer came after the objective.
 	slowness float64
@@ -71,10 +79,12 @@
 func (t *Table) Finish(now time.Time, p *Placement, done Result) {
 	s, ok := t.servers[p.key]
 	if !ok {
+		t.removeWaiting(p.pending)
 		return
 	}
 	svc := t.service(p.key.service)
 	svc.dirty = true
+	t.removeWaiting(p.pending)
 	if p.process != s.process { // says nothing about the current process
 		svc.totals.add(done)
 		svc.recordOutcome(now, done)
@@ -84,21 +94,27 @@
 	s.removePending(p.pending)
 	s.dirty = true
 	if done.Unsent {
-		s.undoUse(p.use)
+		s.undoUse(p.pending.use)
 	}
 	done.slowness = float64(done.FirstByte) / float64(p.pending.atTypicalSpeed)
 	done.late = now.After(p.objectiveAt)
 	if done.TimedOut || done.Outcome == Abandoned {
 		done.unansweredLogOdds = svc.requestLogOdds(done.Elapsed, p.pending.expected)
 	}
-	done.Outcome = classify(p, done)
+	done.Outcome = s.classify(p, done)
 	if done.Outcome == staleConnection {
 		svc.staleConnectionAt = now
 	}
 	if done.Outcome == Failed {
 		svc.recordFailure(done.TimedOut)
 	}
+	if done.isAnswer() {
+		t.recordAnswered(now, s, done.NewConnection)
+	}
 	s.applyOutcome(now, done)
+	if done.Outcome == Unreachable || done.ServerUnreachable {
+		t.recordUnreachable(now, p.key, s)
+	}
 	svc.totals.add(done)
 	svc.recordOutcome(now, done)
 	if done.Outcome == Good && done.FirstByte > 0 {
@@ -111,9 +127,19 @@
 	}
 }
 
-// classify distinguishes outcomes by their timing.
-func classify(p *Placement, done Result) Outcome {
+// isAnswer reports whether the server has answered.
+func (r Result) isAnswer() bool {
+	return r.FirstByte > 0 || r.Outcome == Good || r.Outcome == Shed
+}
+
+// classify distinguishes outcomes by their timing, and by whether this host reaches the server.
+func (s *server) classify(p *Placement, done Result) Outcome {
+	unreachable := s.pathFailures > 0 || done.ServerUnreachable
 	switch {
+	case unreachable && done.Outcome == Failed && !done.isAnswer():
+		return unattributed
+	case unreachable && done.Outcome == Abandoned:
+		return Neutral
 	case done.TimedOut && done.unansweredLogOdds < overdueLogOdds:
 		return Abandoned // too little time to be evidence
 	case done.Outcome == Failed && done.FirstByte > fastErrorLimit(p):
@@ -151,12 +177,6 @@
 		s.failureUnsent = true
 	case lateError, staleConnection:
 		s.health.observeLateError(now)
-	case Unreachable:
-		s.health.observeUnreachable(now)
-		s.failureUnsent = true
-		backoff := pathBackoff << min(s.pathFailures, 8)
-		s.pathFailures++
-		s.pathUntil = now.Add(min(backoff, maxPathBackoff))
 	}
 }
 
--- /dev/null
+++ b/internal/policy/path.go
@@ -0,0 +1,279 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// A host whose own network path is broken sees the same as one whose servers are down: connections
+// fail, and requests remain unanswered. Its observations are evidence against the servers only as
+// long as it knows that it can reach them. It therefore opens a connection to a server that leaves a
+// request unanswered for long, and connects to other servers if a connection fails. As long as its
+// path is broken it neither uses nor reports what it observes:
+//
+//   - a request that waits on a server which this host cannot connect to is not evidence, and does
+//     not count as load of the server;
+//   - an unreachable server is reported as such only once another server has been reached since.
+const (
+	// pathCheckLogOdds is the evidence of a waiting request, in log odds, from which on a connection
+	// to its server is opened: 2.7 to 1. A lower value opens more connections in normal operation.
+	pathCheckLogOdds = 1.0
+	// pathWitnesses is how many other servers are checked after a failed connection. Together with
+	// the first server they suffice to recognise a loss of the path.
+	pathWitnesses = 3
+	// witnessInterval is the minimum time between two rounds of such checks.
+	witnessInterval = time.Second
+	// lostPathCheckInterval is the time between two checks while the path is lost. It bounds how
+	// long the host does not notice that the path is back.
+	lostPathCheckInterval = 250 * time.Millisecond
+	// maxHeldEvidence limits how long an unreachable server is held back from reports.
+	maxHeldEvidence = 5 * time.Second
+	// answeredRecently is how long after an answer to any host of this data centre a server counts as
+	// sound to hosts that hear that another one cannot connect to it.
+	answeredRecently = time.Second
+)
+
+// PathCheck is a connection that a host should open to find out whether it reaches a server.
+type PathCheck struct {
+	Service string
+	Server  string // ID
+	Address string
+}
+
+// detectorKey identifies a server in the path-loss detector.
+func (k key) detectorKey() string { return k.service + "/" + k.backend }
+
+// DuePathChecks returns the checks that are due and, if there are none to be expected before, when to
+// ask again; 0 means after the next request. views are the services by name.
+func (t *Table) DuePathChecks(now time.Time, views map[string]*world.ServiceView) (due []PathCheck, after time.Duration) {
+	if !t.has(MechanismPathChecks) {
+		return nil, 0
+	}
+	if t.PathLost(now, views) {
+		if wait := t.lostCheckAt.Add(lostPathCheckInterval).Sub(now); wait > 0 {
+			return nil, wait
+		}
+		t.lostCheckAt = now
+		return t.chooseLostPathCheck(now, views), lostPathCheckInterval
+	}
+	due, after = t.overdueChecks(now, views)
+	if t.isPathSuspect(now) && now.Sub(t.witnessesAt) >= witnessInterval {
+		t.witnessesAt = now
+		due = append(due, t.chooseWitnesses(now, views)...)
+	}
+	return due, after
+}
+
+// isPathSuspect reports whether a server was found unreachable and none reached since, or a request
+// is overdue and no server has answered this host since it was sent.
+func (t *Table) isPathSuspect(now time.Time) bool {
+	return t.path.Count(now) > 0 || !t.overdueSince.IsZero() && !t.answeredAt.After(t.overdueSince)
+}
+
+// overdueChecks returns checks of servers that leave a request of this host unanswered for long, each
+// once per request, and how long until the next request is overdue.
+func (t *Table) overdueChecks(now time.Time, views map[string]*world.ServiceView) (due []PathCheck, after time.Duration) {
+	t.overdueSince = time.Time{}
+	for _, w := range t.waiting {
+		svc := t.service(w.key.service)
+		s, known := t.servers[w.key]
+		if !known {
+			continue
+		}
+		if left := svc.overdueAfter(w.expected) - now.Sub(w.since); left > 0 {
+			if after == 0 || left < after {
+				after = left
+			}
+			continue
+		}
+		if t.overdueSince.IsZero() || w.since.Before(t.overdueSince) {
+			t.overdueSince = w.since
+		}
+		if s.checkedAt.After(w.since) || s.reachedAt.After(w.since) || s.pathFailures > 0 {
+			continue
+		}
+		if check, ok := checkOf(views, w.key); ok {
+			s.checkedAt = now
+			due = append(due, check)
+		}
+	}
+	return due, after
+}
+
+// overdueAfter is the time after which an unanswered request gives the evidence pathCheckLogOdds.
+func (svc *service) overdueAfter(expected time.Duration) time.Duration {
+	for ratio := 1.0; ratio < maxOverdueRatio; ratio *= ratioStep {
+		age := time.Duration(ratio * float64(expected))
+		if svc.requestLogOdds(age, expected) >= pathCheckLogOdds {
+			return age
+		}
+	}
+	return time.Duration(maxOverdueRatio * float64(expected))
+}
+
+// maxOverdueRatio limits the time after which a request counts as overdue, in units of the expected
+// latency, for services whose latencies vary widely.
+const maxOverdueRatio = 10.0
+
+func checkOf(views map[string]*world.ServiceView, k key) (PathCheck, bool) {
+	view, ok := views[k.service]
+	if !ok {
+		return PathCheck{}, false
+	}
+	b := view.Backend(k.backend)
+	if b == nil {
+		return PathCheck{}, false // it has left meanwhile
+	}
+	return PathCheck{Service: k.service, Server: b.ID, Address: b.Address}, true
+}
+
+// chooseWitnesses returns checks of servers that are not known to be unreachable. Those come first
+// that have answered a host of this data centre most recently.
+func (t *Table) chooseWitnesses(now time.Time, views map[string]*world.ServiceView) []PathCheck {
+	return t.chooseChecks(now, views, pathWitnesses, func(a, b checkCandidate) int {
+		return b.state.answeredAt.Compare(a.state.answeredAt)
+	})
+}
+
+// chooseLostPathCheck returns a check of the server that has not been checked for longest.
+func (t *Table) chooseLostPathCheck(now time.Time, views map[string]*world.ServiceView) []PathCheck {
+	return t.chooseChecks(now, views, 1, func(a, b checkCandidate) int {
+		return a.state.checkedAt.Compare(b.state.checkedAt)
+	})
+}
+
+// checkCandidate is a server that may be checked.
+type checkCandidate struct {
+	check PathCheck
+	state *server
+}
+
+// chooseChecks returns checks of the first servers in an order, leaving out those known to be
+// unreachable unless the path is lost.
+func (t *Table) chooseChecks(now time.Time, views map[string]*world.ServiceView, count int, order func(a, b checkCandidate) int) []PathCheck {
+	var all []checkCandidate
+	for name, view := range views {
+		for _, b := range view.Candidates() {
+			k := key{name, b.ID}
+			if t.pathWasLost || !t.path.IsUnreachable(now, k.detectorKey()) {
+				all = append(all, checkCandidate{PathCheck{Service: name, Server: b.ID, Address: b.Address}, t.state(now, k, &b)})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b checkCandidate) int {
+		return cmp.Or(order(a, b), cmp.Compare(a.check.Server, b.check.Server))
+	})
+	var checks []PathCheck
+	for _, c := range all[:min(count, len(all))] {
+		c.state.checkedAt = now
+		checks = append(checks, c.check)
+	}
+	return checks
+}
+
+// PathChecked records the result of a check.
+func (t *Table) PathChecked(now time.Time, c PathCheck, reached bool) {
+	k := key{c.Service, c.Server}
+	s, known := t.servers[k]
+	switch {
+	case !known:
+	case reached:
+		s.reachedAt = now
+		t.recordConnected(now, s)
+	default:
+		t.recordUnreachable(now, k, s)
+	}
+}
+
+// PathLost reports whether this host has lost its path to the servers.
+func (t *Table) PathLost(now time.Time, views map[string]*world.ServiceView) bool {
+	if !t.has(MechanismPathChecks) || t.path.Count(now) == 0 {
+		return false
+	}
+	known := 0
+	for _, view := range views {
+		known += len(view.Backends)
+	}
+	return t.path.Lost(now, known)
+}
+
+// PathEvidence returns how many servers were found unreachable since one was last reached.
+func (t *Table) PathEvidence(now time.Time) int { return t.path.Count(now) }
+
+// recordAnswered records that a server has answered this host.
+func (t *Table) recordAnswered(now time.Time, s *server, newConnection bool) {
+	t.answeredAt, s.answeredAt, s.reachedAt = now, now, now
+	if newConnection {
+		t.recordConnected(now, s)
+	}
+}
+
+// recordConnected records that this host has opened a connection to a server. The other servers that
+// it could not connect to are then unreachable for another reason than a loss of the whole path.
+// An answer on a connection that was already open does not show that: these may live on while new
+// ones are refused.
+func (t *Table) recordConnected(now time.Time, s *server) {
+	s.resetPath()
+	if t.pathWasLost {
+		for _, other := range t.servers {
+			other.resetPath()
+		}
+		t.pathWasLost = false
+	}
+	t.path.Reached()
+	for _, held := range t.heldEvidence {
+		if other, known := t.servers[held.key]; known && now.Sub(held.at) < maxHeldEvidence && other != s {
+			other.health.observeUnreachable(now)
+			other.counts.confirmedUnreachable++
+			other.dirty, other.failureUnsent = true, true
+		}
+	}
+	t.heldEvidence = t.heldEvidence[:0]
+}
+
+// heldEvidence is a failed connection that is not evidence against its server yet.
+type heldEvidence struct {
+	key key
+	at  time.Time
+}
+
+// recordUnreachable records that this host could not connect to a server, which it avoids for a while.
+func (t *Table) recordUnreachable(now time.Time, k key, s *server) {
+	if s.pathFailures == 0 {
+		s.undoPendingUses()
+	}
+	backoff := pathBackoff << min(s.pathFailures, 8)
+	s.pathFailures++
+	s.pathUntil = now.Add(min(backoff, maxPathBackoff))
+	s.dirty = true // requests that wait there are not reported any more
+	t.path.Unreachable(now, k.detectorKey())
+	t.pathWasLost = t.pathWasLost || t.path.Lost(now, len(t.servers))
+	if t.pathWasLost {
+		t.heldEvidence = t.heldEvidence[:0]
+		return
+	}
+	if len(t.heldEvidence) < maxHeld {
+		t.heldEvidence = append(t.heldEvidence, heldEvidence{k, now})
+	}
+}
+
+// undoPendingUses reverts the uses by requests that wait on a server which turns out to be out of reach:
+// they have most likely not reached it. Other hosts are told as of requests that were not sent.
+func (s *server) undoPendingUses() {
+	for _, p := range s.pending {
+		s.undoUse(p.use)
+	}
+	s.counts.unreachable += uint64(len(s.pending))
+}
+
+// maxHeld bounds the evidence that is held back; a host that fails more often has lost its path.
+const maxHeld = 64
+
+// resetPath forgets failed connections.
+func (s *server) resetPath() {
+	s.pathFailures = 0
+	s.pathUntil = time.Time{}
+}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -132,7 +132,6 @@
 	pending *pending
 	// objectiveAt is when the latency objective of the request expires.
 	objectiveAt time.Time
-	use         serverUse // recorded for this request
 }
 
 // Pick reserves the server with the lowest cost. It returns a typed error if all servers are full,
@@ -235,23 +234,23 @@
 func (t *Table) place(now time.Time, svc *service, best choice, req Request) *Placement {
 	s := best.state
 	load := s.load(now)
-	waiting := &pending{since: now, estimate: s.estimate(now, svc, t.typicalLatency(svc, req.Group), load), slowness: s.slowness}
+	waiting := &pending{key: key{req.Service, best.server.ID}, since: now, estimate: s.estimate(now, svc, t.typicalLatency(svc, req.Group), load), slowness: s.slowness, use: s.recordUse(now)}
 	placement := &Placement{
 		Server:  *best.server,
 		Belief:  s.belief(now, svc),
 		Load:    load,
 		MaxIdle: t.maxIdle(now, svc, req),
-		key:     key{req.Service, best.server.ID},
+		key:     waiting.key,
 		process: s.process,
 		group:   req.Group,
 		pending: waiting,
 
 		objectiveAt: now.Add(req.objectiveLeft(now)),
-		use:         s.recordUse(now),
 	}
 	svc.recordSends(now, 1)
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
+	t.waiting = append(t.waiting, waiting)
 	s.dirty = true
 	svc.recordAttempt(now, t.conf.Retry.Window, s, req)
 	return placement
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -19,6 +19,7 @@
 		"github.com/pearshelf/pearshelf/internal/api/peerpb",
 		"github.com/pearshelf/pearshelf/internal/availability",
 		"github.com/pearshelf/pearshelf/internal/errs",
+		"github.com/pearshelf/pearshelf/internal/pathloss",
 		"github.com/pearshelf/pearshelf/internal/protocol",
 		"github.com/pearshelf/pearshelf/internal/ratelimit",
 		"github.com/pearshelf/pearshelf/internal/world",
@@ -30,6 +31,7 @@
 		"time":         {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
 		"rand":         {"Rand"},
 		"availability": {"TableView", "Reason", "Available", "Returning", "ServerOf"},
+		"pathloss":     {"Detector"},
 		"ratelimit":    {"View"},
 	}
 	names, err := filepath.Glob("*.go")
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -68,13 +68,15 @@
 // failuresOf is the part of a report that the hosts of other data centres need: they do not share
 // the capacity of this one.
 func failuresOf(row *peerpb.BackendLoad) *peerpb.BackendLoad {
-	return &peerpb.BackendLoad{Service: row.Service, Backend: row.Backend, Failed: row.Failed, Unreachable: row.Unreachable}
+	return &peerpb.BackendLoad{Service: row.Service, Backend: row.Backend, Failed: row.Failed, Unreachable: row.Unreachable, ConfirmedUnreachable: row.ConfirmedUnreachable}
 }
 
 func (s *server) report(now time.Time, k key) *peerpb.BackendLoad {
 	row := s.counts.message(k)
-	row.OldestMs = uint32(s.oldestAge(now).Milliseconds())
-	row.InFlight = uint32(max(s.inFlight, 0))
+	if s.pathFailures == 0 { // otherwise what waits here has not reached the server, or its answer cannot
+		row.OldestMs = uint32(s.oldestAge(now).Milliseconds())
+		row.InFlight = uint32(max(s.inFlight, 0))
+	}
 	row.ToldLoad = s.loadToForward
 	s.loadToForward = 0
 	return row
@@ -213,6 +215,9 @@
 
 func (s *server) recordPeerOutcomes(now time.Time, host string, previous, current counts) {
 	good := current.good - previous.good
+	if good > 0 {
+		s.answeredAt = now
+	}
 	for range min(good, maxOutcomesPerReport) {
 		s.health.observeSuccess(now)
 	}
@@ -225,7 +230,7 @@
 	for range min(weak, maxOutcomesPerReport) {
 		s.health.observeLateError(now)
 	}
-	if current.unreachable > previous.unreachable {
+	if current.confirmedUnreachable > previous.confirmedUnreachable && now.Sub(s.answeredAt) > answeredRecently {
 		s.health.observeUnreachable(now)
 		s.accused = accusation{host, evidenceUnreachable}
 	}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/pathloss"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -90,6 +91,10 @@
 	// until pathUntil.
 	pathFailures int
 	pathUntil    time.Time
+	// checkedAt is when this host last checked whether it reaches the server, reachedAt when it
+	// last did, by a check or an answer, and answeredAt when the server last answered a host of
+	// this data centre.
+	checkedAt, reachedAt, answeredAt time.Time
 
 	// started is the start time of the server's process in Unix milliseconds, 0 if unknown;
 	// process counts the processes seen under the server's ID.
@@ -162,6 +167,19 @@
 	services     map[string]*service
 	incarnations map[string]uint64 // of other hosts, by host name
 	routes       map[string]*route // by Request.Group
+
+	// waiting are this host's requests that have not ended.
+	waiting []*pending
+	// path detects a loss of this host's path to the servers, see path.go. pathWasLost is set from
+	// then until a server is reached.
+	path        pathloss.Detector
+	pathWasLost bool
+	// answeredAt is when a server last answered this host, overdueSince when the oldest overdue
+	// request was sent, zero for none.
+	answeredAt, overdueSince time.Time
+	// witnessesAt and lostCheckAt are when checks were last due.
+	witnessesAt, lostCheckAt time.Time
+	heldEvidence             []heldEvidence
 }
 
 // NewTable returns an empty table of a host that was started at now.
@@ -241,7 +259,7 @@
 	if !restarted {
 		return
 	}
-	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent, watch: s.watch}
+	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent, watch: s.watch, checkedAt: s.checkedAt}
 	fresh.health = healthModel{probability: stationaryBelief, at: now}
 	for _, peer := range s.peers {
 		peer.inFlight = 0
--- a/internal/policy/unanswered.go
+++ b/internal/policy/unanswered.go
@@ -33,9 +33,11 @@
 
 // pending is a request on a server that has not been answered yet.
 type pending struct {
+	key      key
 	since    time.Time
 	estimate         // as of when it was sent
 	slowness float64 // of the server at that time
+	use      serverUse
 }
 
 // unansweredProbability is the probability that a failing server leaves a request unanswered.
@@ -70,8 +72,10 @@
 		return 0
 	}
 	total := int64(0) // fixed point, in millionths, so that the sum does not depend on the order
-	for _, p := range s.pending {
-		total += int64(1e6 * svc.requestLogOdds(now.Sub(p.since), p.expected))
+	if s.pathFailures == 0 {
+		for _, p := range s.pending {
+			total += int64(1e6 * svc.requestLogOdds(now.Sub(p.since), p.expected))
+		}
 	}
 	for _, peer := range s.busyPeers {
 		if now.Sub(peer.at) < peerReportTTL {
@@ -113,6 +117,13 @@
 	}
 }
 
+// removeWaiting removes a request that has ended.
+func (t *Table) removeWaiting(p *pending) {
+	if i := slices.Index(t.waiting, p); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	}
+}
+
 // oldestAge is how long the oldest request of this host has been waiting on a server.
 func (s *server) oldestAge(now time.Time) time.Duration {
 	age := time.Duration(0)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -75,7 +75,9 @@
 	*http.Response
 	// FirstByte is the time from the start of the request to the response header.
 	FirstByte time.Duration
-	conn      *trackedConn
+	// Reused is true if the connection had carried an earlier request.
+	Reused bool
+	conn   *trackedConn
 }
 
 // Discard closes the response body and the connection, so that no late data on it
@@ -183,7 +185,7 @@
 	if conn != nil {
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 	}
-	return &Answer{Response: resp, FirstByte: time.Since(start), conn: conn}, nil
+	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, conn: conn}, nil
 }
 
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
