A host without a path to the servers relays its callers' requests through another host

Cause: with direct picking a host has its own connections only; nothing hands a request to a host that reaches the servers, as entry hosts do where owner hosts are used. Now a host whose path is lost, or a request that found two servers unreachable, is relayed through a host whose path works (membership tells it: Member.path), by the exchange that forwards to owner hosts. The other host treats it as its own callers' request, relays it no further, and declines it before the first byte if its own path is lost. Attempts, arrivals, objective, priority and a held key go along. Own data centre first, unless hosts without a path outnumber the others there. Where no host takes a request, it is refused at once as not run. A loss is declared only after checks of two servers that nothing is known against have failed too: with half of the servers out of reach hosts went back and forth every 20 ms before.

TestLostPathsDoNotHarmOtherHosts leaves out, by the users' rule, servers whose links are disturbed (also for 6 s after), and a service that breaks the rule with all paths too (7 requests/s to 8 servers).

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -31,16 +31,20 @@
 	cuttable   bool // one of those that a cut takes
 	// kept is when this host last sent to a server, by the server's ID: its connection there.
 	kept map[string]time.Duration
+	// idle is for how long that connection had not been used before its last use.
+	idle map[string]time.Duration
 	// losesPath is set for a host that Paths concerns. hung are the servers to which its kept
 	// connection has been used up since.
 	losesPath bool
 	hung      map[string]bool
+	// requests are all that callers brought.
+	requests []*request
 	// pathReview is the next call of checkPaths, nil if none is due.
 	pathReview *simtime.Timer
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
-	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration), hung: make(map[string]bool)}
+	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration), idle: make(map[string]time.Duration), hung: make(map[string]bool)}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.losesPath = f.losesPath(pathStreamHosts+uint64(number), f.pattern.Network.Paths.Hosts)
@@ -139,6 +143,7 @@
 func (h *host) serve(route *Route) {
 	r := &request{host: h, entry: h, route: route, asked: h.fleet.clock.Now}
 	r.expiry = h.fleet.clock.After(time.Duration(route.Timeout), r.expire)
+	h.requests = append(h.requests, r)
 	r.content, r.deadly = h.fleet.drawContent(route)
 	r.enter()
 }
@@ -150,6 +155,7 @@
 	now := h.fleet.clock.Now
 	last, kept := h.kept[server]
 	h.kept[server] = now
+	h.idle[server] = now - last
 	isTime := now >= time.Duration(idle.From) && now < time.Duration(idle.From+idle.For)
 	return !kept || !isTime || now-last <= time.Duration(idle.After)
 }
--- a/experiment/replay/paths.go
+++ b/experiment/replay/paths.go
@@ -60,6 +60,22 @@
 	return rand.New(rand.NewPCG(f.seed, stream)).Float64() < share
 }
 
+// linkSoundAfter is how long after a disturbance of its links a server counts as sound again, by the
+// users' rule on servers in use.
+const linkSoundAfter = 6 * time.Second
+
+// disturbPaths marks the servers whose links are disturbed.
+func (f *fleet) disturbPaths() {
+	paths := f.pattern.Network.Paths
+	mark := func(disturbed bool) {
+		for _, s := range f.servers {
+			s.pathDisturbed = disturbed && s.losesPath && paths.Hosts > 0
+		}
+	}
+	f.clock.After(time.Duration(paths.From), func() { mark(true) })
+	f.clock.After(time.Duration(paths.From+paths.For)+linkSoundAfter, func() { mark(false) })
+}
+
 // reaches reports whether the host reaches a server now.
 func (h *host) reaches(s *server) bool {
 	return !h.losesPath || !s.losesPath || !h.fleet.pattern.Network.Paths.isOn(h.fleet.clock.Now, 0)
@@ -68,7 +84,8 @@
 // sendIntoCut is the send of a request that does not reach its server. On the one connection that the
 // host has kept it gets no answer, a new connection cannot be made.
 func (r *request) sendIntoCut(fl *flight) {
-	if !fl.from.hung[fl.server.id] {
+	mayReuse := fl.placement.MaxIdle == 0 || fl.from.idle[fl.server.id] <= fl.placement.MaxIdle
+	if mayReuse && !fl.from.hung[fl.server.id] {
 		fl.from.hung[fl.server.id] = true
 		return
 	}
@@ -105,12 +122,72 @@
 		took = dialTimeout
 	}
 	clock.After(took, func() {
+		wasLost := h.table.PathLost(clock.Time())
 		h.table.PathChecked(clock.Time(), check, reached)
+		if !wasLost && h.table.PathLost(clock.Time()) {
+			h.relayWaiting()
+		}
 		h.tell()
 		h.checkPaths()
 	})
 }
 
+// maxUnreachable is how many servers a request finds unreachable before it is relayed, as in the
+// daemon.
+const maxUnreachable = 2
+
+// shouldRelay reports whether the request goes through another host, as in the daemon.
+func (r *request) shouldRelay() bool {
+	return !r.relayed && (r.host.table.PathLost(r.host.fleet.clock.Time()) || r.unreachable >= maxUnreachable)
+}
+
+// relay lets another host serve the request. It reports false if there is none whose path works.
+func (r *request) relay() bool {
+	r.relayed = true
+	f := r.host.fleet
+	var near, far []*host
+	for _, other := range f.hosts {
+		switch {
+		case other == r.host || other.table.PathLost(f.clock.Time()):
+		case other.dataCentre == r.host.dataCentre:
+			near = append(near, other)
+		default:
+			far = append(far, other)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return false
+	}
+	target := near[f.random.IntN(len(near))]
+	f.clock.After(f.delay(r.host.dataCentre, target.dataCentre), func() {
+		if !r.over {
+			r.host = target
+			r.place()
+		}
+	})
+	return true
+}
+
+// relayWaiting relays the host's idempotent requests that wait for an answer which will not come.
+func (h *host) relayWaiting() {
+	for _, r := range h.requests {
+		if r.over || r.host != h || !r.route.Idempotent || r.relayed || len(r.flights) == 0 || r.ran+len(r.flights) >= r.attempts() {
+			continue
+		}
+		for _, fl := range r.flights {
+			fl.server.cancel(fl.job)
+			r.finish(fl, policy.Result{Outcome: policy.Abandoned, Elapsed: h.fleet.clock.Now - fl.sent})
+			r.ran++
+			r.arrived++
+		}
+		r.flights = nil
+		r.again(failed)
+	}
+}
+
 // notePath counts a request that came to a host while paths were lost.
 func (r *Result) notePath(q *request, o outcome) {
 	if !q.host.fleet.pattern.Network.Paths.isOn(q.asked, pathGrace) {
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -74,6 +74,7 @@
 		random := rand.New(rand.NewPCG(conf.Seed, uint64(i)+100))
 		f.arrive(&pattern.Routes[i], random, func(route *Route) { f.hosts[random.IntN(len(f.hosts))].serve(route) })
 	}
+	f.disturbPaths()
 	f.lookOn(soundAfter + useWindow)
 	f.clock.Run(time.Duration(pattern.Length) + settle)
 	for _, s := range f.sent {
--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -28,6 +28,10 @@
 	deadly  bool // ends the servers that run it
 	returns int  // how often the caller has come back
 	asks    int  // how often a token was asked for that was not given
+	// unreachable counts the servers that the host could not connect to, relayed is set once the
+	// request has been relayed.
+	unreachable int
+	relayed     bool
 }
 
 // flight is one send of a request.
@@ -114,9 +118,16 @@
 
 func (r *request) attempts() int { return max(r.route.Attempts, 1) }
 
-// place sends the request to the server that the policy picks.
+// place sends the request to the server that the policy picks, or relays it.
 func (r *request) place() {
 	f := r.host.fleet
+	if r.shouldRelay() && r.relay() {
+		return
+	}
+	if r.host.table.PathLost(f.clock.Time()) {
+		r.refuse(errs.KindPathLost)
+		return
+	}
 	placement, err := r.host.table.Pick(f.clock.Time(), r.host.views[r.route.Service], r.policyRequest())
 	if err != nil {
 		if len(r.flights) == 0 {
@@ -277,6 +288,7 @@
 	r.flights = slices.Delete(r.flights, i, i+1)
 	if result == replyUnreachable {
 		r.tried = append(r.tried, fl.server.id)
+		r.unreachable++
 		r.finish(fl, policy.Result{Outcome: policy.Unreachable, Unsent: true})
 		r.host.checkPaths()
 		r.place()
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -175,7 +175,7 @@
 func (r *Result) look(now time.Duration, servers map[string]*server) {
 	sound, unused := make(map[string]int), make(map[string]int)
 	for _, s := range servers {
-		if now-s.lastFailed < soundAfter+useWindow {
+		if now-s.lastFailed < soundAfter+useWindow || s.pathDisturbed {
 			continue
 		}
 		sound[s.service.Name]++
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -65,6 +65,8 @@
 	// downUntil is when the server has started again after it ended.
 	downUntil time.Duration
 	losesPath bool // one of those that Paths concerns
+	// pathDisturbed is set while its links to some hosts are disturbed, and for a while after.
+	pathDisturbed bool
 }
 
 func newServer(service *Service, dataCentre, number int, c *simtime.Clock, random *rand.Rand) *server {
--- a/internal/admin/show.go
+++ b/internal/admin/show.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/directive"
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -94,19 +95,25 @@
 }
 
 func listHosts(w *world.World, _ time.Time) table {
-	t := table{columns: []string{"host", "data_centre", "address", "state", "leaving", "reader"}}
+	t := table{columns: []string{"host", "data_centre", "address", "state", "leaving", "path", "reader"}}
 	for _, name := range w.HostNames() {
 		h := w.Hosts[name]
 		state := strings.ToLower(strings.TrimPrefix(h.Liveness.String(), "LIVENESS_"))
 		t.rows = append(t.rows, []string{
 			h.Name, h.DataCentre, h.Address, state,
 			strconv.FormatBool(h.Leaving),
+			pathName(h.Path),
 			strconv.FormatBool(slices.Contains(w.Readers, h.Name)),
 		})
 	}
 	return t
 }
 
+// pathName is the state of a host's path to the backend servers: working, lost or unknown.
+func pathName(path peerpb.PathState) string {
+	return strings.ToLower(strings.TrimPrefix(path.String(), "PATH_STATE_"))
+}
+
 // listEvacuations shows the data centres whose servers get no requests.
 func listEvacuations(w *world.World, _ time.Time) table {
 	t := table{columns: []string{"data_centre", "backends"}}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,6 +22,10 @@
 
 	mu    sync.Mutex
 	table *policy.Table
+	// pathLost is the latest PathState.Lost, see UpdatePathState.
+	pathLost bool
+	// pathLostSignal is closed while the path is lost.
+	pathLostSignal chan struct{}
 	// pathReviewAt is when DuePathChecks will be called again, zero if only after pathWork.
 	pathReviewAt time.Time
 }
@@ -37,7 +41,9 @@
 		incarnation: rand.Uint64(),
 		changed:     make(chan struct{}, 1),
 		pathWork:    make(chan struct{}, 1),
-		table:       policy.NewTable(clock(), conf),
+
+		pathLostSignal: make(chan struct{}),
+		table:          policy.NewTable(clock(), conf),
 	}
 }
 
@@ -94,12 +100,35 @@
 	Unreachable int
 }
 
-// PathState returns the state of this host's path to the servers.
-func (t *Table) PathState(views map[string]*world.ServiceView) PathState {
+// UpdatePathState returns the state of this host's path to the servers, which PathLost and
+// PathLostSignal report until the next call.
+func (t *Table) UpdatePathState() PathState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
-	return PathState{Lost: t.table.PathLost(now, views), Unreachable: t.table.PathEvidence(now)}
+	state := PathState{Lost: t.table.PathLost(now), Unreachable: t.table.PathEvidence(now)}
+	switch {
+	case state.Lost && !t.pathLost:
+		close(t.pathLostSignal)
+	case !state.Lost && t.pathLost:
+		t.pathLostSignal = make(chan struct{})
+	}
+	t.pathLost = state.Lost
+	return state
+}
+
+// PathLost reports whether this host has lost its path to the servers.
+func (t *Table) PathLost() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pathLost
+}
+
+// PathLostSignal returns a channel that is closed when this host has lost its path to the servers.
+func (t *Table) PathLostSignal() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pathLostSignal
 }
 
 // Lease is the placement of a request at a server, which lasts until Finish.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pearshelf/pearshelf/internal/admin"
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/boottime"
@@ -254,6 +255,7 @@
 			Address:        self.Address,
 			DataCentre:     self.DataCentre,
 			Capacity:       uint32(1000 * d.settings.Cores),
+			Path:           initialPath(*d.settings.Forwarding),
 			ProbeInterval:  time.Duration(t.ProbeInterval),
 			ProbeTimeout:   time.Duration(t.ProbeTimeout),
 			GossipInterval: time.Duration(t.GossipInterval),
@@ -285,6 +287,15 @@
 	return nil
 }
 
+// initialPath is what a new host announces of its path to the backend servers. Hosts that forward
+// to owner hosts take no relayed requests.
+func initialPath(forwarding bool) peerpb.PathState {
+	if forwarding {
+		return peerpb.PathState_PATH_STATE_UNKNOWN
+	}
+	return peerpb.PathState_PATH_STATE_WORKING
+}
+
 func (d *Daemon) dispatcher() *dispatch.Dispatcher {
 	scheme := "http"
 	if d.settings.Peer.TLS.Enabled() {
--- a/internal/daemon/pathcheck.go
+++ b/internal/daemon/pathcheck.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -85,15 +87,23 @@
 
 // recordState records when the path to all servers is lost, and when it is back.
 func (c *pathChecker) recordState() {
-	state := c.d.balance.PathState(c.d.engine.Snapshot().Services)
+	state := c.d.balance.UpdatePathState()
 	if state.Lost == c.lost {
 		return
 	}
 	c.lost = state.Lost
 	c.d.metrics.SetPathLost(state.Lost)
+	c.d.announcePathLost(state.Lost)
 	if state.Lost {
 		c.d.events.Record(event.PathLost, "", "", fmt.Sprintf("%d backend servers could not be connected to, none has been since", state.Unreachable))
 		return
 	}
 	c.d.events.Record(event.PathRegained, "", "", "a backend server has been connected to")
 }
+
+// announcePathLost tells the other hosts whether this one has lost its path to the backend servers.
+func (d *Daemon) announcePathLost(lost bool) {
+	if !d.engine.Post(func(now time.Time) { d.engine.SetPathLost(now, lost) }) {
+		klog.InfoS("dropping announcement of the path's state: control loop queue is full", "lost", lost)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,7 @@
 	memory       *memory.Budget
 
 	homes           homeViews
+	relays          *relayTable
 	requestLog      requestLog
 	stateEventLimit *logging.LineLimiter
 
@@ -141,6 +142,7 @@
 		memory:          deps.Memory,
 		stateEventLimit: logging.NewLineLimiter(stateEventsPerSecond),
 		requestLog:      requestLog{limit: logging.NewLineLimiter(requestLinesPerSecond)},
+		relays:          newRelayTable(),
 		services:        make(map[string]*serviceState),
 	}
 }
@@ -177,6 +179,9 @@
 		view:  d.viewFor(req, view),
 		state: d.service(req.Service),
 		start: time.Now(),
+
+		attemptsArrived: req.Arrived,
+		written:         req.Arrived > 0,
 	}
 	if refusal := x.refuseIfNoneInHome(view); refusal != nil {
 		return refusal
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -45,6 +45,10 @@
 	// freeRetry and retryCharged say how the next attempt is accounted for; see mayRetry.
 	freeRetry, retryCharged bool
 	unsentFailures          int
+	// unreachable counts the servers that this host could not connect to. relayed is set once the
+	// request has been offered to other hosts, claimed while this host holds its idempotency key.
+	unreachable      int
+	relayed, claimed bool
 	// status is the status code of the response that was passed on, 0 for none.
 	status int
 	trace  trace
@@ -90,6 +94,7 @@
 		return err
 	}
 	if claim != nil {
+		x.claimed = true
 		defer func() { claim.Release(x.written) }()
 	}
 	x.state.budget.deposit()
@@ -113,7 +118,7 @@
 
 // claim claims the idempotency key of a non-idempotent request.
 func (x *exchange) claim(ctx context.Context) (*claims.Claim, error) {
-	if x.req.Idempotent || x.req.Key == "" {
+	if x.req.Idempotent || x.req.Key == "" || x.req.Claimed {
 		return nil, nil
 	}
 	key := claims.Key{Service: x.req.Service, Key: x.req.Key}
@@ -133,6 +138,14 @@
 func (x *exchange) tryServers(ctx context.Context) error {
 	var last *Refusal
 	for x.attemptsRun < x.req.maxAttempts() && len(x.tried) < maxSends && x.unsentFailures < maxUnsentFailures && !x.isExpired(ctx) {
+		if x.shouldRelay() {
+			if done, err := x.relay(ctx); done {
+				return err
+			}
+		}
+		if x.isCutOff() {
+			return x.refusePathLost()
+		}
 		lease, err := x.acquire(ctx)
 		if err != nil {
 			return x.finalRefusal(last, err)
@@ -152,6 +165,18 @@
 	return x.finalRefusal(last, errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time"))
 }
 
+// isCutOff reports whether only another host could send the request. A host that knows of no other
+// tries by itself all the same.
+func (x *exchange) isCutOff() bool {
+	if x.d.balance == nil {
+		return false
+	}
+	if x.req.ForwardedBy != "" {
+		return x.d.balance.PathLost() || x.unreachable >= maxUnreachable
+	}
+	return x.d.balance.PathLost() && x.snap.LiveHosts > 1
+}
+
 // isExpired reports whether the request has ended or its deadline has passed. It checks the
 // clock as well because the timer that ends the request may fire late on a busy host.
 func (x *exchange) isExpired(ctx context.Context) bool {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -12,24 +12,29 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
+// otherHosts are the hosts that a request may be passed to, and the headers that it then carries.
+type otherHosts struct {
+	list    func() []world.OwnerView
+	headers func(http.Header)
+}
+
 // forward sends the request to an owner host. done is false if no owner accepted it, it cannot
 // have run anywhere, and this host should serve it itself.
 func (x *exchange) forward(ctx context.Context) (done bool, err error) {
-	for _, owner := range shuffleOwners(x.view) {
-		response, failure := x.send(ctx, x.toOwner(owner, x.forwardHeaders))
-		switch {
-		case failure != nil && isCallerGone(ctx):
-			return true, refuse(failure.Written, toTypedError(failure.Unwrap()))
-		case failure != nil && failure.Written && !x.req.Idempotent:
-			return true, refuseUnknown(toTypedError(failure.Unwrap()))
-		case failure != nil:
-			x.written = x.written || failure.Written
+	owners := otherHosts{func() []world.OwnerView { return shuffleOwners(x.view) }, x.forwardHeaders}
+	for _, owner := range owners.list() {
+		response, failure := x.send(ctx, x.toOwner(owner, owners.headers))
+		if failure != nil {
+			if done, err := x.handleHostFailure(ctx, failure); done {
+				return true, err
+			}
 			continue
-		case x.ownerDeclined(response):
+		}
+		if x.hostDeclined(response) {
 			response.DrainAndClose()
 			continue
 		}
-		return x.relay(ctx, owner, response)
+		return x.passResponse(ctx, owner, response, owners)
 	}
 	return false, nil
 }
@@ -48,40 +53,43 @@
 	}
 }
 
-// ownerDeclined reports whether the owner did not run the request for a reason that concerns
-// only that owner, so that another host may run it.
-func (x *exchange) ownerDeclined(response *upstream.Answer) bool {
-	if Outcome(response.Header.Get(HeaderOutcome)) != OutcomeNotRun {
-		return false
-	}
-	switch errs.Kind(response.Header.Get(HeaderKind)) {
-	case errs.KindStaleHost, errs.KindNoRoute, errs.KindDialFailed:
-		return true
+// hostDeclined reports whether another host did not run the request for a reason that concerns
+// only that host, so that another one may run it. A host that lost its path to the servers while
+// it had an idempotent request has declined it too.
+func (x *exchange) hostDeclined(response *upstream.Answer) bool {
+	kind := errs.Kind(response.Header.Get(HeaderKind))
+	switch Outcome(response.Header.Get(HeaderOutcome)) {
+	case OutcomeNotRun:
+		return kind == errs.KindStaleHost || kind == errs.KindNoRoute || kind == errs.KindDialFailed || kind == errs.KindPathLost
+	case OutcomeUnknown:
+		return kind == errs.KindPathLost && x.req.Idempotent
 	default:
 		return false
 	}
 }
 
-// relay passes an owner's response to the caller.
-func (x *exchange) relay(ctx context.Context, owner world.OwnerView, response *upstream.Answer) (done bool, err error) {
-	if response.Header.Get(protocol.HeaderRequestID) != x.req.ID || response.Header.Get(HeaderOutcome) == "" {
+// passResponse passes another host's response to the caller. A download may be resumed at others.
+func (x *exchange) passResponse(ctx context.Context, from world.OwnerView, response *upstream.Answer, others otherHosts) (done bool, err error) {
+	outcome := Outcome(response.Header.Get(HeaderOutcome))
+	if response.Header.Get(x.d.proto.RequestID) != x.req.ID || outcome == "" {
 		response.Discard()
-		return true, refuseUnknown(errs.New(errs.KindWrongAnswer, "owner host "+owner.Host+" sent a response to another request", "ask for the outcome before repeating a non-idempotent request"))
+		return true, refuseUnknown(errs.New(errs.KindWrongAnswer, "host "+from.Host+" sent a response to another request", "ask for the outcome before repeating a non-idempotent request"))
 	}
-	if x.written && Outcome(response.Header.Get(HeaderOutcome)) == OutcomeNotRun {
+	if x.written && outcome == OutcomeNotRun {
 		response.DrainAndClose()
-		return true, refuseUnknown(errs.New(errs.KindAnswerBroken, "the connection to an owner host broke before owner host "+owner.Host+" refused the request", "repeat the request"))
+		return true, refuseUnknown(errs.New(errs.KindAnswerBroken, "the connection to another host broke before host "+from.Host+" refused the request", "repeat the request"))
 	}
+	x.written = x.written || outcome != OutcomeNotRun
 	x.headerArrived()
-	tried := []string{owner.Host}
+	tried := []string{from.Host}
 	copier := &responseCopier{
 		w:        x.w,
 		response: response,
-		outcome:  Outcome(response.Header.Get(HeaderOutcome)),
+		outcome:  outcome,
 		id:       x.req.ID,
 		idHeader: x.d.proto.RequestID,
 		session:  x.req.Session,
-		reopen:   func(rangeHeaders rangeRequest) *upstream.Answer { return x.reopenAtOwner(ctx, rangeHeaders, &tried) },
+		reopen:   func(at rangeRequest) *upstream.Answer { return x.reopenAtHost(ctx, at, others, &tried) },
 		onResume: x.recordResume,
 	}
 	copier.setResumable(x.req)
@@ -91,15 +99,15 @@
 	return true, nil
 }
 
-// reopenAtOwner resumes a download at another owner host.
-func (x *exchange) reopenAtOwner(ctx context.Context, at rangeRequest, tried *[]string) *upstream.Answer {
-	for _, owner := range shuffleOwners(x.view) {
-		if slices.Contains(*tried, owner.Host) {
+// reopenAtHost resumes a download through another host.
+func (x *exchange) reopenAtHost(ctx context.Context, at rangeRequest, others otherHosts, tried *[]string) *upstream.Answer {
+	for _, host := range others.list() {
+		if slices.Contains(*tried, host.Host) {
 			continue
 		}
-		*tried = append(*tried, owner.Host)
-		response, failure := x.send(ctx, x.toOwner(owner, func(h http.Header) {
-			x.forwardHeaders(h)
+		*tried = append(*tried, host.Host)
+		response, failure := x.send(ctx, x.toOwner(host, func(h http.Header) {
+			others.headers(h)
 			at.setHeaders(h)
 		}))
 		if failure == nil {
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -26,8 +26,8 @@
 // A request that may have run at one owner host must not be reported as not run because the
 // next owner refused it.
 func TestRefusalAfterAnOwnerBrokeOff(t *testing.T) {
-	x := &exchange{req: &Request{ID: "r1", Idempotent: true}, w: httptest.NewRecorder(), written: true}
-	done, err := x.relay(context.Background(), world.OwnerView{Host: "h2"}, refusalOfOwner("r1"))
+	x := &exchange{d: &Dispatcher{proto: protocol.Default()}, req: &Request{ID: "r1", Idempotent: true}, w: httptest.NewRecorder(), written: true}
+	done, err := x.passResponse(context.Background(), world.OwnerView{Host: "h2"}, refusalOfOwner("r1"), otherHosts{})
 	refusal, ok := err.(*Refusal)
 	if !done || !ok || refusal.Outcome != OutcomeUnknown {
 		t.Errorf("done %t, error %v; want the outcome unknown", done, err)
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
@@ -39,6 +40,7 @@
 	h.sendTrial(ctx, first)
 	review := time.NewTimer(h.reviewCopy(ctx, first))
 	defer review.Stop()
+	pathLost := x.d.balance.PathLostSignal()
 	for {
 		select {
 		case p := <-h.results:
@@ -50,6 +52,12 @@
 			if x.inFlight == 1 && h.pending[0].lease == first && x.attemptsRun+2 <= x.req.maxAttempts() {
 				review.Reset(h.reviewCopy(ctx, first))
 			}
+		case <-pathLost:
+			pathLost = nil
+			if x.shouldRelay() && x.attemptsRun+x.inFlight < x.req.maxAttempts() {
+				h.cancelPending()
+				return false, refuseUnknown(errs.New(errs.KindPathLost, "this host lost its path to the backend server that had the request", "repeat the request"))
+			}
 		}
 	}
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -111,6 +111,7 @@
 		if isUnreachable(failure, typed.Kind) {
 			x.observe(lease, peerpb.Observation_KIND_UNREACHABLE, 0)
 			x.tried = append(x.tried, lease.Server.ID)
+			x.unreachable++
 		}
 		return refuse(x.written, typed)
 	}
--- a/internal/dispatch/serverstate_test.go
+++ b/internal/dispatch/serverstate_test.go
@@ -16,9 +16,9 @@
 
 // Every response of a backend server must pass through sendToServer, or the state that it reports
 // is lost. This has happened for losing copies, trials and resumed downloads. The other callers of
-// send go to owner hosts.
+// send go to other hosts.
 func TestAllServerResponsesAreRead(t *testing.T) {
-	want := []string{"forward", "reopenAtOwner", "sendToServer"}
+	want := []string{"forward", "relayThrough", "reopenAtHost", "sendToServer"}
 	var callers []string
 	for name, call := range callsInPackage(t) {
 		if slices.Contains(call, "x.send") {
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -56,6 +56,7 @@
 	purposeRetry purpose = "retry"
 	purposeCopy  purpose = "copy"
 	purposeTrial purpose = "trial"
+	purposeRelay purpose = "relay" // to another host
 )
 
 // trace is the log record of one request.
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -166,6 +166,15 @@
 	e.members.SetLeaving(now)
 }
 
+// SetPathLost announces whether this host has lost its path to the backend servers.
+func (e *Engine) SetPathLost(now time.Time, lost bool) {
+	path := peerpb.PathState_PATH_STATE_WORKING
+	if lost {
+		path = peerpb.PathState_PATH_STATE_LOST
+	}
+	e.members.SetPath(now, path)
+}
+
 // Leave announces that this host has left and returns once the announcement is sent.
 func (e *Engine) Leave(now time.Time) {
 	e.members.Leave(now)
@@ -247,5 +256,6 @@
 		Liveness:   m.Liveness,
 		Leaving:    m.Leaving,
 		Capacity:   m.Capacity,
+		Path:       m.Path,
 	}
 }
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -32,6 +32,8 @@
 	homes                   []rendezvous.Node
 	reachable               map[string]bool
 	liveHosts               int
+	relays                  []world.RelayHost
+	hostsWithoutPath        int
 	fleetSize               int
 	quarantine              *quarantine.View
 	rateLimits              *ratelimit.View
@@ -79,6 +81,8 @@
 		Services:                v.services,
 		Customers:               v.customers,
 		LiveHosts:               v.liveHosts,
+		Relays:                  v.relays,
+		HostsWithoutPath:        v.hostsWithoutPath,
 		HostsVersion:            v.hostsVersion,
 		Homes:                   v.homes,
 		Reachable:               v.reachable,
@@ -174,6 +178,22 @@
 	v.fleetSize = max(v.fleetSize, v.liveHosts)
 	v.chooseSubsets()
 	v.chooseHomes(w)
+	v.chooseRelays(w)
+}
+
+// chooseRelays lists the hosts that requests may be relayed through.
+func (v *viewBuilder) chooseRelays(w *world.World) {
+	v.relays, v.hostsWithoutPath = nil, 0
+	for _, name := range w.HostNames() {
+		h := w.Hosts[name]
+		if h.Path == peerpb.PathState_PATH_STATE_LOST && h.DataCentre == w.Self.DataCentre && h.Live() {
+			v.hostsWithoutPath++
+		}
+		isAlive := h.Liveness == peerpb.Liveness_LIVENESS_ALIVE && !h.Leaving
+		if name != w.Self.Host && isAlive && h.Path == peerpb.PathState_PATH_STATE_WORKING {
+			v.relays = append(v.relays, world.RelayHost{OwnerView: world.OwnerView{Host: name, Address: h.Address}, DataCentre: h.DataCentre})
+		}
+	}
 }
 
 // chooseHomes lists the hosts that may keep the rate limits of customers.
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -37,6 +37,7 @@
 	KindDuplicateRequest    Kind = "duplicate-request"
 	KindStaleHost           Kind = "stale-host"
 	KindDialFailed          Kind = "dial-failed"
+	KindPathLost            Kind = "path-lost"
 	KindServerShed          Kind = "backend-server-shed"
 	KindAnswerBroken        Kind = "answer-broken"
 	KindWrongAnswer         Kind = "wrong-answer"
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -233,9 +233,38 @@
 	}
 	req.Deadline = time.Now().Add(time.Duration(remainingMs) * time.Millisecond)
 	req.Explicit = r.Header.Get(dispatch.HeaderTimeout) != ""
+	if err := readRelayHeaders(r.Header, req); err != nil {
+		return err
+	}
 	return f.dispatch(w, req)
 }
 
+// readRelayHeaders reads what the entry host tells of a request that it relays because it has lost
+// its path to the backend servers. Requests forwarded to owner hosts carry none of it.
+func readRelayHeaders(h http.Header, req *dispatch.Request) error {
+	objectiveMs := 0
+	for header, value := range map[string]*int{
+		dispatch.HeaderAttempts:  &req.Attempts,
+		dispatch.HeaderArrived:   &req.Arrived,
+		dispatch.HeaderPriority:  &req.Priority,
+		dispatch.HeaderObjective: &objectiveMs,
+	} {
+		text := h.Get(header)
+		if text == "" {
+			continue
+		}
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return refuse(http.StatusBadRequest, errs.KindBadRequest, "header "+header+" of a relayed request is not a number", "run one version of the daemon on all hosts")
+		}
+		*value = n
+	}
+	req.Objective = time.Duration(objectiveMs) * time.Millisecond
+	req.Group = h.Get(dispatch.HeaderGroup)
+	req.Claimed = h.Get(dispatch.HeaderClaimed) != ""
+	return nil
+}
+
 // locallyIdempotent reports whether this host's configuration allows a forwarded request to
 // be treated as idempotent. If the configurations of the two hosts differ, the request
 // counts as non-idempotent, which is the safe choice.
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -29,6 +29,7 @@
 // proxyErrors maps error kinds to Proxy-Status error types (RFC 9209, section 2.3).
 var proxyErrors = map[errs.Kind]string{
 	errs.KindDialFailed:      "connection_refused",
+	errs.KindPathLost:        "destination_unavailable",
 	errs.KindDeadline:        "http_response_timeout",
 	errs.KindAnswerBroken:    "connection_terminated",
 	errs.KindNoBackendServer: "destination_unavailable",
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -3,7 +3,11 @@
 // its inputs are times and datagrams, and its outputs are datagrams.
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+)
 
 // Defaults of Config and constants of the protocol.
 const (
@@ -54,6 +58,8 @@
 	// Capacity is what this host can handle in addition to its own requests, in thousandths of a
 	// core, 0 if unknown. It is announced to the other hosts.
 	Capacity uint32
+	// Path is whether this host reaches backend servers, announced to the other hosts until SetPath.
+	Path peerpb.PathState
 	// ProbeInterval is the period between probes; each probes one member. Shorter intervals detect
 	// dead hosts sooner and cost more datagrams.
 	ProbeInterval time.Duration
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -72,6 +72,7 @@
 		DataCentre:  conf.DataCentre,
 		Incarnation: uint64(now.UnixMilli()),
 		Capacity:    conf.Capacity,
+		Path:        conf.Path,
 	}
 	l.table.set(&row{}, l.self, now, time.Time{})
 	l.queue.AddMember(l.self)
@@ -112,6 +113,13 @@
 	l.updateSelf(now, func(m *peerpb.Member) { m.Leaving = true })
 }
 
+// SetPath announces whether this host reaches backend servers.
+func (l *List) SetPath(now time.Time, path peerpb.PathState) {
+	if l.self.Path != path {
+		l.updateSelf(now, func(m *peerpb.Member) { m.Path = path })
+	}
+}
+
 // Leave announces the end of a planned stop.
 func (l *List) Leave(now time.Time) {
 	l.updateSelf(now, func(m *peerpb.Member) { m.Liveness = peerpb.Liveness_LIVENESS_LEFT })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -33,6 +33,7 @@
 	serverConns      *prometheus.CounterVec
 	pathChecks       *prometheus.CounterVec
 	pathLost         prometheus.Gauge
+	relayed          *prometheus.CounterVec
 	documentBytes    *prometheus.CounterVec
 }
 
@@ -120,7 +121,11 @@
 		Name: "pearshelf_path_lost",
 		Help: "1 while this host reaches no backend server, otherwise 0.",
 	})
-	reg.MustRegister(m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_relayed_requests_total",
+		Help: "Requests offered to another host because this one does not reach backend servers, by result: answered, declined or failed.",
+	}, []string{"result"})
+	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -203,6 +208,9 @@
 	m.pathLost.Set(value)
 }
 
+// Relayed counts a request that was offered to another host, by result.
+func (m *Metrics) Relayed(result string) { m.relayed.WithLabelValues(result).Inc() }
+
 // AddedLatency records the latency that the fleet added to a request on this host.
 func (m *Metrics) AddedLatency(service string, d time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/path.go
+++ b/internal/policy/path.go
@@ -23,9 +23,9 @@
 	pathCheckLogOdds = 1.0
 	// pathWitnesses is how many other servers are checked after a failed connection. Together with
 	// the first server they suffice to recognise a loss of the path.
-	pathWitnesses = 3
+	pathWitnesses = 2
 	// witnessInterval is the minimum time between two rounds of such checks.
-	witnessInterval = time.Second
+	witnessInterval = 500 * time.Millisecond
 	// lostPathCheckInterval is the time between two checks while the path is lost. It bounds how
 	// long the host does not notice that the path is back.
 	lostPathCheckInterval = 250 * time.Millisecond
@@ -41,8 +41,21 @@
 	Service string
 	Server  string // ID
 	Address string
+	// witness is set for a check of a server that nothing is known against.
+	witness bool
 }
 
+// witnessRound is a round of checks of servers that nothing is known against. Only if all of them
+// fail, the path is lost: a host may also have lost its path to a part of the servers.
+type witnessRound struct {
+	began   time.Time
+	pending int
+	reached bool // a check has succeeded
+}
+
+// failed reports whether all checks of the round have failed.
+func (r witnessRound) failed() bool { return !r.began.IsZero() && r.pending == 0 && !r.reached }
+
 // detectorKey identifies a server in the path-loss detector.
 func (k key) detectorKey() string { return k.service + "/" + k.backend }
 
@@ -52,7 +65,8 @@
 	if !t.has(MechanismPathChecks) {
 		return nil, 0
 	}
-	if t.PathLost(now, views) {
+	t.countServers(views)
+	if t.PathLost(now) {
 		if wait := t.lostCheckAt.Add(lostPathCheckInterval).Sub(now); wait > 0 {
 			return nil, wait
 		}
@@ -60,11 +74,31 @@
 		return t.chooseLostPathCheck(now, views), lostPathCheckInterval
 	}
 	due, after = t.overdueChecks(now, views)
-	if t.isPathSuspect(now) && now.Sub(t.witnessesAt) >= witnessInterval {
-		t.witnessesAt = now
-		due = append(due, t.chooseWitnesses(now, views)...)
+	if !t.isPathSuspect(now) || t.witnesses.pending > 0 {
+		return due, after
+	}
+	if wait := t.witnesses.began.Add(witnessInterval).Sub(now); wait > 0 {
+		return due, earliest(after, wait)
+	}
+	checks := t.chooseWitnesses(now, views)
+	t.witnesses = witnessRound{began: now, pending: len(checks)}
+	return append(due, checks...), after
+}
+
+// earliest returns the shorter of two waits, of which 0 stands for none.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// countServers counts the servers that this host may use.
+func (t *Table) countServers(views map[string]*world.ServiceView) {
+	t.knownServers = 0
+	for _, view := range views {
+		t.knownServers += len(view.Backends)
 	}
-	return due, after
 }
 
 // isPathSuspect reports whether a server was found unreachable and none reached since, or a request
@@ -84,9 +118,7 @@
 			continue
 		}
 		if left := svc.overdueAfter(w.expected) - now.Sub(w.since); left > 0 {
-			if after == 0 || left < after {
-				after = left
-			}
+			after = earliest(after, left)
 			continue
 		}
 		if t.overdueSince.IsZero() || w.since.Before(t.overdueSince) {
@@ -131,11 +163,15 @@
 }
 
 // chooseWitnesses returns checks of servers that are not known to be unreachable. Those come first
-// that have answered a host of this data centre most recently.
+// that this host has reached most recently, then those that have answered another host.
 func (t *Table) chooseWitnesses(now time.Time, views map[string]*world.ServiceView) []PathCheck {
-	return t.chooseChecks(now, views, pathWitnesses, func(a, b checkCandidate) int {
-		return b.state.answeredAt.Compare(a.state.answeredAt)
+	checks := t.chooseChecks(now, views, pathWitnesses, func(a, b checkCandidate) int {
+		return cmp.Or(b.state.reachedAt.Compare(a.state.reachedAt), b.state.answeredAt.Compare(a.state.answeredAt))
 	})
+	for i := range checks {
+		checks[i].witness = true
+	}
+	return checks
 }
 
 // chooseLostPathCheck returns a check of the server that has not been checked for longest.
@@ -158,8 +194,9 @@
 	for name, view := range views {
 		for _, b := range view.Candidates() {
 			k := key{name, b.ID}
-			if t.pathWasLost || !t.path.IsUnreachable(now, k.detectorKey()) {
-				all = append(all, checkCandidate{PathCheck{Service: name, Server: b.ID, Address: b.Address}, t.state(now, k, &b)})
+			if t.PathLost(now) || !t.path.IsUnreachable(now, k.detectorKey()) {
+				check := PathCheck{Service: name, Server: b.ID, Address: b.Address}
+				all = append(all, checkCandidate{check, t.state(now, k, &b)})
 			}
 		}
 	}
@@ -176,6 +213,9 @@
 
 // PathChecked records the result of a check.
 func (t *Table) PathChecked(now time.Time, c PathCheck, reached bool) {
+	if c.witness {
+		t.witnesses.pending--
+	}
 	k := key{c.Service, c.Server}
 	s, known := t.servers[k]
 	switch {
@@ -189,15 +229,8 @@
 }
 
 // PathLost reports whether this host has lost its path to the servers.
-func (t *Table) PathLost(now time.Time, views map[string]*world.ServiceView) bool {
-	if !t.has(MechanismPathChecks) || t.path.Count(now) == 0 {
-		return false
-	}
-	known := 0
-	for _, view := range views {
-		known += len(view.Backends)
-	}
-	return t.path.Lost(now, known)
+func (t *Table) PathLost(now time.Time) bool {
+	return t.witnesses.failed() && t.path.Lost(now, t.knownServers)
 }
 
 // PathEvidence returns how many servers were found unreachable since one was last reached.
@@ -224,6 +257,7 @@
 		t.pathWasLost = false
 	}
 	t.path.Reached()
+	t.witnesses.reached = true
 	for _, held := range t.heldEvidence {
 		if other, known := t.servers[held.key]; known && now.Sub(held.at) < maxHeldEvidence && other != s {
 			other.health.observeUnreachable(now)
@@ -249,8 +283,11 @@
 	s.pathFailures++
 	s.pathUntil = now.Add(min(backoff, maxPathBackoff))
 	s.dirty = true // requests that wait there are not reported any more
+	if now.Sub(s.answeredAt) <= answeredRecently {
+		t.pathFaultAt = now
+	}
 	t.path.Unreachable(now, k.detectorKey())
-	t.pathWasLost = t.pathWasLost || t.path.Lost(now, len(t.servers))
+	t.pathWasLost = t.pathWasLost || t.PathLost(now)
 	if t.pathWasLost {
 		t.heldEvidence = t.heldEvidence[:0]
 		return
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -174,12 +174,17 @@
 	// then until a server is reached.
 	path        pathloss.Detector
 	pathWasLost bool
+	// pathFaultAt is when this host could last not connect to a server that answers others.
+	pathFaultAt time.Time
 	// answeredAt is when a server last answered this host, overdueSince when the oldest overdue
 	// request was sent, zero for none.
 	answeredAt, overdueSince time.Time
-	// witnessesAt and lostCheckAt are when checks were last due.
-	witnessesAt, lostCheckAt time.Time
-	heldEvidence             []heldEvidence
+	// witnesses is the latest round of checks of other servers, lostCheckAt when the path was last
+	// checked while it was lost. knownServers is the number of servers that this host may use.
+	witnesses    witnessRound
+	lostCheckAt  time.Time
+	knownServers int
+	heldEvidence []heldEvidence
 }
 
 // NewTable returns an empty table of a host that was started at now.
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -41,6 +41,12 @@
 	Address string
 }
 
+// RelayHost is another host that requests may be relayed through.
+type RelayHost struct {
+	OwnerView
+	DataCentre string
+}
+
 // ServiceView is the request path's view of a service.
 type ServiceView struct {
 	Config *config.Service
@@ -112,6 +118,10 @@
 	Customers *customer.Table
 	// LiveHosts is the number of live hosts, including this one.
 	LiveHosts int
+	// Relays are the other hosts whose path to the backend servers works. HostsWithoutPath is the
+	// number of hosts of this data centre, including this one, that have lost theirs.
+	Relays           []RelayHost
+	HostsWithoutPath int
 	// HostsVersion increases with every change to the host table.
 	HostsVersion uint64
 	// Homes are the hosts that may keep the rate limits of customers, including this one.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -49,6 +49,8 @@
 	DataCentre string
 	Liveness   peerpb.Liveness
 	Leaving    bool
+	// Path is whether the host reaches backend servers.
+	Path peerpb.PathState
 	// Capacity is the CPU capacity that the host can spare beside its own requests, in
 	// thousandths of a core, 0 if not reported.
 	Capacity uint32
