Lost paths: tests of every decision, one notion for both ways of picking, logs that tell the way

internal/system/detection (owner hosts) decides by the same internal/pathloss whether a host distrusts its own network; its own share of failing servers is gone. The line of a request that came through another host names that host (for=); explain shows both hosts' attempts, account counts such a request once and has the cause path-lost.

--- /dev/null
+++ b/internal/dispatch/relay_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+// relaysIn returns hosts of a data centre that requests may be relayed through.
+func relaysIn(dataCentre string, names ...string) []world.RelayHost {
+	var hosts []world.RelayHost
+	for _, name := range names {
+		hosts = append(hosts, world.RelayHost{OwnerView: world.OwnerView{Host: name, Address: name}, DataCentre: dataCentre})
+	}
+	return hosts
+}
+
+func anyHost(world.RelayHost) bool { return true }
+
+func namesOf(hosts []world.RelayHost) []string {
+	var names []string
+	for _, host := range hosts {
+		names = append(names, host.Host)
+	}
+	return names
+}
+
+// Hosts of the own data centre come first, unless those that relay outnumber them.
+func TestRelaysOfTheOwnDataCentreComeFirst(t *testing.T) {
+	table, now := newRelayTable(), time.Unix(1000, 0)
+	snap := &world.Snapshot{Self: world.Identity{Host: "h1", DataCentre: "dc1"}, HostsWithoutPath: 2}
+	snap.Relays = slices.Concat(relaysIn("dc1", "near1", "near2"), relaysIn("dc2", "far1", "far2"))
+	for range 20 {
+		got := namesOf(table.choose(now, snap, anyHost, 3))
+		if len(got) != 3 || got[0][:4] != "near" || got[1][:4] != "near" || got[2][:3] != "far" {
+			t.Fatalf("offered to %v", got)
+		}
+	}
+	snap.HostsWithoutPath = 3
+	first := make(map[string]int)
+	for range 200 {
+		first[namesOf(table.choose(now, snap, anyHost, 3))[0]]++
+	}
+	if len(first) != 4 {
+		t.Errorf("offered first to %v, want all four hosts", first)
+	}
+}
+
+// The host with fewer relayed requests outstanding is preferred, one that declined is left out for a while,
+// and so is one that may not receive the request.
+func TestRelayChoice(t *testing.T) {
+	table, now := newRelayTable(), time.Unix(1000, 0)
+	snap := &world.Snapshot{Self: world.Identity{Host: "h1", DataCentre: "dc1"}, Relays: relaysIn("dc1", "a", "b")}
+	release := table.acquire("a")
+	for range 20 {
+		if got := table.choose(now, snap, anyHost, 1); got[0].Host != "b" {
+			t.Fatalf("offered to %v, which is busier", namesOf(got))
+		}
+	}
+	release()
+	if len(table.outstanding) != 0 {
+		t.Errorf("outstanding %v after all requests have ended", table.outstanding)
+	}
+	table.avoid(now, "b")
+	if got := namesOf(table.choose(now, snap, anyHost, 3)); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("offered to %v just after b declined", got)
+	}
+	if got := table.choose(now.Add(relayHoldOff+time.Millisecond), snap, anyHost, 3); len(got) != 2 {
+		t.Errorf("offered to %v a while after b declined", namesOf(got))
+	}
+	if got := table.choose(now, snap, func(host world.RelayHost) bool { return host.Host == "b" }, 3); len(got) != 0 {
+		t.Errorf("offered to %v, which may not receive it", namesOf(got))
+	}
+}
+
+// A host takes a relayed request only to send it itself: it never relays it further.
+func TestRelayedRequestIsNotRelayedAgain(t *testing.T) {
+	d := &Dispatcher{balance: balance.NewTable(time.Now, policy.Config{})}
+	for from, want := range map[string]bool{"": true, "h1": false} {
+		x := &exchange{d: d, req: &Request{ForwardedBy: from}, unreachable: maxUnreachable}
+		if got := x.shouldRelay(); got != want {
+			t.Errorf("request from host %q: relayed %t, want %t", from, got, want)
+		}
+	}
+}
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -174,6 +174,7 @@
 		"request", req.ID,
 		"service", req.Service,
 		"customer", req.Customer,
+		"for", req.ForwardedBy,
 		"content", req.contentLabel(),
 		"idempotent", req.Idempotent,
 		"outcome", string(outcome),
--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -47,7 +47,7 @@
 	rows := make(map[accountKey]*AccountRow)
 	for _, r := range l.requests {
 		account.Unlogged += r.missed()
-		if r.served() {
+		if r.served() || r.isForOtherHost() {
 			continue
 		}
 		account.Unserved++
@@ -72,6 +72,10 @@
 	return account
 }
 
+// isForOtherHost reports whether the line is of a host that served the request for another one, whose
+// line says what the caller got.
+func (l line) isForOtherHost() bool { return l.fields["for"] != "" }
+
 // served reports whether the caller received a success or a client error (4xx) from the server.
 func (l line) served() bool {
 	status, err := strconv.Atoi(l.fields["status"])
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -22,6 +22,7 @@
 	CauseRefusedUnsent      CauseKind = "refused-unsent" // refused by this host before it was sent to a server
 	CauseShed               CauseKind = "shed"
 	CauseUnreachable        CauseKind = "unreachable"
+	CausePathLost           CauseKind = "path-lost" // this host reached no server, and no other host took the request
 	CauseTimeout            CauseKind = "no-answer-in-time"
 	CauseCallerDisconnected CauseKind = "caller-left"
 	CauseServerCrashed      CauseKind = "server-ended"
@@ -64,6 +65,9 @@
 	}
 	last := decisiveAttempt(sent)
 	kind, _, _ := strings.Cut(last.result, "/")
+	if last.isRelay() {
+		return l.relayCause(r, last)
+	}
 	switch {
 	case !last.failed():
 		return Cause{CauseAnswered, "server " + last.server + " answered it"}
@@ -88,6 +92,22 @@
 	}
 }
 
+// relayCause returns the cause of the outcome of a request that was relayed through another host.
+func (l *Logs) relayCause(r line, last attempt) Cause {
+	for _, other := range slices.Backward(l.relayedLines(r.fields["request"])) {
+		if other.host == last.server {
+			return l.cause(other, parseAttempts(other.fields["tries"]))
+		}
+	}
+	if !last.failed() {
+		return Cause{CauseAnswered, "host " + last.server + " answered it, through which " + r.host + " relayed it"}
+	}
+	return Cause{CausePathLost, r.host + " reached no backend server, and host " + last.server + " did not serve the request for it (" + last.result + ")"}
+}
+
+// pathLostText is part of the logged reason if neither the host nor another one could send a request.
+const pathLostText = "cannot connect to any backend server"
+
 // unsentCause returns the cause of a request that was not sent to any server.
 func unsentCause(r line) Cause {
 	switch r.fields["status"] {
@@ -100,6 +120,8 @@
 	switch {
 	case strings.Contains(reason, serversEndedText):
 		return Cause{CauseQuarantined, "refused, because " + reason + "; it has not run"}
+	case strings.Contains(reason, pathLostText):
+		return Cause{CausePathLost, "it was sent to no server: " + reason}
 	case strings.Contains(reason, rateLimitsFullText):
 		return Cause{CauseRateLimits, "it was sent to no server: " + reason}
 	default:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -30,7 +30,7 @@
 // requests of the whole period instead.
 func (l *Logs) Request(id string) Report {
 	report := Report{Request: id}
-	i := slices.IndexFunc(l.requests, func(r line) bool { return r.fields["request"] == id })
+	i := slices.IndexFunc(l.requests, func(r line) bool { return r.fields["request"] == id && !r.isForOtherHost() })
 	if i < 0 {
 		l.explainUnlogged(&report)
 		return report
@@ -45,14 +45,39 @@
 	if reason := r.fields["reason"]; reason != "" {
 		report.Steps = append(report.Steps, "reason given: "+reason)
 	}
+	for _, other := range l.relayedLines(id) {
+		report.Steps = append(report.Steps, relaySteps(other)...)
+	}
 	report.Cause = l.cause(r, attempts).Text
 	for _, t := range attempts {
-		report.Context = append(report.Context, l.serverContext(r, t.server))
+		if !t.isRelay() {
+			report.Context = append(report.Context, l.serverContext(r, t.server))
+		}
 	}
 	report.Context = append(report.Context, l.eventContext(r)...)
 	return report
 }
 
+// relayedLines returns the lines of hosts that a request was relayed to, in order.
+func (l *Logs) relayedLines(id string) []line {
+	var found []line
+	for _, r := range l.requests {
+		if r.fields["request"] == id && r.isForOtherHost() {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// relaySteps describes what a host did with a request that was relayed to it.
+func relaySteps(r line) []string {
+	steps := []string{fmt.Sprintf("%s %s served it for %s: outcome %s, status %s, after %s", r.at.Format(time.TimeOnly), r.host, r.fields["for"], r.fields["outcome"], r.fields["status"], r.fields["took"])}
+	for n, t := range parseAttempts(r.fields["tries"]) {
+		steps = append(steps, fmt.Sprintf("attempt %d there: %s", n+1, t.describe()))
+	}
+	return steps
+}
+
 // explainUnlogged explains a request that no host logged.
 func (l *Logs) explainUnlogged(report *Report) {
 	report.Cause = "no host has a line about it: it was served at the first attempt within a second, its line was dropped (missed= on later lines), or its host was killed or cut off before it could answer"
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -86,6 +86,9 @@
 
 // describe describes the attempt in one line.
 func (t attempt) describe() string {
+	if t.isRelay() {
+		return fmt.Sprintf("relayed through host %s, %s after %s", t.server, t.result, t.took)
+	}
 	send := "server"
 	if t.purpose != "" {
 		send = t.purpose + " to server"
@@ -111,6 +114,9 @@
 	}
 }
 
+// isRelay reports whether the request was offered to another host instead of a server.
+func (t attempt) isRelay() bool { return t.purpose == "relay" }
+
 // abandoned reports whether the attempt was cancelled because another server answered.
 func (t attempt) abandoned() bool { return t.result == "abandoned" }
 
--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/pathloss"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -46,20 +47,12 @@
 	// idleAfter is the time without new evidence after which a service is no
 	// longer evaluated.
 	idleAfter = 30 * time.Second
-	// trafficWindow limits the check of this host's own network to servers with
-	// recent traffic.
-	trafficWindow = 5 * time.Second
 )
 
-// Thresholds for reports and for faults of a host's own network.
+// Thresholds for reports.
 const (
 	// reportAllScore is the score from which all outcomes are reported.
 	reportAllScore = 2.0
-
-	// A host distrusts its own network if at least distrustMin servers have recent
-	// traffic and a share of distrustShare or more of them fails.
-	distrustShare = 0.8
-	distrustMin   = 3
 	// corroborationScore is the score that must be reached with the observations of
 	// any single host excluded, since the path from one host may be broken.
 	corroborationScore = 7.0
@@ -71,6 +64,7 @@
 type System struct {
 	records   map[serverKey]*evidence
 	baselines map[string]baselineRates
+	path      pathloss.Detector
 }
 
 // baselineRates are the median rates of failed and slow answers over the servers of a service.
@@ -111,7 +105,7 @@
 
 func (s *System) observeOne(w *world.World, now time.Time, svc *world.Service, b *world.BackendServer, o *peerpb.Observation) {
 	e := s.record(o.Service, o.Backend)
-	e.lastSeen = now
+	s.recordPath(now, o)
 	switch o.Kind {
 	case peerpb.Observation_KIND_GOOD:
 		s.observeSuccess(now, svc, b, e, o)
--- a/internal/system/detection/evidence.go
+++ b/internal/system/detection/evidence.go
@@ -70,7 +70,6 @@
 	ownPending counts
 	unreported counts
 	lastBad    time.Time
-	lastSeen   time.Time
 }
 
 func newEvidence() *evidence {
--- a/internal/system/detection/judge.go
+++ b/internal/system/detection/judge.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -121,22 +122,27 @@
 	}
 }
 
-// checkOwnNetwork marks this host as distrusting its own network if nearly all
-// servers with recent traffic fail from it.
+// recordPath records whether an outcome shows that this host reaches the server. An error that the
+// server itself returned shows that it does.
+func (s *System) recordPath(now time.Time, o *peerpb.Observation) {
+	switch {
+	case o.Kind == peerpb.Observation_KIND_GOOD || o.FirstByteUs > 0 && o.Kind == peerpb.Observation_KIND_FAILED:
+		s.path.Reached()
+	case o.Kind == peerpb.Observation_KIND_FAILED || o.Kind == peerpb.Observation_KIND_UNREACHABLE:
+		s.path.Unreachable(now, o.Service+"/"+o.Backend)
+	}
+}
+
+// checkOwnNetwork marks this host as distrusting its own network if it has lost its path to the
+// backend servers.
 func (s *System) checkOwnNetwork(w *world.World, now time.Time) {
-	seen, failing := 0, 0
-	for _, e := range s.records {
-		if now.Sub(e.lastSeen) > trafficWindow {
-			continue
-		}
-		seen++
-		if e.ownFailScore() >= SuspectScore {
-			failing++
-		}
+	known := 0
+	for _, svc := range w.Services {
+		known += len(svc.Backends)
 	}
-	distrust := seen >= distrustMin && float64(failing) >= distrustShare*float64(seen)
+	distrust := s.path.Lost(now, known)
 	if distrust && !w.NetworkSuspect {
-		w.Record(now, event.HostDistrustsItself, "", "", fmt.Sprintf("%d of %d backend servers fail from here", failing, seen))
+		w.Record(now, event.HostDistrustsItself, "", "", fmt.Sprintf("%d backend servers do not answer this host, and none has in between", s.path.Count(now)))
 	}
 	w.NetworkSuspect = distrust
 }
