Soak: hosts lose their path to the servers; owner hosts relay too

Hosts connect to servers from an address of their own (backend.local_address, for hosts with several networks), so that standin/link cuts single hosts, several, or a data centre off, with a series of its own beside the other faults; the soak checks the users' rule (first tries from 3 s on, against the others). A hang of new connections needs a socket filter, which this kernel refuses: link.Path covers it in process.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -34,6 +34,7 @@
 	kindPlatform    = "platform"
 	kindServers     = "servers"
 	kindServerLink  = "server link"
+	kindPath        = "path to servers"
 )
 
 // fault begins a disturbance that ends by itself.
--- a/experiment/soak/host.go
+++ b/experiment/soak/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -39,6 +40,7 @@
 	address    string // callers', through callerLink
 	callerLink *link.Link
 	peerLink   *link.Link
+	serverSide netip.Addr // that it connects to servers from
 	health     *http.Client
 	restarting atomic.Bool
 
@@ -90,10 +92,12 @@
 		return nil, "", err
 	}
 	h := &host{
-		name:     fleet.HostName(i),
-		daemon:   s.conf.Daemon,
-		settings: filepath.Join(s.conf.Dir, fleet.HostName(i)+".yaml"),
-		health:   &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		name:   fleet.HostName(i),
+		daemon: s.conf.Daemon,
+
+		serverSide: serverSide(i),
+		settings:   filepath.Join(s.conf.Dir, fleet.HostName(i)+".yaml"),
+		health:     &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	if h.callerLink, err = linkTo(addresses[0]); err != nil {
 		return nil, "", err
@@ -116,7 +120,7 @@
 			StopGrace:   config.Duration(stopGrace),
 			StopTimeout: config.Duration(stopTimeout),
 		},
-		Backend: settings.Backend{BufferBytes: 64 << 10},
+		Backend: settings.Backend{BufferBytes: 64 << 10, LocalAddress: h.serverSide.String()},
 	}
 	conf.SetDefaults()
 	forwarding := !s.direct
--- a/experiment/soak/ratelimit.go
+++ b/experiment/soak/ratelimit.go
@@ -88,7 +88,7 @@
 	told := s.toldHosts(span)
 	var times []time.Time
 	for _, a := range span.arrivals {
-		sent := s.sender(a.path)
+		sent := s.sender(a)
 		if sent == nil || a.at.Before(counts) || s.isExcused(sent.host, a.at) {
 			continue
 		}
@@ -116,7 +116,7 @@
 func (s *soak) toldHosts(span span) map[toldHost]time.Time {
 	told := make(map[toldHost]time.Time)
 	for _, a := range span.arrivals {
-		sent := s.sender(a.path)
+		sent := s.sender(a)
 		if sent == nil || !sent.sameLife || !sent.served() || !s.answeredBy(a) {
 			continue
 		}
--- a/experiment/soak/soak.go
+++ b/experiment/soak/soak.go
@@ -66,9 +66,12 @@
 	Requests int
 	Served   int
 	Refused  int // told as not run
-	Ended    int // servers that the request ended which ends servers
-	Faults   map[string]int
-	Findings []Finding
+	// AtCut are the first tries at hosts without a path to servers, ServedAtCut those that were
+	// served.
+	AtCut, ServedAtCut int
+	Ended              int // servers that the request ended which ends servers
+	Faults             map[string]int
+	Findings           []Finding
 }
 
 // Finding is a promise that was broken.
@@ -92,7 +95,9 @@
 	}
 	stop := s.startCallers(ctx)
 	stopEnding := s.startEndingCaller(ctx)
+	stopPathLosses := s.startPathLosses(ctx)
 	s.injectFaults(ctx)
+	stopPathLosses()
 	stopEnding()
 	s.endFaults()
 	findings := s.checkRecovery(ctx)
@@ -102,6 +107,7 @@
 	findings = append(findings, s.journal.check(s.hosts)...)
 	findings = append(findings, s.checkSaid()...)
 	findings = append(findings, s.checkLimits()...)
+	findings = append(findings, s.checkPaths()...)
 	return s.report(findings), nil
 }
 
@@ -126,8 +132,10 @@
 
 	ends sync.WaitGroup // of faults that end by themselves
 
-	mu     sync.Mutex
-	faults map[string]int
+	mu         sync.Mutex
+	faults     map[string]int
+	pathLosses []pathLoss
+	pathTally  tally // of first tries at hosts without a path
 }
 
 func (s *soak) start(ctx context.Context) error {
@@ -183,7 +191,9 @@
 		server, err := backend.Start(backend.Config{
 			ID: id, Slots: serverSlots, ServiceTime: serviceTime, Seed: s.conf.Seed + uint64(i),
 			Download: make([]byte, downloadSize), Ran: func(r *http.Request) { s.ran(i, r) },
-			Arrived: func(r *http.Request, said protocol.ServerState) { s.said.arrived(i, r.URL.Path, said) },
+			Arrived: func(r *http.Request, said protocol.ServerState) {
+				s.said.arrived(i, r.URL.Path, said, s.serverLinks[i].Origin(r.RemoteAddr))
+			},
 		})
 		if err != nil {
 			return err
@@ -260,6 +270,7 @@
 	r := &Report{Seed: s.conf.Seed, Direct: s.direct, Faults: s.faults, Findings: findings}
 	r.Requests, r.Served, r.Refused = s.journal.counts()
 	r.Ended = s.ending.count()
+	r.AtCut, r.ServedAtCut = s.pathTally.sent, s.pathTally.served
 	return r
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,6 +78,7 @@
 	platformWatcher *platformWatcher
 	backends        *upstream.Transport
 	liveness        *upstream.LivenessChecker
+	dialServer      upstream.DialFunc // opens connections to backend servers
 	owners          *upstream.Transport
 	probes          *http.Client
 
@@ -220,21 +221,34 @@
 	if err != nil {
 		return err
 	}
+	d.dialServer = serverDial(d.settings.Backend, d.hooks)
 	d.clients = peer.NewClients(tlsConf)
 	d.backends = upstream.NewTransport(upstream.Config{
 		DialTimeout: time.Duration(d.settings.Backend.DialTimeout),
-		Dial:        d.hooks.DialServer,
+		Dial:        d.dialServer,
 		OnDial:      d.metrics.ServerConnection,
 	})
-	d.liveness = upstream.NewLivenessChecker(d.hooks.DialServer)
+	d.liveness = upstream.NewLivenessChecker(d.dialServer)
 	d.owners = upstream.NewTransport(upstream.Config{TLS: tlsConf, DialTimeout: upstream.DefaultDialTimeout})
-	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dialServer}}
 	d.platformWatcher = &platformWatcher{d: d}
 	d.observer = newObserver(d.bus, d.metrics, d.events, time.Duration(d.settings.Timing.Tick)/2)
 	d.observer.disabled = !*d.settings.Forwarding
 	return nil
 }
 
+// serverDial returns the function that opens connections to backend servers.
+func serverDial(conf settings.Backend, hooks Hooks) upstream.DialFunc {
+	if hooks.DialServer != nil {
+		return hooks.DialServer
+	}
+	dialer := &net.Dialer{}
+	if conf.LocalAddress != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(conf.LocalAddress)}
+	}
+	return dialer.DialContext
+}
+
 func (d *Daemon) makeEngine() error {
 	t := d.settings.Timing
 	self := world.Identity{Host: d.settings.Host, Address: d.settings.Peer.Advertise, DataCentre: d.settings.DataCentre}
@@ -255,7 +269,7 @@
 			Address:        self.Address,
 			DataCentre:     self.DataCentre,
 			Capacity:       uint32(1000 * d.settings.Cores),
-			Path:           initialPath(*d.settings.Forwarding),
+			Path:           peerpb.PathState_PATH_STATE_WORKING,
 			ProbeInterval:  time.Duration(t.ProbeInterval),
 			ProbeTimeout:   time.Duration(t.ProbeTimeout),
 			GossipInterval: time.Duration(t.GossipInterval),
@@ -287,15 +301,6 @@
 	return nil
 }
 
-// initialPath is what a new host announces of its path to the backend servers. Hosts that forward
-// to owner hosts take no relayed requests.
-func initialPath(forwarding bool) peerpb.PathState {
-	if forwarding {
-		return peerpb.PathState_PATH_STATE_UNKNOWN
-	}
-	return peerpb.PathState_PATH_STATE_WORKING
-}
-
 func (d *Daemon) dispatcher() *dispatch.Dispatcher {
 	scheme := "http"
 	if d.settings.Peer.TLS.Enabled() {
--- a/internal/daemon/pathcheck.go
+++ b/internal/daemon/pathcheck.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -12,7 +11,6 @@
 
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/policy"
-	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
 // resetWait is how long a new connection must stay open to count. A middlebox that cuts the host off
@@ -23,17 +21,12 @@
 // them, and records the loss of the path to all of them.
 type pathChecker struct {
 	d       *Daemon
-	dial    upstream.DialFunc
 	timeout time.Duration
 	lost    bool
 }
 
 func newPathChecker(d *Daemon) *pathChecker {
-	dial := d.hooks.DialServer
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	return &pathChecker{d: d, dial: dial, timeout: time.Duration(d.settings.Backend.DialTimeout)}
+	return &pathChecker{d: d, timeout: time.Duration(d.settings.Backend.DialTimeout)}
 }
 
 func (c *pathChecker) run(ctx context.Context) {
@@ -71,7 +64,7 @@
 func (c *pathChecker) connect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	conn, err := c.dial(ctx, "tcp", address)
+	conn, err := c.d.dialServer(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -168,13 +168,10 @@
 // isCutOff reports whether only another host could send the request. A host that knows of no other
 // tries by itself all the same.
 func (x *exchange) isCutOff() bool {
-	if x.d.balance == nil {
-		return false
-	}
 	if x.req.ForwardedBy != "" {
-		return x.d.balance.PathLost() || x.unreachable >= maxUnreachable
+		return x.pathLost() || x.unreachable >= maxUnreachable
 	}
-	return x.d.balance.PathLost() && x.snap.LiveHosts > 1
+	return x.d.balance != nil && x.pathLost() && x.snap.LiveHosts > 1
 }
 
 // isExpired reports whether the request has ended or its deadline has passed. It checks the
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -45,10 +45,18 @@
 // shouldRelay reports whether to relay the request instead of sending it to a server: this host has
 // lost its path to all servers, or the request has found several unreachable.
 func (x *exchange) shouldRelay() bool {
-	if x.relayed || x.d.balance == nil || x.req.ForwardedBy != "" || x.quarantineTrial {
+	if x.relayed || x.req.ForwardedBy != "" || x.quarantineTrial {
 		return false
 	}
-	return x.d.balance.PathLost() || x.unreachable >= maxUnreachable
+	return x.pathLost() || x.unreachable >= maxUnreachable
+}
+
+// pathLost reports whether this host has lost its path to the servers, as far as it knows.
+func (x *exchange) pathLost() bool {
+	if x.d.balance == nil {
+		return x.snap.NetworkSuspect
+	}
+	return x.d.balance.PathLost()
 }
 
 // relay offers the request to other hosts. done is false if none accepted it; it has then not run
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -168,6 +168,9 @@
 	for _, system := range e.systems {
 		system.Run(e.world, now)
 	}
+	if e.conf.Forwarding { // otherwise the balancer knows
+		e.SetPathLost(now, e.world.NetworkSuspect)
+	}
 	e.dispatchOutbox(now)
 	e.effects.Send(e.members.Tick(now))
 	for _, address := range e.members.SyncTargets(now, e.peers) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -179,6 +179,9 @@
 type Backend struct {
 	// DialTimeout limits the time to establish a connection. Default: 1s.
 	DialTimeout config.Duration `yaml:"dial_timeout"`
+	// LocalAddress is the IP address that connections to backend servers are opened from, for hosts
+	// with several networks. Default: chosen by the system.
+	LocalAddress string `yaml:"local_address"`
 	// BufferBytes is the maximum size of a response that is buffered completely
 	// before it is sent to the caller, so that a truncated response can be
 	// retried on another server. Higher values increase memory use and time to
@@ -369,6 +372,11 @@
 	if s.Retry.FleetReserve < 0 {
 		v.addf("retry.fleet_reserve", "%g is negative", s.Retry.FleetReserve)
 	}
+	if s.Backend.LocalAddress != "" {
+		if _, err := netip.ParseAddr(s.Backend.LocalAddress); err != nil {
+			v.addf("backend.local_address", "%q is not an IP address", s.Backend.LocalAddress)
+		}
+	}
 	if s.Backend.BufferBytes < 0 || s.Backend.BufferBytes > MaxBufferBytes {
 		v.addf("backend.buffer_bytes", "%d is outside 0 to %d", s.Backend.BufferBytes, MaxBufferBytes)
 	}
--- a/internal/upstream/liveness.go
+++ b/internal/upstream/liveness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -57,12 +56,8 @@
 	expires time.Time
 }
 
-// NewLivenessChecker returns a checker that opens TCP connections with dial, or with a net.Dialer
-// if dial is nil.
+// NewLivenessChecker returns a checker that opens TCP connections with dial.
 func NewLivenessChecker(dial DialFunc) *LivenessChecker {
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
 	return &LivenessChecker{
 		checks: make(map[string]*livenessCheck),
 		dial: func(ctx context.Context, address string) error {
