--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/balance"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -87,3 +90,37 @@
 		}
 	}
 }
+
+// A host that has found servers unreachable itself declines a relayed request, so that another host may
+// take it, instead of trying all of its servers.
+func TestHostWithoutPathDeclinesARelayedRequest(t *testing.T) {
+	x := &exchange{d: &Dispatcher{balance: balance.NewTable(time.Now, policy.Config{})}, req: &Request{ForwardedBy: "h1"}, snap: &world.Snapshot{LiveHosts: 2}}
+	if x.isCutOff() {
+		t.Error("declined without a reason")
+	}
+	x.unreachable = maxUnreachable
+	if !x.isCutOff() {
+		t.Error("a relayed request is not declined after servers were found unreachable")
+	}
+	refusal := x.refusePathLost()
+	response := &upstream.Answer{Response: &http.Response{Header: http.Header{}}}
+	response.Header.Set(HeaderOutcome, string(refusal.Outcome))
+	response.Header.Set(HeaderKind, string(refusal.Err.Kind))
+	if !x.hostDeclined(response) {
+		t.Error("the entry host does not offer the request to another host")
+	}
+}
+
+// To a host without a path all servers seem to have ended: their requests must not be quarantined for it.
+func TestHostWithoutPathReportsNoCrashes(t *testing.T) {
+	now := time.Now()
+	view := &world.ServiceView{Backends: []world.BackendView{{ID: "b1"}}}
+	for lost, want := range map[bool]bool{false: true, true: false} {
+		snap := &world.Snapshot{NetworkSuspect: lost, FreshUntil: now.Add(time.Hour), Services: map[string]*world.ServiceView{"shop": view}}
+		d := &Dispatcher{snapshot: func() *world.Snapshot { return snap }, availability: availability.NewTable(time.Now)}
+		x := &exchange{d: d, req: &Request{Service: "shop"}, snap: snap, view: view}
+		if got := x.isEvidence(&serverLease{Server: view.Backends[0]}); got != want {
+			t.Errorf("path lost %t: a broken connection to a server that refuses new ones is evidence: %t, want %t", lost, got, want)
+		}
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -114,7 +114,7 @@
 mutant "new hosts repeat the bootstrap sync" internal/membership/probe.go 's/if l.LiveCount() > bootstrapSyncMaxHosts \&\& /if /' ./internal/membership
 mutant "missing documents only" internal/system/configsync/configsync.go 's/if w.Document(key).Revision == 0 {/if true {/' ./internal/system/configsync
 mutant "start grace" internal/system/configsync/configsync.go 's/lastHeartbeat: now.Add(startGrace)/lastHeartbeat: now/' ./internal/system/configsync
-mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& Outcome/if false \&\& Outcome/' ./internal/dispatch
+mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& outcome/if false \&\& outcome/' ./internal/dispatch
 mutant "refusal here after an owner broke off" internal/dispatch/dispatch.go 's/refusal.Outcome == OutcomeNotRun \&\& x.written/false/' ./internal/dispatch
 mutant "young hosts spend their own" internal/policy/retries.go 's/if age < rule.Window \&\& /if false \&\& /' ./internal/policy
 mutant "waiting requests are evidence" internal/policy/unanswered.go 's/	return min(float64(total)\/1e6, maxUnansweredLogOdds).*/	return 0/' ./internal/policy
@@ -157,5 +157,25 @@
 mutant "restart under the same ID" internal/policy/table.go 's/restarted := s.started != 0/restarted := false/' ./internal/policy
 mutant "entries of other writers" platform/configuration.go 's/if \*r.State != stateReady \&\& \*r.State != stateDraining {/if false {/' ./platform -run TestEntries
 
+mutant "requests are relayed" internal/dispatch/relay.go 's/return x.pathLost() || x.unreachable >= maxUnreachable/return false/' ./platform -run TestHostWithoutPath
+mutant "relayed once" internal/dispatch/relay.go 's/if x.relayed || x.req.ForwardedBy != "" || /if x.relayed || /' ./internal/dispatch -run RelayedAgain
+mutant "attempts go along" internal/dispatch/relay.go 's/^	h.Set(HeaderAttempts, .*$//' ./platform -run TestRelayedRequestKeepsToItsAttempts
+mutant "a key is claimed once" internal/dispatch/relay.go 's/if x.claimed {/if false {/' ./platform -run TestKeyOfRelayedRequest
+mutant "a host without a path declines" internal/dispatch/exchange.go 's/return x.pathLost() || x.unreachable >= maxUnreachable/return false/' ./internal/dispatch -run DeclinesARelayed
+mutant "own data centre first" internal/dispatch/relay.go 's/if len(near) < snap.HostsWithoutPath {/if true {/' ./internal/dispatch -run RelaysOfTheOwn
+mutant "relays spread beyond it" internal/dispatch/relay.go 's/if len(near) < snap.HostsWithoutPath {/if false {/' ./internal/dispatch -run RelaysOfTheOwn
+mutant "hosts that declined wait" internal/dispatch/relay.go 's/ || now.Before(t.avoidUntil\[host.Host\])//' ./internal/dispatch -run RelayChoice
+mutant "relays have a path" internal/engine/views.go 's/ \&\& h.Path == peerpb.PathState_PATH_STATE_WORKING {/ {/' ./internal/engine -run Relays
+mutant "a loss needs several servers" internal/pathloss/pathloss.go 's/min(minServers, known)/1/' ./internal/pathloss
+mutant "a server reached ends a loss" internal/pathloss/pathloss.go 's/func (d \*Detector) Reached() { clear(d.unreachable) }/func (d *Detector) Reached() {}/' ./internal/pathloss
+mutant "witnesses of a loss" internal/policy/path.go 's/return t.witnesses.failed() \&\& t.path/return t.path/' ./internal/policy -run PartOfTheServers
+mutant "open connections prove no path" internal/policy/path.go 's/	if newConnection {/	if true {/' ./internal/policy -run OpenConnection
+mutant "unreachable servers are held back" internal/policy/path.go 's/	if len(t.heldEvidence) < maxHeld {/	s.counts.confirmedUnreachable++; if false {/' ./internal/policy -run ReportedOnce
+mutant "waiting out of reach is no evidence" internal/policy/report.go 's/	if s.pathFailures == 0 {.*/	if true {/' ./internal/policy -run AccusesNobody
+mutant "answers outweigh a path" internal/policy/report.go 's/ \&\& now.Sub(s.answeredAt) > answeredRecently {/ {/' ./internal/policy -run AnswersOutweigh
+mutant "broken connection out of reach" internal/policy/outcome.go 's/unreachable := s.pathFailures > 0 || done.ServerUnreachable/unreachable := false/' ./internal/policy -run BrokenConnection
+mutant "no crashes without a path" internal/dispatch/quarantine.go 's/	if x.pathLost() {/	if false {/' ./internal/dispatch -run ReportsNoCrashes
+mutant "fresh connections after a path fault" internal/policy/connections.go 's/hasPathFault := .*/hasPathFault := false/' ./internal/policy -run PathFault
+
 echo "$survivors survivors"
 exit "$((survivors > 0))"
