--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -48,6 +48,9 @@
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.losesPath = f.losesPath(pathStreamHosts+uint64(number), f.pattern.Network.Paths.Hosts)
+	if f.pattern.Network.Paths.WholeDataCentre {
+		h.losesPath = h.dataCentre == 0
+	}
 	h.servers = availability.NewTable(f.clock.Time)
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	h.registers = newRegisters(h)
--- a/experiment/replay/paths.go
+++ b/experiment/replay/paths.go
@@ -69,7 +69,7 @@
 	paths := f.pattern.Network.Paths
 	mark := func(disturbed bool) {
 		for _, s := range f.servers {
-			s.pathDisturbed = disturbed && s.losesPath && paths.Hosts > 0
+			s.pathDisturbed = disturbed && s.losesPath && (paths.Hosts > 0 || paths.WholeDataCentre)
 		}
 	}
 	f.clock.After(time.Duration(paths.From), func() { mark(true) })
--- a/experiment/replay/paths_test.go
+++ b/experiment/replay/paths_test.go
@@ -66,3 +66,58 @@
 		})
 	}
 }
+
+// playChanged plays seeds of paths-all after a change of it.
+func playChanged(t *testing.T, change func(*Pattern)) *Result {
+	t.Helper()
+	pattern, err := Load("paths-all")
+	if err != nil {
+		t.Fatal(err)
+	}
+	change(pattern)
+	sum := newResult(pattern)
+	for seed := range uint64(seeds) {
+		sum.add(Run(pattern, Config{Seed: seed + 1}))
+	}
+	t.Logf("served %.4f of %d at hosts without a path, %.4f of %d at the others", sum.Paths.Cut.Share(), sum.Paths.Cut.Asked, sum.Paths.Others.Share(), sum.Paths.Others.Asked)
+	return sum
+}
+
+// The rule holds however many hosts have lost their path, and in a burst.
+func TestHostsWithoutPathAreServedAsOften(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(*Pattern){
+		"one host in forty":   func(p *Pattern) { p.Network.Paths.Hosts = 0.025 },
+		"a whole data centre": func(p *Pattern) { p.Network.Paths.WholeDataCentre = true },
+		"four hosts in five":  func(p *Pattern) { p.Network.Paths.Hosts = 0.8 },
+		"in a burst": func(p *Pattern) {
+			p.Bursts = []Burst{{From: p.Network.Paths.From, For: p.Network.Paths.For, Factor: 1.7}}
+		},
+		"few requests": func(p *Pattern) { p.Hosts = 160 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sum := playChanged(t, change)
+			if cut, others := sum.Paths.Cut.Share(), sum.Paths.Others.Share(); cut < leastServedAtCut*others {
+				t.Errorf("served %.4f at hosts without a path, %.4f at the others", cut, others)
+			}
+			if sum.AllowanceSpent > 1 {
+				t.Errorf("%.2f of the retry allowance was spent", sum.AllowanceSpent)
+			}
+		})
+	}
+}
+
+// Where no host reaches a server requests are refused at once, and no storm of relays goes from host to
+// host.
+func TestNoHostReachesServers(t *testing.T) {
+	t.Parallel()
+	sum := playChanged(t, func(p *Pattern) { p.Network.Paths.Hosts = 1 })
+	if sum.Paths.Cut.Served != 0 {
+		t.Errorf("%d requests were served through lost paths", sum.Paths.Cut.Served)
+	}
+	inCut := float64(sum.Paths.Cut.Asked)
+	if refused := float64(sum.reasons["path-lost"]); refused < 0.9*inCut {
+		t.Errorf("%.0f of %.0f requests were refused for the lost path", refused, inCut)
+	}
+}
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -62,6 +62,8 @@
 	// Hosts and Servers are the shares of the hosts and of the servers concerned.
 	Hosts   float64 `yaml:"hosts"`
 	Servers float64 `yaml:"servers"`
+	// WholeDataCentre concerns all hosts of the first data centre and no others, instead of Hosts.
+	WholeDataCentre bool `yaml:"whole_data_centre"`
 }
 
 // Idle is a time in which connections that a host has not used for After are closed: what it
