Relays: attempts that may have run are counted, older hosts are sent past, each request is logged where its caller came

A host that lost a relayed request after its first byte counts as an attempt and an arrival, so that a route's attempts hold also over two hosts. Where no other host takes relayed requests (a fleet of the earlier version) a host without a path sends by itself as before. 'for=' is set for relayed requests only: owner hosts' lines count as before in account. Connections to other hosts are given up after backend.dial_timeout, so that a host that lost power costs a relayed request no second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -229,7 +229,10 @@
 		OnDial:      d.metrics.ServerConnection,
 	})
 	d.liveness = upstream.NewLivenessChecker(d.dialServer)
-	d.owners = upstream.NewTransport(upstream.Config{TLS: tlsConf, DialTimeout: upstream.DefaultDialTimeout})
+	d.owners = upstream.NewTransport(upstream.Config{
+		TLS:         tlsConf,
+		DialTimeout: min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
+	})
 	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dialServer}}
 	d.platformWatcher = &platformWatcher{d: d}
 	d.observer = newObserver(d.bus, d.metrics, d.events, time.Duration(d.settings.Timing.Tick)/2)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -166,12 +166,12 @@
 }
 
 // isCutOff reports whether only another host could send the request. A host that knows of no other
-// tries by itself all the same.
+// which takes relayed requests tries by itself all the same.
 func (x *exchange) isCutOff() bool {
 	if x.req.ForwardedBy != "" {
 		return x.pathLost() || x.unreachable >= maxUnreachable
 	}
-	return x.d.balance != nil && x.pathLost() && x.snap.LiveHosts > 1
+	return x.d.balance != nil && x.pathLost() && x.snap.HostsRelay
 }
 
 // isExpired reports whether the request has ended or its deadline has passed. It checks the
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -94,6 +94,9 @@
 	}
 	copier.setResumable(x.req)
 	if err := copier.run(); err != nil {
+		if x.relayed {
+			x.logRequest(refuseUnknown(toTypedError(err)))
+		}
 		panic(http.ErrAbortHandler)
 	}
 	return true, nil
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -59,12 +59,12 @@
 	return x.d.balance.PathLost()
 }
 
-// relay offers the request to other hosts. done is false if none accepted it; it has then not run
-// through any of them.
+// relay offers the request to other hosts. done is false if none accepted it and it may still be sent to
+// a server from here.
 func (x *exchange) relay(ctx context.Context) (done bool, err error) {
 	x.relayed = true
 	for _, host := range x.d.relays.choose(time.Now(), x.snap, x.mayRelayTo, maxRelays) {
-		if x.isExpired(ctx) {
+		if x.isExpired(ctx) || x.attemptsRun >= x.req.maxAttempts() {
 			return false, nil
 		}
 		done, err = x.relayThrough(ctx, host)
@@ -88,12 +88,13 @@
 	if failure != nil {
 		attempt.finish(string(toTypedError(failure.Unwrap()).Kind))
 		x.d.metrics.Relayed("failed")
+		x.countRelay(failure.Written)
 		return x.handleHostFailure(ctx, failure)
 	}
 	if x.hostDeclined(response) {
 		attempt.finish("declined")
 		x.d.metrics.Relayed("declined")
-		x.written = x.written || Outcome(response.Header.Get(HeaderOutcome)) != OutcomeNotRun
+		x.countRelay(Outcome(response.Header.Get(HeaderOutcome)) != OutcomeNotRun)
 		response.DrainAndClose()
 		return false, nil
 	}
@@ -103,6 +104,15 @@
 	return x.passResponse(ctx, host.OwnerView, response, otherHosts{x.relayHosts, x.relayHeaders})
 }
 
+// countRelay counts a request that another host may have sent to a server without a response.
+func (x *exchange) countRelay(mayHaveRun bool) {
+	if mayHaveRun {
+		x.written = true
+		x.attemptsRun++
+		x.attemptsArrived++
+	}
+}
+
 // beginRelay adds a host that the request is offered to to the log record.
 func (x *exchange) beginRelay(host string) *attempt {
 	a := &attempt{server: host, startedAt: time.Now(), purpose: purposeRelay}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -85,6 +85,9 @@
 	// ForwardedBy is the entry host if this host got the request from it, as an owner or because the
 	// entry host has lost its path to the servers.
 	ForwardedBy string
+	// Relayed is set if the entry host has lost its path to the servers. Owner hosts get requests that
+	// are forwarded, but not relayed.
+	Relayed bool
 	// Claimed is set if the entry host holds the idempotency key. Arrived counts the servers that
 	// the entry host has sent the request to.
 	Claimed bool
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -134,6 +134,15 @@
 	return l.limit.Allow(now)
 }
 
+// relayedFor is the host that relayed the request to this one, empty for none. That host logs the request
+// too, other than one that forwards to owner hosts.
+func (r *Request) relayedFor() string {
+	if !r.Relayed {
+		return ""
+	}
+	return r.ForwardedBy
+}
+
 // slowAfter is the duration from which a served request counts as slow.
 func (r *Request) slowAfter() time.Duration {
 	if r.Objective > 0 {
@@ -174,7 +183,7 @@
 		"request", req.ID,
 		"service", req.Service,
 		"customer", req.Customer,
-		"for", req.ForwardedBy,
+		"for", req.relayedFor(),
 		"content", req.contentLabel(),
 		"idempotent", req.Idempotent,
 		"outcome", string(outcome),
--- a/internal/engine/relays_test.go
+++ b/internal/engine/relays_test.go
@@ -31,4 +31,11 @@
 	if !slices.Equal(names, []string{"far", "good"}) || v.hostsWithoutPath != 2 {
 		t.Errorf("relays %v and %d hosts without a path, want far and good, and 2", names, v.hostsWithoutPath)
 	}
+	if !v.hostsRelay {
+		t.Error("other hosts take relayed requests")
+	}
+	w.Hosts = map[string]*world.Host{"self": w.Hosts["self"], "older": w.Hosts["older"]}
+	if v.chooseRelays(w); v.hostsRelay {
+		t.Error("a host of an earlier version takes no relayed requests")
+	}
 }
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -34,6 +34,7 @@
 	liveHosts               int
 	relays                  []world.RelayHost
 	hostsWithoutPath        int
+	hostsRelay              bool
 	fleetSize               int
 	quarantine              *quarantine.View
 	rateLimits              *ratelimit.View
@@ -83,6 +84,7 @@
 		LiveHosts:               v.liveHosts,
 		Relays:                  v.relays,
 		HostsWithoutPath:        v.hostsWithoutPath,
+		HostsRelay:              v.hostsRelay,
 		HostsVersion:            v.hostsVersion,
 		Homes:                   v.homes,
 		Reachable:               v.reachable,
@@ -183,12 +185,15 @@
 
 // chooseRelays lists the hosts that requests may be relayed through.
 func (v *viewBuilder) chooseRelays(w *world.World) {
-	v.relays, v.hostsWithoutPath = nil, 0
+	v.relays, v.hostsWithoutPath, v.hostsRelay = nil, 0, false
 	for _, name := range w.HostNames() {
 		h := w.Hosts[name]
 		if h.Path == peerpb.PathState_PATH_STATE_LOST && h.DataCentre == w.Self.DataCentre && h.Live() {
 			v.hostsWithoutPath++
 		}
+		if name != w.Self.Host && h.Live() && h.Path != peerpb.PathState_PATH_STATE_UNKNOWN {
+			v.hostsRelay = true
+		}
 		isAlive := h.Liveness == peerpb.Liveness_LIVENESS_ALIVE && !h.Leaving
 		if name != w.Self.Host && isAlive && h.Path == peerpb.PathState_PATH_STATE_WORKING {
 			v.relays = append(v.relays, world.RelayHost{OwnerView: world.OwnerView{Host: name, Address: h.Address}, DataCentre: h.DataCentre})
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -259,6 +259,7 @@
 		}
 		*value = n
 	}
+	req.Relayed = h.Get(dispatch.HeaderAttempts) != ""
 	req.Objective = time.Duration(objectiveMs) * time.Millisecond
 	req.Group = h.Get(dispatch.HeaderGroup)
 	req.Claimed = h.Get(dispatch.HeaderClaimed) != ""
--- a/internal/policy/unanswered.go
+++ b/internal/policy/unanswered.go
@@ -35,9 +35,9 @@
 type pending struct {
 	key      key
 	since    time.Time
-	estimate         // as of when it was sent
-	slowness float64 // of the server at that time
-	use      serverUse
+	estimate           // as of when it was sent
+	slowness float64   // of the server at that time
+	use      serverUse // recorded for this request
 }
 
 // unansweredProbability is the probability that a failing server leaves a request unanswered.
