--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -124,12 +124,8 @@
 }
 
 // isEvidence reports whether the request may be the cause of a crash. A leaving server
-// terminates by itself, a host that was paused sees the broken connection long after the fact, and to a
-// host without a path to the servers all of them seem to have ended.
+// terminates by itself, and a host that was paused sees the broken connection long after the fact.
 func (x *exchange) isEvidence(lease *serverLease) bool {
-	if x.pathLost() {
-		return false
-	}
 	if reason, _ := x.d.availability.Of(x.serverOf(lease)); reason == availability.Leaving {
 		return false
 	}
