--- a/experiment/replay/paths.go
+++ b/experiment/replay/paths.go
@@ -54,14 +54,14 @@
 	pathStreamServers = 40_000
 )
 
-// losesPath draws whether a host or server is among the given share of those that lose paths. It has
-// a stream of its own, so that other patterns play as without it.
+// losesPath draws whether a host or server is among the given share of those that lose paths. It
+// has a stream of its own, so that other patterns play as without it.
 func (f *fleet) losesPath(stream uint64, share float64) bool {
 	return rand.New(rand.NewPCG(f.seed, stream)).Float64() < share
 }
 
-// linkSoundAfter is how long after a disturbance of its links a server counts as sound again, by the
-// users' rule on servers in use.
+// linkSoundAfter is how long after a disturbance of its links a server counts as sound again, by
+// the users' rule on servers in use.
 const linkSoundAfter = 6 * time.Second
 
 // disturbPaths marks the servers whose links are disturbed.
@@ -81,8 +81,8 @@
 	return !h.losesPath || !s.losesPath || !h.fleet.pattern.Network.Paths.isOn(h.fleet.clock.Now, 0)
 }
 
-// sendIntoCut is the send of a request that does not reach its server. On the one connection that the
-// host has kept it gets no answer, a new connection cannot be made.
+// sendIntoCut is the send of a request that does not reach its server. On the one connection that
+// the host has kept it gets no answer, a new connection cannot be made.
 func (r *request) sendIntoCut(fl *flight) {
 	mayReuse := fl.placement.MaxIdle == 0 || fl.from.idle[fl.server.id] <= fl.placement.MaxIdle
 	if mayReuse && !fl.from.hung[fl.server.id] {
--- a/experiment/replay/paths_test.go
+++ b/experiment/replay/paths_test.go
@@ -8,8 +8,8 @@
 	// mostLostToOthers is how much less often callers of hosts that reach all servers may be served
 	// while other hosts do not: one request in a hundred.
 	mostLostToOthers = 0.01
-	// leastServedAtCut is how often, against the others, callers of hosts without a path must be served by
-	// the users' rule.
+	// leastServedAtCut is how often, against the others, callers of hosts without a path must be
+	// served by the users' rule.
 	leastServedAtCut = 2.0 / 3
 )
 
@@ -108,8 +108,8 @@
 	}
 }
 
-// Where no host reaches a server requests are refused at once, and no storm of relays goes from host to
-// host.
+// Where no host reaches a server requests are refused at once, and no storm of relays goes from
+// host to host.
 func TestNoHostReachesServers(t *testing.T) {
 	t.Parallel()
 	sum := playChanged(t, func(p *Pattern) { p.Network.Paths.Hosts = 1 })
--- a/experiment/soak/paths.go
+++ b/experiment/soak/paths.go
@@ -10,11 +10,11 @@
 	"github.com/pearshelf/pearshelf/standin/link"
 )
 
-// Hosts lose their path to all backend servers beside the other faults: a single host, several, or a whole
-// data centre, while they still hear callers, the platform and each other.
+// Hosts lose their path to all backend servers beside the other faults: a single host, several, or
+// a whole data centre, while they still hear callers, the platform and each other.
 const (
-	// leastPathCut and mostPathCut bound how long a path is lost, leastPathPause and mostPathPause the time
-	// between two losses.
+	// leastPathCut and mostPathCut bound how long a path is lost, leastPathPause and mostPathPause
+	// the time between two losses.
 	leastPathCut   = 500 * time.Millisecond
 	mostPathCut    = 5 * time.Second
 	leastPathPause = 300 * time.Millisecond
@@ -25,9 +25,9 @@
 	pathStream = 1 << 32
 )
 
-// The users' rule on hosts without a path: from pathGrace after the loss callers' first tries there must not be
-// served less than pathServed as often as those at the others, while more than pathFailures, and one in
-// pathFailureShare of them, fail.
+// The users' rule on hosts without a path: from pathGrace after the loss callers' first tries there
+// must not be served less than pathServed as often as those at the others, while more than
+// pathFailures, and one in pathFailureShare of them, fail.
 const (
 	pathGrace        = 3 * time.Second
 	pathServed       = 2.0 / 3
@@ -46,8 +46,8 @@
 // serverSide is the address that a host connects to servers from.
 func serverSide(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)}) }
 
-// startPathLosses cuts hosts off from the servers until stop. It draws from a series of its own, so that the
-// other faults of a seed stay what they are.
+// startPathLosses cuts hosts off from the servers until stop. It draws from a series of its own, so
+// that the other faults of a seed stay what they are.
 func (s *soak) startPathLosses(ctx context.Context) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	rng := rand.New(rand.NewPCG(s.conf.Seed, pathStream))
@@ -123,8 +123,8 @@
 	}
 }
 
-// checkPaths compares what callers got at hosts without a path with what they got at the others, while
-// nothing else disturbed the hosts.
+// checkPaths compares what callers got at hosts without a path with what they got at the others,
+// while nothing else disturbed the hosts.
 func (s *soak) checkPaths() []Finding {
 	s.mu.Lock()
 	losses := s.pathLosses
@@ -146,8 +146,8 @@
 
 func (t tally) share() float64 { return float64(t.served) / float64(max(t.sent, 1)) }
 
-// tallyPaths counts the requests sent while paths were lost, from a while after the loss, at hosts that nothing
-// else disturbed.
+// tallyPaths counts the requests sent while paths were lost, from a while after the loss, at hosts
+// that nothing else disturbed.
 func (j *journal) tallyPaths(loss pathLoss, cut, others *tally) {
 	from := loss.from.Add(pathGrace)
 	j.mu.Lock()
--- a/experiment/soak/said.go
+++ b/experiment/soak/said.go
@@ -36,7 +36,8 @@
 	path    string
 	at      time.Time
 	said    protocol.ServerState
-	// origin is the address that the request's connection came from: that of the host which sent it.
+	// origin is the address that the request's connection came from: that of the host which sent
+	// it.
 	origin netip.Addr
 }
 
@@ -84,8 +85,8 @@
 	s.document.Services[0].Backends[server].Started = time.Now().UnixMilli()
 }
 
-// checkSaid holds what reached servers against what they had said. Which host sent a request
-// is known where hosts pick directly: the one that its caller asked, unless that one has relayed it.
+// checkSaid holds what reached servers against what they had said. Which host sent a request is
+// known where hosts pick directly: the one that its caller asked, unless that one has relayed it.
 func (s *soak) checkSaid() []Finding {
 	if !s.direct {
 		return nil
@@ -108,8 +109,8 @@
 	return found
 }
 
-// sender is the request as its caller made it, nil if none of the callers that are checked, or if another
-// host than the one that the caller asked has sent it.
+// sender is the request as its caller made it, nil if none of the callers that are checked, or if
+// another host than the one that the caller asked has sent it.
 func (s *soak) sender(a arrival) *attempt {
 	s.journal.mu.Lock()
 	defer s.journal.mu.Unlock()
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -69,8 +69,8 @@
 // for.
 func (t *Table) PathWork() <-chan struct{} { return t.pathWork }
 
-// DuePathChecks returns the checks of this host's path to servers that are due, and after which time
-// to call it again; 0 means after PathWork.
+// DuePathChecks returns the checks of this host's path to servers that are due, and after which
+// time to call it again; 0 means after PathWork.
 func (t *Table) DuePathChecks(views map[string]*world.ServiceView) (due []policy.PathCheck, after time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/daemon/pathcheck.go
+++ b/internal/daemon/pathcheck.go
@@ -13,8 +13,8 @@
 	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
-// resetWait is how long a new connection must stay open to count. A middlebox that cuts the host off
-// may accept connections only to reset them at once.
+// resetWait is how long a new connection must stay open to count. A middlebox that cuts the host
+// off may accept connections only to reset them at once.
 const resetWait = 20 * time.Millisecond
 
 // pathChecker opens connections to backend servers when the balancer asks whether this host reaches
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -17,8 +17,8 @@
 // that can. That host treats a relayed request like one of its own callers', but relays it no
 // further, and declines it before it is sent if its own path is lost too.
 
-// Headers of relayed requests, in addition to those of requests forwarded to owner hosts. They carry
-// what the entry host knows from the route and from earlier sends, so that attempts, keys and
+// Headers of relayed requests, in addition to those of requests forwarded to owner hosts. They
+// carry what the entry host knows from the route and from earlier sends, so that attempts, keys and
 // customers' limits are counted once.
 const (
 	HeaderAttempts  = "Pearshelf-Attempts"     // how many servers may still run the request
@@ -35,7 +35,8 @@
 	// maxUnreachable is how many servers a request finds unreachable before it is offered to
 	// another host. A single one may be down.
 	maxUnreachable = 2
-	// relayHoldOff is how long a host that declined or could not be reached is not offered requests.
+	// relayHoldOff is how long a host that declined or could not be reached is not offered
+	// requests.
 	relayHoldOff = time.Second
 	// relayMaxIdle is how long a connection to another host may have been idle to carry a relayed
 	// request. A connection that went silent shows only once a request on it is lost.
@@ -59,8 +60,8 @@
 	return x.d.balance.PathLost()
 }
 
-// relay offers the request to other hosts. done is false if none accepted it and it may still be sent to
-// a server from here.
+// relay offers the request to other hosts. done is false if none accepted it and it may still be
+// sent to a server from here.
 func (x *exchange) relay(ctx context.Context) (done bool, err error) {
 	x.relayed = true
 	for _, host := range x.d.relays.choose(time.Now(), x.snap, x.mayRelayTo, maxRelays) {
@@ -172,9 +173,9 @@
 }
 
 // choose returns up to count hosts in the order in which to offer them a request. Hosts of the own
-// data centre come first as long as they are not outnumbered there by those that relay, so that
-// no host gets more than about one other host's requests on top of its own. Of two random hosts the one with
-// fewer outstanding requests comes first.
+// data centre come first as long as they are not outnumbered there by those that relay, so that no
+// host gets more than about one other host's requests on top of its own. Of two random hosts the
+// one with fewer outstanding requests comes first.
 func (t *relayTable) choose(now time.Time, snap *world.Snapshot, allowed func(world.RelayHost) bool, count int) []world.RelayHost {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -229,8 +230,8 @@
 	t.avoidUntil[host] = now.Add(relayHoldOff)
 }
 
-// handleHostFailure handles a send to another host that got no response. done is false if the request
-// may be offered to another one.
+// handleHostFailure handles a send to another host that got no response. done is false if the
+// request may be offered to another one.
 func (x *exchange) handleHostFailure(ctx context.Context, failure *upstream.Failure) (done bool, err error) {
 	typed := toTypedError(failure.Unwrap())
 	switch {
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// The host with fewer relayed requests outstanding is preferred, one that declined is left out for a while,
-// and so is one that may not receive the request.
+// The host with fewer relayed requests outstanding is preferred, one that declined is left out for
+// a while, and so is one that may not receive the request.
 func TestRelayChoice(t *testing.T) {
 	table, now := newRelayTable(), time.Unix(1000, 0)
 	snap := &world.Snapshot{Self: world.Identity{Host: "h1", DataCentre: "dc1"}, Relays: relaysIn("dc1", "a", "b")}
@@ -91,8 +91,8 @@
 	}
 }
 
-// A host that has found servers unreachable itself declines a relayed request, so that another host may
-// take it, instead of trying all of its servers.
+// A host that has found servers unreachable itself declines a relayed request, so that another host
+// may take it, instead of trying all of its servers.
 func TestHostWithoutPathDeclinesARelayedRequest(t *testing.T) {
 	x := &exchange{d: &Dispatcher{balance: balance.NewTable(time.Now, policy.Config{})}, req: &Request{ForwardedBy: "h1"}, snap: &world.Snapshot{HostsRelay: true}}
 	if x.isCutOff() {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -82,11 +82,11 @@
 	Group string
 	// Homes restricts where the request may run, and which hosts may receive any of its data.
 	Homes region.Homes
-	// ForwardedBy is the entry host if this host got the request from it, as an owner or because the
-	// entry host has lost its path to the servers.
+	// ForwardedBy is the entry host if this host got the request from it, as an owner or because
+	// the entry host has lost its path to the servers.
 	ForwardedBy string
-	// Relayed is set if the entry host has lost its path to the servers. Owner hosts get requests that
-	// are forwarded, but not relayed.
+	// Relayed is set if the entry host has lost its path to the servers. Owner hosts get requests
+	// that are forwarded, but not relayed.
 	Relayed bool
 	// Claimed is set if the entry host holds the idempotency key. Arrived counts the servers that
 	// the entry host has sent the request to.
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -134,8 +134,8 @@
 	return l.limit.Allow(now)
 }
 
-// relayedFor is the host that relayed the request to this one, empty for none. That host logs the request
-// too, other than one that forwards to owner hosts.
+// relayedFor is the host that relayed the request to this one, empty for none. That host logs the
+// request too, other than one that forwards to owner hosts.
 func (r *Request) relayedFor() string {
 	if !r.Relayed {
 		return ""
--- a/internal/engine/relays_test.go
+++ b/internal/engine/relays_test.go
@@ -8,8 +8,8 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// Requests are relayed through hosts that announce a working path only: not through one that lost its own,
-// is leaving or suspected, nor one of a version that takes no relayed requests.
+// Requests are relayed through hosts that announce a working path only: not through one that lost
+// its own, is leaving or suspected, nor one of a version that takes no relayed requests.
 func TestRelaysAreHostsWithAWorkingPath(t *testing.T) {
 	alive, working, lost := peerpb.Liveness_LIVENESS_ALIVE, peerpb.PathState_PATH_STATE_WORKING, peerpb.PathState_PATH_STATE_LOST
 	w := &world.World{Self: world.Identity{Host: "self", DataCentre: "dc1"}, Hosts: map[string]*world.Host{
--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -72,8 +72,8 @@
 	return account
 }
 
-// isForOtherHost reports whether the line is of a host that served the request for another one, whose
-// line says what the caller got.
+// isForOtherHost reports whether the line is of a host that served the request for another one,
+// whose line says what the caller got.
 func (l line) isForOtherHost() bool { return l.fields["for"] != "" }
 
 // served reports whether the caller received a success or a client error (4xx) from the server.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -105,7 +105,8 @@
 	return Cause{CausePathLost, r.host + " reached no backend server, and host " + last.server + " did not serve the request for it (" + last.result + ")"}
 }
 
-// pathLostText is part of the logged reason if neither the host nor another one could send a request.
+// pathLostText is part of the logged reason if neither the host nor another one could send a
+// request.
 const pathLostText = "cannot connect to any backend server"
 
 // unsentCause returns the cause of a request that was not sent to any server.
--- a/internal/explain/relay_test.go
+++ b/internal/explain/relay_test.go
@@ -6,8 +6,8 @@
 	"testing"
 )
 
-// relayedLog has requests of host h1, which does not reach servers: one that h2 served for it, one that failed
-// there, and one that no host took.
+// relayedLog has requests of host h1, which does not reach servers: one that h2 served for it, one
+// that failed there, and one that no host took.
 const relayedLog = `h1 I0406 12:52:20.000000   1 trace.go:110] "request" request="served" service="checkout" for="" idempotent=false outcome="complete" status=200 reason="" took="31ms" left="2.79s" version=4 servers=16 tries="b1 dial-failed took=250ms belief=0.01 load=1.0; h2 answered/200 as=relay took=31ms belief=0.00 load=0.0" missed=0
 h2 I0406 12:52:20.000000   1 trace.go:110] "request" request="served" service="checkout" for="h1" idempotent=false outcome="complete" status=200 reason="" took="30ms" left="2.79s" version=4 servers=16 tries="b2 answered/200 took=30ms belief=0.01 load=1.0" missed=0
 h1 I0406 12:52:21.000000   1 trace.go:110] "request" request="failed" service="checkout" for="" idempotent=false outcome="complete" status=500 reason="" took="3ms" left="2.79s" version=4 servers=16 tries="h2 answered/500 as=relay took=3ms belief=0.00 load=0.0" missed=0
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -58,7 +58,8 @@
 	// Capacity is what this host can handle in addition to its own requests, in thousandths of a
 	// core, 0 if unknown. It is announced to the other hosts.
 	Capacity uint32
-	// Path is whether this host reaches backend servers, announced to the other hosts until SetPath.
+	// Path is whether this host reaches backend servers, announced to the other hosts until
+	// SetPath.
 	Path peerpb.PathState
 	// ProbeInterval is the period between probes; each probes one member. Shorter intervals detect
 	// dead hosts sooner and cost more datagrams.
--- a/internal/pathloss/pathloss.go
+++ b/internal/pathloss/pathloss.go
@@ -14,8 +14,8 @@
 	failureTTL = 5 * time.Second
 )
 
-// Detector decides whether a host has lost its path to the backend servers. The zero value is a host
-// without a loss. It is not safe for concurrent use.
+// Detector decides whether a host has lost its path to the backend servers. The zero value is a
+// host without a loss. It is not safe for concurrent use.
 type Detector struct {
 	// unreachable holds when servers were last found unreachable, without those before the last
 	// time that a server was reached.
--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -13,8 +13,8 @@
 	// staleMaxIdle is the maximum idle time of a connection in that period. It is below all idle
 	// timeouts observed (1 s and more).
 	staleMaxIdle = 200 * time.Millisecond
-	// pathFaultPeriod is how long the same restriction applies on a host that could not connect to a
-	// server which answers others: its open connections to further servers may be dead too.
+	// pathFaultPeriod is how long the same restriction applies on a host that could not connect to
+	// a server which answers others: its open connections to further servers may be dead too.
 	pathFaultPeriod = 5 * time.Second
 )
 
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -40,8 +40,8 @@
 	// MechanismReturnOneByOne sends a server that has rested one request at a time, see
 	// availability.go.
 	MechanismReturnOneByOne Mechanism = "return-one-by-one"
-	// MechanismPathChecks checks whether this host reaches a server before it blames the server, see
-	// path.go.
+	// MechanismPathChecks checks whether this host reaches a server before it blames the server,
+	// see path.go.
 	MechanismPathChecks Mechanism = "path-checks"
 	// MechanismStandingQueue refuses requests while there is a standing queue, see admission.go.
 	MechanismStandingQueue Mechanism = "standing-queue"
--- a/internal/policy/outcome.go
+++ b/internal/policy/outcome.go
@@ -39,8 +39,8 @@
 	Abandoned
 	// Neutral means that nothing was learned about the server.
 	Neutral
-	// unattributed is a failed request without an answer from a server that this host cannot connect
-	// to. Finish distinguishes it from Failed.
+	// unattributed is a failed request without an answer from a server that this host cannot
+	// connect to. Finish distinguishes it from Failed.
 	unattributed
 )
 
--- a/internal/policy/path.go
+++ b/internal/policy/path.go
@@ -10,16 +10,16 @@
 
 // A host whose own network path is broken sees the same as one whose servers are down: connections
 // fail, and requests remain unanswered. Its observations are evidence against the servers only as
-// long as it knows that it can reach them. It therefore opens a connection to a server that leaves a
-// request unanswered for long, and connects to other servers if a connection fails. As long as its
-// path is broken it neither uses nor reports what it observes:
+// long as it knows that it can reach them. It therefore opens a connection to a server that leaves
+// a request unanswered for long, and connects to other servers if a connection fails. As long as
+// its path is broken it neither uses nor reports what it observes:
 //
 //   - a request that waits on a server which this host cannot connect to is not evidence, and does
 //     not count as load of the server;
 //   - an unreachable server is reported as such only once another server has been reached since.
 const (
-	// pathCheckLogOdds is the evidence of a waiting request, in log odds, from which on a connection
-	// to its server is opened. A lower value opens more connections in normal operation.
+	// pathCheckLogOdds is the evidence of a waiting request, in log odds, from which on a
+	// connection to its server is opened. A lower value opens more connections in normal operation.
 	pathCheckLogOdds = overdueLogOdds
 	// pathWitnesses is how many other servers are checked after a failed connection. Together with
 	// the first server they suffice to recognise a loss of the path.
@@ -31,8 +31,8 @@
 	lostPathCheckInterval = 250 * time.Millisecond
 	// maxHeldEvidence limits how long an unreachable server is held back from reports.
 	maxHeldEvidence = 5 * time.Second
-	// answeredRecently is how long after an answer to any host of this data centre a server counts as
-	// sound to hosts that hear that another one cannot connect to it.
+	// answeredRecently is how long after an answer to any host of this data centre a server counts
+	// as sound to hosts that hear that another one cannot connect to it.
 	answeredRecently = time.Second
 )
 
@@ -59,8 +59,8 @@
 // detectorKey identifies a server in the path-loss detector.
 func (k key) detectorKey() string { return k.service + "/" + k.backend }
 
-// DuePathChecks returns the checks that are due and, if there are none to be expected before, when to
-// ask again; 0 means after the next request. views are the services by name.
+// DuePathChecks returns the checks that are due and, if there are none to be expected before, when
+// to ask again; 0 means after the next request. views are the services by name.
 func (t *Table) DuePathChecks(now time.Time, views map[string]*world.ServiceView) (due []PathCheck, after time.Duration) {
 	if !t.has(MechanismPathChecks) {
 		return nil, 0
@@ -101,8 +101,8 @@
 	}
 }
 
-// overdueChecks returns checks of servers that leave a request of this host unanswered for long, each
-// once per request, and how long until the next request is overdue.
+// overdueChecks returns checks of servers that leave a request of this host unanswered for long,
+// each once per request, and how long until the next request is overdue.
 func (t *Table) overdueChecks(now time.Time, views map[string]*world.ServiceView) (due []PathCheck, after time.Duration) {
 	for _, w := range t.waiting {
 		svc := t.service(w.key.service)
@@ -234,10 +234,10 @@
 	}
 }
 
-// recordConnected records that this host has opened a connection to a server. The other servers that
-// it could not connect to are then unreachable for another reason than a loss of the whole path.
-// An answer on a connection that was already open does not show that: these may live on while new
-// ones are refused.
+// recordConnected records that this host has opened a connection to a server. The other servers
+// that it could not connect to are then unreachable for another reason than a loss of the whole
+// path. An answer on a connection that was already open does not show that: these may live on while
+// new ones are refused.
 func (t *Table) recordConnected(now time.Time, s *server) {
 	s.resetPath()
 	if t.pathWasLost {
@@ -264,7 +264,8 @@
 	at  time.Time
 }
 
-// recordUnreachable records that this host could not connect to a server, which it avoids for a while.
+// recordUnreachable records that this host could not connect to a server, which it avoids for a
+// while.
 func (t *Table) recordUnreachable(now time.Time, k key, s *server) {
 	if s.pathFailures == 0 {
 		s.undoPendingUses()
@@ -287,8 +288,9 @@
 	}
 }
 
-// undoPendingUses reverts the uses by requests that wait on a server which turns out to be out of reach:
-// they have most likely not reached it. Other hosts are told as of requests that were not sent.
+// undoPendingUses reverts the uses by requests that wait on a server which turns out to be out of
+// reach: they have most likely not reached it. Other hosts are told as of requests that were not
+// sent.
 func (s *server) undoPendingUses() {
 	for _, p := range s.pending {
 		s.undoUse(p.use)
--- a/internal/policy/path_test.go
+++ b/internal/policy/path_test.go
@@ -13,8 +13,8 @@
 	return map[string]*world.ServiceView{"s": v}
 }
 
-// checkPaths lets all checks that are due end with the result that reaches gives, and returns how many
-// there were.
+// checkPaths lets all checks that are due end with the result that reaches gives, and returns how
+// many there were.
 func checkPaths(table *Table, now time.Time, v *world.ServiceView, reaches func(server string) bool) int {
 	checks, _ := table.DuePathChecks(now, viewsOf(v))
 	for _, c := range checks {
@@ -26,8 +26,8 @@
 func noServer(string) bool    { return false }
 func everyServer(string) bool { return true }
 
-// A failed connection leads to checks of other servers. If they fail too, the path is lost, until a server
-// is reached.
+// A failed connection leads to checks of other servers. If they fail too, the path is lost, until a
+// server is reached.
 func TestPathIsLostAndRegained(t *testing.T) {
 	table, now := newTable()
 	v := view(6)
@@ -121,8 +121,8 @@
 	}
 }
 
-// A host without a path tells the others nothing against servers: neither that it cannot connect to them,
-// nor that its requests wait there.
+// A host without a path tells the others nothing against servers: neither that it cannot connect to
+// them, nor that its requests wait there.
 func TestHostWithoutPathAccusesNobody(t *testing.T) {
 	table, now := newTable()
 	peer, _ := newTable()
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -119,8 +119,8 @@
 	// LiveHosts is the number of live hosts, including this one.
 	LiveHosts int
 	// Relays are the other hosts whose path to the backend servers works. HostsWithoutPath is the
-	// number of hosts of this data centre, including this one, that have lost theirs. HostsRelay is set
-	// if any other host takes relayed requests while its path works.
+	// number of hosts of this data centre, including this one, that have lost theirs. HostsRelay is
+	// set if any other host takes relayed requests while its path works.
 	Relays           []RelayHost
 	HostsWithoutPath int
 	HostsRelay       bool
--- a/standin/link/source.go
+++ b/standin/link/source.go
@@ -5,12 +5,13 @@
 	"net/netip"
 )
 
-// A Link cuts all that connect to it alike. CutSources cuts some of them off, by the address that they
-// connect from: a partition between some hosts and a server.
+// A Link cuts all that connect to it alike. CutSources cuts some of them off, by the address that
+// they connect from: a partition between some hosts and a server.
 
-// CutSources puts the link's target out of reach of connections from some addresses, until it is called
-// with other ones: FaultReset resets their connections, and new ones at once; FaultRefuse resets new ones only.
-// FaultHang is not available, since the kernel establishes connections before the link sees them.
+// CutSources puts the link's target out of reach of connections from some addresses, until it is
+// called with other ones: FaultReset resets their connections, and new ones at once; FaultRefuse
+// resets new ones only. FaultHang is not available, since the kernel establishes connections before
+// the link sees them.
 func (l *Link) CutSources(fault Fault, sources ...netip.Addr) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -29,8 +30,8 @@
 	}
 }
 
-// Origin returns the address that a relayed connection comes from. remote is the address (IP:port) that the
-// target sees.
+// Origin returns the address that a relayed connection comes from. remote is the address (IP:port)
+// that the target sees.
 func (l *Link) Origin(remote string) netip.Addr {
 	l.mu.Lock()
 	defer l.mu.Unlock()
