--- a/cmd/pearshelf-bench/soak.go
+++ b/cmd/pearshelf-bench/soak.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/pearshelf/pearshelf/experiment/soak"
@@ -35,9 +37,13 @@
 			return fmt.Errorf("pearshelfd does not build here (run it in the repository or give --daemon): %w", err)
 		}
 	}
+	// A run that is stopped ends its daemons. Those of a killed one go on calling addresses that later
+	// runs use.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	failed := 0
 	for seed := f.Seed; seed < f.Seed+uint64(c.Seeds); seed++ {
-		ok, err := c.play(seed, dir)
+		ok, err := c.play(ctx, seed, dir)
 		if err != nil {
 			return err
 		}
@@ -52,17 +58,20 @@
 }
 
 // play runs one seed and reports whether all promises held.
-func (c *soakCommand) play(seed uint64, dir string) (bool, error) {
+func (c *soakCommand) play(ctx context.Context, seed uint64, dir string) (bool, error) {
 	logs := filepath.Join(dir, fmt.Sprint("seed-", seed))
 	if err := os.Mkdir(logs, 0o755); err != nil {
 		return false, err
 	}
-	report, err := soak.Run(context.Background(), soak.Config{
+	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Length: c.Duration, Hosts: c.Hosts, Daemon: c.Daemon, Dir: logs, Progress: os.Stderr,
 	})
 	if err != nil {
 		return false, errors.Join(err, c.keep(logs))
 	}
+	if ctx.Err() != nil {
+		return false, fmt.Errorf("stopped during seed %d", seed)
+	}
 	fmt.Printf("seed %d: direct %t, %d requests, %d served, %d refused, %d servers ended, %d of %d served without a path, %d findings, faults %v\n",
 		seed, report.Direct, report.Requests, report.Served, report.Refused, report.Ended, report.ServedAtCut, report.AtCut, len(report.Findings), report.Faults)
 	for _, finding := range report.Findings {
