--- a/experiment/replay/paths_test.go
+++ b/experiment/replay/paths_test.go
@@ -1,6 +1,9 @@
 package replay
 
-import "testing"
+import (
+	"sync"
+	"testing"
+)
 
 const (
 	// pathSeeds are played of each pattern in which paths are lost.
@@ -13,20 +16,39 @@
 	leastServedAtCut = 2.0 / 3
 )
 
+// pathRuns are the results of a pattern in which paths are lost, and of the same with all paths.
+type pathRuns struct {
+	cut, calm *Result
+	err       error
+}
+
+// playedPaths holds the pathRuns of patterns by name: two tests look at the same ones.
+var playedPaths sync.Map
+
 // playPaths plays a pattern in which paths are lost, and the same with all paths.
 func playPaths(t *testing.T, name string) (cut, calm *Result) {
 	t.Helper()
+	once, _ := playedPaths.LoadOrStore(name, sync.OnceValue(func() pathRuns { return runPaths(name) }))
+	runs := once.(func() pathRuns)()
+	if runs.err != nil {
+		t.Fatal(runs.err)
+	}
+	cut, calm = runs.cut, runs.calm
+	t.Logf("served %.4f at hosts that reach all servers, %.4f with all paths; %.4f at the others", cut.Paths.Others.Share(), calm.Paths.Others.Share(), cut.Paths.Cut.Share())
+	return cut, calm
+}
+
+func runPaths(name string) pathRuns {
 	pattern, cut, err := sumSeeds(name, pathSeeds, Config{})
 	if err != nil {
-		t.Fatal(err)
+		return pathRuns{err: err}
 	}
 	pattern.Network.Paths.Servers = 0
-	calm = newResult(pattern)
+	calm := newResult(pattern)
 	for seed := range uint64(pathSeeds) {
 		calm.add(Run(pattern, Config{Seed: seed + 1}))
 	}
-	t.Logf("served %.4f at hosts that reach all servers, %.4f with all paths; %.4f at the others", cut.Paths.Others.Share(), calm.Paths.Others.Share(), cut.Paths.Cut.Share())
-	return cut, calm
+	return pathRuns{cut: cut, calm: calm}
 }
 
 // Hosts that lose their path to servers blame the servers. Their evidence must not lead the other
@@ -56,7 +78,7 @@
 			t.Parallel()
 			cut, calm := playPaths(t, name)
 			for service, use := range cut.Use {
-				if calm.use(service).Broken > 0 {
+				if inCalm := calm.Use[service]; inCalm != nil && inCalm.Broken > 0 {
 					continue // it has too few requests to keep its servers in use
 				}
 				if use.Broken > 0 {
