--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -41,6 +41,11 @@
 	requests []*request
 	// pathReview is the next call of checkPaths, nil if none is due.
 	pathReview *simtime.Timer
+	// conf is the policy's configuration, which a host that starts again gets anew.
+	conf policy.Config
+	// incarnation counts the starts of the host.
+	incarnation uint64
+	isDown      bool
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
@@ -52,6 +57,7 @@
 		h.losesPath = h.dataCentre == 0
 	}
 	h.servers = availability.NewTable(f.clock.Time)
+	h.conf, h.incarnation = conf, 1
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	h.registers = newRegisters(h)
 	h.limits = newLimits(h, f.limitWay)
@@ -115,7 +121,12 @@
 
 // send delivers a message after its way, unless it is lost.
 func (h *host) send(other *host, m sharing.Message) {
-	h.deliver(other, func() { other.table.Report(h.fleet.clock.Time(), h.name, 1, m.Loads, m.Local) })
+	incarnation := h.incarnation
+	h.deliver(other, func() {
+		if !other.isDown {
+			other.table.Report(h.fleet.clock.Time(), h.name, incarnation, m.Loads, m.Local)
+		}
+	})
 }
 
 // deliver does something at another host after a message's way, unless it is lost.
--- a/experiment/replay/paths.go
+++ b/experiment/replay/paths.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/policy"
@@ -57,7 +56,7 @@
 // losesPath draws whether a host or server is among the given share of those that lose paths. It
 // has a stream of its own, so that other patterns play as without it.
 func (f *fleet) losesPath(stream uint64, share float64) bool {
-	return rand.New(rand.NewPCG(f.seed, stream)).Float64() < share
+	return f.stream(stream).Float64() < share
 }
 
 // linkSoundAfter is how long after a disturbance of its links a server counts as sound again, by
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -36,6 +36,19 @@
 	Services    []Service `yaml:"services"`
 	Routes      []Route   `yaml:"routes"`
 	Bursts      []Burst   `yaml:"bursts"`
+	// Restarts are times at which hosts are killed and start again.
+	Restarts []Restart `yaml:"restarts"`
+}
+
+// Restart kills a share of the hosts, all at once or one after the other. A host that starts again
+// has kept nothing.
+type Restart struct {
+	At    config.Duration `yaml:"at"`
+	Share float64         `yaml:"share"` // of the hosts
+	// Down is how long each host is down.
+	Down config.Duration `yaml:"down"`
+	// Gap is the time between two hosts, 0 for all at once.
+	Gap config.Duration `yaml:"gap"`
 }
 
 // Network is what messages between hosts meet, and requests on their way.
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -72,9 +72,14 @@
 	f.addHosts(conf)
 	for i := range pattern.Routes {
 		random := rand.New(rand.NewPCG(conf.Seed, uint64(i)+100))
-		f.arrive(&pattern.Routes[i], random, func(route *Route) { f.hosts[random.IntN(len(f.hosts))].serve(route) })
+		f.arrive(&pattern.Routes[i], random, func(route *Route) {
+			if h := f.liveHost(random.IntN(len(f.hosts))); h != nil {
+				h.serve(route)
+			}
+		})
 	}
 	f.disturbPaths()
+	f.restartHosts()
 	f.lookOn(soundAfter + useWindow)
 	f.clock.Run(time.Duration(pattern.Length) + settle)
 	for _, s := range f.sent {
@@ -184,8 +189,11 @@
 // sharedService is a service's servers on their rings.
 func (f *fleet) sharedService(name string) *sharing.Service { return f.views[name].Sharing }
 
-// anyHost is the host that a caller comes to.
-func (f *fleet) anyHost() *host { return f.hosts[f.random.IntN(len(f.hosts))] }
+// anyHost is the host that a caller comes to, nil if all are down.
+func (f *fleet) anyHost() *host { return f.liveHost(f.random.IntN(len(f.hosts))) }
+
+// stream is a source of random numbers of its own.
+func (f *fleet) stream(number uint64) *rand.Rand { return rand.New(rand.NewPCG(f.seed, number)) }
 
 // delay is one way between two data centres.
 func (f *fleet) delay(a, b int) time.Duration {
--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -44,6 +44,8 @@
 	from      *host
 	// letGo is set while nobody waits for the answer of a trial but its host.
 	letGo bool
+	// incarnation is that of the host which sent it.
+	incarnation uint64
 }
 
 // enter places the request, or refuses it for having ended servers.
@@ -217,7 +219,7 @@
 
 func (r *request) send(placement *policy.Placement) *flight {
 	f := r.host.fleet
-	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now, from: r.host}
+	fl := &flight{request: r, placement: placement, server: f.servers[placement.Server.ID], sent: f.clock.Now, from: r.host, incarnation: r.host.incarnation}
 	fl.job = &job{route: r.route, deadline: r.deadline()}
 	if r.deadly {
 		fl.job.ended = func() { f.result.Ended.ended(r.content) }
@@ -395,7 +397,12 @@
 	if r.over {
 		return
 	}
-	r.host = r.host.fleet.anyHost()
+	host := r.host.fleet.anyHost()
+	if host == nil {
+		r.end(failed)
+		return
+	}
+	r.host = host
 	r.place()
 }
 
@@ -419,6 +426,9 @@
 }
 
 func (r *request) finish(fl *flight, done policy.Result) {
+	if fl.incarnation != r.host.incarnation || r.host.isDown {
+		return // the host that sent it has been killed
+	}
 	r.host.table.Finish(r.host.fleet.clock.Time(), fl.placement, done)
 	r.host.tell()
 }
