--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -343,7 +343,7 @@
 	}
 	mayRun := r.route.Idempotent || r.ran == 0
 	f := r.host.fleet
-	if !mayRun || r.ran >= r.attempts() || r.isQuarantined() || !r.host.table.AllowRetry(f.clock.Time(), r.route.Service, r.policyRequest().Fleet) {
+	if !mayRun || r.ran >= r.attempts() || r.isQuarantined() || !r.host.table.AllowRetry(f.clock.Time(), r.route.Service, r.policyRequest().Fleet).Allowed {
 		r.end(otherwise)
 		return
 	}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -213,7 +213,7 @@
 }
 
 // AllowRetry reports whether a request to a service may be retried.
-func (t *Table) AllowRetry(service string, fleet policy.Fleet) bool {
+func (t *Table) AllowRetry(service string, fleet policy.Fleet) policy.RetryDecision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.table.AllowRetry(t.clock(), service, fleet)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -242,7 +243,11 @@
 	if x.d.balance == nil {
 		return x.state.budget.withdraw()
 	}
-	return x.d.balance.AllowRetry(x.req.Service, x.fleetSize())
+	decision := x.d.balance.AllowRetry(x.req.Service, x.fleetSize())
+	if !decision.Allowed {
+		x.trace.retryWithheld = fmt.Sprintf("%d of %.1f spent by %d hosts, up for %s", decision.Retries, decision.Allowance, decision.Hosts, decision.Age.Round(time.Second))
+	}
+	return decision.Allowed
 }
 
 // fleetSize returns how many hosts share the retry allowance.
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -62,6 +62,9 @@
 // trace is the log record of one request.
 type trace struct {
 	attempts []*attempt
+	// retryWithheld is the state of the retry allowance that kept the request from being retried,
+	// empty if none was.
+	retryWithheld string
 }
 
 // beginAttempt records the pick of a server.
@@ -194,5 +197,6 @@
 		"version", snap.Revisions[world.KeyPublished],
 		"servers", servers,
 		"tries", t.String(),
+		"retry", t.retryWithheld,
 		"missed", d.requestLog.limit.TakeSuppressed())
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -21,6 +21,7 @@
 	CauseRateLimits         CauseKind = "servers-rate-limits"
 	CauseRefusedUnsent      CauseKind = "refused-unsent" // refused by this host before it was sent to a server
 	CauseShed               CauseKind = "shed"
+	CauseRetryWithheld      CauseKind = "retry-withheld" // shed, and the retry allowance was spent
 	CauseUnreachable        CauseKind = "unreachable"
 	CausePathLost           CauseKind = "path-lost" // this host reached no server, and no other host took the request
 	CauseTimeout            CauseKind = "no-answer-in-time"
@@ -72,7 +73,7 @@
 	case !last.failed():
 		return Cause{CauseAnswered, "server " + last.server + " answered it"}
 	case kind == "not-run":
-		return Cause{CauseShed, shedCause(attempts)}
+		return shedCause(r, attempts)
 	case kind == "dial-failed":
 		return Cause{CauseUnreachable, "no connection to server " + last.server + " could be made from " + r.host + ", and no other server was tried in the remaining time"}
 	case kind == "deadline-exceeded":
@@ -150,12 +151,15 @@
 	return Cause{CauseServerNewlyFailing, fmt.Sprintf("server %s failed it at once, and this host did not know yet that the server was failing (belief %.2f): the request was among the first ones to fail there", last.server, last.belief) + retryNote(r)}
 }
 
-func shedCause(attempts []attempt) string {
+func shedCause(r line, attempts []attempt) Cause {
 	refused := 0
 	for _, t := range attempts {
 		if strings.HasPrefix(t.result, "not-run") {
 			refused++
 		}
 	}
-	return fmt.Sprintf("overload: %d servers refused it without running it, and the fleet's retry allowance or the request's attempts were exhausted; it has not run", refused)
+	if spent := r.fields["retry"]; spent != "" {
+		return Cause{CauseRetryWithheld, fmt.Sprintf("overload: %d servers refused it without running it, and it was not retried because the retry allowance was spent (%s); it has not run", refused, spent)}
+	}
+	return Cause{CauseShed, fmt.Sprintf("overload: %d servers refused it without running it, and the request's attempts or its time were exhausted; it has not run", refused)}
 }
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -99,9 +99,21 @@
 	}
 }
 
+// RetryDecision is whether a request may be retried, and what the host knew of the allowance.
+type RetryDecision struct {
+	Allowed bool
+	// Retries were made of Allowance in the last window by Hosts hosts, as far as this one knows.
+	Retries   int
+	Allowance float64
+	Hosts     int
+	// Age is the time since this host was started.
+	Age time.Duration
+}
+
 // AllowRetry reports whether a request of a service may be retried.
-func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) bool {
-	return t.retriesUsed(now, name, fleet).allowsOne()
+func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) RetryDecision {
+	used := t.retriesUsed(now, name, fleet)
+	return RetryDecision{used.allowsOne(), used.retries, used.allowance, used.hosts, now.Sub(t.started)}
 }
 
 // spentAllowance is the share of the retry allowance that is spent, 0 to 1.
@@ -113,6 +125,7 @@
 type retriesUsed struct {
 	retries   int
 	allowance float64
+	hosts     int // whose retries are counted
 }
 
 // allowsOne reports whether another retry is allowed; one per window always is.
@@ -131,11 +144,11 @@
 		// it spent itself before a crash: it is limited to its own part of the
 		// allowance, and its reserve grows with its age.
 		reserve := rule.Reserve / all * age.Seconds() / rule.Window.Seconds()
-		return retriesUsed{svc.ownSends.retries.sum(now, rule.Window), rule.allowance(svc.ownSends.requests.sum(now, rule.Window), reserve)}
+		return retriesUsed{svc.ownSends.retries.sum(now, rule.Window), rule.allowance(svc.ownSends.requests.sum(now, rule.Window), reserve), 1}
 	}
 	requests, retries, hosts := svc.sharedSends(now, rule.Window)
 	reserve := rule.Reserve * float64(min(hosts, max(fleet.LocalHosts, 1))) / all
-	return retriesUsed{retries, rule.allowance(requests, reserve)}
+	return retriesUsed{retries, rule.allowance(requests, reserve), hosts}
 }
 
 // sharedSends sums the sends of this host and of the hosts that report to it in the last window.
--- a/internal/policy/table_test.go
+++ b/internal/policy/table_test.go
@@ -135,14 +135,14 @@
 	}
 	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 50}}, true)
 	allowed := 0
-	for now := now; table.AllowRetry(now, "s", fleet); allowed++ {
+	for now := now; table.AllowRetry(now, "s", fleet).Allowed; allowed++ {
 		table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 50, Retries: uint64(allowed + 1)}}, true)
 	}
 	// 0.75 of the sum of 0.2 of 50 requests and a quarter of the reserve
 	if allowed != 11 {
 		t.Errorf("%d retries allowed, want 11", allowed)
 	}
-	if !table.AllowRetry(now.Add(11*time.Second), "s", fleet) {
+	if !table.AllowRetry(now.Add(11*time.Second), "s", fleet).Allowed {
 		t.Error("no retry allowed once the window has passed")
 	}
 }
@@ -294,7 +294,7 @@
 	now = now.Add(9 * time.Second)
 	table.Report(now, "h2", 7, []*peerpb.BackendLoad{{Service: "s", Requests: 1500, Retries: 50}}, true)
 	allowed := 0
-	for ; table.AllowRetry(now, "s", fleet); allowed++ {
+	for ; table.AllowRetry(now, "s", fleet).Allowed; allowed++ {
 		table.Finish(now, mustPick(t, table, now, view(30), Request{Retry: true}), Result{Outcome: Neutral})
 	}
 	if allowed > 1 { // it had no request itself
@@ -441,7 +441,7 @@
 	if unspent >= table.conf.Cost.Failure {
 		t.Fatalf("a failure costs %.2f with the allowance unspent, want less than for a lost request", unspent)
 	}
-	for table.AllowRetry(now, "s", req.Fleet) {
+	for table.AllowRetry(now, "s", req.Fleet).Allowed {
 		table.service("s").ownSends.retries.add(now, table.conf.Retry.Window, 1)
 	}
 	if spent := table.failureCost(req, table.spentAllowance(now, "s", req.Fleet)); spent < 0.95*table.conf.Cost.Failure {
