Each host keeps to its own part of the retry allowance, and gives what it does not need to others

Cause: the allowance was one sum for all hosts of a segment, kept in what each host had heard. What was spent was forgotten with the process that had spent it (kills), and with the hosts that were no longer heard; until a silence was noticed (3 s) each cut-off host went on with the whole rest.

Now a host spends 0.8 of its own part in a sliding window, 0.12 of what its requests bring in its first window, and retries that others give it out of theirs, within 1 s. 0.8, 0.12 and gifts used later than given (0.08) make 1: the bound needs no message to arrive.

The mechanism young-hosts is gone, retry-gifts is new.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -57,6 +57,7 @@
 		h.losesPath = h.dataCentre == 0
 	}
 	h.servers = availability.NewTable(f.clock.Time)
+	conf.Host = h.name
 	h.conf, h.incarnation = conf, 1
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
 	h.registers = newRegisters(h)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -213,10 +213,10 @@
 }
 
 // AllowRetry reports whether a request to a service may be retried.
-func (t *Table) AllowRetry(service string, fleet policy.Fleet) policy.RetryDecision {
+func (t *Table) AllowRetry(service string, fleetSize int) policy.RetryDecision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.AllowRetry(t.clock(), service, fleet)
+	return t.table.AllowRetry(t.clock(), service, fleetSize)
 }
 
 // Changes returns the rows that are due to be reported: local to the hosts of this data
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -282,6 +282,7 @@
 	}, d.clock, &effects{d: d}, now)
 	if !*d.settings.Forwarding {
 		d.balance = balance.NewTable(time.Now, policy.Config{
+			Host:    d.settings.Host,
 			Cost:    policy.DefaultCostRule(),
 			Without: d.settings.Policy.DisabledMechanisms,
 			Retry: policy.RetryRule{
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -9,7 +9,6 @@
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
-	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -237,24 +236,19 @@
 	return x.retryCharged
 }
 
-// allowRetry asks for a retry: from the allowance shared by the hosts of this data centre if
-// hosts pick servers themselves, else from this host's own budget.
+// allowRetry asks for a retry: from this host's part of the fleet's allowance if hosts pick servers
+// themselves, else from the budget of an owner host.
 func (x *exchange) allowRetry() bool {
 	if x.d.balance == nil {
 		return x.state.budget.withdraw()
 	}
-	decision := x.d.balance.AllowRetry(x.req.Service, x.fleetSize())
+	decision := x.d.balance.AllowRetry(x.req.Service, x.snap.FleetSize)
 	if !decision.Allowed {
-		x.trace.retryWithheld = fmt.Sprintf("%d of %.1f spent by %d hosts, up for %s", decision.Retries, decision.Allowance, decision.Hosts, decision.Age.Round(time.Second))
+		x.trace.retryWithheld = fmt.Sprintf("%d of %.1f spent, up for %s", decision.Used, decision.Allowance, decision.Age.Round(time.Second))
 	}
 	return decision.Allowed
 }
 
-// fleetSize returns how many hosts share the retry allowance.
-func (x *exchange) fleetSize() policy.Fleet {
-	return policy.Fleet{LocalHosts: x.snap.Sharing.SegmentSize(), MaxHosts: x.snap.FleetSize}
-}
-
 // attempt sends the request to one server. done reports whether the caller has been answered;
 // otherwise refusal describes the outcome of this attempt.
 func (x *exchange) attempt(ctx context.Context, lease *serverLease) (done bool, refusal *Refusal) {
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -105,7 +105,7 @@
 		FirstAttempt: x.attemptsArrived == 0 && x.unsentFailures == 0 && x.inFlight == 0,
 		Retry:        x.attemptsArrived > 0 || x.inFlight > 0,
 		LastAttempt:  x.attemptsRun+x.inFlight+1 >= x.req.maxAttempts(),
-		Fleet:        x.fleetSize(),
+		FleetSize:    x.snap.FleetSize,
 		Exclude:      x.tried,
 		Availability: x.d.availability.Now(),
 		RateLimits:   x.snap.RateLimits,
--- a/internal/metrics/balance.go
+++ b/internal/metrics/balance.go
@@ -13,31 +13,35 @@
 }
 
 // balanceCollector exports the per-service state of a host that selects backend
-// servers itself. Cardinality: 4 series per service, for 500 services at the
+// servers itself. Cardinality: 6 series per service, for 500 services at the
 // target size.
 type balanceCollector struct {
-	source   balanceSource
-	servers  *prometheus.Desc
-	failing  *prometheus.Desc
-	inFlight *prometheus.Desc
-	retries  *prometheus.Desc
+	source    balanceSource
+	servers   *prometheus.Desc
+	failing   *prometheus.Desc
+	inFlight  *prometheus.Desc
+	retries   *prometheus.Desc
+	allowance *prometheus.Desc
+	left      *prometheus.Desc
 }
 
 // RegisterBalance exports the statistics of a balancer.
 func (m *Metrics) RegisterBalance(source balanceSource) {
 	label := []string{"service"}
 	m.registerer.MustRegister(&balanceCollector{
-		source:   source,
-		servers:  prometheus.NewDesc("pearshelf_servers_known", "Backend servers that this host knows, by service.", label, nil),
-		failing:  prometheus.NewDesc("pearshelf_servers_failing", "Backend servers believed to be in a spell of failures.", label, nil),
-		inFlight: prometheus.NewDesc("pearshelf_requests_in_flight", "Requests of this host at backend servers.", label, nil),
-		retries:  prometheus.NewDesc("pearshelf_retries_in_window", "Requests that this data centre sent again in the last window of the retry allowance.", label, nil),
+		source:    source,
+		servers:   prometheus.NewDesc("pearshelf_servers_known", "Backend servers that this host knows, by service.", label, nil),
+		failing:   prometheus.NewDesc("pearshelf_servers_failing", "Backend servers believed to be in a spell of failures.", label, nil),
+		inFlight:  prometheus.NewDesc("pearshelf_requests_in_flight", "Requests of this host at backend servers.", label, nil),
+		retries:   prometheus.NewDesc("pearshelf_retries_in_window", "Requests that this data centre sent again in the last window of the retry allowance.", label, nil),
+		allowance: prometheus.NewDesc("pearshelf_retry_allowance", "Retries that this host may make or give to others in a window, by service.", label, nil),
+		left:      prometheus.NewDesc("pearshelf_retries_left", "Retries that this host may make now, including those that others gave it.", label, nil),
 	})
 }
 
 // Describe implements prometheus.Collector.
 func (c *balanceCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.servers, c.failing, c.inFlight, c.retries} {
+	for _, desc := range []*prometheus.Desc{c.servers, c.failing, c.inFlight, c.retries, c.allowance, c.left} {
 		out <- desc
 	}
 }
@@ -45,9 +49,16 @@
 // Collect implements prometheus.Collector.
 func (c *balanceCollector) Collect(out chan<- prometheus.Metric) {
 	for _, s := range c.source.Stats() {
-		values := map[*prometheus.Desc]int{c.servers: s.Servers, c.failing: s.Failing, c.inFlight: s.InFlight, c.retries: s.Retries}
+		values := map[*prometheus.Desc]float64{
+			c.servers:   float64(s.Servers),
+			c.failing:   float64(s.Failing),
+			c.inFlight:  float64(s.InFlight),
+			c.retries:   float64(s.Retries),
+			c.allowance: s.RetryAllowance,
+			c.left:      s.RetriesLeft,
+		}
 		for desc, n := range values {
-			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(n), s.Service)
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, n, s.Service)
 		}
 	}
 }
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -51,8 +51,7 @@
 
 // isCopyWorthwhile compares the expected loss that a copy avoids with the cost of the copy.
 func (t *Table) isCopyWorthwhile(now time.Time, view *world.ServiceView, req Request, p *Placement) bool {
-	used := t.retriesUsed(now, req.Service, req.Fleet)
-	if !used.allowsOne() {
+	if !t.AllowRetry(now, req.Service, req.FleetSize).Allowed {
 		return false
 	}
 	req.Retry = true
@@ -64,7 +63,7 @@
 	waiting := t.lossIfWaiting(now, svc, req, p)
 	expected := best.state.estimate(now, svc, t.typicalLatency(svc, req.Group), best.state.load(now)).expected
 	other := t.lossIfSent(svc, best.state.failureProbability(now, svc), expected, req.objectiveLeft(now), req.timeLeft(now))
-	spent := used.spent()
+	spent := t.spentAllowance(now, req.Service, req.FleetSize)
 	busy := t.utilization(now, view, req)
 	cost := copyBaseCost + copyLoadCost*busy*busy + copyAllowanceCost*spent*spent + t.crossDataCentreCost(best.server, req)
 	return waiting*(1-other) > cost
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -32,8 +32,8 @@
 	MechanismIdleConnections Mechanism = "idle-connections"
 	// MechanismRouteLatency tracks typical latencies by route, see routes.go.
 	MechanismRouteLatency Mechanism = "route-times"
-	// MechanismNewHosts limits the retries of a host that has just started.
-	MechanismNewHosts Mechanism = "young-hosts"
+	// MechanismRetryGifts gives retries to hosts that lack them, see retries.go.
+	MechanismRetryGifts Mechanism = "retry-gifts"
 	// MechanismTrials sends copies of idempotent requests to servers believed to be failing, see
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
@@ -52,7 +52,7 @@
 	return []Mechanism{
 		MechanismFailureModel, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
-		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismNewHosts, MechanismTrials, MechanismStandingQueue,
+		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
 	}
 }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -89,8 +89,9 @@
 	Retry        bool
 	// LastAttempt is set if the request may not be sent to another server after this one.
 	LastAttempt bool
-	// Fleet determines this host's part of the retry allowance.
-	Fleet Fleet
+	// FleetSize is the largest number of hosts that were ever live at the same time. It determines
+	// this host's part of the retry reserve.
+	FleetSize int
 	// Group identifies requests with similar work and answers of similar size, such as a route.
 	Group string
 	// Priority is the priority under overload, 0 is the highest.
@@ -165,14 +166,14 @@
 	svc := t.service(req.Service)
 	var spent float64 // share of the retry allowance; only relevant to idempotent requests
 	if req.Idempotent {
-		spent = t.spentAllowance(now, req.Service, req.Fleet)
+		spent = t.spentAllowance(now, req.Service, req.FleetSize)
 	}
 	inputs := comparison{
 		now:     now,
 		svc:     svc,
 		req:     req,
 		need:    t.coverage(now, view, req, spent),
-		failure: t.failureCost(req, spent),
+		failure: t.failureCost(now, req, spent),
 	}
 	t.compare(inputs, view.Candidates(), &best)
 	if view.Subset != nil && len(view.Subset) < len(view.Backends) && best.cost > overflowThreshold {
@@ -252,7 +253,7 @@
 	s.pending = append(s.pending, waiting)
 	t.waiting = append(t.waiting, waiting)
 	s.dirty = true
-	svc.recordAttempt(now, t.conf.Retry.Window, s, req)
+	t.recordAttempt(now, svc, s, req)
 	return placement
 }
 
@@ -292,9 +293,9 @@
 
 // failureCost is the cost of a failed attempt: the request is lost unless it can be retried, which
 // becomes less likely as the retry allowance is spent.
-func (t *Table) failureCost(req Request, spent float64) float64 {
+func (t *Table) failureCost(now time.Time, req Request, spent float64) float64 {
 	rule := t.conf.Cost
-	if !req.Idempotent || req.Retry || req.LastAttempt {
+	if !req.Idempotent || req.Retry || req.LastAttempt || !t.hasRetry(now, t.service(req.Service)) {
 		return rule.Failure
 	}
 	return rule.IdempotentFailure + spent*(rule.Failure-rule.IdempotentFailure)
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -28,9 +28,9 @@
 		}
 		s.dirty, s.failureUnsent = false, false
 	}
-	for name, svc := range t.services {
-		if svc.dirty {
-			local = append(local, svc.totals.message(key{service: name}))
+	for _, name := range t.serviceNames() {
+		if svc := t.services[name]; svc.dirty {
+			local = append(local, t.reportTotals(now, name, svc))
 			svc.dirty = false
 		}
 	}
@@ -39,17 +39,30 @@
 	return local, failures
 }
 
+// serviceNames returns the services in a stable order, so that the same calls draw the same gifts.
+func (t *Table) serviceNames() []string {
+	names := make([]string, 0, len(t.services))
+	for name := range t.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // byServer orders reports, so that the same calls return the same reports.
 func byServer(a, b *peerpb.BackendLoad) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
 }
 
-// Refresh marks all servers with requests of this host to be reported again, and drops state that
-// has not been updated for stateTTL. It reports whether there is something to send.
+// Refresh marks all servers with requests of this host to be reported again, and services with retries
+// to give, and drops state that has not been updated for stateTTL. It reports whether there is something to send.
 func (t *Table) Refresh(now time.Time) (dirty bool) {
 	t.expireRoutes(now)
 	for _, svc := range t.services {
 		svc.expireSharingHosts(now)
+		if t.hasGift(now, svc) {
+			svc.dirty, dirty = true, true
+		}
 	}
 	for k, s := range t.servers {
 		if s.inFlight > 0 {
@@ -104,7 +117,7 @@
 	}
 	for _, svc := range t.services {
 		if h, known := svc.sharingHosts[host]; known {
-			h.counts = counts{} // counts restart at zero
+			h.counts, h.giftNumber = counts{}, 0 // both restart at zero
 		}
 	}
 }
@@ -112,7 +125,7 @@
 func (t *Table) applyReport(now time.Time, host string, l *peerpb.BackendLoad, isPeer bool) {
 	if l.Backend == "" {
 		if isPeer {
-			t.service(l.Service).recordPeerTotals(now, t.conf.Retry.Window, host, countsFrom(l))
+			t.recordPeerTotals(now, host, l)
 		}
 		return
 	}
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// RetryRule limits the requests that all hosts together send to a second server. The hosts of a
-// data centre share its part of the allowance, because each of them knows what the others have
-// spent.
+// RetryRule limits the requests that all hosts together send to a second server. Each host has the
+// part of the allowance that its own requests bring and an equal part of the reserve, and gives what
+// it does not need to the hosts of its segment that lack retries.
 type RetryRule struct {
 	// Share is the share of a service's requests in a window that may be retried, Reserve the
 	// number of further retries.
@@ -20,140 +20,118 @@
 }
 
 const (
-	// retrySafety is the part of the allowance that is actually used, because reports may be lost
-	// and hosts may decide concurrently.
-	retrySafety = 0.75
+	// matureShare is the part of its allowance that a host spends at most in a window, youngShare
+	// that of a host that was started less than a window ago. Hosts that are killed may have spent
+	// matureShare when those that start in their place begin to spend youngShare. Gifts that are used
+	// up to giftTTL later than they were given add matureShare*giftTTL/Window at most. The three add
+	// up to the whole allowance.
+	matureShare = 0.8
+	youngShare  = 0.12
 	// peerTotalsTTL is how long the totals of a host are used after its last report. At two
 	// requests a second, one host in 400 has nothing to report for that long.
 	peerTotalsTTL = 3 * time.Second
+	// giftTTL is how long retries that another host has given may be used. wantTTL is how long the
+	// report of a host that lacks retries is used; such a host has requests, and reports with each.
+	giftTTL = time.Second
+	wantTTL = time.Second
+	// keptRetries is how many retries a host keeps when it gives some to others.
+	keptRetries = 1
 )
 
-// Fleet is the size of the fleet.
-type Fleet struct {
-	// LocalHosts is the number of live hosts of this data centre, including this one.
-	LocalHosts int
-	// MaxHosts is the largest number of hosts that were ever live at the same time.
-	MaxHosts int
-}
-
-// recordAttempt counts a send to a server, as a request or as a retry, for the retry allowance.
-func (svc *service) recordAttempt(now time.Time, length time.Duration, s *server, req Request) {
-	svc.dirty = true
-	switch {
-	case req.Retry:
-		s.counts.retries++
-		svc.totals.retries++
-		svc.ownSends.retries.add(now, length, 1)
-	case req.FirstAttempt:
-		s.counts.requests++
-		svc.totals.requests++
-		svc.ownSends.requests.add(now, length, 1)
-	}
+// retryBudget is what a host may still spend on retries of one service in a sliding window.
+//
+// A host spends at most a part of the allowance that its own requests and its part of the reserve
+// bring, and what others have given it out of theirs. So the sum over all hosts keeps to the
+// allowance of the fleet whichever hosts are killed, cut off, started or added, and whichever
+// messages are lost.
+type retryBudget struct {
+	// allowance is how many retries this host may make or give away in a window, used how many it
+	// has made or given away in the last one.
+	allowance float64
+	used      int
+	// received is the number of retries given by other hosts, up to receivedUntil.
+	received      int
+	receivedUntil time.Time
+	// gifts numbers the gifts to other hosts.
+	gifts uint64
+	// refusedAt is when a retry was last refused.
+	refusedAt time.Time
 }
 
-// sendCounts counts what one host sent to a service's servers in the last window of RetryRule.
-type sendCounts struct{ requests, retries window }
+// available is the number of retries that the host may make.
+func (b *retryBudget) available() float64 { return b.allowance - float64(b.used) + float64(b.received) }
 
-// peerTotals is the latest report of a host that shares a service's retry allowance.
-type peerTotals struct {
-	counts     counts
-	sends      sendCounts
-	receivedAt time.Time
-}
-
-// recordPeerTotals counts what a host that shares the service's allowance did since its last
-// report. Each datagram carries the totals, so that the next one compensates for a lost one.
-func (svc *service) recordPeerTotals(now time.Time, length time.Duration, host string, current counts) {
-	h, known := svc.sharingHosts[host]
-	if !known {
-		h = &peerTotals{}
-		svc.sharingHosts[host] = h
-	}
-	previous := h.counts
-	if current.isOlderThan(previous) {
-		return // a datagram that arrived out of order
-	}
-	h.counts = current
-	h.receivedAt = now
-	if !known && current.requests+current.retries > maxOutcomesPerReport {
-		return // the totals predate the first report to this host
-	}
-	if current.staleConnections > previous.staleConnections {
-		svc.staleConnectionAt = now
+// wanted is the number of retries that the host asks others for: one if it has none left. A host that
+// has not needed any asks for none.
+func (b *retryBudget) wanted(now time.Time) int {
+	if b.available() >= 1 || b.used == 0 && now.Sub(b.refusedAt) > wantTTL {
+		return 0
 	}
-	h.sends.requests.add(now, length, int(current.requests-previous.requests))
-	h.sends.retries.add(now, length, int(current.retries-previous.retries))
-	svc.served.add(now, outcomeWindow, int(current.good-previous.good))
-	svc.late.add(now, outcomeWindow, int(current.late-previous.late))
-	svc.unserved.add(now, outcomeWindow, int(current.unserved()-previous.unserved()))
-	svc.limited.add(now, outcomeWindow, int(current.limited-previous.limited))
+	return 1
 }
 
-// expireSharingHosts drops hosts that have not reported for long: they may have left, or share the
-// allowance of other hosts now.
-func (svc *service) expireSharingHosts(now time.Time) {
-	for host, h := range svc.sharingHosts {
-		if now.Sub(h.receivedAt) > stateTTL {
-			delete(svc.sharingHosts, host)
-		}
+// surplus is the number of retries that the host can give away. Those that others gave are not
+// passed on.
+func (b *retryBudget) surplus() int { return int(b.allowance) - b.used - keptRetries }
+
+// updateBudget brings a service's retry budget up to date.
+func (t *Table) updateBudget(now time.Time, svc *service) *retryBudget {
+	rule, b := t.conf.Retry, &svc.budget
+	// One bucket fewer than the window has, so that no request older than the window counts.
+	requests := svc.ownSends.requests.newest(now, rule.Window, windowBuckets)
+	b.allowance = youngShare * rule.Share * float64(requests)
+	if now.Sub(t.started) >= rule.Window {
+		b.allowance = matureShare * (rule.Share*float64(requests) + rule.Reserve/float64(max(t.fleetSize, 1)))
 	}
+	b.used = svc.charged.sum(now, rule.Window)
+	if now.After(b.receivedUntil) {
+		b.received = 0
+	}
+	return b
 }
 
-// RetryDecision is whether a request may be retried, and what the host knew of the allowance.
-type RetryDecision struct {
-	Allowed bool
-	// Retries were made of Allowance in the last window by Hosts hosts, as far as this one knows.
-	Retries   int
-	Allowance float64
-	Hosts     int
-	// Age is the time since this host was started.
-	Age time.Duration
-}
-
-// AllowRetry reports whether a request of a service may be retried.
-func (t *Table) AllowRetry(now time.Time, name string, fleet Fleet) RetryDecision {
-	used := t.retriesUsed(now, name, fleet)
-	return RetryDecision{used.allowsOne(), used.retries, used.allowance, used.hosts, now.Sub(t.started)}
+// hasRetry reports whether a retry would be allowed.
+func (t *Table) hasRetry(now time.Time, svc *service) bool {
+	return t.updateBudget(now, svc).available() >= 1
 }
 
-// spentAllowance is the share of the retry allowance that is spent, 0 to 1.
-func (t *Table) spentAllowance(now time.Time, name string, fleet Fleet) float64 {
-	return t.retriesUsed(now, name, fleet).spent()
+// charge takes a retry from the budget, first from those that other hosts gave.
+func (t *Table) charge(now time.Time, svc *service) {
+	if b := t.updateBudget(now, svc); b.received > 0 {
+		b.received--
+		return
+	}
+	svc.charged.add(now, t.conf.Retry.Window, 1)
 }
 
-// retriesUsed is the number of retries in the last window and the number allowed.
-type retriesUsed struct {
-	retries   int
-	allowance float64
-	hosts     int // whose retries are counted
+// recordAttempt counts a send to a server, as a request or as a retry, for the retry allowance.
+func (t *Table) recordAttempt(now time.Time, svc *service, s *server, req Request) {
+	t.fleetSize = max(t.fleetSize, req.FleetSize)
+	svc.dirty = true
+	switch {
+	case req.Retry:
+		s.counts.retries++
+		svc.totals.retries++
+		svc.ownSends.retries.add(now, t.conf.Retry.Window, 1)
+		t.charge(now, svc)
+	case req.FirstAttempt:
+		s.counts.requests++
+		svc.totals.requests++
+		svc.ownSends.requests.add(now, t.conf.Retry.Window, 1)
+	}
 }
 
-// allowsOne reports whether another retry is allowed; one per window always is.
-func (u retriesUsed) allowsOne() bool { return float64(u.retries+1) <= max(u.allowance, 1) }
-
-// spent is the share of the allowance that is spent, 0 to 1.
-func (u retriesUsed) spent() float64 { return min(float64(u.retries)/max(u.allowance, 1), 1) }
-
-func (t *Table) retriesUsed(now time.Time, name string, fleet Fleet) retriesUsed {
-	svc := t.service(name)
-	rule := t.conf.Retry
-	all := float64(max(fleet.MaxHosts, fleet.LocalHosts, 1))
-	age := now.Sub(t.started)
-	if age < rule.Window && t.has(MechanismNewHosts) {
-		// A new host does not know what the others spent before it started, nor what
-		// it spent itself before a crash: it is limited to its own part of the
-		// allowance, and its reserve grows with its age.
-		reserve := rule.Reserve / all * age.Seconds() / rule.Window.Seconds()
-		return retriesUsed{svc.ownSends.retries.sum(now, rule.Window), rule.allowance(svc.ownSends.requests.sum(now, rule.Window), reserve), 1}
-	}
+// spentAllowance is the share of the allowance of this host's segment that was spent in the last
+// window, 0 to 1, as far as this host knows. Costs depend on it; what may be spent is decided by the budget.
+func (t *Table) spentAllowance(now time.Time, name string, fleetSize int) float64 {
+	svc, rule := t.service(name), t.conf.Retry
 	requests, retries, hosts := svc.sharedSends(now, rule.Window)
-	reserve := rule.Reserve * float64(min(hosts, max(fleet.LocalHosts, 1))) / all
-	return retriesUsed{retries, rule.allowance(requests, reserve), hosts}
+	reserve := rule.Reserve * float64(hosts) / float64(max(fleetSize, hosts))
+	allowance := matureShare * (rule.Share*float64(requests) + reserve)
+	return min(float64(retries)/max(allowance, 1), 1)
 }
 
 // sharedSends sums the sends of this host and of the hosts that report to it in the last window.
-// The part of a host without recent reports is left to that host; otherwise a partitioned fleet
-// would spend its allowance more than once.
 func (svc *service) sharedSends(now time.Time, length time.Duration) (requests, retries, hosts int) {
 	requests, retries, hosts = svc.ownSends.requests.sum(now, length), svc.ownSends.retries.sum(now, length), 1
 	for _, h := range svc.sharingHosts {
@@ -166,7 +144,27 @@
 	return requests, retries, hosts
 }
 
-// allowance is the number of retries allowed for a number of requests and a reserve.
-func (r RetryRule) allowance(requests int, reserve float64) float64 {
-	return retrySafety * (r.Share*float64(requests) + reserve)
+// RetryDecision is whether a request may be retried, and what the host knew of the allowance.
+type RetryDecision struct {
+	Allowed bool
+	// Used is how many retries this host has made or given to others in the last window, Allowance
+	// how many it may, Received how many others have given to it.
+	Used      int
+	Allowance float64
+	Received  int
+	// Age is the time since this host was started.
+	Age time.Duration
+}
+
+// AllowRetry reports whether a request of a service may be retried. fleetSize is the largest number
+// of hosts that were ever live at the same time.
+func (t *Table) AllowRetry(now time.Time, name string, fleetSize int) RetryDecision {
+	t.fleetSize = max(t.fleetSize, fleetSize)
+	svc := t.service(name)
+	b := t.updateBudget(now, svc)
+	if b.available() < 1 {
+		b.refusedAt = now
+		svc.dirty = true
+	}
+	return RetryDecision{b.available() >= 1, b.used, b.allowance, b.received, now.Sub(t.started)}
 }
--- a/internal/policy/stats.go
+++ b/internal/policy/stats.go
@@ -10,17 +10,20 @@
 	Failing int
 	// InFlight is the number of requests of this host.
 	InFlight int
-	// Retries counts the retries in the last window of RetryRule by all hosts that share their
-	// allowance with this one.
+	// Retries counts the retries in the last window of RetryRule by all hosts that report to this one.
 	Retries int
+	// RetryAllowance is the number of retries that this host may make in a window, RetriesLeft the
+	// number that it may make now, those given by other hosts included.
+	RetryAllowance, RetriesLeft float64
 }
 
 // Stats returns the statistics of each service.
 func (t *Table) Stats(now time.Time) []ServiceStats {
 	rows := make(map[string]*ServiceStats, len(t.services))
 	for name, svc := range t.services {
+		budget := t.updateBudget(now, svc)
 		_, retries, _ := svc.sharedSends(now, t.conf.Retry.Window)
-		rows[name] = &ServiceStats{Service: name, Retries: retries}
+		rows[name] = &ServiceStats{Service: name, Retries: retries, RetryAllowance: budget.allowance, RetriesLeft: budget.available()}
 	}
 	for k, s := range t.servers {
 		row, ok := rows[k.service]
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -115,8 +115,11 @@
 	typicalLatency  time.Duration
 	latencies       latencyDistribution
 	unansweredShare float64
-	// ownSends counts this host's requests and retries, for RetryRule.
+	// ownSends counts this host's requests and retries, charged the retries that it made or gave to
+	// other hosts, for RetryRule.
 	ownSends sendCounts
+	charged  window
+	budget   retryBudget
 	// staleConnectionAt is when an idle connection to one of the service's servers last broke
 	// under a request, at any host of this data centre.
 	staleConnectionAt time.Time
@@ -134,7 +137,7 @@
 	// deadlines is the time allowed to requests, by route.
 	deadlines map[string]routeDeadline
 	// totals are this host's counts over all servers; sharingHosts holds the latest totals of the
-	// hosts that share the service's retry allowance.
+	// other hosts of its segment.
 	totals        counts
 	sharingHosts  map[string]*peerTotals
 	dirty         bool
@@ -149,6 +152,8 @@
 
 // Config configures a Table.
 type Config struct {
+	// Host is this host's name.
+	Host  string
 	Cost  CostRule
 	Retry RetryRule
 	// Random breaks ties between servers of equal cost. Hosts must use different seeds, or those
@@ -167,6 +172,9 @@
 	services     map[string]*service
 	incarnations map[string]uint64 // of other hosts, by host name
 	routes       map[string]*route // by Request.Group
+	// fleetSize is the largest number of hosts that were ever live at the same time, see
+	// Request.FleetSize.
+	fleetSize int
 
 	// waiting are this host's requests that have not ended.
 	waiting []*pending
