A relayed request is counted once for the retry allowance, and its retries ask for it

Two hosts counted a request that the first had tried to send before it relayed it; a retry that went through another host was checked against the sender's allowance and charged to the other's; a download that was resumed through another host was a first attempt there. So relays could send more than the allowance of either. The entry host says whether it has counted the request (Pearshelf-Counted), the host that gets a request which a server may have had asks its own allowance first, and a resume carries the attempt before it.

TestCountedRequestEarnsOnce, TestRelayedRetryNeedsAllowance, TestRelayedRequestIsCountedOnce; two mutants, killed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -182,6 +182,7 @@
 
 		attemptsArrived: req.Arrived,
 		written:         req.Arrived > 0,
+		counted:         req.Counted,
 	}
 	if refusal := x.refuseIfNoneInHome(view); refusal != nil {
 		return refusal
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -49,6 +49,9 @@
 	// request has been offered to other hosts, claimed while this host holds its idempotency key.
 	unreachable      int
 	relayed, claimed bool
+	// counted is set once the request has been counted for the retry allowance, here or by the host
+	// that relayed it.
+	counted bool
 	// status is the status code of the response that was passed on, 0 for none.
 	status int
 	trace  trace
@@ -136,6 +139,9 @@
 
 // tryServers sends the request to one server after another until one responds.
 func (x *exchange) tryServers(ctx context.Context) error {
+	if x.req.Arrived > 0 && !x.mayRetry() {
+		return refuseUnknown(errs.New(errs.KindServerShed, "a backend server may have run the request, and the retry allowance is spent", "repeat the request if it is idempotent"))
+	}
 	var last *Refusal
 	for x.attemptsRun < x.req.maxAttempts() && len(x.tried) < maxSends && x.unsentFailures < maxUnsentFailures && !x.isExpired(ctx) {
 		if x.shouldRelay() {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -79,7 +79,10 @@
 		response.DrainAndClose()
 		return true, refuseUnknown(errs.New(errs.KindAnswerBroken, "the connection to another host broke before host "+from.Host+" refused the request", "repeat the request"))
 	}
-	x.written = x.written || outcome != OutcomeNotRun
+	if outcome != OutcomeNotRun {
+		x.written = true
+		x.attemptsArrived++ // a resumed download is a retry
+	}
 	x.headerArrived()
 	tried := []string{from.Host}
 	copier := &responseCopier{
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -77,6 +77,7 @@
 		if err != nil {
 			return nil, err
 		}
+		x.counted = true
 		return balancedLease(lease), nil
 	}
 	lease, err := x.state.pool.Acquire(ctx, x.view, slots.Request{
@@ -104,6 +105,7 @@
 		Objective:    x.req.Objective,
 		FirstAttempt: x.attemptsArrived == 0 && x.unsentFailures == 0 && x.inFlight == 0,
 		Retry:        x.attemptsArrived > 0 || x.inFlight > 0,
+		Counted:      x.counted,
 		LastAttempt:  x.attemptsRun+x.inFlight+1 >= x.req.maxAttempts(),
 		FleetSize:    x.snap.FleetSize,
 		Exclude:      x.tried,
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -27,6 +27,7 @@
 	HeaderPriority  = "Pearshelf-Priority"     // priority under overload
 	HeaderGroup     = "Pearshelf-Group"        // Request.Group
 	HeaderClaimed   = "Pearshelf-Claimed"      // set if the entry host holds the idempotency key
+	HeaderCounted   = "Pearshelf-Counted"      // set if the entry host has counted the request for the retry allowance
 )
 
 const (
@@ -138,6 +139,9 @@
 	if x.claimed {
 		h.Set(HeaderClaimed, "true")
 	}
+	if x.counted {
+		h.Set(HeaderCounted, "true")
+	}
 }
 
 // mayRelayTo reports whether a host may receive the request.
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -6,7 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/pearshelf/pearshelf/internal/balance"
+	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -121,3 +125,30 @@
 		}
 	}
 }
+
+// A request that a server may have received is a retry for the host that it is relayed to, which
+// spends its own part of the retry allowance on it or refuses it.
+func TestRelayedRetryNeedsAllowance(t *testing.T) {
+	d := &Dispatcher{balance: balance.NewTable(time.Now, policy.Config{Retry: policy.DefaultRetryRule()}), metrics: metrics.New(prometheus.NewRegistry())}
+	x := &exchange{d: d, snap: &world.Snapshot{}, req: &Request{ForwardedBy: "h1", Relayed: true, Arrived: 1, Idempotent: true}}
+	refusal, refused := x.tryServers(t.Context()).(*Refusal)
+	if !refused || refusal.Outcome != OutcomeUnknown || errs.KindOf(refusal.Err) != errs.KindServerShed {
+		t.Errorf("a host that has just started does not refuse a retry: %v", refusal)
+	}
+	if x.trace.retryWithheld == "" {
+		t.Error("the refusal names no state of the allowance")
+	}
+}
+
+// The entry host tells the host that it relays a request to whether it has counted the request for
+// the retry allowance, which would otherwise earn retries at both.
+func TestRelayedRequestIsCountedOnce(t *testing.T) {
+	for _, counted := range []bool{false, true} {
+		x := &exchange{snap: &world.Snapshot{}, req: &Request{}, counted: counted}
+		h := make(http.Header)
+		x.relayHeaders(h)
+		if got := h.Get(HeaderCounted) != ""; got != counted {
+			t.Errorf("counted %t: told as %t", counted, got)
+		}
+	}
+}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -92,6 +92,8 @@
 	// the entry host has sent the request to.
 	Claimed bool
 	Arrived int
+	// Counted is set if the entry host has counted the request for the retry allowance.
+	Counted bool
 
 	in   *http.Request
 	body *replayBody
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -263,6 +263,7 @@
 	req.Objective = time.Duration(objectiveMs) * time.Millisecond
 	req.Group = h.Get(dispatch.HeaderGroup)
 	req.Claimed = h.Get(dispatch.HeaderClaimed) != ""
+	req.Counted = h.Get(dispatch.HeaderCounted) != ""
 	return nil
 }
 
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -87,6 +87,8 @@
 	// request. Neither is set for a pick after a failed connection.
 	FirstAttempt bool
 	Retry        bool
+	// Counted is set if the request has been counted for the retry allowance, by this host or another.
+	Counted bool
 	// LastAttempt is set if the request may not be sent to another server after this one.
 	LastAttempt bool
 	// FleetSize is the largest number of hosts that were ever live at the same time. It determines
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -114,7 +114,7 @@
 		svc.totals.retries++
 		svc.ownSends.retries.add(now, t.conf.Retry.Window, 1)
 		t.charge(now, svc)
-	case req.FirstAttempt:
+	case req.FirstAttempt && !req.Counted:
 		s.counts.requests++
 		svc.totals.requests++
 		svc.ownSends.requests.add(now, t.conf.Retry.Window, 1)
--- a/internal/policy/retries_test.go
+++ b/internal/policy/retries_test.go
@@ -339,3 +339,14 @@
 	}
 	return total
 }
+
+// A request that another host has counted, and relayed here, earns no retry a second time.
+func TestCountedRequestEarnsOnce(t *testing.T) {
+	table, now := retryTable("h1", 1, 0)
+	for _, counted := range []bool{true, false} {
+		table.Finish(now, mustPick(t, table, now, thirtyServers, Request{Service: "s", FirstAttempt: true, Counted: counted}), Result{Outcome: Neutral})
+	}
+	if got := table.AllowRetry(now, "s", 1).Allowance; got != matureShare {
+		t.Errorf("an allowance of %.2f from two requests of which one is counted elsewhere, want %.2f", got, matureShare)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -122,6 +122,8 @@
 mutant "gifts are for one host" internal/policy/peertotals.go 's/ \&\& l.GiftTo == t.conf.Host {/ {/' ./internal/policy -run RetriesAreGivenOnce
 mutant "gifts expire" internal/policy/retries.go 's/if now.After(b.receivedUntil) {/if false {/' ./internal/policy -run RetriesAreGivenOnce
 mutant "retries are charged" internal/policy/retries.go 's/	svc.charged.add(now, t.conf.Retry.Window, 1)/	_ = svc/' ./internal/policy -run 'HostSpendsItsOwnPart|RandomSeries' -timeout 60s
+mutant "relayed requests are counted once" internal/policy/retries.go 's/case req.FirstAttempt \&\& !req.Counted:/case req.FirstAttempt:/' ./internal/policy -run CountedRequest
+mutant "a relayed retry asks for allowance" internal/dispatch/exchange.go 's/if x.req.Arrived > 0 \&\& !x.mayRetry() {/if false {/' ./internal/dispatch -run RelayedRetryNeeds
 mutant "waiting requests are evidence" internal/policy/unanswered.go 's/	return min(float64(total)\/1e6, maxUnansweredLogOdds).*/	return 0/' ./internal/policy
 mutant "slow services say nothing" internal/policy/unanswered.go 's/, maxUnansweredLogOdds) \* svc.unansweredWeight(now)/, maxUnansweredLogOdds)/' ./internal/policy
 mutant "evidence of neighbours" internal/policy/unanswered.go 's/		if now.Sub(peer.at) < peerReportTTL {/		if false {/' ./internal/policy
