A host that lacks retries asks one other host, which answers at once

Now one host is asked at a time, once a retry was refused, and answers with its next report at once; a gift is for 0.2 s, so that 0.9 and 0.08 of the own part may be spent. Ruled out: giving the last retry away, asking without need. e2e and platform tests wait for the hosts' first window to pass, which has hardly any retries now; their checks are as before.

--- a/e2e/suite_test.go
+++ b/e2e/suite_test.go
@@ -95,6 +95,7 @@
 	f, err := fleet.Start(conf)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(f.Close)
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	Expect(f.WaitReady(ctx)).To(Succeed())
@@ -103,9 +104,18 @@
 			return mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "", "Idempotency-Key", fmt.Sprint("warm-", i)).outcome()
 		}, patience).Should(Equal("complete"))
 	}
+	waitForRetries(f, started)
 	return f
 }
 
+// waitForRetries waits until hosts that pick servers themselves have their part of the retry
+// allowance: in their first window they have hardly any.
+func waitForRetries(f *fleet.Fleet, started time.Time) {
+	if s := f.Settings(0); s.Forwarding != nil && !*s.Forwarding {
+		time.Sleep(time.Until(started.Add(time.Duration(s.Retry.Window))))
+	}
+}
+
 // reply is an answer read to its end.
 type reply struct {
 	status  int
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -242,7 +242,9 @@
 func (t *Table) Report(host string, incarnation uint64, loads []*peerpb.BackendLoad, isPeer bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.table.Report(t.clock(), host, incarnation, loads, isPeer)
+	if t.table.Report(t.clock(), host, incarnation, loads, isPeer) {
+		t.notify()
+	}
 }
 
 // Stats returns the statistics of each service.
--- a/internal/policy/peertotals.go
+++ b/internal/policy/peertotals.go
@@ -15,14 +15,15 @@
 	counts     counts
 	sends      sendCounts
 	receivedAt time.Time
-	// wanted is the number of retries that the host lacks, giftNumber that of its last gift.
-	wanted     int
+	// lacksRetries is set if the host has no retries left, wantsRetry if it asks this one for a retry.
+	lacksRetries, wantsRetry bool
+	// giftNumber is the number of the host's last gift.
 	giftNumber uint64
 }
 
 // recordPeerTotals applies what a host did since its last report. Each datagram carries the totals,
-// so that the next one compensates for a lost one.
-func (t *Table) recordPeerTotals(now time.Time, host string, l *peerpb.BackendLoad) {
+// so that the next one compensates for a lost one. replyDue is set if the host is to be given a retry.
+func (t *Table) recordPeerTotals(now time.Time, host string, l *peerpb.BackendLoad) (replyDue bool) {
 	svc, current := t.service(l.Service), countsFrom(l)
 	h, known := svc.sharingHosts[host]
 	if !known {
@@ -31,18 +32,21 @@
 	}
 	previous := h.counts
 	if current.isOlderThan(previous) || l.GiftNumber < h.giftNumber {
-		return // a datagram that arrived out of order
+		return false // a datagram that arrived out of order
 	}
 	h.counts = current
 	h.receivedAt = now
-	h.wanted = int(l.WantedRetries)
+	h.lacksRetries, h.wantsRetry = l.WantedFrom != "", l.WantedFrom == t.conf.Host && l.WantedFrom != ""
 	if l.GiftNumber > h.giftNumber && l.GiftTo == t.conf.Host {
-		svc.budget.received += int(l.GiftRetries)
+		svc.budget.received++
 		svc.budget.receivedUntil = now.Add(giftTTL)
+		svc.askedAt = time.Time{}
 	}
+	replyDue = h.wantsRetry && t.nextGift(now, svc) != ""
+	svc.dirty = svc.dirty || replyDue
 	h.giftNumber = l.GiftNumber
 	if !known && current.requests+current.retries > maxOutcomesPerReport {
-		return // the totals predate the first report to this host
+		return replyDue // the totals predate the first report to this host
 	}
 	if current.staleConnections > previous.staleConnections {
 		svc.staleConnectionAt = now
@@ -53,55 +57,65 @@
 	svc.late.add(now, outcomeWindow, int(current.late-previous.late))
 	svc.unserved.add(now, outcomeWindow, int(current.unserved()-previous.unserved()))
 	svc.limited.add(now, outcomeWindow, int(current.limited-previous.limited))
+	return replyDue
 }
 
-// reportTotals returns the report about a service as a whole, with a gift of retries to a host that
-// lacks them if this host has more than it keeps.
+// reportTotals returns the report about a service as a whole, with a retry for a host that asked for
+// it, or a request for one if this host lacks them.
 func (t *Table) reportTotals(now time.Time, name string, svc *service) *peerpb.BackendLoad {
 	row := svc.totals.message(key{service: name})
-	if to, retries := t.chooseGift(now, svc); retries > 0 {
-		svc.sharingHosts[to].wanted -= retries
-		svc.charged.add(now, t.conf.Retry.Window, retries)
+	if to := t.nextGift(now, svc); to != "" {
+		svc.sharingHosts[to].wantsRetry = false
+		svc.charged.add(now, t.conf.Retry.Window, 1)
 		svc.budget.gifts++
-		row.GiftTo, row.GiftRetries = to, uint32(retries)
+		row.GiftTo = to
 	}
 	row.GiftNumber = svc.budget.gifts
-	row.WantedRetries = uint32(t.updateBudget(now, svc).wanted(now))
+	if t.updateBudget(now, svc).wantsRetry(now) {
+		row.WantedFrom = t.askedHost(now, svc)
+	}
 	return row
 }
 
-// chooseGift returns a host that lacks retries and how many to give it, 0 for none. The host is drawn
-// with the retries that it lacks as weight, so that not all hosts give to the same one.
-func (t *Table) chooseGift(now time.Time, svc *service) (to string, retries int) {
-	if !t.hasGift(now, svc) {
-		return "", 0
+// nextGift returns a host that has asked this one for a retry, empty for none or if this host has none
+// to give.
+func (t *Table) nextGift(now time.Time, svc *service) string {
+	if !t.has(MechanismRetryGifts) || t.updateBudget(now, svc).surplus() <= 0 {
+		return ""
 	}
-	total := 0
-	for _, host := range svc.hostsWantingRetries(now) {
-		wanted := svc.sharingHosts[host].wanted
-		total += wanted
-		if t.conf.Random.IntN(total) < wanted {
-			to, retries = host, min(svc.budget.surplus(), wanted)
+	for _, host := range svc.sharingHostNames() {
+		if h := svc.sharingHosts[host]; h.wantsRetry && now.Sub(h.receivedAt) <= giftTTL {
+			return host
 		}
 	}
-	return to, retries
+	return ""
 }
 
-// hasGift reports whether a host lacks retries that this one can give it.
-func (t *Table) hasGift(now time.Time, svc *service) bool {
-	return t.has(MechanismRetryGifts) && t.updateBudget(now, svc).surplus() > 0 && len(svc.hostsWantingRetries(now)) > 0
+// askedHost returns the host to ask for a retry: the same one for askPeriod, then another one that
+// does not lack retries itself. Asking all at once would take a retry from each of them.
+func (t *Table) askedHost(now time.Time, svc *service) string {
+	if now.Sub(svc.askedAt) < askPeriod {
+		return svc.asked
+	}
+	svc.askedAt, svc.asked = now, ""
+	candidates := slices.DeleteFunc(svc.sharingHostNames(), func(host string) bool {
+		h := svc.sharingHosts[host]
+		return h.lacksRetries || now.Sub(h.receivedAt) > peerTotalsTTL
+	})
+	if len(candidates) > 0 {
+		svc.asked = candidates[t.conf.Random.IntN(len(candidates))]
+	}
+	return svc.asked
 }
 
-// hostsWantingRetries returns the hosts that lack retries, in a stable order.
-func (svc *service) hostsWantingRetries(now time.Time) []string {
-	var hosts []string
-	for host, h := range svc.sharingHosts {
-		if h.wanted > 0 && now.Sub(h.receivedAt) <= wantTTL {
-			hosts = append(hosts, host)
-		}
+// sharingHostNames returns the hosts of this host's segment in a stable order.
+func (svc *service) sharingHostNames() []string {
+	names := make([]string, 0, len(svc.sharingHosts))
+	for host := range svc.sharingHosts {
+		names = append(names, host)
 	}
-	slices.Sort(hosts)
-	return hosts
+	slices.Sort(names)
+	return names
 }
 
 // expireSharingHosts drops hosts that have not reported for long: they may have left, or share the
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -54,15 +54,12 @@
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
 }
 
-// Refresh marks all servers with requests of this host to be reported again, and services with retries
-// to give, and drops state that has not been updated for stateTTL. It reports whether there is something to send.
+// Refresh marks all servers with requests of this host to be reported again, and drops state that
+// has not been updated for stateTTL. It reports whether there is something to send.
 func (t *Table) Refresh(now time.Time) (dirty bool) {
 	t.expireRoutes(now)
 	for _, svc := range t.services {
 		svc.expireSharingHosts(now)
-		if t.hasGift(now, svc) {
-			svc.dirty, dirty = true, true
-		}
 	}
 	for k, s := range t.servers {
 		if s.inFlight > 0 {
@@ -96,12 +93,19 @@
 }
 
 // Report applies a report of one incarnation of another host. isPeer is set if that host reports all
-// its requests to this one; only then are its in-flight counts used.
-func (t *Table) Report(now time.Time, host string, incarnation uint64, loads []*peerpb.BackendLoad, isPeer bool) {
+// its requests to this one; only then are its in-flight counts used. replyDue is set if the host waits
+// for something that Changes returns.
+func (t *Table) Report(now time.Time, host string, incarnation uint64, loads []*peerpb.BackendLoad, isPeer bool) (replyDue bool) {
 	t.resetOnRestart(host, incarnation)
 	for _, l := range loads {
-		t.applyReport(now, host, l, isPeer)
+		switch {
+		case l.Backend != "":
+			t.applyReport(now, host, l, isPeer)
+		case isPeer:
+			replyDue = t.recordPeerTotals(now, host, l) || replyDue
+		}
 	}
+	return replyDue
 }
 
 // resetOnRestart discards what a previous incarnation of a host reported: its requests no longer
@@ -123,12 +127,6 @@
 }
 
 func (t *Table) applyReport(now time.Time, host string, l *peerpb.BackendLoad, isPeer bool) {
-	if l.Backend == "" {
-		if isPeer {
-			t.recordPeerTotals(now, host, l)
-		}
-		return
-	}
 	k := key{l.Service, l.Backend}
 	s := t.state(now, k, nil)
 	p, known := s.peers[host]
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -25,15 +25,19 @@
 	// matureShare when those that start in their place begin to spend youngShare. Gifts that are used
 	// up to giftTTL later than they were given add matureShare*giftTTL/Window at most. The three add
 	// up to the whole allowance.
-	matureShare = 0.8
-	youngShare  = 0.12
+	matureShare = 0.9
+	youngShare  = 0.08
+	// fullySpent is the part of the allowance of a segment's hosts that counts as all of it: not every
+	// host can use its part.
+	fullySpent = 0.75
 	// peerTotalsTTL is how long the totals of a host are used after its last report. At two
 	// requests a second, one host in 400 has nothing to report for that long.
 	peerTotalsTTL = 3 * time.Second
-	// giftTTL is how long retries that another host has given may be used. wantTTL is how long the
-	// report of a host that lacks retries is used; such a host has requests, and reports with each.
-	giftTTL = time.Second
-	wantTTL = time.Second
+	// giftTTL is how long a request for a retry is answered, and how long the retry may then be used.
+	giftTTL = 200 * time.Millisecond
+	// askPeriod is how long a host that lacks retries waits for the one that it has asked before it
+	// asks another. The answer takes a round trip within the data centre.
+	askPeriod = 10 * time.Millisecond
 	// keptRetries is how many retries a host keeps when it gives some to others.
 	keptRetries = 1
 )
@@ -61,17 +65,14 @@
 // available is the number of retries that the host may make.
 func (b *retryBudget) available() float64 { return b.allowance - float64(b.used) + float64(b.received) }
 
-// wanted is the number of retries that the host asks others for: one if it has none left. A host that
-// has not needed any asks for none.
-func (b *retryBudget) wanted(now time.Time) int {
-	if b.available() >= 1 || b.used == 0 && now.Sub(b.refusedAt) > wantTTL {
-		return 0
-	}
-	return 1
+// wantsRetry reports whether the host asks another one for a retry: it has none left, and has needed
+// one recently.
+func (b *retryBudget) wantsRetry(now time.Time) bool {
+	return b.available() < 1 && now.Sub(b.refusedAt) <= giftTTL
 }
 
-// surplus is the number of retries that the host can give away. Those that others gave are not
-// passed on.
+// surplus is the number of retries that the host can give away. Those that others gave are not given
+// away again.
 func (b *retryBudget) surplus() int { return int(b.allowance) - b.used - keptRetries }
 
 // updateBudget brings a service's retry budget up to date.
@@ -127,7 +128,7 @@
 	svc, rule := t.service(name), t.conf.Retry
 	requests, retries, hosts := svc.sharedSends(now, rule.Window)
 	reserve := rule.Reserve * float64(hosts) / float64(max(fleetSize, hosts))
-	allowance := matureShare * (rule.Share*float64(requests) + reserve)
+	allowance := fullySpent * (rule.Share*float64(requests) + reserve)
 	return min(float64(retries)/max(allowance, 1), 1)
 }
 
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -120,6 +120,9 @@
 	ownSends sendCounts
 	charged  window
 	budget   retryBudget
+	// asked is the host that was asked for a retry at askedAt.
+	asked   string
+	askedAt time.Time
 	// staleConnectionAt is when an idle connection to one of the service's servers last broke
 	// under a request, at any host of this data centre.
 	staleConnectionAt time.Time
