--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -123,7 +123,8 @@
 }
 
 // spentAllowance is the share of the allowance of this host's segment that was spent in the last
-// window, 0 to 1, as far as this host knows. Costs depend on it; what may be spent is decided by the budget.
+// window, 0 to 1, as far as this host knows. Costs depend on it; what may be spent is decided by the
+// budget.
 func (t *Table) spentAllowance(now time.Time, name string, fleetSize int) float64 {
 	svc, rule := t.service(name), t.conf.Retry
 	requests, retries, hosts := svc.sharedSends(now, rule.Window)
