A request that an owner host declined after it was sent is not told as not run

By the logs h6, its owner, sent it to b5, whose connection broke, lost its path and declined the request as unknown; h3 offered it to others, which declined it too, and refused it as not run. The relay path counted such a request, forwarding to owners did not. Both call recordDecline now. TestRefusalAfterAnOwnerLostItsPath fails on the code before (outcome not-run, want unknown); mutant killed.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		if x.hostDeclined(response) {
-			response.DrainAndClose()
+			x.recordDecline(response)
 			continue
 		}
 		return x.passResponse(ctx, owner, response, owners)
--- a/internal/dispatch/forward_test.go
+++ b/internal/dispatch/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/protocol"
@@ -60,3 +61,32 @@
 		}
 	}
 }
+
+// An owner host that lost its path while a server had the request has declined it, and the server may
+// have run it: the request must not be reported as not run when no other host takes it.
+func TestRefusalAfterAnOwnerLostItsPath(t *testing.T) {
+	owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderOutcome, string(OutcomeUnknown))
+		w.Header().Set(HeaderKind, string(errs.KindPathLost))
+		w.WriteHeader(http.StatusBadGateway)
+	}))
+	defer owner.Close()
+	req := NewRequest(httptest.NewRequest(http.MethodGet, "/x", nil))
+	req.Idempotent, req.Deadline = true, time.Now().Add(time.Minute)
+	if err := req.body.buffer(); err != nil {
+		t.Fatal(err)
+	}
+	address := strings.TrimPrefix(owner.URL, "http://")
+	x := &exchange{
+		d:    &Dispatcher{proto: protocol.Default(), owners: upstream.NewTransport(upstream.Config{}), conf: Config{PeerScheme: "http"}, snapshot: func() *world.Snapshot { return &world.Snapshot{} }},
+		req:  req,
+		snap: &world.Snapshot{},
+		view: &world.ServiceView{Owners: []world.OwnerView{{Host: "h2", Address: address}}},
+	}
+	if done, err := x.forward(t.Context()); done {
+		t.Fatalf("the owner's refusal ended the request: %v", err)
+	}
+	if got := x.toRefusal(refuseNotRun(errs.New(errs.KindQueueFull, "full", "repeat it"), 0)); got.Outcome != OutcomeUnknown {
+		t.Errorf("outcome %s, want %s", got.Outcome, OutcomeUnknown)
+	}
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -96,8 +96,7 @@
 	if x.hostDeclined(response) {
 		attempt.finish("declined")
 		x.d.metrics.Relayed("declined")
-		x.countRelay(Outcome(response.Header.Get(HeaderOutcome)) != OutcomeNotRun)
-		response.DrainAndClose()
+		x.recordDecline(response)
 		return false, nil
 	}
 	x.status = response.StatusCode
@@ -106,6 +105,13 @@
 	return x.passResponse(ctx, host.OwnerView, response, otherHosts{x.relayHosts, x.relayHeaders})
 }
 
+// recordDecline discards the response with which another host declined the request, which it may have
+// sent to a server before.
+func (x *exchange) recordDecline(response *upstream.Answer) {
+	x.countRelay(Outcome(response.Header.Get(HeaderOutcome)) != OutcomeNotRun)
+	response.DrainAndClose()
+}
+
 // countRelay counts a request that another host may have sent to a server without a response.
 func (x *exchange) countRelay(mayHaveRun bool) {
 	if mayHaveRun {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -115,6 +115,7 @@
 mutant "missing documents only" internal/system/configsync/configsync.go 's/if w.Document(key).Revision == 0 {/if true {/' ./internal/system/configsync
 mutant "start grace" internal/system/configsync/configsync.go 's/lastHeartbeat: now.Add(startGrace)/lastHeartbeat: now/' ./internal/system/configsync
 mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& outcome/if false \&\& outcome/' ./internal/dispatch
+mutant "an owner that declines may have sent it" internal/dispatch/forward.go 's/x.recordDecline(response)/response.DrainAndClose()/' ./internal/dispatch -run OwnerLostItsPath
 mutant "refusal here after an owner broke off" internal/dispatch/dispatch.go 's/refusal.Outcome == OutcomeNotRun \&\& x.written/false/' ./internal/dispatch
 mutant "new hosts spend little" internal/policy/retries.go 's/if now.Sub(t.started) >= rule.Window {/if true {/' ./internal/policy -run 'NewHostSpendsLittle|RandomSeries'
 mutant "gifts are charged to the giver" internal/policy/peertotals.go 's/		svc.charged.add(now, t.conf.Retry.Window, 1)/		_ = to/' ./internal/policy -run RetriesAreGivenOnce
