--- a/internal/policy/peertotals.go
+++ b/internal/policy/peertotals.go
@@ -83,7 +83,7 @@
 	if !t.has(MechanismRetryGifts) || t.updateBudget(now, svc).surplus() <= 0 {
 		return ""
 	}
-	for _, host := range svc.sharingHostNames() {
+	for _, host := range sortedKeys(svc.sharingHosts) {
 		if h := svc.sharingHosts[host]; h.wantsRetry && now.Sub(h.receivedAt) <= giftTTL {
 			return host
 		}
@@ -98,7 +98,7 @@
 		return svc.asked
 	}
 	svc.askedAt, svc.asked = now, ""
-	candidates := slices.DeleteFunc(svc.sharingHostNames(), func(host string) bool {
+	candidates := slices.DeleteFunc(sortedKeys(svc.sharingHosts), func(host string) bool {
 		h := svc.sharingHosts[host]
 		return h.lacksRetries || now.Sub(h.receivedAt) > peerTotalsTTL
 	})
@@ -108,14 +108,14 @@
 	return svc.asked
 }
 
-// sharingHostNames returns the hosts of this host's segment in a stable order.
-func (svc *service) sharingHostNames() []string {
-	names := make([]string, 0, len(svc.sharingHosts))
-	for host := range svc.sharingHosts {
-		names = append(names, host)
+// sortedKeys returns the keys of a map in a stable order.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
 	}
-	slices.Sort(names)
-	return names
+	slices.Sort(keys)
+	return keys
 }
 
 // expireSharingHosts drops hosts that have not reported for long: they may have left, or share the
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -28,7 +28,7 @@
 		}
 		s.dirty, s.failureUnsent = false, false
 	}
-	for _, name := range t.serviceNames() {
+	for _, name := range sortedKeys(t.services) { // the same calls draw the same hosts to ask
 		if svc := t.services[name]; svc.dirty {
 			local = append(local, t.reportTotals(now, name, svc))
 			svc.dirty = false
@@ -39,16 +39,6 @@
 	return local, failures
 }
 
-// serviceNames returns the services in a stable order, so that the same calls draw the same gifts.
-func (t *Table) serviceNames() []string {
-	names := make([]string, 0, len(t.services))
-	for name := range t.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // byServer orders reports, so that the same calls return the same reports.
 func byServer(a, b *peerpb.BackendLoad) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Backend, b.Backend))
