Large request bodies can be sent to a second server

Change: what is read of a body up to backend.replay_bytes is kept while it is sent; all attempts read the caller's stream through one recording. In force only where bodies exceed 64 KiB.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -316,6 +316,7 @@
 		Protocol:    d.protocol,
 		Regions:     d.settings.Regions,
 		BufferBytes: int64(d.settings.Backend.BufferBytes),
+		ReplayBytes: int64(d.settings.Backend.ReplayBytes),
 		BeforeWrite: d.hooks.BeforeWrite,
 	}, dispatch.Dependencies{
 		Snapshot: d.engine.Snapshot,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,6 +43,9 @@
 	// to the caller, 0 for none. A larger value lets more truncated responses be retried, at
 	// the cost of memory and time to first byte.
 	BufferBytes int64
+	// ReplayBytes is the size of the largest streamed request body that is kept while it is sent, so
+	// that another attempt can send it again, 0 for none.
+	ReplayBytes int64
 	// BeforeWrite, if set, is called after the decision to send and before the check at the
 	// first byte. Tests block in it to simulate a paused host.
 	BeforeWrite func(*Request)
@@ -202,13 +205,18 @@
 	return refusal
 }
 
-// bufferBody reads a small body into memory and returns a function that releases the memory.
+// bufferBody reads a small body into memory, prepares a larger one to be kept while it is sent, and
+// returns a function that releases the memory.
 func (d *Dispatcher) bufferBody(req *Request) (returnMemory func(), refusal *Refusal) {
 	size := req.body.bufferBytes()
 	if !d.memory.TryAcquire(size) {
 		return func() {}, refuseNotRun(errs.New(errs.KindHostMemory, "this host has no memory left for request bodies", "repeat the request after the time in Retry-After; add hosts"), defaultRetryAfter)
 	}
-	returnMemory = func() { d.memory.Release(size) }
+	release := req.body.record(d.conf.ReplayBytes, d.memory)
+	returnMemory = func() {
+		d.memory.Release(size)
+		release()
+	}
 	if err := req.body.buffer(); err != nil {
 		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: toTypedError(err)}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -15,6 +15,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/customer"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/memory"
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/region"
@@ -135,6 +136,8 @@
 	data     []byte
 	buffered bool
 	consumed bool
+	// recording keeps what was read of a streamed body, nil if it is not kept.
+	recording *recording
 	// trailer is called at the end of the caller's stream.
 	trailer func()
 }
@@ -168,6 +171,8 @@
 		return upstream.Body(nil), true
 	case b.buffered:
 		return io.NopCloser(bytes.NewReader(b.data)), true
+	case b.recording != nil:
+		return b.recording.open()
 	case b.consumed:
 		return nil, false
 	default:
@@ -175,6 +180,16 @@
 	}
 }
 
+// record keeps what will be read of a streamed body, up to limit bytes, for further attempts. The
+// returned function releases the memory.
+func (b *replayBody) record(limit int64, budget *memory.Budget) (release func()) {
+	if !b.streamed || b.length > limit {
+		return func() {}
+	}
+	b.recording = newRecording(&consumingReader{body: b}, limit, budget)
+	return b.recording.close
+}
+
 // IsStreamed reports whether a request's body is streamed, because it is too long to buffer or
 // of unknown length.
 func IsStreamed(r *http.Request) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -187,6 +187,11 @@
 	// retried on another server. Higher values increase memory use and time to
 	// first byte. Default: 0, no buffering.
 	BufferBytes int `yaml:"buffer_bytes"`
+	// ReplayBytes is the maximum size of a streamed request body that is kept while it
+	// is sent, so that another server can be sent the whole body after the first one
+	// has shed the request. Smaller bodies, up to 64 KiB, are always kept. Higher
+	// values let more uploads be retried and increase memory use. Default: 0, none.
+	ReplayBytes int `yaml:"replay_bytes"`
 }
 
 // Settings is the content of a settings file.
@@ -380,6 +385,9 @@
 	if s.Backend.BufferBytes < 0 || s.Backend.BufferBytes > MaxBufferBytes {
 		v.addf("backend.buffer_bytes", "%d is outside 0 to %d", s.Backend.BufferBytes, MaxBufferBytes)
 	}
+	if s.Backend.ReplayBytes < 0 || s.Backend.ReplayBytes > MaxBufferBytes {
+		v.addf("backend.replay_bytes", "%d is outside 0 to %d", s.Backend.ReplayBytes, MaxBufferBytes)
+	}
 	v.timing(s)
 }
 
