Wait queue: requests wait in the host for a free slot

Cause: requests with much time fill the servers' own queues in a burst, and those with 1.5 s wait behind them.

Change: package waitqueue holds such requests, ordered by priority, rank and deadline, and bounded in number and bytes. policy.Table.Pick returns NoFreeSlot for a request that is to wait; balance looks for free slots when a request ends, after reports of other hosts and every 150 ms; dispatch waits under the request's context. A stopping host places or refuses what waits. The mechanism wait-queue and the setting scheduling.wait_queue.disabled turn it off.

--- a/experiment/replay/host.go
+++ b/experiment/replay/host.go
@@ -9,6 +9,7 @@
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/sharing"
+	"github.com/pearshelf/pearshelf/internal/waitqueue"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -18,6 +19,7 @@
 // host runs the policy as the daemon does, in simulated time.
 type host struct {
 	name       string
+	number     int
 	dataCentre int
 	fleet      *fleet
 	table      *policy.Table
@@ -41,6 +43,10 @@
 	requests []*request
 	// pathReview is the next call of checkPaths, nil if none is due.
 	pathReview *simtime.Timer
+	// waits are its requests that wait for a free slot, queueReview the next call of reviewQueue.
+	waits       *waitqueue.Set
+	waiting     map[uint64]*request
+	queueReview *simtime.Timer
 	// conf is the policy's configuration, which a host that starts again gets anew.
 	conf policy.Config
 	// incarnation counts the starts of the host.
@@ -49,7 +55,7 @@
 }
 
 func newHost(f *fleet, number int, conf policy.Config) *host {
-	h := &host{name: fmt.Sprint("h", number), dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration), idle: make(map[string]time.Duration), hung: make(map[string]bool)}
+	h := &host{name: fmt.Sprint("h", number), number: number, dataCentre: number % f.pattern.DataCentres, fleet: f, kept: make(map[string]time.Duration), idle: make(map[string]time.Duration), hung: make(map[string]bool)}
 	h.cuttable = f.random.Float64() < f.pattern.Network.Cut.Share
 	conf.Random = rand.New(rand.NewPCG(f.seed, uint64(number)+1000))
 	h.losesPath = f.losesPath(pathStreamHosts+uint64(number), f.pattern.Network.Paths.Hosts)
@@ -60,6 +66,7 @@
 	conf.Host = h.name
 	h.conf, h.incarnation = conf, 1
 	h.table = policy.NewTable(simtime.Epoch.Add(-hostAge), conf)
+	h.newQueue()
 	h.registers = newRegisters(h)
 	h.limits = newLimits(h, f.limitWay)
 	h.guard = newGuard(h, f.withoutQuarantine)
@@ -124,6 +131,9 @@
 func (h *host) send(other *host, m sharing.Message) {
 	incarnation := h.incarnation
 	h.deliver(other, func() {
+		if !other.isDown {
+			defer other.loadReported()
+		}
 		if !other.isDown && other.table.Report(h.fleet.clock.Time(), h.name, incarnation, m.Loads, m.Local) {
 			other.tell()
 		}
--- a/experiment/replay/replay.go
+++ b/experiment/replay/replay.go
@@ -110,6 +110,14 @@
 			dataCentres[s.id] = dataCentreName(s.dataCentre)
 		}
 		view.Sharing = sharing.NewService(dataCentres)
+		for _, r := range f.pattern.Routes {
+			if objective := time.Duration(r.Objective); r.Service == service.Name {
+				view.LongestObjective = max(view.LongestObjective, objective)
+				if view.ShortestObjective == 0 || objective < view.ShortestObjective {
+					view.ShortestObjective = objective
+				}
+			}
+		}
 		f.views[service.Name] = view
 	}
 }
--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -9,6 +9,8 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/quota"
+	"github.com/pearshelf/pearshelf/internal/waitqueue"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // request is a caller's request on its way, as dispatch keeps it.
@@ -32,6 +34,10 @@
 	// request has been relayed.
 	unreachable int
 	relayed     bool
+	// waitsAs is its number while it waits for a free slot, 0 if it does not. promised is when a
+	// request that was refused there should come back.
+	waitsAs  uint64
+	promised time.Duration
 }
 
 // flight is one send of a request.
@@ -130,13 +136,33 @@
 		r.refuse(errs.KindPathLost)
 		return
 	}
-	placement, err := r.host.table.Pick(f.clock.Time(), r.host.views[r.route.Service], r.policyRequest())
-	if err != nil {
+	req := r.policyRequest()
+	req.MayWait = len(r.flights) == 0
+	d, waiting := r.host.waits.Submit(f.clock.Time(), waitqueue.Request{View: r.host.views[r.route.Service], Policy: req, Refresh: r.refreshed})
+	if waiting {
+		r.waitsAs = d.ID
+		r.host.waiting[d.ID] = r
+		r.host.scheduleReview()
+		return
+	}
+	r.picked(d)
+}
+
+// refreshed is what a look for a free slot sees of the request.
+func (r *request) refreshed() (*world.ServiceView, policy.Request) {
+	return r.host.views[r.route.Service], r.policyRequest()
+}
+
+// picked goes on with a request that a server was picked for, or that is refused.
+func (r *request) picked(d waitqueue.Decision) {
+	if d.Err != nil {
 		if len(r.flights) == 0 {
-			r.refuse(errs.KindOf(err))
+			r.promised = d.RetryAfter
+			r.refuse(errs.KindOf(d.Err))
 		}
 		return
 	}
+	placement := d.Placement
 	if limit, limited := r.host.limits.view.Of(availability.ServerOf(r.route.Service, &placement.Server)); limited {
 		r.host.limits.take(limit, func(verdict quota.Decision) { r.decided(placement, verdict) })
 		return
@@ -389,6 +415,9 @@
 	case none && absence.Reason == availability.RateLimited:
 		return max(absence.Remaining, r.host.limits.promise(r.host.views[req.Service]))
 	}
+	if r.promised > 0 {
+		return r.promised
+	}
 	return r.host.table.RetryAfter(req.Service)
 }
 
@@ -409,6 +438,7 @@
 // end notes what the caller got, and gives up what is still under way.
 func (r *request) end(o outcome) {
 	r.over = true
+	r.stopWaiting()
 	r.expiry.Stop()
 	for _, fl := range r.flights {
 		if fl.keepTrial() {
@@ -431,4 +461,5 @@
 	}
 	r.host.table.Finish(r.host.fleet.clock.Time(), fl.placement, done)
 	r.host.tell()
+	r.host.requestEnded(fl.placement)
 }
--- a/experiment/replay/restart.go
+++ b/experiment/replay/restart.go
@@ -40,6 +40,7 @@
 		h.isDown = false
 		h.incarnation++
 		h.table = policy.NewTable(clock.Time(), h.conf)
+		h.newQueue()
 		h.servers = availability.NewTable(clock.Time)
 		clear(h.kept)
 		clear(h.idle)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,6 +28,7 @@
 	pathLostSignal chan struct{}
 	// pathReviewAt is when DuePathChecks will be called again, zero if only after pathWork.
 	pathReviewAt time.Time
+	waits        waits
 }
 
 // NewTable returns the table of a host that starts now, as given by clock. If
@@ -36,6 +37,7 @@
 	if conf.Random == nil {
 		conf.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	table := policy.NewTable(clock(), conf)
 	return &Table{
 		clock:       clock,
 		incarnation: rand.Uint64(),
@@ -43,7 +45,8 @@
 		pathWork:    make(chan struct{}, 1),
 
 		pathLostSignal: make(chan struct{}),
-		table:          policy.NewTable(clock(), conf),
+		table:          table,
+		waits:          newWaits(table),
 	}
 }
 
@@ -145,6 +148,8 @@
 		defer l.table.mu.Unlock()
 		l.table.table.Finish(l.table.clock(), l.Placement, done)
 		l.table.notify()
+		l.table.waits.set.RequestEnded(l.table.clock(), l.Service())
+		l.table.scheduleReview()
 		if done.Outcome == policy.Unreachable || done.ServerUnreachable {
 			signal(l.table.pathWork)
 		}
@@ -160,11 +165,16 @@
 	if err != nil {
 		return nil, err
 	}
+	t.placed()
+	return &Lease{Placement: placement, table: t}, nil
+}
+
+// placed makes a new placement known.
+func (t *Table) placed() {
 	t.notify()
 	if t.pathReviewAt.IsZero() {
 		signal(t.pathWork) // the request may become overdue
 	}
-	return &Lease{Placement: placement, table: t}, nil
 }
 
 // ReviewCopy reports whether a copy of a request that is waiting for a server should be
@@ -245,6 +255,8 @@
 	if t.table.Report(t.clock(), host, incarnation, loads, isPeer) {
 		t.notify()
 	}
+	t.waits.set.LoadReported(t.clock())
+	t.scheduleReview()
 }
 
 // Stats returns the statistics of each service.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -284,7 +284,9 @@
 		d.balance = balance.NewTable(time.Now, policy.Config{
 			Host:    d.settings.Host,
 			Cost:    policy.DefaultCostRule(),
-			Without: d.settings.Policy.DisabledMechanisms,
+			Without: d.settings.DisabledMechanisms(),
+
+			DeferralRatio: d.settings.Scheduling.WaitQueue.DeferralRatio,
 			Retry: policy.RetryRule{
 				Share:   d.settings.Retry.FleetShare,
 				Reserve: d.settings.Retry.FleetReserve,
@@ -292,6 +294,7 @@
 			},
 		})
 		d.metrics.RegisterBalance(d.balance)
+		d.metrics.RegisterWaiting(d.balance.WaitingUsage)
 	}
 	d.servers = availability.NewTable(boottime.Now)
 	d.limiter = newCustomerLimiter(d, rand.Uint64())
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -16,13 +16,17 @@
 func (d *Daemon) StopRequests() <-chan struct{} { return d.stopRequested }
 
 // Stop shuts the host down gracefully: it announces the stop, keeps serving while the
-// load balancer and the other hosts learn of it, drains the requests in flight and leaves
+// load balancer and the other hosts learn of it, sends on or refuses the requests that wait for a
+// slot, drains the requests in flight and leaves
 // the fleet. If ctx ends, the remaining steps do not wait.
 func (d *Daemon) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Timing.StopTimeout))
 	defer cancel()
 	d.events.Record(event.HostStopping, "", "", "")
 	err := d.engine.Do(ctx, func(_ *world.World, now time.Time) { d.engine.SetLeaving(now) })
+	if d.balance != nil {
+		d.balance.DrainWaits()
+	}
 	wait(ctx, time.Duration(d.settings.Timing.StopGrace))
 	err = errors.Join(err, d.callerServer.Shutdown(ctx), d.peerServer.Shutdown(ctx))
 	err = errors.Join(err, d.engine.Do(ctx, func(_ *world.World, now time.Time) { d.engine.Leave(now) }))
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -153,6 +153,9 @@
 			return x.refusePathLost()
 		}
 		lease, err := x.acquire(ctx)
+		if errs.KindOf(err) == errs.KindPathLost {
+			continue // it may be relayed
+		}
 		if err != nil {
 			return x.finalRefusal(last, err)
 		}
@@ -198,6 +201,9 @@
 	if last != nil {
 		return last
 	}
+	if refusal, ok := err.(*Refusal); ok {
+		return refusal
+	}
 	return refuseNotRun(toTypedError(err), x.retryAfter())
 }
 
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -73,12 +73,7 @@
 // else from this host's own slots.
 func (x *exchange) pickServer(ctx context.Context) (*serverLease, error) {
 	if x.d.balance != nil {
-		lease, err := x.d.balance.Pick(x.view, x.policyRequest())
-		if err != nil {
-			return nil, err
-		}
-		x.counted = true
-		return balancedLease(lease), nil
+		return x.pickBalanced(ctx)
 	}
 	lease, err := x.state.pool.Acquire(ctx, x.view, slots.Request{
 		Idempotent: x.req.Idempotent,
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -65,6 +65,9 @@
 	// retryWithheld is the state of the retry allowance that kept the request from being retried,
 	// empty if none was.
 	retryWithheld string
+	// waited is how long the request last waited for a free slot in this host and how that ended,
+	// empty if it did not wait.
+	waited string
 }
 
 // beginAttempt records the pick of a server.
@@ -198,5 +201,6 @@
 		"servers", servers,
 		"tries", t.String(),
 		"retry", t.retryWithheld,
+		"waited", t.waited,
 		"missed", d.requestLog.limit.TakeSuppressed())
 }
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -121,9 +121,21 @@
 		v.buildCustomers(w)
 	}
 	w.ServicesChanged = false
+	v.setObjectives()
 	return true
 }
 
+// setObjectives adds the latency objectives of the routes to the views that lack them.
+func (v *viewBuilder) setObjectives() {
+	for name, view := range v.services {
+		if o := v.routes.Objectives(name); view.ShortestObjective != o.Shortest || view.LongestObjective != o.Longest {
+			updated := *view
+			updated.ShortestObjective, updated.LongestObjective = o.Shortest, o.Longest
+			v.services[name] = &updated
+		}
+	}
+}
+
 func (v *viewBuilder) buildRoutes(w *world.World) {
 	configs := make([]*config.Service, 0, len(w.Services))
 	for _, name := range w.ServiceNames() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,12 +35,17 @@
 	pathLost         prometheus.Gauge
 	relayed          *prometheus.CounterVec
 	documentBytes    *prometheus.CounterVec
+	waited           *prometheus.HistogramVec
+	waitRefused      *prometheus.CounterVec
 }
 
 // addedLatencyBuckets are histogram buckets in seconds, centred on the target of
 // 1.2 ms.
 var addedLatencyBuckets = []float64{0.0001, 0.0002, 0.0004, 0.0008, 0.0012, 0.002, 0.004, 0.008, 0.016, 0.064, 0.256, 1, 4}
 
+// waitBuckets are histogram buckets in seconds, up to the objective of routes that wait.
+var waitBuckets = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 8}
+
 // New creates the metrics and registers them with reg.
 func New(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -125,7 +130,16 @@
 		Name: "pearshelf_relayed_requests_total",
 		Help: "Requests offered to another host because this one does not reach backend servers, by result: answered, declined or failed.",
 	}, []string{"result"})
-	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.waited = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "pearshelf_wait_seconds",
+		Help:    "Time that requests waited in this host for a free slot of a backend server, by service and result: sent, refused or left.",
+		Buckets: waitBuckets,
+	}, []string{"service", "result"})
+	m.waitRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_wait_refused_total",
+		Help: "Requests that were refused because of the queue for free slots, by service and reason: no-time, expired or full.",
+	}, []string{"service", "reason"})
+	reg.MustRegister(m.waited, m.waitRefused, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -211,6 +225,33 @@
 // Relayed counts a request that was offered to another host, by result.
 func (m *Metrics) Relayed(result string) { m.relayed.WithLabelValues(result).Inc() }
 
+// Waited records the time that a request waited in this host for a free slot, and how that ended.
+func (m *Metrics) Waited(service, result string, took time.Duration) {
+	m.waited.WithLabelValues(service, result).Observe(took.Seconds())
+}
+
+// WaitRefused counts a request that was refused because of the queue for free slots.
+func (m *Metrics) WaitRefused(service, reason string) {
+	m.waitRefused.WithLabelValues(service, reason).Inc()
+}
+
+// RegisterWaiting exports what waits for free slots now.
+func (m *Metrics) RegisterWaiting(usage func() (requests int, bytes int64)) {
+	m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pearshelf_waiting_requests",
+		Help: "Requests that wait in this host for a free slot of a backend server.",
+	}, func() float64 {
+		requests, _ := usage()
+		return float64(requests)
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pearshelf_waiting_bytes",
+		Help: "Memory of the requests that wait in this host, as counted towards its bound.",
+	}, func() float64 {
+		_, bytes := usage()
+		return float64(bytes)
+	}))
+}
+
 // AddedLatency records the latency that the fleet added to a request on this host.
 func (m *Metrics) AddedLatency(service string, d time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(d.Seconds())
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // When requests arrive faster than servers can process them, a queue of any length fills up and
@@ -37,7 +38,7 @@
 )
 
 // admit refuses a request that even the best server would answer too late to be of use.
-func (t *Table) admit(now time.Time, svc *service, best choice, req Request) error {
+func (t *Table) admit(now time.Time, svc *service, view *world.ServiceView, best choice, req Request) error {
 	if !t.has(MechanismStandingQueue) || req.Deadline.IsZero() {
 		return nil
 	}
@@ -47,6 +48,9 @@
 	if t.routeIfKnown(now, req.Group) != nil && svc.latencies.probabilityAfter(req.timeLeft(now), expected) > missedDeadlineThreshold {
 		return errs.New(errs.KindQueueFull, "no backend server of "+req.Service+" can answer before the request's deadline", "repeat the request after the time in Retry-After, or allow more time")
 	}
+	if err := t.deferred(now, svc, view, best, req); err != nil {
+		return err
+	}
 	if !req.FirstAttempt {
 		return nil
 	}
@@ -79,7 +83,7 @@
 // are not counted until some answers have shown how long the route takes.
 func (t *Table) recordPriority(now time.Time, svc *service, req Request) {
 	r := t.routeIfKnown(now, req.Group)
-	if r == nil {
+	if r == nil || req.Waited {
 		return
 	}
 	w, ok := svc.priorities[req.Priority]
--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -16,6 +16,9 @@
 	// maxQueueShare is the share of the shortest allowed time that may be spent in the queue; the
 	// rest is for the work itself and for servers that are slower than expected.
 	maxQueueShare = 0.4
+	// waitedQueueShare is the same for requests that wait in the host: they go on as soon as there
+	// is room, so that the queue would always stand at its limit.
+	waitedQueueShare = 0.1
 )
 
 // routeDeadline is the longest time allowed to a route's recent requests on arrival, and the time
@@ -28,7 +31,7 @@
 
 // recordDeadline records how much time a request of a route is allowed.
 func (svc *service) recordDeadline(now time.Time, req Request) {
-	if !req.FirstAttempt {
+	if !req.FirstAttempt || req.Waited {
 		return
 	}
 	allowed := req.Deadline.Sub(req.ReceivedAt)
@@ -55,10 +58,21 @@
 // mustYield reports whether a request must not extend the queue: it has the time to wait in it, but
 // requests with shorter deadlines have not.
 func (svc *service) mustYield(now time.Time, req Request, e estimate) bool {
+	shortest := svc.yieldsTo(now, req)
+	queue := float64(e.expected) * (1 - float64(e.work)/float64(e.atTypicalSpeed))
+	share := maxQueueShare
+	if req.MayWait && req.Waited {
+		share = waitedQueueShare
+	}
+	return shortest > 0 && queue > share*float64(shortest)
+}
+
+// yieldsTo is the shortest time allowed to requests that a request must leave queues to, 0 if there
+// are none.
+func (svc *service) yieldsTo(now time.Time, req Request) time.Duration {
 	shortest := svc.shortestDeadline(now)
 	if float64(req.Deadline.Sub(req.ReceivedAt)) < yieldRatio*float64(shortest) {
-		return false
+		return 0
 	}
-	queue := float64(e.expected) * (1 - float64(e.work)/float64(e.atTypicalSpeed))
-	return shortest > 0 && queue > maxQueueShare*float64(shortest)
+	return shortest
 }
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -112,6 +112,12 @@
 	// ReceivedAt is when this host received the request, Deadline when the caller stops waiting.
 	ReceivedAt time.Time
 	Deadline   time.Time
+	// MayWait is set if the caller of Pick can let the request wait in the host, see NoFreeSlot.
+	// OthersWait is set if requests of the service do, so that the request must not overtake them;
+	// Waited if this is not the first Pick for the request because it has waited.
+	MayWait    bool
+	OthersWait bool
+	Waited     bool
 }
 
 // Placement is a request's reservation on a server, from Pick until Finish.
@@ -142,11 +148,17 @@
 func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Placement, error) {
 	best := t.choose(now, view, req)
 	svc := t.service(req.Service)
+	svc.recordObjective(now, req)
 	if best.server == nil {
+		if best.eligible > 0 {
+			if err := t.deferred(now, svc, view, best, req); err != nil {
+				return nil, err
+			}
+		}
 		return nil, t.noServerError(req, best.eligible)
 	}
 	t.recordPriority(now, svc, req)
-	if err := t.admit(now, svc, best, req); err != nil {
+	if err := t.admit(now, svc, view, best, req); err != nil {
 		return nil, err
 	}
 	return t.place(now, svc, best, req), nil
@@ -272,6 +284,9 @@
 	return t.service(service).typicalLatency
 }
 
+// Service is the service of the placement's server.
+func (p *Placement) Service() string { return p.key.service }
+
 // cost returns the expected cost of sending a request to a server, without that of a failure.
 func (t *Table) cost(now time.Time, svc *service, s *server, b *world.BackendView, load float64, req Request) float64 {
 	rule := t.conf.Cost
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -139,6 +139,8 @@
 	priorities map[int]*window
 	// deadlines is the time allowed to requests, by route.
 	deadlines map[string]routeDeadline
+	// objectives is the latency objective of requests, by route.
+	objectives map[string]routeObjective
 	// totals are this host's counts over all servers; sharingHosts holds the latest totals of the
 	// other hosts of its segment.
 	totals        counts
@@ -162,6 +164,9 @@
 	// Random breaks ties between servers of equal cost. Hosts must use different seeds, or those
 	// with equal views select the same servers.
 	Random *rand.Rand
+	// DeferralRatio is the multiple of a service's shortest latency objective from which on requests
+	// wait in the host, DefaultDeferralRatio if 0.
+	DeferralRatio float64
 	// Without disables mechanisms, to measure their benefit.
 	Without []Mechanism
 }
@@ -211,7 +216,7 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{typicalLatency: defaultTypicalLatency, latencies: newLatencyDistribution(), unansweredShare: priorUnansweredShare, sharingHosts: make(map[string]*peerTotals), priorities: make(map[int]*window), deadlines: make(map[string]routeDeadline)}
+		svc = &service{typicalLatency: defaultTypicalLatency, latencies: newLatencyDistribution(), unansweredShare: priorUnansweredShare, sharingHosts: make(map[string]*peerTotals), priorities: make(map[int]*window), deadlines: make(map[string]routeDeadline), objectives: make(map[string]routeObjective)}
 		svc.beliefOptions = beliefOptions{outcomes: t.has(MechanismFailureModel), unanswered: t.has(MechanismUnanswered)}
 		t.services[name] = svc
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,14 +46,18 @@
 
 // Table is immutable after Build and safe for concurrent use.
 type Table struct {
-	rules map[prefix][]rule
+	rules      map[prefix][]rule
+	objectives map[string]Objectives
 }
 
+// Objectives are the shortest and the longest latency objective of a service's routes.
+type Objectives struct{ Shortest, Longest time.Duration }
+
 // Build makes a table of all services' routes, and of shared routes, which
 // name their services. Where two declare the same route, the first in the
 // order given wins, services before shared routes.
 func Build(services []*config.Service, shared []config.Route) *Table {
-	t := &Table{rules: make(map[prefix][]rule)}
+	t := &Table{rules: make(map[prefix][]rule), objectives: make(map[string]Objectives)}
 	for _, svc := range services {
 		for _, r := range svc.Routes {
 			t.add(svc.Name, r)
@@ -76,6 +80,7 @@
 	for _, share := range r.Split {
 		total += share.Weight
 	}
+	t.addObjective(service, r)
 	at := prefix{host: strings.ToLower(r.Host), path: path}
 	t.rules[at] = append(t.rules[at], rule{
 		methods: r.Methods,
@@ -95,6 +100,33 @@
 	})
 }
 
+func (t *Table) addObjective(service string, r config.Route) {
+	objective := time.Duration(r.Objective)
+	if objective <= 0 {
+		return
+	}
+	services := r.Split
+	if len(services) == 0 {
+		services = []config.Share{{Service: service, Weight: 1}}
+	}
+	for _, share := range services {
+		name := share.Service
+		if share.Weight <= 0 {
+			continue
+		}
+		o := t.objectives[name]
+		o.Longest = max(o.Longest, objective)
+		if o.Shortest == 0 || objective < o.Shortest {
+			o.Shortest = objective
+		}
+		t.objectives[name] = o
+	}
+}
+
+// Objectives returns the extremes of the latency objectives of the routes that lead to a service,
+// zero if none has an objective.
+func (t *Table) Objectives(service string) Objectives { return t.objectives[service] }
+
 // Lookup finds the route of a request. The path must be clean.
 func (t *Table) Lookup(host, method, path string) (Match, bool) {
 	host = strings.ToLower(host)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,8 @@
 	maxMemoryMB              = 16 << 20
 	DefaultDirectAfter       = 2 * time.Second
 	DefaultDirectSpread      = 3 * time.Second
+	minDeferralRatio         = 1.5
+	maxDeferralRatio         = 100.0
 )
 
 // TLS holds the paths of a listener's certificate and key files.
@@ -175,6 +177,28 @@
 	DisabledMechanisms []policy.Mechanism `yaml:"without"`
 }
 
+// Scheduling configures when requests are sent to backend servers, when forwarding is off.
+type Scheduling struct {
+	WaitQueue WaitQueue `yaml:"wait_queue"`
+}
+
+// WaitQueue configures the queue of requests that wait in the host for a free slot.
+type WaitQueue struct {
+	// Disabled sends or refuses such requests at once instead. Default: false.
+	Disabled bool `yaml:"disabled"`
+	// DeferralRatio is the multiple of a service's shortest latency objective from which on
+	// requests wait for a free slot. Lower values make more routes wait. Default: 3.
+	DeferralRatio float64 `yaml:"deferral_ratio"`
+}
+
+// DisabledMechanisms returns the mechanisms of the policy that the settings disable.
+func (s *Settings) DisabledMechanisms() []policy.Mechanism {
+	if !s.Scheduling.WaitQueue.Disabled {
+		return s.Policy.DisabledMechanisms
+	}
+	return append(slices.Clone(s.Policy.DisabledMechanisms), policy.MechanismWaitQueue)
+}
+
 // Backend configures connections to backend servers.
 type Backend struct {
 	// DialTimeout limits the time to establish a connection. Default: 1s.
@@ -215,6 +239,8 @@
 	Retry    Retry    `yaml:"retry"`
 	Policy   Policy   `yaml:"policy"`
 	Backend  Backend  `yaml:"backend"`
+	// Scheduling applies only when forwarding is off.
+	Scheduling Scheduling `yaml:"scheduling"`
 	// Forwarding sends requests to the owner hosts of their service. If false,
 	// each host selects backend servers itself and the hosts exchange their
 	// observations. Default: true.
@@ -266,6 +292,9 @@
 		s.Retry.FleetShare, s.Retry.FleetReserve = rule.Share, rule.Reserve
 	}
 	setDuration(&s.Retry.Window, rule.Window)
+	if s.Scheduling.WaitQueue.DeferralRatio == 0 {
+		s.Scheduling.WaitQueue.DeferralRatio = policy.DefaultDeferralRatio
+	}
 	setDuration(&s.Backend.DialTimeout, upstream.DefaultDialTimeout)
 	setDuration(&s.Timing.Tick, DefaultTick)
 	setDuration(&s.Timing.Freshness, DefaultFreshness)
@@ -372,6 +401,9 @@
 	if s.Retry.FleetReserve < 0 {
 		v.addf("retry.fleet_reserve", "%g is negative", s.Retry.FleetReserve)
 	}
+	if ratio := s.Scheduling.WaitQueue.DeferralRatio; !(ratio >= minDeferralRatio && ratio <= maxDeferralRatio) {
+		v.addf("scheduling.wait_queue.deferral_ratio", "%g is outside %g to %g", ratio, minDeferralRatio, maxDeferralRatio)
+	}
 	if s.Backend.LocalAddress != "" {
 		if _, err := netip.ParseAddr(s.Backend.LocalAddress); err != nil {
 			v.addf("backend.local_address", "%q is not an IP address", s.Backend.LocalAddress)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,6 +44,7 @@
 		"claim too long":    {validSettings + "timing: {claim_horizon: 1s, claim_timeout: 600ms}\n", "at most half of timing.claim_horizon"},
 		"owners on a store": {strings.Replace(validSettings, "platform: {", "platform: {kind: store, ", 1), "forwarding: must be false with platform.kind: store"},
 		"no mechanism":      {validSettings + "policy: {without: [copies, magic]}\n", "policy.without: unknown mechanism \"magic\""},
+		"low ratio":         {validSettings + "scheduling:\n  wait_queue: {deferral_ratio: 1}\n", "f.yaml:8: scheduling.wait_queue.deferral_ratio: 1 is outside 1.5 to 100"},
 		"no host":           {strings.Replace(validSettings, "host: h1", "host: ''", 1), "f.yaml:1: host"},
 	}
 	if _, err := settings.Parse("f.yaml", []byte(validSettings)); err != nil {
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -56,6 +56,9 @@
 	Backends []BackendView
 	Subset   []BackendView
 	Sharing  *sharing.Service
+	// ShortestObjective and LongestObjective are the extremes of the latency objectives of the
+	// service's routes, 0 if none has one.
+	ShortestObjective, LongestObjective time.Duration
 	// Owners are the owners in this data centre other than this host, in rank
 	// order; the first ActiveOwners of them are active.
 	Owners       []OwnerView
