Start: hosts find a source for their first documents by hellos

Cause: after a loss of power of all hosts, the hosts that all know from their settings started last (0.3 to 0.45 s after the others). A host tried one of them each 0.1 s, its first tick came 0.1 s after its start, and it heard of documents by gossip. 66 of 182 hosts read the configuration and 16 the list of servers from the platform themselves.

Change: a host without documents says hello to known hosts each 25 ms. The welcome names a host to fetch from, in a tree in order of arrival. Hosts that know others leave the platform to the known hosts for 120 ms, after which one host in ten stands in. First comparisons of state stay within the data centre, except for two hosts. Requests wait for three quarters of their time, bounded in number and bytes, and are let in by deadline over at most 0.2 s. New kinds KIND_HELLO (10) and KIND_WELCOME (11).

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -40,6 +41,12 @@
 	Near, Far time.Duration
 	// StartWithin is the time in which all hosts start.
 	StartWithin time.Duration
+	// KnownLater is how much later than the others the hosts start that all know from their settings.
+	KnownLater time.Duration
+	// KnownLife is how long after their start these die, 0 for not at all.
+	KnownLife time.Duration
+	// KnownDown is set if these do not start.
+	KnownDown bool
 	// Loss is the share of datagrams that are lost.
 	Loss float64
 	// ListTakes is how long it takes to read the whole list of servers from the platform.
@@ -61,6 +68,8 @@
 	Bytes            int
 	// FarBytes are those of Bytes that went to another data centre.
 	FarBytes int
+	// Far is FarBytes by kind: that of the datagram, "comparison" or "document".
+	Far map[string]int
 }
 
 // Fleet is all hosts of a simulation.
@@ -84,11 +93,29 @@
 		h := &Host{fleet: f, number: n, dataCentre: n % conf.DataCentres}
 		f.hosts = append(f.hosts, h)
 		f.at[h.address()] = h
-		f.clock.After(time.Duration(f.random.Float64()*float64(conf.StartWithin)), h.Start)
 	}
+	f.StartAll()
 	return f
 }
 
+// StartAll starts all hosts within StartWithin, the known ones KnownLater after the others or not at
+// all.
+func (f *Fleet) StartAll() {
+	for _, h := range f.hosts {
+		after := time.Duration(f.random.Float64() * float64(f.conf.StartWithin))
+		if h.number < seeds && f.conf.KnownDown {
+			continue
+		}
+		if h.number < seeds {
+			after += f.conf.KnownLater
+			if f.conf.KnownLife > 0 {
+				f.clock.After(after+f.conf.KnownLife, h.Stop)
+			}
+		}
+		f.clock.After(after, h.Start)
+	}
+}
+
 // Publish gives the platform a new revision of a document; hosts that read it hear of it
 // by their watches.
 func (f *Fleet) Publish(key string, raw []byte) uint64 {
@@ -152,12 +179,15 @@
 
 // Sent sums what all hosts sent.
 func (f *Fleet) Sent() Traffic {
-	var total Traffic
+	total := Traffic{Far: make(map[string]int)}
 	for _, h := range f.hosts {
 		total.Datagrams += h.Sent.Datagrams
 		total.Calls += h.Sent.Calls
 		total.Bytes += h.Sent.Bytes
 		total.FarBytes += h.Sent.FarBytes
+		for kind, bytes := range h.Sent.Far {
+			total.Far[kind] += bytes
+		}
 	}
 	return total
 }
@@ -177,6 +207,9 @@
 	number     int
 	dataCentre int
 	life       int // grows with every start and stop
+	startedAt  time.Duration
+	// ReadyAfter is the time from the latest start until a configuration was in force, 0 if none is.
+	ReadyAfter time.Duration
 	engine     *engine.Engine
 	reading    bool
 	// Cut hosts send and hear nothing.
@@ -204,11 +237,13 @@
 func (h *Host) Stop() {
 	h.life++
 	h.engine = nil
+	h.reading = false
 }
 
 // Start runs the host with an empty memory.
 func (h *Host) Start() {
 	h.life++
+	h.startedAt, h.ReadyAfter = h.fleet.clock.Now, 0
 	now := h.fleet.clock.Time()
 	self := world.Identity{Host: h.name(), Address: h.address(), DataCentre: fmt.Sprint("dc", h.dataCentre)}
 	seed := h.fleet.conf.Seed<<32 + uint64(h.number)<<8 + uint64(h.life)
@@ -235,14 +270,14 @@
 			Seed:           seed,
 		},
 	}, &hlc.Clock{}, &effects{host: h, life: h.life}, now)
-	h.tick(h.life)
+	h.tick(h.life, 0)
 }
 
 // tick steps the control loop as often as the daemon does.
-func (h *Host) tick(life int) {
-	h.in(0, life, func(now time.Time) {
+func (h *Host) tick(life int, after time.Duration) {
+	h.in(after, life, func(now time.Time) {
 		h.engine.Step(now)
-		h.in(settings.DefaultTick, life, func(time.Time) { h.tick(life) })
+		h.tick(life, min(h.engine.Interval(), settings.DefaultTick))
 	})
 }
 
@@ -251,6 +286,7 @@
 	h.fleet.clock.After(after, func() {
 		if h.engine != nil && h.life == life {
 			h.engine.Input(h.fleet.clock.Time(), input)
+			h.noteReady()
 		}
 	})
 }
@@ -264,15 +300,27 @@
 	h.fleet.clock.After(h.fleet.delay(h, to)+h.Slow+to.Slow, func() {
 		if to.engine != nil && !to.Cut {
 			to.engine.Input(h.fleet.clock.Time(), func(now time.Time) { do(to, now) })
+			to.noteReady()
 		}
 	})
 }
 
+// noteReady records when the host became ready.
+func (h *Host) noteReady() {
+	if h.engine != nil && h.ReadyAfter == 0 && h.engine.Ready() {
+		h.ReadyAfter = max(h.fleet.clock.Now-h.startedAt, 1)
+	}
+}
+
 // count adds what this host sends to an address.
-func (h *Host) count(address string, bytes int) {
+func (h *Host) count(address, kind string, bytes int) {
 	h.Sent.Bytes += bytes
 	if to, ok := h.fleet.at[address]; ok && to.dataCentre != h.dataCentre {
 		h.Sent.FarBytes += bytes
+		if h.Sent.Far == nil {
+			h.Sent.Far = make(map[string]int)
+		}
+		h.Sent.Far[kind] += bytes
 	}
 }
 
@@ -291,7 +339,7 @@
 			panic(err)
 		}
 		h.Sent.Datagrams++
-		h.count(p.To, len(raw))
+		h.count(p.To, strings.ToLower(strings.TrimPrefix(p.Datagram.Kind.String(), "KIND_")), len(raw))
 		if h.fleet.random.Float64() < h.fleet.conf.Loss {
 			continue
 		}
@@ -359,7 +407,7 @@
 	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
 	h.reach(f.Peers[0], func(to *Host, now time.Time) {
 		to.answerDocument(now, req, now.Add(configsync.DocumentWait), func(resp *peerpb.DocumentResponse) {
-			to.count(h.address(), sizeOfCall+proto.Size(resp))
+			to.count(h.address(), "document", sizeOfCall+proto.Size(resp))
 			to.reach(h.address(), func(_ *Host, now time.Time) { end(now, resp) })
 		})
 	})
@@ -385,12 +433,12 @@
 		return
 	}
 	h.Sent.Calls++
-	h.count(address, sizeOfCall)
+	h.count(address, "comparison", sizeOfCall)
 	e.ask(address, &peerpb.SyncRequest{From: h.name(), Digest: h.engine.Digest()}, func(resp *peerpb.SyncResponse, now time.Time) {
 		if !resp.Same {
 			state := h.engine.State(now)
 			h.Sent.Calls++
-			h.count(address, proto.Size(state))
+			h.count(address, "comparison", proto.Size(state))
 			e.ask(address, state, func(*peerpb.SyncResponse, time.Time) {})
 		}
 		h.engine.Merge(now, resp.Members, resp.Registers, resp.Clock)
@@ -403,7 +451,7 @@
 	h := e.host
 	h.reach(address, func(to *Host, now time.Time) {
 		resp := to.engine.AnswerSync(now, req)
-		to.count(h.address(), proto.Size(resp))
+		to.count(h.address(), "comparison", proto.Size(resp))
 		to.reach(h.address(), func(_ *Host, now time.Time) {
 			if h.life == e.life {
 				take(resp, now)
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -12,6 +12,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/frontend"
 	"github.com/pearshelf/pearshelf/internal/peer"
+	"github.com/pearshelf/pearshelf/internal/startup"
 )
 
 func (d *Daemon) makeServers() error {
@@ -20,6 +21,7 @@
 		Protocol:              d.protocol,
 		SeparateReadyListener: d.listeners.ready != nil,
 		WhenReady:             d.engine.WhenReady(),
+		MaxHeldBytes:          int64(d.settings.MemoryMB*(1<<20)) / startup.MaxHeldShare,
 		BodyIdleTimeout:       time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
 	service := admin.NewServer(admin.Parts{
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -110,13 +110,13 @@
 	return defaultMaxAttempts
 }
 
-// LimitDeadline replaces the deadline by a route's timeout if that is sooner, so that the caller has
-// its final response in time.
-func (r *Request) LimitDeadline(timeout time.Duration) {
+// LimitDeadline replaces the deadline by a route's timeout, counted from the request's arrival, if that is
+// sooner, so that the caller has its final response in time.
+func (r *Request) LimitDeadline(arrived time.Time, timeout time.Duration) {
 	if timeout <= 0 {
 		return
 	}
-	if end := time.Now().Add(timeout); end.Before(r.Deadline) {
+	if end := arrived.Add(timeout); end.Before(r.Deadline) {
 		r.Deadline = end
 		r.Explicit = true
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -107,8 +108,13 @@
 	// joinedHosts are the hosts that have joined since the last tick.
 	joinedHosts   []string
 	headAnnounced bool // another host has announced a document revision since the last tick
+	hellos        hellos
+	rng           *rand.Rand
 }
 
+// rngStream separates the engine's random numbers from those of other parts.
+const rngStream = 96
+
 // New returns an engine whose start time is now.
 func New(conf Config, clock *hlc.Clock, effects Effects, now time.Time) *Engine {
 	e := &Engine{
@@ -122,6 +128,7 @@
 		inbox:     make(chan func(time.Time), inboxSize),
 		lastTick:  now,
 		readyCh:   make(chan struct{}),
+		rng:       rand.New(rand.NewPCG(conf.Seed, rngStream)),
 	}
 	if e.conf.Suspended == nil {
 		e.conf.Suspended = boottime.Suspended
@@ -172,6 +179,7 @@
 		e.SetPathLost(now, e.world.NetworkSuspect)
 	}
 	e.dispatchOutbox(now)
+	e.greet(now)
 	e.effects.Send(e.members.Tick(now))
 	for _, address := range e.members.SyncTargets(now, e.peers) {
 		e.effects.SyncWith(address)
@@ -180,7 +188,11 @@
 	if e.stopRequested() {
 		e.effects.StopRequested()
 	}
+	wasReady := e.ready
 	e.publish(now)
+	if e.ready && !wasReady {
+		e.dispatchOutbox(now) // the event; until the next tick it would be late by the tick's interval
+	}
 }
 
 // detectPause marks the view stale if this process was paused for longer than
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -32,6 +32,12 @@
 		e.detection.AddReport(e.world, now, d.Evidence)
 	}
 	e.effects.Send(e.members.Receive(now, address, d))
+	switch d.Kind {
+	case peerpb.Datagram_KIND_HELLO:
+		e.handleHello(now, address, d)
+	case peerpb.Datagram_KIND_WELCOME:
+		e.handleWelcome(now, d)
+	}
 }
 
 // HandleDocument handles a document received from the platform or a peer.
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/startup"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -21,7 +22,7 @@
 
 // Run processes inputs and ticks until ctx is done.
 func (e *Engine) Run(ctx context.Context) {
-	timer := time.NewTimer(e.conf.Tick)
+	timer := time.NewTimer(0) // a host that starts has no time to lose
 	defer timer.Stop()
 	for {
 		select {
@@ -48,12 +49,18 @@
 // interval returns the time until the next tick. It is longer while the host is idle,
 // because wake-ups are costly on hosts that have only a fraction of a CPU core.
 func (e *Engine) interval() time.Duration {
+	if !e.ready && e.lastTick.Sub(e.world.StartedAt) < startup.EagerTickFor {
+		return min(e.conf.Tick, startup.Tick)
+	}
 	if e.idle() {
 		return idleTickFactor * e.conf.Tick
 	}
 	return e.conf.Tick
 }
 
+// Interval returns the time until the next scheduled tick, for simulations.
+func (e *Engine) Interval() time.Duration { return e.interval() }
+
 // idle reports whether no work is waiting for the next tick. Inputs that need an
 // immediate tick are covered by needsImmediateTick, and all other timers tolerate
 // a delay of idleTickFactor intervals.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -29,10 +29,6 @@
 	maxIdempotencyKey = 256
 	maxSession        = 256
 	maxTimeout        = 2 * time.Hour
-
-	// startupWait is how long a request may wait for the first configuration. A
-	// host reads it within about 300 ms of its start.
-	startupWait = 500 * time.Millisecond
 )
 
 // Dispatcher handles requests that the frontend has accepted.
@@ -57,6 +53,8 @@
 	Protocol *protocol.Protocol
 	// WhenReady is closed once the first configuration has been applied.
 	WhenReady <-chan struct{}
+	// MaxHeldBytes bounds the memory of requests that wait for the first configuration.
+	MaxHeldBytes int64
 	// SeparateReadyListener is set if readiness checks are served on their own listener
 	// instead of the caller listener.
 	SeparateReadyListener bool
@@ -71,11 +69,12 @@
 	snapshot   func() *world.Snapshot
 	dispatcher Dispatcher
 	metrics    *metrics.Metrics
+	room       *waitingRoom
 }
 
 // New returns a frontend.
 func New(conf Config, snapshot func() *world.Snapshot, dispatcher Dispatcher, m *metrics.Metrics) *Frontend {
-	return &Frontend{conf: conf, snapshot: snapshot, dispatcher: dispatcher, metrics: m}
+	return &Frontend{conf: conf, snapshot: snapshot, dispatcher: dispatcher, metrics: m, room: newWaitingRoom(conf.MaxHeldBytes)}
 }
 
 // handler is an http.HandlerFunc that may return a refusal.
@@ -157,9 +156,10 @@
 }
 
 func (f *Frontend) serveCaller(w http.ResponseWriter, r *http.Request, id string) error {
-	snap := f.awaitReady(r.Context())
-	if !snap.Ready {
-		return refuse(http.StatusServiceUnavailable, errs.KindNotConfigured, "this host has no configuration yet", "repeat the request; the balancer should ask "+f.conf.Protocol.ReadyPath)
+	arrived := time.Now()
+	snap, waited, err := f.awaitReady(r, arrived)
+	if err != nil {
+		return err
 	}
 	if err := checkPath(r); err != nil {
 		return err
@@ -189,33 +189,19 @@
 	if len(req.Key) > maxIdempotencyKey || len(req.Session) > maxSession {
 		return refuse(http.StatusBadRequest, errs.KindBadRequest, "Idempotency-Key or Pearshelf-Session is longer than 256 bytes", "send a shorter value")
 	}
-	if err := f.setDeadline(req, r, snap); err != nil {
+	if err := f.setDeadline(req, r, snap, arrived); err != nil {
 		return err
 	}
-	req.LimitDeadline(match.Timeout)
+	req.LimitDeadline(arrived, match.Timeout)
+	if waited && !time.Now().Before(req.Deadline) {
+		return refuse(http.StatusServiceUnavailable, errs.KindNotConfigured, "the deadline passed while this host waited for its first configuration", "allow more time")
+	}
 	if err := f.enforceLimit(r.Context(), req, holder); err != nil {
 		return err
 	}
 	return f.dispatch(w, req)
 }
 
-// awaitReady returns the latest snapshot. If the host has no configuration yet, it waits
-// for one for up to startupWait.
-func (f *Frontend) awaitReady(ctx context.Context) *world.Snapshot {
-	snap := f.snapshot()
-	if snap.Ready {
-		return snap
-	}
-	timer := time.NewTimer(startupWait)
-	defer timer.Stop()
-	select {
-	case <-f.conf.WhenReady:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return f.snapshot()
-}
-
 func (f *Frontend) serveForwarded(w http.ResponseWriter, r *http.Request, id string) error {
 	snap := f.snapshot()
 	req := dispatch.NewRequest(r)
@@ -315,21 +301,21 @@
 	return nil
 }
 
-func (f *Frontend) setDeadline(req *dispatch.Request, r *http.Request, snap *world.Snapshot) error {
+func (f *Frontend) setDeadline(req *dispatch.Request, r *http.Request, snap *world.Snapshot, arrived time.Time) error {
 	value := r.Header.Get(f.conf.Protocol.Timeout)
 	if value == "" {
 		timeout := maxTimeout
 		if view, ok := snap.Services[req.Service]; ok {
 			timeout = time.Duration(view.Config.Timeout)
 		}
-		req.Deadline = time.Now().Add(timeout)
+		req.Deadline = arrived.Add(timeout)
 		return nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || ms <= 0 || ms > maxTimeout.Milliseconds() {
 		return refuse(http.StatusBadRequest, errs.KindBadRequest, f.conf.Protocol.Timeout+" is not a number from 1 to 7200000", "send milliseconds in that range")
 	}
-	req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	req.Deadline = arrived.Add(time.Duration(ms) * time.Millisecond)
 	req.Explicit = true
 	return nil
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -23,9 +23,9 @@
 	// bootstrapSyncFanout is the number of known hosts with which a new host first compares its
 	// state.
 	bootstrapSyncFanout = 3
-	// bootstrapSyncMaxHosts is the largest fleet in which a new host repeats full-state comparisons
-	// with the known hosts. At this size each of three known hosts answers about 20 per second.
-	bootstrapSyncMaxHosts = 60
+	// farComparers is the number of hosts of a data centre that compare their state with other data
+	// centres when they start: two, so that one may fail.
+	farComparers = 2
 	// remoteSyncRatio is the number of full-state comparisons of which one is with a host of another
 	// data centre. Any host of a data centre can recover changes that gossip lost on the way there.
 	remoteSyncRatio = 8
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/gossip"
 )
@@ -285,19 +287,49 @@
 	return candidates[l.rng.IntN(len(candidates))].Address, true
 }
 
+// Sample returns up to n random live members of a data centre except some.
+func (l *List) Sample(dataCentre string, n int, except []string) []*peerpb.Member {
+	view := l.table.currentView(l.conf.Host)
+	candidates := view.local
+	if dataCentre != l.conf.DataCentre {
+		candidates = view.remote
+	}
+	var chosen []*peerpb.Member
+	// Random positions instead of a permutation, since the answer to each hello takes a sample.
+	for range sampleTries * n {
+		if len(chosen) == n || len(candidates) == 0 {
+			break
+		}
+		m := candidates[l.rng.IntN(len(candidates))]
+		if m.DataCentre == dataCentre && !slices.Contains(chosen, m) && !slices.Contains(except, m.Host) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// sampleTries is the number of random positions that Sample looks at per member.
+const sampleTries = 4
+
 // bootstrapSyncTargets returns the known hosts with which a new host compares its state: several
 // at first, then one at each of bootstrapSyncAges. It repeats because, when many hosts start
 // together, the known hosts may start last and their first answers contain few rows. In large
-// fleets the known hosts could not answer all these comparisons, so that a new host then chooses
-// among the members of its data centre that it has learned of.
+// fleets the known hosts could not answer all these comparisons, and most are in other data centres.
+// A new host that has learned of members of its data centre therefore chooses among these, and only
+// the first of them in order also compare with a member of another data centre.
 func (l *List) bootstrapSyncTargets(now time.Time, known []string) []string {
 	if l.bootstrapSyncs == len(bootstrapSyncAges) || now.Sub(l.started) < bootstrapSyncAges[l.bootstrapSyncs] {
 		return nil
 	}
 	l.bootstrapSyncs++
-	local := l.table.currentView(l.conf.Host).local
-	if l.LiveCount() > bootstrapSyncMaxHosts && len(local) > 0 {
-		return []string{local[l.rng.IntN(len(local))].Address}
+	view := l.table.currentView(l.conf.Host)
+	if len(view.local) > 0 {
+		l.nextReconnect = now.Add(l.reconnectInterval())
+		targets := []string{view.local[l.rng.IntN(len(view.local))].Address}
+		if len(view.remote) > 0 && l.comparesFar(view) {
+			targets = append(targets, view.remote[l.rng.IntN(len(view.remote))].Address)
+		}
+		return targets
 	}
 	targets := slices.Clone(known)
 	l.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
@@ -308,6 +340,20 @@
 	return targets[:min(1, len(targets))]
 }
 
+// comparesFar reports whether this host is one of the first farComparers of its data centre, in an order
+// that hosts with the same members agree on. If one of them dies, the next takes its place as soon as it
+// is known to be dead.
+func (l *List) comparesFar(view *view) bool {
+	own := xxhash.Sum64String(l.conf.Host)
+	before := 0
+	for _, m := range view.local {
+		if xxhash.Sum64String(m.Host) < own {
+			before++
+		}
+	}
+	return before < farComparers
+}
+
 // reconnectInterval returns the period of reconnection attempts, which is shorter while this host
 // knows no other live host.
 func (l *List) reconnectInterval() time.Duration {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 	pathLost         prometheus.Gauge
 	relayed          *prometheus.CounterVec
 	documentBytes    *prometheus.CounterVec
+	awaited          *prometheus.CounterVec
 }
 
 // addedLatencyBuckets are histogram buckets in seconds, centred on the target of
@@ -125,10 +126,17 @@
 		Name: "pearshelf_relayed_requests_total",
 		Help: "Requests offered to another host because this one does not reach backend servers, by result: answered, declined or failed.",
 	}, []string{"result"})
-	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.awaited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_requests_awaiting_configuration_total",
+		Help: "Requests that arrived before the first configuration, by result: admitted, no_room, expired, stopped or left.",
+	}, []string{"result"})
+	reg.MustRegister(m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
+// AwaitedConfiguration counts a request that arrived before the first configuration, by result.
+func (m *Metrics) AwaitedConfiguration(result string) { m.awaited.WithLabelValues(result).Inc() }
+
 // Request records a completed request and its duration.
 func (m *Metrics) Request(service, outcome string, took time.Duration) {
 	m.requests.WithLabelValues(service, outcome).Inc()
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -15,6 +15,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/rendezvous"
+	"github.com/pearshelf/pearshelf/internal/startup"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -106,13 +107,24 @@
 	directAt time.Time
 	nextPoll time.Time
 	failover readerFailover
+	// contactAt is when this host first knew of another one, readDelay the random part of its wait
+	// for the documents of others; see startup.ReadAt.
+	contactAt time.Time
+	readDelay time.Duration
+	// readsEarly is set on the few hosts that stand in for known hosts that do not get an answer
+	// from the platform; see startup.StandIn.
+	readsEarly bool
+	// heardAt is when another host first announced a document that this host lacks, by key.
+	heardAt map[string]time.Time
 }
 
 // New returns a system that starts at now.
 func New(now time.Time, conf Config) *System {
 	rng := rand.New(rand.NewPCG(conf.Seed, seedStream))
-	s := &System{conf: conf, rng: rng}
-	s.directAt = now.Add(conf.DirectAfter + s.initialReadDelay())
+	s := &System{conf: conf, rng: rng, heardAt: make(map[string]time.Time)}
+	delay := s.initialReadDelay()
+	s.directAt = now.Add(conf.DirectAfter + delay)
+	s.readsEarly, s.readDelay = startup.StandIn(max(delay-conf.DirectSpread, 0), conf.DirectSpread)
 	s.nextPoll = now.Add(jitter(rng, PollInterval))
 	s.failover = readerFailover{lastHeartbeat: now.Add(startGrace), lastReaderAnswer: now}
 	return s
@@ -164,6 +176,9 @@
 
 // Run starts the fetches that are due.
 func (s *System) Run(w *world.World, now time.Time) {
+	if s.contactAt.IsZero() && len(w.Hosts) > 1 {
+		s.contactAt = now
+	}
 	removeExpired(w, now)
 	s.updateReaderRole(w, now)
 	s.fetchAnnounced(w, now)
@@ -182,7 +197,7 @@
 		}
 		doc := w.Document(head.Key)
 		if doc.Needs(head.Revision) {
-			s.fetch(w, now, doc, fetchSource{holder: head.Holder})
+			s.fetch(w, now, doc, fetchSource{holder: head.Holder, nearOnly: s.leavesToNearer(w, now, doc, head.Holder)})
 		}
 	}
 }
@@ -243,7 +258,7 @@
 // poll asks the platform directly: early while required documents are missing,
 // otherwise at long intervals.
 func (s *System) poll(w *world.World, now time.Time) {
-	if missesRequired(w) && !now.Before(s.directAt) {
+	if missesRequired(w) && !now.Before(s.readAt()) {
 		if discoveryEnd := w.StartedAt.Add(PeerDiscoveryWait); s.conf.ReaderFailover && !s.conf.IsSeed && len(w.Hosts) <= 1 && now.Before(discoveryEnd) {
 			s.directAt = discoveryEnd // other hosts may be discovered by then
 			return
@@ -271,11 +286,25 @@
 	}
 }
 
+// readAt returns when this host may read the platform itself while it lacks documents. With reader
+// failover, hosts that others do not know from their settings give these time to read.
+func (s *System) readAt() time.Time {
+	if !s.conf.ReaderFailover || s.conf.IsSeed {
+		return s.directAt
+	}
+	return startup.ReadAt(s.directAt, s.contactAt, s.readDelay)
+}
+
 // defersToReaders reports whether this host leaves reading a document from the platform to
 // readers, including itself after a failover: a list of thousands of servers costs the platform
-// several megabytes per host. A host that knows no other reads the document itself.
+// several megabytes per host. A host that knows no other reads the document itself, as do the few that
+// read early while no document has been announced: the known hosts may be turned away by the platform.
 func (s *System) defersToReaders(w *world.World, key string) bool {
-	return key == world.KeyDiscovered && s.conf.ReaderFailover && !s.conf.IsSeed && len(w.Hosts) > 1
+	if key != world.KeyDiscovered || !s.conf.ReaderFailover || s.conf.IsSeed || len(w.Hosts) <= 1 {
+		return false
+	}
+	nobodyReads := s.readsEarly && len(w.Registers.Prefix(headPrefix)) == 0
+	return !nobodyReads
 }
 
 // availableFromPeers reports whether a missing document is expected from peers: a reader is
@@ -295,6 +324,7 @@
 	holder      string // host that announced the document, may be empty
 	holderFirst bool   // ask the holder before the parent: it has capacity for all hosts of its data centre
 	platform    bool   // ask only the platform
+	nearOnly    bool   // do not ask the holder, which is in another data centre
 }
 
 // hostPollInterval returns the poll interval of each host, which grows with the fleet.
@@ -351,11 +381,11 @@
 			return addresses // the holder cannot serve the full document to a large fleet
 		}
 	}
-	if h, ok := w.Hosts[source.holder]; ok && source.holder != w.Self.Host && h.Live() && !slices.Contains(addresses, h.Address) {
+	if h, ok := w.Hosts[source.holder]; ok && source.holder != w.Self.Host && h.Live() && !slices.Contains(addresses, h.Address) && !source.nearOnly {
 		addresses = append(addresses, h.Address)
 	}
 	if len(addresses) == 0 || doc.Attempts > HolderAttempts {
-		addresses = append(addresses, s.randomOtherHost(w)...)
+		addresses = append(addresses, s.randomOtherHost(w, source.nearOnly)...)
 	}
 	if doc.Attempts > HolderAttempts && doc.Attempts%2 == 1 { // the holder may hang like the parent
 		slices.Reverse(addresses)
@@ -363,14 +393,21 @@
 	return addresses
 }
 
-// randomOtherHost returns the address of a random other live host, if there is one.
-func (s *System) randomOtherHost(w *world.World) []string {
-	var live []string
+// randomOtherHost returns the address of a random other live host, if there is one. With nearOnly
+// it is one of this data centre if there is one.
+func (s *System) randomOtherHost(w *world.World, nearOnly bool) []string {
+	var live, near []string
 	for _, name := range w.HostNames() {
-		if name != w.Self.Host && w.Hosts[name].Live() {
-			live = append(live, w.Hosts[name].Address)
+		if h := w.Hosts[name]; name != w.Self.Host && h.Live() {
+			live = append(live, h.Address)
+			if h.DataCentre == w.Self.DataCentre {
+				near = append(near, h.Address)
+			}
 		}
 	}
+	if nearOnly && len(near) > 0 {
+		live = near
+	}
 	if len(live) == 0 {
 		return nil
 	}
