Metrics: bytes between data centres are counted by kind

Cause: traffic between data centres costs a deployment part of its worth, and was not counted by kind.

Change: a host counts what it sends to hosts and servers of other data centres, and what it receives from servers there, by kind: datagrams, documents, comparisons, relayed requests, server requests and responses. Exported as pearshelf_cross_zone_bytes_total, logged each 10 s when there was any, and summed by 'pearshelf account --by bytes'. DocumentRequest names its sender (new field 3), so that answers can be attributed. Calls count 200 bytes for their headers. Not counted: health checks, connections' own packets, and answers to hosts of an earlier version that ask for documents.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/bus"
 	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/crosszone"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/engine"
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -89,6 +90,7 @@
 
 	rateLimits *rateLimiter
 	memory     *memory.Budget
+	crossZone  crosszone.Counter
 
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the caller listener serves readiness checks
@@ -230,6 +232,7 @@
 	})
 	d.liveness = upstream.NewLivenessChecker(d.dialServer)
 	d.owners = upstream.NewTransport(upstream.Config{
+		Meter:       d.relayMeter,
 		TLS:         tlsConf,
 		DialTimeout: min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
 	})
@@ -280,6 +283,9 @@
 		},
 		BeforeTick: d.hooks.BeforeTick,
 	}, d.clock, &effects{d: d}, now)
+	d.datagrams.OnSent(func(address string, kind peerpb.Datagram_Kind, bytes int) {
+		d.countSent(peer.KindName(kind.String()), address, bytes)
+	})
 	if !*d.settings.Forwarding {
 		d.balance = balance.NewTable(time.Now, policy.Config{
 			Host:    d.settings.Host,
@@ -300,6 +306,7 @@
 	d.memory = memory.NewBudget(int64(d.settings.MemoryMB * (1 << 20)))
 	d.metrics.RegisterHeldBytes(d.memory.InUse)
 	d.metrics.RegisterControl(d.datagrams)
+	d.metrics.RegisterCrossZone(&d.crossZone)
 	d.metrics.RegisterCustomerLimits(d.limiter)
 	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
 	return nil
@@ -332,6 +339,7 @@
 		Availability: d.servers,
 		RateLimits:   d.rateLimits,
 		Memory:       d.memory,
+		CrossZone:    d.meter(crosszone.ServerRequest, crosszone.ServerResponse),
 	})
 }
 
@@ -347,6 +355,7 @@
 		d.events.Record(event.InsecureListener, "", "", "operator: plaintext by operator.insecure")
 	}
 	d.wg.Go(func() { d.datagrams.Receive(d.receive) })
+	d.wg.Go(func() { d.crossZone.Run(d.ctx, d.settings.DataCentre, d.isFar) })
 	d.wg.Go(func() { d.limiter.run(d.ctx) })
 	d.wg.Go(func() { d.rateLimits.run(d.ctx) })
 	leavingCheck := &rechecker{servers: d.servers, snapshot: d.engine.Snapshot, client: d.probes, protocol: d.protocol, events: d.events}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -15,6 +15,7 @@
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/bus"
+	"github.com/pearshelf/pearshelf/internal/crosszone"
 	"github.com/pearshelf/pearshelf/internal/engine"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/hlc"
@@ -160,7 +161,9 @@
 func (f *effects) fetchFromPeer(address string, fetch world.Fetch) bool {
 	ctx, cancel := context.WithTimeout(f.d.ctx, configsync.FetchTimeout(fetch))
 	defer cancel()
-	resp, err := f.d.clients.Peer(address).Document(ctx, &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After})
+	req := &peerpb.DocumentRequest{Key: fetch.Key, After: fetch.After, From: f.d.settings.Host}
+	f.d.countCall(crosszone.Document, address, req)
+	resp, err := f.d.clients.Peer(address).Document(ctx, req)
 	if err != nil {
 		klog.V(3).InfoS("cannot fetch document from peer", "key", fetch.Key, "peer", address, "err", err)
 		return false
@@ -232,11 +235,14 @@
 		return err
 	}
 	client := f.d.clients.Peer(address)
-	resp, err := client.Sync(ctx, &peerpb.SyncRequest{From: state.From, Digest: state.Digest, Clock: state.Clock})
+	digest := &peerpb.SyncRequest{From: state.From, Digest: state.Digest, Clock: state.Clock}
+	f.d.countCall(crosszone.Comparison, address, digest)
+	resp, err := client.Sync(ctx, digest)
 	if err != nil {
 		return err
 	}
 	if !resp.Same {
+		f.d.countCall(crosszone.Comparison, address, state)
 		if _, err := client.Sync(ctx, state); err != nil {
 			return err
 		}
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -7,6 +7,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/crosszone"
 	"github.com/pearshelf/pearshelf/internal/system/configsync"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -17,6 +18,9 @@
 // Sync handles a full state exchange.
 func (s *peerService) Sync(ctx context.Context, req *peerpb.SyncRequest) (resp *peerpb.SyncResponse, err error) {
 	err = s.d.engine.Do(ctx, func(_ *world.World, now time.Time) { resp = s.d.engine.AnswerSync(now, req) })
+	if err == nil {
+		s.d.countAnswer(crosszone.Comparison, req.From, resp)
+	}
 	return resp, err
 }
 
@@ -34,6 +38,7 @@
 		}
 		if !pending || time.Now().After(deadline) {
 			s.d.metrics.DocumentSent(req.Key, len(resp.GetDocument()))
+			s.d.countAnswer(crosszone.Document, req.From, resp)
 			return resp, nil
 		}
 		wait(ctx, configsync.DocumentPollInterval)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,6 +84,7 @@
 	availability *availability.Table
 	rateLimits   RateLimits
 	memory       *memory.Budget
+	crossZone    *upstream.Meter
 
 	homes           homeViews
 	relays          *relayTable
@@ -120,6 +121,8 @@
 	RateLimits RateLimits
 	// Memory bounds the buffered request and response bodies.
 	Memory *memory.Budget
+	// CrossZone is told the bytes of connections to servers of other data centres; nil for none.
+	CrossZone *upstream.Meter
 }
 
 // New returns a Dispatcher.
@@ -140,6 +143,7 @@
 		availability:    deps.Availability,
 		rateLimits:      deps.RateLimits,
 		memory:          deps.Memory,
+		crossZone:       deps.CrossZone,
 		stateEventLimit: logging.NewLineLimiter(stateEventsPerSecond),
 		requestLog:      requestLog{limit: logging.NewLineLimiter(requestLinesPerSecond)},
 		relays:          newRelayTable(),
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -64,6 +64,9 @@
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
+	if x.d.crossZone != nil && to.dataCentre != "" && to.dataCentre != x.snap.Self.DataCentre {
+		ctx = upstream.WithMeter(ctx, x.d.crossZone)
+	}
 	response, failure := to.transport.Do(ctx, out, func() error { return x.checkBeforeWrite(to, token) }, to.maxIdle)
 	if failure != nil && !failure.Written {
 		x.returnToken(token)
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -35,6 +35,8 @@
 	relays                  []world.RelayHost
 	hostsWithoutPath        int
 	hostsRelay              bool
+	farHosts                map[string]bool
+	farHostNames            map[string]bool
 	fleetSize               int
 	quarantine              *quarantine.View
 	rateLimits              *ratelimit.View
@@ -85,6 +87,8 @@
 		Relays:                  v.relays,
 		HostsWithoutPath:        v.hostsWithoutPath,
 		HostsRelay:              v.hostsRelay,
+		FarHosts:                v.farHosts,
+		FarHostNames:            v.farHostNames,
 		HostsVersion:            v.hostsVersion,
 		Homes:                   v.homes,
 		Reachable:               v.reachable,
@@ -174,6 +178,11 @@
 			others = append(others, sharing.Host{Name: name, Address: h.Address, DataCentre: h.DataCentre})
 		}
 	}
+	v.farHosts, v.farHostNames = make(map[string]bool), make(map[string]bool)
+	for name, h := range w.Hosts {
+		far := h.DataCentre != w.Self.DataCentre
+		v.farHosts[h.Address], v.farHostNames[name] = far, far
+	}
 	self := sharing.Host{Name: w.Self.Host, Address: w.Self.Address, DataCentre: w.Self.DataCentre}
 	v.sharing = sharing.NewFleet(sharing.DefaultRule(), self, others)
 	v.liveHosts = len(others) + 1
--- a/internal/logging/messages.go
+++ b/internal/logging/messages.go
@@ -6,4 +6,6 @@
 	// requests and when it receives requests again.
 	OutOfUse = "server out of use"
 	InUse    = "server in use again"
+	// CrossZoneBytes is logged with the bytes that a host exchanged with other data centres.
+	CrossZoneBytes = "bytes to other data centres"
 )
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -27,6 +27,33 @@
 	})
 }
 
+// crossZoneSource provides the bytes exchanged with other data centres, by kind.
+type crossZoneSource interface{ Totals() map[string]uint64 }
+
+// crossZoneCollector exports the bytes exchanged with other data centres.
+type crossZoneCollector struct {
+	source crossZoneSource
+	bytes  *prometheus.Desc
+}
+
+// RegisterCrossZone exports the bytes exchanged with other data centres, by kind.
+func (m *Metrics) RegisterCrossZone(source crossZoneSource) {
+	m.registerer.MustRegister(&crossZoneCollector{
+		source: source,
+		bytes:  prometheus.NewDesc("pearshelf_cross_zone_bytes_total", "Bytes exchanged with other data centres, by kind: sent to hosts and servers there, and responses from there.", []string{"kind"}, nil),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (c *crossZoneCollector) Describe(out chan<- *prometheus.Desc) { out <- c.bytes }
+
+// Collect implements prometheus.Collector.
+func (c *crossZoneCollector) Collect(out chan<- prometheus.Metric) {
+	for kind, bytes := range c.source.Totals() {
+		out <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(bytes), kind)
+	}
+}
+
 // DocumentSent counts the bytes of a document, or of a delta to it, that was sent
 // to another host.
 func (m *Metrics) DocumentSent(key string, bytes int) {
@@ -47,4 +74,7 @@
 }
 
 // Interface guard.
-var _ prometheus.Collector = (*controlCollector)(nil)
+var (
+	_ prometheus.Collector = (*controlCollector)(nil)
+	_ prometheus.Collector = (*crossZoneCollector)(nil)
+)
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -44,10 +44,27 @@
 	if err != nil {
 		return err
 	}
+	if by == explain.ByBytes {
+		return a.print(bytesTable(logs.Bytes()))
+	}
 	account := logs.Account(by)
 	return a.print(accountTable(by, account))
 }
 
+func bytesTable(rows []explain.BytesRow) Table {
+	t := Table{Columns: []string{"bytes", "share", "hosts", "kind"}}
+	var total uint64
+	for _, row := range rows {
+		total += row.Bytes
+	}
+	for _, row := range rows {
+		share := float64(row.Bytes) / float64(total)
+		t.Rows = append(t.Rows, []string{strconv.FormatUint(row.Bytes, 10), strconv.FormatFloat(share, 'f', 3, 64), strconv.Itoa(row.Hosts), row.Kind})
+	}
+	t.Summary = fmt.Sprintf("%d bytes between data centres", total)
+	return t
+}
+
 func accountTable(by explain.Grouping, account explain.Account) Table {
 	t := Table{
 		Columns: []string{"not_run", "lost", "share", "cause"},
--- a/internal/peer/datagram.go
+++ b/internal/peer/datagram.go
@@ -81,6 +81,7 @@
 
 	receivedBytes atomic.Uint64
 	sentByKind    [maxKinds]atomic.Uint64
+	onSent        func(address string, kind peerpb.Datagram_Kind, bytes int)
 }
 
 // maxKinds is the number of datagram kinds that are counted separately. Higher kinds are
@@ -111,10 +112,22 @@
 	sealed := d.sealer.seal(raw)
 	sent := &d.sentByKind[min(uint(datagram.Kind), maxKinds-1)]
 	for _, address := range to {
-		sent.Add(uint64(d.sendTo(address, sealed)))
+		bytes := d.sendTo(address, sealed)
+		sent.Add(uint64(bytes))
+		if d.onSent != nil {
+			d.onSent(address, datagram.Kind, bytes)
+		}
 	}
 }
 
+// OnSent sets a function that is called with each datagram sent. It must be set before Send.
+func (d *Datagrams) OnSent(f func(address string, kind peerpb.Datagram_Kind, bytes int)) {
+	d.onSent = f
+}
+
+// KindName returns the name of a kind in metrics and logs.
+func KindName(kind string) string { return strings.ToLower(strings.TrimPrefix(kind, "KIND_")) }
+
 // sendTo sends an encoded datagram and returns the number of bytes sent.
 func (d *Datagrams) sendTo(address string, sealed []byte) int {
 	at, err := netip.ParseAddrPort(address)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -106,6 +106,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: metered(ctx, conf, address, conn)}, nil
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,8 @@
 	DialTimeout time.Duration
 	// Dial opens the connections. The default is a net.Dialer.
 	Dial DialFunc
+	// Meter, if set, returns the meter of connections to an address, or nil for none.
+	Meter func(address string) *Meter
 	// OnDial, if set, is called with the result of each attempt to open a connection. It must
 	// not block.
 	OnDial func(err error)
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -124,6 +124,10 @@
 	Relays           []RelayHost
 	HostsWithoutPath int
 	HostsRelay       bool
+	// FarHosts has the peer addresses of the known hosts, true for those of other data centres.
+	FarHosts map[string]bool
+	// FarHostNames has their names.
+	FarHostNames map[string]bool
 	// HostsVersion increases with every change to the host table.
 	HostsVersion uint64
 	// Homes are the hosts that may keep the rate limits of customers, including this one.
