Cross-zone traffic: one host of a data centre passes on reports of failures

Cause: a failure at a backend server was reported to each host of every other data centre that uses the server, eight or more datagrams for each.

Change: the report goes to one of these hosts, which passes it on to the others there. Successive reports and the repetition after 60 ms go by way of different hosts, and a host passes on only rows that it has not had. Hosts announce that they pass reports on (Member.relays_loads, Datagram.pass_on), so that hosts of an earlier version get reports directly.

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -212,6 +212,7 @@
 	ReadyAfter time.Duration
 	engine     *engine.Engine
 	reading    bool
+	asksFar    bool // has asked a host of another data centre for a document in this life
 	// Cut hosts send and hear nothing.
 	Cut bool
 	// TurnedAway hosts get no answer from the platform.
@@ -243,7 +244,7 @@
 // Start runs the host with an empty memory.
 func (h *Host) Start() {
 	h.life++
-	h.startedAt, h.ReadyAfter = h.fleet.clock.Now, 0
+	h.startedAt, h.ReadyAfter, h.asksFar = h.fleet.clock.Now, 0, false
 	now := h.fleet.clock.Time()
 	self := world.Identity{Host: h.name(), Address: h.address(), DataCentre: fmt.Sprint("dc", h.dataCentre)}
 	seed := h.fleet.conf.Seed<<32 + uint64(h.number)<<8 + uint64(h.life)
@@ -405,6 +406,9 @@
 	}
 	h.in(configsync.FetchTimeout(f), e.life, func(now time.Time) { end(now, nil) })
 	req := &peerpb.DocumentRequest{Key: f.Key, After: f.After}
+	if to, ok := h.fleet.at[f.Peers[0]]; ok && to.dataCentre != h.dataCentre {
+		h.asksFar = true
+	}
 	h.reach(f.Peers[0], func(to *Host, now time.Time) {
 		to.answerDocument(now, req, now.Add(configsync.DocumentWait), func(resp *peerpb.DocumentResponse) {
 			to.count(h.address(), "document", sizeOfCall+proto.Size(resp))
--- a/experiment/loops/start_test.go
+++ b/experiment/loops/start_test.go
@@ -94,7 +94,7 @@
 			{start{knownLater: late}, bounds{150 * time.Millisecond, 16}},
 			{start{knownLater: late, turnedAway: 0.35}, bounds{600 * time.Millisecond, 40}},
 			{start{list: time.Second}, bounds{1200 * time.Millisecond, 16}},
-			{start{knownLater: late, knownLife: 30 * time.Millisecond}, bounds{2200 * time.Millisecond, 60}},
+			{start{knownLater: late, knownLife: 30 * time.Millisecond}, bounds{2200 * time.Millisecond, hosts/4 + 20}},
 			{start{knownDown: true}, bounds{600 * time.Millisecond, 4*hosts + 8}},
 			{start{away: true}, bounds{0, hosts + 60}},
 		} {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,10 +83,11 @@
 	owners          *upstream.Transport
 	probes          *http.Client
 
-	balance *balance.Table // nil if requests are forwarded to owner hosts
-	servers *availability.Table
-	limiter *limiter
-	guard   *contentGuard
+	loadRelay loadRelay
+	balance   *balance.Table // nil if requests are forwarded to owner hosts
+	servers   *availability.Table
+	limiter   *limiter
+	guard     *contentGuard
 
 	rateLimits *rateLimiter
 	memory     *memory.Budget
@@ -276,6 +277,7 @@
 			DataCentre:     self.DataCentre,
 			Capacity:       uint32(1000 * d.settings.Cores),
 			Path:           peerpb.PathState_PATH_STATE_WORKING,
+			RelaysLoads:    !*d.settings.Forwarding,
 			ProbeInterval:  time.Duration(t.ProbeInterval),
 			ProbeTimeout:   time.Duration(t.ProbeTimeout),
 			GossipInterval: time.Duration(t.GossipInterval),
--- a/internal/daemon/loadreport.go
+++ b/internal/daemon/loadreport.go
@@ -30,6 +30,7 @@
 type loadReporter struct {
 	d     *Daemon
 	table *balance.Table
+	turn  int // of the hosts of other data centres that pass on reports
 }
 
 func (l *loadReporter) run(ctx context.Context) {
@@ -52,19 +53,25 @@
 	near, failing := l.table.Changes()
 	snap := l.d.engine.Snapshot()
 	service := snap.ServiceRings
-	l.send(snap.Sharing.Local(near, service))
+	l.send(snap.Sharing.Local(near, service), false)
 	if len(failing) == 0 {
 		return
 	}
-	l.send(snap.Sharing.Remote(failing, service))
+	relayed, direct := snap.Sharing.RemoteByRelay(failing, service, l.turn)
+	// The repetition goes to the next host: the first one may have died, or the datagram be lost.
+	again, _ := snap.Sharing.RemoteByRelay(failing, service, l.turn+1)
+	l.turn++
+	l.send(relayed, true)
+	l.send(direct, false)
 	time.AfterFunc(resendDelay, func() {
 		if l.d.ctx.Err() == nil {
-			l.send(snap.Sharing.Local(near, service))
+			l.send(snap.Sharing.Local(near, service), false)
+			l.send(again, true)
 		}
 	})
 }
 
-func (l *loadReporter) send(messages []sharing.Message) {
+func (l *loadReporter) send(messages []sharing.Message, passOn bool) {
 	for _, m := range messages {
 		l.d.datagrams.Send(&peerpb.Datagram{
 			Kind:  peerpb.Datagram_KIND_LOAD,
@@ -72,6 +79,8 @@
 			Life:  l.table.Incarnation(),
 			Loads: m.Loads,
 			Near:  m.Local,
+
+			PassOn: passOn,
 		}, m.To...)
 	}
 }
@@ -94,6 +103,7 @@
 		d.guard.receive(datagram)
 	case datagram.Kind == peerpb.Datagram_KIND_LOAD && d.balance != nil:
 		d.balance.Report(datagram.From, datagram.Life, datagram.Loads, datagram.Near)
+		d.passOn(datagram)
 	default:
 		d.publishDatagram(from, payload)
 	}
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -263,5 +263,7 @@
 		Leaving:    m.Leaving,
 		Capacity:   m.Capacity,
 		Path:       m.Path,
+
+		RelaysLoads: m.RelaysLoads,
 	}
 }
--- a/internal/engine/views.go
+++ b/internal/engine/views.go
@@ -175,7 +175,7 @@
 	var others []sharing.Host
 	for name, h := range w.Hosts {
 		if h.Live() && name != w.Self.Host {
-			others = append(others, sharing.Host{Name: name, Address: h.Address, DataCentre: h.DataCentre})
+			others = append(others, sharing.Host{Name: name, Address: h.Address, DataCentre: h.DataCentre, RelaysLoads: h.RelaysLoads && h.Liveness == peerpb.Liveness_LIVENESS_ALIVE})
 		}
 	}
 	v.farHosts, v.farHostNames = make(map[string]bool), make(map[string]bool)
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -106,6 +106,8 @@
 	ReapAfter time.Duration
 	// AwarenessMax is the upper bound of the local health score.
 	AwarenessMax int
+	// RelaysLoads is whether this host passes on reports of load, announced to the other hosts.
+	RelaysLoads bool
 	// Hellos is set if new hosts are told of others by hellos to the known hosts, so that they need not
 	// compare their state with these at once.
 	Hellos bool
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -75,6 +75,7 @@
 		Incarnation: uint64(now.UnixMilli()),
 		Capacity:    conf.Capacity,
 		Path:        conf.Path,
+		RelaysLoads: conf.RelaysLoads,
 	}
 	l.table.set(&row{}, l.self, now, time.Time{})
 	l.queue.AddMember(l.self)
--- a/internal/sharing/message.go
+++ b/internal/sharing/message.go
@@ -46,6 +46,43 @@
 	})
 }
 
+// RemoteByRelay returns the same reports as Remote, but sends them to one host of each remote data centre
+// that uses the server, which passes them on to the others there. turn selects it, so that successive
+// reports, which contain the counts of earlier ones, do not all depend on one host. Data centres without
+// a host that passes reports on, or with a single receiver, get direct messages.
+func (f *Fleet) RemoteByRelay(failing []*peerpb.BackendLoad, service func(name string) *Service, turn int) (relayed, direct []Message) {
+	receivers := func(l *peerpb.BackendLoad, add func(relay bool, addresses []string)) {
+		s := service(l.Service)
+		if s == nil {
+			return
+		}
+		f.forEachRemoteDataCentre(func(dataCentre string) {
+			all := f.Recipients(s, l.Backend, dataCentre)
+			var relays []string
+			for _, address := range all {
+				if f.relays[address] {
+					relays = append(relays, address)
+				}
+			}
+			if len(all) <= 1 || len(relays) == 0 {
+				add(false, all)
+				return
+			}
+			add(true, []string{relays[turn%len(relays)]})
+		})
+	}
+	only := func(want bool) []Message {
+		return groupMessages(failing, false, func(l *peerpb.BackendLoad, add func([]string)) {
+			receivers(l, func(relay bool, addresses []string) {
+				if relay == want {
+					add(addresses)
+				}
+			})
+		})
+	}
+	return only(true), only(false)
+}
+
 // selection is a set of loads, one bit for each.
 type selection uint32
 
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -43,6 +43,8 @@
 	Name       string
 	Address    string // IP:port of the peer listener
 	DataCentre string
+	// RelaysLoads is whether it passes on reports to the other hosts of its data centre.
+	RelaysLoads bool
 }
 
 // Fleet is the set of live hosts, arranged on a ring per data centre.
@@ -51,16 +53,20 @@
 	self      Host
 	rings     map[string]*ring // by data centre
 	addresses map[string]string
-	segment   []string // addresses of the other hosts, see Segment
+	relays    map[string]bool // addresses of hosts that pass on reports
+	segment   []string        // addresses of the other hosts, see Segment
 }
 
 // NewFleet arranges the live hosts: self, which is this host, and others.
 func NewFleet(rule Rule, self Host, others []Host) *Fleet {
-	f := &Fleet{rule: rule, self: self, rings: make(map[string]*ring), addresses: make(map[string]string, len(others))}
+	f := &Fleet{rule: rule, self: self, rings: make(map[string]*ring), addresses: make(map[string]string, len(others)), relays: make(map[string]bool)}
 	names := map[string][]string{self.DataCentre: {self.Name}}
 	for _, h := range others {
 		names[h.DataCentre] = append(names[h.DataCentre], h.Name)
 		f.addresses[h.Name] = h.Address
+		if h.RelaysLoads {
+			f.relays[h.Address] = true
+		}
 	}
 	for dataCentre, hosts := range names {
 		f.rings[dataCentre] = newRing(hosts)
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -240,6 +240,41 @@
 	}
 }
 
+// A report to another data centre goes to one host there, and it and the hosts that it passes the report on
+// to are those that a direct report would reach; successive reports go by way of different hosts. A data
+// centre whose hosts do not pass reports on, as in an earlier version, gets it directly. Otherwise a failure
+// would be reported to every user of the server over the expensive link, or some would not hear of it.
+func TestRemoteByRelayReachesTheSameHosts(t *testing.T) {
+	s := newSite([]int{40, 40, 40}, []int{43, 43, 43})
+	service := func(string) *Service { return s.service }
+	loads := []*peerpb.BackendLoad{{Service: "seats", Backend: "b1-7", Failed: 1}}
+	for i := range s.hosts {
+		s.hosts[i].RelaysLoads = s.hosts[i].DataCentre != "dc2"
+	}
+	f := fleet(s.hosts, 0)
+	want := f.Recipients(s.service, "b1-7", "dc1")
+	used := make(map[string]bool)
+	for turn := range 3 {
+		relayed, direct := f.RemoteByRelay(loads, service, turn)
+		if len(relayed) != 1 || len(relayed[0].To) != 1 || len(direct) != 1 || len(direct[0].To) != len(f.Recipients(s.service, "b1-7", "dc2")) {
+			t.Fatalf("turn %d: relayed %+v, direct %+v", turn, relayed, direct)
+		}
+		relay := relayed[0].To[0]
+		used[relay] = true
+		at := slices.IndexFunc(s.hosts, func(h Host) bool { return h.Address == relay })
+		reached := []string{relay}
+		for _, m := range fleet(s.hosts, at).Local(loads, service) {
+			reached = append(reached, m.To...)
+		}
+		if !slices.Equal(slices.Sorted(slices.Values(reached)), slices.Sorted(slices.Values(want))) {
+			t.Errorf("turn %d: %v are reached, want %v", turn, reached, want)
+		}
+	}
+	if len(used) < 3 {
+		t.Errorf("three reports went by way of %v", used)
+	}
+}
+
 // A service that is updated incrementally yields the same subsets and audiences as one built from
 // scratch.
 func TestUpdatedServiceEqualsNewService(t *testing.T) {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -54,6 +54,8 @@
 	// Capacity is the CPU capacity that the host can spare beside its own requests, in
 	// thousandths of a core, 0 if not reported.
 	Capacity uint32
+	// RelaysLoads is whether the host passes on reports of load to hosts of its data centre.
+	RelaysLoads bool
 }
 
 // Live reports whether requests may be sent to the host.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -111,7 +111,14 @@
 mutant "suspension" internal/engine/engine.go 's/pause := max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+suspendedFor)/pause := world.Elapsed(e.lastTick, now)/' ./internal/engine
 mutant "spent allowance" internal/policy/pick.go 's/return rule.IdempotentFailure + spent\*/return rule.IdempotentFailure + 0*spent*/' ./internal/policy
 mutant "trouble within a second" internal/policy/coverage.go 's/ || svc.hasManyUnserved(now, windowBuckets\/2)//' ./internal/policy
-mutant "new hosts repeat the bootstrap sync" internal/membership/probe.go 's/if l.LiveCount() > bootstrapSyncMaxHosts \&\& /if /' ./internal/membership
+mutant "new hosts compare with their data centre" internal/membership/probe.go 's/if view := l.table.currentView(l.conf.Host); len(view.local) > 0 {/if view := l.table.currentView(l.conf.Host); len(view.local) > 0 \&\& l.bootstrapSyncs == len(bootstrapSyncAges) {/' ./experiment/loops -run StartBetweenDataCentres
+mutant "few hosts compare with other data centres" internal/membership/probe.go 's/return before < farComparers/return true/' ./experiment/loops -run StartBetweenDataCentres
+mutant "hosts without documents say hello" internal/engine/hello.go 's/^	e.sayHello(now)$//' ./experiment/loops -run ReadySoonAfter
+mutant "hosts that wait are told of documents" internal/engine/hello.go 's/^	e.welcomeWaiting(now)$//' ./experiment/loops -run ReadySoonAfter
+mutant "known hosts read first" internal/startup/startup.go 's/if at := contact.Add(ReadGrace + delay); at.After(planned) {/if at := contact; at.After(planned) {/' ./internal/startup
+mutant "waiting requests are let in by deadline" internal/startup/hold.go 's/return q\[i\].Deadline.Before(q\[j\].Deadline)/return q[j].Deadline.Before(q[i].Deadline)/' ./internal/startup
+mutant "reports are passed on once" internal/daemon/loadrelay.go 's/if r.seen\[key\] != digest {/if true {/' ./internal/daemon
+mutant "reports go by way of different hosts" internal/sharing/message.go 's/relays\[turn%len(relays)\]/relays[0]/' ./internal/sharing -run RemoteByRelay
 mutant "missing documents only" internal/system/configsync/configsync.go 's/if w.Document(key).Revision == 0 {/if true {/' ./internal/system/configsync
 mutant "start grace" internal/system/configsync/configsync.go 's/lastHeartbeat: now.Add(startGrace)/lastHeartbeat: now/' ./internal/system/configsync
 mutant "refusal after an owner broke off" internal/dispatch/forward.go 's/if x.written \&\& outcome/if false \&\& outcome/' ./internal/dispatch
