--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -37,7 +37,9 @@
 	awareness awareness
 
 	started        time.Time
-	bootstrapSyncs int // number of bootstrapSyncAges passed
+	bootstrapSyncs int       // number of bootstrapSyncAges passed
+	localSince     time.Time // when this host first knew of another one of its data centre
+	localSyncs     int       // number of localSyncAges passed
 	sequence       uint64
 	probe          *probe
 	probeOrder     []string
@@ -73,6 +75,7 @@
 		Incarnation: uint64(now.UnixMilli()),
 		Capacity:    conf.Capacity,
 		Path:        conf.Path,
+		RelaysLoads: conf.RelaysLoads,
 	}
 	l.table.set(&row{}, l.self, now, time.Time{})
 	l.queue.AddMember(l.self)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,7 @@
 	documentBytes    *prometheus.CounterVec
 	waited           *prometheus.HistogramVec
 	waitRefused      *prometheus.CounterVec
+	awaited          *prometheus.CounterVec
 }
 
 // addedLatencyBuckets are histogram buckets in seconds, centred on the target of
@@ -139,10 +140,17 @@
 		Name: "pearshelf_wait_refused_total",
 		Help: "Requests that were refused because of the queue for free slots, by service and reason: no-time, expired or full.",
 	}, []string{"service", "reason"})
-	reg.MustRegister(m.waited, m.waitRefused, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.awaited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_requests_awaiting_configuration_total",
+		Help: "Requests that arrived before the first configuration, by result: admitted, no_room, expired, stopped or left.",
+	}, []string{"result"})
+	reg.MustRegister(m.waited, m.waitRefused, m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
+// AwaitedConfiguration counts a request that arrived before the first configuration, by result.
+func (m *Metrics) AwaitedConfiguration(result string) { m.awaited.WithLabelValues(result).Inc() }
+
 // Request records a completed request and its duration.
 func (m *Metrics) Request(service, outcome string, took time.Duration) {
 	m.requests.WithLabelValues(service, outcome).Inc()
