--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -19,11 +19,20 @@
 	waitLeft    = "left" // the caller disconnected, or the deadline passed
 )
 
+// streamedMaxWait limits the wait of a request with a streamed body: whether its caller has
+// disconnected shows only once the body has been read, and half a second later the request must not
+// reach a server.
+const streamedMaxWait = 400 * time.Millisecond
+
 // pickBalanced leases a slot from the balancer. The request may wait for one in this host.
 func (x *exchange) pickBalanced(ctx context.Context) (*serverLease, error) {
 	req := x.policyRequest()
 	req.MayWait = x.mayWait()
-	d, waiter := x.d.balance.Submit(waitqueue.Request{View: x.view, Policy: req, Refresh: x.refresher(req), BodyBytes: int64(len(x.req.body.data))})
+	wait := waitqueue.Request{View: x.view, Policy: req, Refresh: x.refresher(req), BodyBytes: int64(len(x.req.body.data))}
+	if x.req.body.streamed {
+		wait.MaxWait = streamedMaxWait
+	}
+	d, waiter := x.d.balance.Submit(wait)
 	if waiter != nil {
 		var err error
 		if d, err = x.await(ctx, waiter); err != nil {
@@ -49,10 +58,9 @@
 	return balancedLease(d.Lease), nil
 }
 
-// mayWait reports whether the request can wait in this host. One with a streamed body cannot:
-// whether its caller has disconnected shows only once the body has been read.
+// mayWait reports whether the request can wait in this host.
 func (x *exchange) mayWait() bool {
-	return !x.req.body.streamed && x.inFlight == 0 && !x.d.balance.PathLost()
+	return x.inFlight == 0 && !x.d.balance.PathLost()
 }
 
 // refresher returns a function that describes the request for a look for a free slot. It is called
--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -17,8 +17,9 @@
 	// rest is for the work itself and for servers that are slower than expected.
 	maxQueueShare = 0.4
 	// waitedQueueShare is the same for requests that wait in the host: they go on as soon as there
-	// is room, so that the queue would always stand at its limit.
-	waitedQueueShare = 0.1
+	// is room, so that the queue would always stand at its limit. With 0.4 fewer requests with
+	// short deadlines were served in time than without any waiting (mixed-timeouts).
+	waitedQueueShare = 0.05
 )
 
 // routeDeadline is the longest time allowed to a route's recent requests on arrival, and the time
@@ -58,12 +59,13 @@
 // mustYield reports whether a request must not extend the queue: it has the time to wait in it, but
 // requests with shorter deadlines have not.
 func (svc *service) mustYield(now time.Time, req Request, e estimate) bool {
-	shortest := svc.yieldsTo(now, req)
+	return e.exceedsQueue(svc.yieldsTo(now, req), maxQueueShare)
+}
+
+// exceedsQueue reports whether the queue takes more than a share of the shortest allowed time, 0 for
+// none.
+func (e estimate) exceedsQueue(shortest time.Duration, share float64) bool {
 	queue := float64(e.expected) * (1 - float64(e.work)/float64(e.atTypicalSpeed))
-	share := maxQueueShare
-	if req.MayWait && req.Waited {
-		share = waitedQueueShare
-	}
 	return shortest > 0 && queue > share*float64(shortest)
 }
 
--- a/internal/policy/defer.go
+++ b/internal/policy/defer.go
@@ -24,6 +24,11 @@
 	// startQuantile is the quantile of latencies, relative to the expected one, that a request
 	// must have time for when it is started.
 	startQuantile = 0.75
+	// freeSlotCost is how much more than the best server one of this data centre with a free slot may
+	// cost for a request that would wait otherwise. It is below the cost of a server that is likely
+	// to be failing. The loads of other data centres are not known as well: with their servers all
+	// slots were full before requests with little time came.
+	freeSlotCost = 0.1
 )
 
 // NoFreeSlot is the error of a Pick for a request that should wait in the host, because no server is
@@ -50,6 +55,14 @@
 	}
 }
 
+// deferralRatio is Config.DeferralRatio or its default.
+func (t *Table) deferralRatio() float64 {
+	if t.conf.DeferralRatio <= 0 {
+		return DefaultDeferralRatio
+	}
+	return t.conf.DeferralRatio
+}
+
 // shortestObjective is the shortest latency objective of the routes in use, 0 if there is none.
 func (svc *service) shortestObjective(now time.Time) time.Duration {
 	shortest := time.Duration(0)
@@ -72,10 +85,7 @@
 // isDeferrable reports whether a request leaves the queues of servers to requests of routes with a
 // much shorter objective.
 func (t *Table) isDeferrable(now time.Time, svc *service, view *world.ServiceView, req Request) bool {
-	ratio := t.conf.DeferralRatio
-	if ratio <= 0 {
-		ratio = DefaultDeferralRatio
-	}
+	ratio := t.deferralRatio()
 	if req.Objective <= 0 || view.ShortestObjective <= 0 || float64(view.LongestObjective) < ratio*float64(view.ShortestObjective) {
 		return false
 	}
@@ -83,11 +93,20 @@
 	return shortest > 0 && float64(req.Objective) >= ratio*float64(shortest)
 }
 
+// withFreeSlot returns the choice of a server with a free slot, instead of the best one, for a request
+// that was to wait. ok is false if there is none that is worth it.
+func (c choice) withFreeSlot(err error) (choice, bool) {
+	if _, waits := err.(*NoFreeSlot); !waits || c.free == nil || c.free == c.server || c.freeCost > c.cost+freeSlotCost {
+		return choice{}, false
+	}
+	return choice{server: c.free, state: c.freeState, cost: c.freeCost, eligible: c.eligible}, true
+}
+
 // deferred returns a NoFreeSlot for a request that is to wait in the host, otherwise nil. best is
 // its best server, without a server if all are full.
 func (t *Table) deferred(now time.Time, svc *service, view *world.ServiceView, best choice, req Request) error {
-	if !t.mayWait(req) {
-		return nil
+	if !t.mayWait(req) || best.server != nil && req.isLimited(best.server) {
+		return nil // where servers announce a rate limit, a free slot is no room
 	}
 	typical := t.typicalLatency(svc, req.Group)
 	deferrable, slowness, yields := t.isDeferrable(now, svc, view, req), 1.0, false
@@ -96,8 +115,13 @@
 		load := best.state.load(now)
 		hasSlot = load < float64(max(best.server.Slots, 1))
 		e := best.state.estimate(now, svc, typical, load)
-		known := t.has(MechanismStandingQueue) && t.routeIfKnown(now, req.Group) != nil
-		yields = known && svc.yieldsTo(now, req) > 0 && (req.OthersWait || svc.mustYield(now, req, e))
+		share := maxQueueShare
+		if req.Waited {
+			share = waitedQueueShare
+		}
+		if shortest := svc.yieldsTo(now, req); shortest > 0 && t.routeIfKnown(now, req.Group) != nil {
+			yields = req.OthersWait || e.exceedsQueue(shortest, share)
+		}
 		slowness = best.state.slowness
 	}
 	if !yields && (!deferrable || hasSlot && !req.OthersWait) {
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -158,7 +158,12 @@
 		return nil, t.noServerError(req, best.eligible)
 	}
 	t.recordPriority(now, svc, req)
-	if err := t.admit(now, svc, view, best, req); err != nil {
+	err := t.admit(now, svc, view, best, req)
+	if alternative, ok := best.withFreeSlot(err); ok {
+		best = alternative
+		err = t.admit(now, svc, view, best, req)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return t.place(now, svc, best, req), nil
@@ -171,12 +176,17 @@
 	state    *server
 	cost     float64
 	eligible int
+	// free is the server of this data centre with the lowest cost that has a free slot, nil if there
+	// is none.
+	free      *world.BackendView
+	freeState *server
+	freeCost  float64
 }
 
 // choose compares the servers of this host's subset, and servers outside it if none of the subset
 // is likely to serve the request.
 func (t *Table) choose(now time.Time, view *world.ServiceView, req Request) choice {
-	best := choice{cost: math.Inf(1)}
+	best := choice{cost: math.Inf(1), freeCost: math.Inf(1)}
 	svc := t.service(req.Service)
 	var spent float64 // share of the retry allowance; only relevant to idempotent requests
 	if req.Idempotent {
@@ -232,16 +242,20 @@
 		best.eligible++
 		s := t.state(in.now, key{in.req.Service, b.ID}, b)
 		load := s.load(in.now)
+		isNear := b.DataCentre == in.req.DataCentre
 		if load >= float64(b.Slots*maxRequestsPerSlot) || s.inFlight > 0 && t.returnsOneByOne(in.req, b) {
 			continue
 		}
 		cost := t.cost(in.now, in.svc, s, b, load, in.req) + in.failure*s.failureProbability(in.now, in.svc)
-		if b.DataCentre == in.req.DataCentre && t.has(MechanismCoverage) {
+		if isNear && t.has(MechanismCoverage) {
 			cost -= s.coverageBonus(in.now, in.svc, in.need)
 		}
 		if cost < best.cost {
 			best.server, best.state, best.cost = b, s, cost
 		}
+		if isNear && cost < best.freeCost && load < float64(b.Slots) {
+			best.free, best.freeState, best.freeCost = b, s, cost
+		}
 	}
 }
 
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -25,14 +25,17 @@
 	priorWeight = 2 * time.Second
 	// arrivalFactor is the multiple of its time from which on a new request is refused because of
 	// the expected wait. At a few placements a second the actual wait is often half of the expected
-	// one, and a request that is refused after a short wait has lost nothing by it.
-	arrivalFactor = 1.5
+	// one, and a request that is refused after a short wait has lost nothing by it. With 1 a burst
+	// was served less well (short-timeouts), with 1.5 more was held in vain in a lasting overload
+	// (mixed-timeouts).
+	arrivalFactor = 1.25
 	// hopelessFactor is the same for a request that waits already, of its remaining time. It is
-	// larger because the remaining time gets short also for a request that is served next.
-	hopelessFactor = 4.0
-	// maxBlocked is how many requests a Pop passes over that have no free slot. Most requests of a
-	// service may use the same servers, so that more would only cost time.
-	maxBlocked = 4
+	// larger because the remaining time gets short also for a request that is served next; with 4
+	// too many of them were answered late.
+	hopelessFactor = 2.0
+	// maxBlocked is how many requests without a free slot a Pop asks for. Most requests of a service
+	// may use the same servers, and each costs a comparison of some 50 servers.
+	maxBlocked = 2
 	// maxRetryAfter limits how far ahead a refused request is sent: longer than a burst lasts, the
 	// queue ahead says nothing.
 	maxRetryAfter = 10 * time.Second
--- a/internal/waitqueue/set.go
+++ b/internal/waitqueue/set.go
@@ -41,6 +41,8 @@
 	BodyBytes int64
 	// Rank is Item.Rank.
 	Rank float64
+	// MaxWait limits the wait, 0 for no limit of its own.
+	MaxWait time.Duration
 }
 
 // Decision is the end of a request's wait, or of a request that need not wait.
@@ -102,6 +104,9 @@
 	s.lastID++
 	id := s.lastID
 	item := Item{ID: id, Priority: req.Policy.Priority, Rank: req.Rank, Deadline: req.Policy.Deadline, Until: wait.Until, Bytes: req.BodyBytes + entryBytes}
+	if limit := now.Add(req.MaxWait); req.MaxWait > 0 && limit.Before(item.Until) {
+		item.Until = limit
+	}
 	e := &entry{Request: req, since: now}
 	e.Policy.Waited = true
 	e.ahead = q.Len()
