--- a/internal/engine/hello.go
+++ b/internal/engine/hello.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 	welcomeMembers = 3
 	// welcomeWait is how long a host that said hello is remembered, to be sent a welcome once this
 	// host can name a source. Hosts repeat their hello more often than that.
-	welcomeWait = 2 * time.Second
+	welcomeWait = 2 * startup.HelloIdle
 	// maxWelcomeWaiting bounds these hosts.
 	maxWelcomeWaiting = 4096
 )
@@ -108,7 +109,8 @@
 	heads := e.heads()
 	changed := !slices.EqualFunc(heads, h.told, func(a, b *peerpb.Head) bool { return a.Key == b.Key && a.Revision == b.Revision })
 	h.told = heads
-	for host, waiting := range h.waiting {
+	for _, host := range slices.Sorted(maps.Keys(h.waiting)) { // the same inputs have the same effects
+		waiting := h.waiting[host]
 		if changed {
 			e.sendWelcome(host, waiting.address, e.sources(now, host))
 		}
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -17,6 +17,10 @@
 	// HelloEagerFor is the age up to which a host uses HelloInterval. Afterwards the known hosts
 	// are probably gone, and HelloRepeat applies.
 	HelloEagerFor = 3 * time.Second
+	// HelloIdle is the interval after HelloIdleAfter: a fleet may wait for its first configuration for
+	// hours, and the known hosts of 1,100 would else receive 5,500 hellos a second.
+	HelloIdle      = 2 * time.Second
+	HelloIdleAfter = 10 * time.Second
 	// MaxHelloTargets is the number of known hosts that one round addresses.
 	MaxHelloTargets = 3
 	// Tick is the interval of the control loop while a host has no configuration.
@@ -45,10 +49,14 @@
 
 // UntilHello returns the interval between two rounds of hellos.
 func UntilHello(age time.Duration, answered bool) time.Duration {
-	if answered || age > HelloEagerFor {
+	switch {
+	case age > HelloIdleAfter:
+		return HelloIdle
+	case answered || age > HelloEagerFor:
 		return HelloRepeat
+	default:
+		return HelloInterval
 	}
-	return HelloInterval
 }
 
 // ReadAt returns when a host that lacks a document may read the platform itself. planned is the time
--- a/internal/startup/startup_test.go
+++ b/internal/startup/startup_test.go
@@ -93,6 +93,13 @@
 	}
 }
 
+// Hellos are frequent while nobody answers a new host, and rare on a host that waits for long.
+func TestHelloIntervals(t *testing.T) {
+	if UntilHello(time.Second, false) != HelloInterval || UntilHello(time.Second, true) != HelloRepeat || UntilHello(5*time.Second, false) != HelloRepeat || UntilHello(time.Hour, true) != HelloIdle {
+		t.Error("intervals of hellos do not grow")
+	}
+}
+
 // Reads of the platform wait for those of the known hosts once another host is known, and few hosts stand
 // in if these fail. Far fetches go by order.
 func TestReadsAndFarFetches(t *testing.T) {
