quota: share of separated hosts, with the tolerance that a deployment names

Cause: a host that is cut off becomes the home of every customer and starts with an empty bucket, which a small share fills long after the request. With callers that choose a host for each request, measured rates of a host are mostly chance.

Change: shares add a floor to measured rates. With a tolerance, a host that is alone goes on with its fallback bucket, and hosts of a minority hold a reserve that together is a part of the tolerance. The experiment knows data centres, callers with random hosts, and counts messages between data centres; its bound no longer multiplies the burst, which is stricter.

--- a/experiment/quotas/quotas.go
+++ b/experiment/quotas/quotas.go
@@ -47,12 +47,27 @@
 	// for customers.
 	ServerLimit float64
 	Seed        uint64
+	// Zones is the number of data centres that the hosts are spread over, 0 for a network in
+	// which all hosts are equally far from each other.
+	Zones int
+	// RandomHosts makes a caller send each request to another host.
+	RandomHosts bool
+	// LargestPart is the first customer's part of all requests, 0 for a fifth.
+	LargestPart float64
+	// Tolerant lets hosts use the tolerance of the users' rule.
+	Tolerant bool
 	// Length of the run.
 	Length time.Duration
 	// Trouble is scheduled before the run.
 	Trouble func(f *Fleet)
 }
 
+// Dispersed is a fleet of three data centres whose callers choose a host for each request, so that
+// a host gets less than one request a second of even the largest customer.
+func Dispersed(seed uint64) Config {
+	return Config{Hosts: 120, Customers: 82, PerSecond: 688, Callers: 1000, LimitOver: 1.6, Zones: 3, RandomHosts: true, LargestPart: 0.1, Seed: seed, Length: 30 * time.Second}
+}
+
 // Shifted is the size of a deployment of the users'.
 func Shifted(seed uint64) Config {
 	return Config{Hosts: 113, Customers: 80, PerSecond: 1127, Callers: 1496, LimitOver: 1.6, Seed: seed, Length: 30 * time.Second}
@@ -61,8 +76,11 @@
 const (
 	// oneWay is the time of a datagram, with up to as much again on a busy host; one in
 	// lossOneIn is lost.
-	oneWay    = 1500 * time.Microsecond
-	lossOneIn = 200
+	oneWay = 1500 * time.Microsecond
+	// oneWayInZone and oneWayBetween are the times between hosts of one and of two data centres.
+	oneWayInZone  = 200 * time.Microsecond
+	oneWayBetween = 1400 * time.Microsecond
+	lossOneIn     = 200
 	// noticeDeath and noticeLife are when membership has told of a host.
 	noticeDeath = 3 * time.Second
 	noticeLife  = 500 * time.Millisecond
@@ -86,11 +104,11 @@
 
 // of is the most requests in a window.
 func (b bound) of(limit customer.Limit) float64 {
-	allowed := limit.PerSecond * b.window.Seconds()
+	allowed := b.excess*limit.PerSecond*b.window.Seconds() + b.slack
 	if b.bursts {
 		allowed += limit.Burst
 	}
-	return allowed*b.excess + b.slack
+	return allowed
 }
 
 // Fleet is all hosts and callers of a run.
@@ -105,8 +123,11 @@
 	callers   []*caller
 	Messages  int
 	Bytes     int
-	Waited    time.Duration
-	asked     int
+	// CrossMessages and CrossBytes are those between data centres.
+	CrossMessages int
+	CrossBytes    int
+	Waited        time.Duration
+	asked         int
 }
 
 type host struct {
@@ -156,6 +177,9 @@
 	if conf.ServerLimit > 0 {
 		f.rule, f.bound = quota.ServerRule(), serverBound
 	}
+	if conf.Tolerant {
+		f.rule.Tolerance = quota.Tolerance{Excess: f.bound.excess - 1, Slack: f.bound.slack, Window: f.bound.window}
+	}
 	f.makeCustomers()
 	for n := range conf.Hosts {
 		h := &host{fleet: f, number: n, name: fmt.Sprintf("host-%03d", n)}
@@ -180,9 +204,13 @@
 		rest += 1 / float64(i+1)
 	}
 	for i := range f.conf.Customers {
-		part := 0.2
+		largest := 0.2
+		if f.conf.LargestPart > 0 {
+			largest = f.conf.LargestPart
+		}
+		part := largest
 		if i > 0 {
-			part = 0.8 / float64(i+1) / rest
+			part = (1 - largest) / float64(i+1) / rest
 		}
 		usual := part * f.conf.PerSecond
 		limit := customer.Limit{PerSecond: f.conf.LimitOver * usual, Burst: math.Ceil(f.conf.LimitOver * usual)}
@@ -217,6 +245,9 @@
 
 func (f *Fleet) send(c *caller) {
 	f.clock.After(f.gap(c), func() { f.send(c) })
+	if f.conf.RandomHosts {
+		c.host = f.random.IntN(len(f.hosts))
+	}
 	h := f.hosts[c.host]
 	if !f.anyUp() {
 		return // no connection: the request is nobody's to refuse
@@ -353,6 +384,8 @@
 	return customer.Limit{}, false
 }
 
+func (h *host) zone() int { return h.number % h.fleet.conf.Zones }
+
 // reaches reports whether datagrams pass between two hosts.
 func (h *host) reaches(other *host) bool {
 	return !h.down && !other.down && (h == other || h.side == other.side)
@@ -431,18 +464,28 @@
 
 func (h *host) deliver(to *host, m quota.Message) {
 	f := h.fleet
-	f.Messages++
+	bytes := 0
 	for _, u := range m.Usages {
-		f.Bytes += proto.Size(u)
+		bytes += proto.Size(u)
 	}
 	for _, g := range m.Grants {
-		f.Bytes += proto.Size(g)
+		bytes += proto.Size(g)
+	}
+	f.Messages++
+	f.Bytes += bytes
+	delay := oneWay
+	if f.conf.Zones > 0 && h.zone() == to.zone() {
+		delay = oneWayInZone
+	} else if f.conf.Zones > 0 {
+		delay = oneWayBetween
+		f.CrossMessages++
+		f.CrossBytes += bytes
 	}
 	if f.random.IntN(lossOneIn) == 0 || !h.reaches(to) {
 		return
 	}
 	life, from := to.life, h.life
-	f.clock.After(oneWay+time.Duration(f.random.Float64()*float64(oneWay)), func() {
+	f.clock.After(delay+time.Duration(f.random.Float64()*float64(delay)), func() {
 		if to.down || to.life != life {
 			return
 		}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -102,8 +102,22 @@
 	// time saves messages where many hosts compete for few tokens, but leaves tokens unused
 	// until a host may ask again.
 	MaxBackoff time.Duration
+	// Tolerance is what hosts may use beyond a limit while they cannot know whether it is
+	// reached. The zero value keeps limits exact.
+	Tolerance Tolerance
 }
 
+// Tolerance is the permitted excess over a limit: in each Window all hosts together may let
+// through (1 + Excess) times what the rate allows, the burst and Slack requests more.
+type Tolerance struct {
+	Excess float64
+	Slack  float64
+	Window time.Duration
+}
+
+// named reports whether the deployment permits any excess.
+func (x Tolerance) named() bool { return x.Window > 0 && (x.Excess > 0 || x.Slack > 0) }
+
 // CustomerRule returns the rule for customers' limits, which are tens of requests a second.
 func CustomerRule() Rule {
 	return Rule{MinFallbackBurst: 3, AccruesFallback: true, MaxBackoff: 500 * time.Millisecond}
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -65,7 +65,7 @@
 }
 
 func (t *Table) applyGrant(now time.Time, s *customerState, g *peerpb.CustomerGrant) {
-	s.noteGrant(now, g.Part)
+	t.noteGrant(now, s, g.Part)
 	s.credit = float64(g.Credit)
 	s.creditUntil = now.Add(creditTTL)
 	if g.Ask == 0 || g.Ask != s.requestID {
@@ -79,7 +79,7 @@
 	s.resolve(int(g.Granted), func() Decision { return s.allow(now) })
 	switch {
 	case refused:
-		s.resolve(len(s.waiting), func() Decision { return s.refuse(now) })
+		s.resolve(len(s.waiting), func() Decision { return t.refuse(now, s) })
 	case len(s.waiting) > 0: // arrived after the token request was sent
 		t.requestTokens(now, s)
 	}
@@ -95,8 +95,12 @@
 }
 
 // noteGrant records an answer from the home.
-func (s *customerState) noteGrant(now time.Time, share float64) {
+func (t *Table) noteGrant(now time.Time, s *customerState, share float64) {
 	s.homeUnreachable = false
+	if s.inFallback {
+		s.fallback.at = now // what the home distributes from now on does not accrue here too
+		s.inFallback = t.isSeparated()
+	}
 	s.lastGrantAt = now
 	s.share = share
 }
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -49,6 +49,7 @@
 	share           float64
 	lastGrantAt     time.Time
 	fallback        bucket // spent while the home is unreachable
+	inFallback      bool   // fallback was used since the home last answered
 }
 
 // Take decides on one request of a customer. If the home has to be asked first, it returns
@@ -57,7 +58,7 @@
 	s := t.stateOf(now, name, limit)
 	s.lastRequest = now
 	switch {
-	case !t.fleet.Settled: // homes are not yet known
+	case !t.fleet.Settled, t.isAlone(now): // homes are not known or not reachable
 		return t.takeFallback(now, s), true
 	case s.takeReturned(now):
 		return s.allow(now), true
@@ -66,7 +67,7 @@
 	case s.takeCredit(now):
 		return s.allow(now), true
 	case now.Before(s.backoffUntil):
-		return s.refuse(now), true
+		return t.refuse(now, s), true
 	case s.homeUnreachable:
 		return t.takeFallback(now, s), true
 	}
@@ -135,23 +136,18 @@
 	if u.share == 0 || now.Sub(h.since) < handoverPeriod {
 		t.refreshShares(now, h)
 	}
-	s.noteGrant(now, u.share)
+	t.noteGrant(now, s, u.share)
 	if h.take() {
 		return s.allow(now)
 	}
 	t.backOff(now, s, h.backOff(now, u, t.rule.MaxBackoff))
-	return s.refuse(now)
+	return t.refuse(now, s)
 }
 
 // takeFallback decides on a request while the home is unreachable, from this host's share of the
 // limit and a small reserve for customers that are new to this host.
 func (t *Table) takeFallback(now time.Time, s *customerState) Decision {
-	share := t.fallbackShare(now, s)
-	size := 1.0
-	if s.share > 0 || !t.fleet.Settled {
-		size = t.rule.MinFallbackBurst
-	}
-	s.fallback.refill(now, s.limit.PerSecond*share, math.Max(capacity(s.limit)*share, size))
+	share := t.refillFallback(now, s)
 	if s.fallback.take() {
 		return s.allow(now)
 	}
@@ -161,6 +157,22 @@
 	return verdict
 }
 
+// refillFallback updates the bucket of this host's share and returns the share.
+func (t *Table) refillFallback(now time.Time, s *customerState) float64 {
+	share := t.fallbackShare(now, s)
+	perSecond := s.limit.PerSecond * share
+	if t.usesTolerance() && t.fleet.Settled && t.isSeparated() {
+		t.refillWithTolerance(now, s, perSecond, share)
+		return share
+	}
+	size := 1.0
+	if s.share > 0 || !t.fleet.Settled {
+		size = t.rule.MinFallbackBurst
+	}
+	s.fallback.refill(now, perSecond, math.Max(capacity(s.limit)*share, size))
+	return share
+}
+
 func (t *Table) fallbackShare(now time.Time, s *customerState) float64 {
 	hosts := float64(t.fleet.PeakSize)
 	if !t.fleet.Settled {
@@ -228,6 +240,14 @@
 	return Decision{OK: true}
 }
 
+// refuse refuses a request that the home has refused, unless this host may exceed the limit.
+func (t *Table) refuse(now time.Time, s *customerState) Decision {
+	if t.takeReserve(now, s) {
+		return s.allow(now)
+	}
+	return s.refuse(now)
+}
+
 // refuse assigns a retry time to a refused caller. Retry times are spaced at the rate at which
 // this host receives tokens.
 func (s *customerState) refuse(now time.Time) Decision {
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -37,7 +37,7 @@
 		if t.isReserved(now, name, u) {
 			reserved += u.share
 		} else {
-			heardRate += u.rate
+			heardRate += u.rate + t.rateFloor()
 			inherited += u.inheritedShare
 		}
 		if now.Before(u.creditUntil) {
@@ -47,11 +47,21 @@
 	h.setShare(now, t.distributableShare(now, h, reserved, inherited))
 	for _, name := range h.hostOrder {
 		if u := h.hosts[name]; heardRate > 0 && !t.isReserved(now, name, u) {
-			u.share = h.share * u.rate / heardRate
+			u.share = h.share * (u.rate + t.rateFloor()) / heardRate
 		}
 	}
 }
 
+// rateFloor is added to the rate of each host that serves a customer, where shares are by rate.
+// With less than one request in rateWindow, a host's measured rate is mostly chance: callers that
+// choose a host for each request would leave most hosts hardly any share in a partition.
+func (t *Table) rateFloor() float64 {
+	if t.rule.EqualShares {
+		return 0
+	}
+	return 1 / rateWindow.Seconds()
+}
+
 // isReserved reports whether a host's share is reserved: the host is silent and may be
 // unreachable. A silent host that is reachable no longer serves the customer.
 func (t *Table) isReserved(now time.Time, name string, u *hostUsage) bool {
