quota: leases of a part of the limit's rate; the tolerance as a setting

Cause: a customer far beyond its limit cost a token request for each request that no back-off covered.

Change: with a tolerance, a home leases rates for 1.5 s to hosts that it refuses while demand is 1.5 times the limit. Buckets of hosts in fallback are sized by the tolerance. An excess of 1.25 reads as 0.25, because platforms may name either.

Not run: race detector, e2e, the suites of other packages.

--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -31,7 +31,10 @@
 // newCustomerLimiter returns a limiter that enforces the customer limits of this host's
 // configuration.
 func newCustomerLimiter(d *Daemon, life uint64) *limiter {
-	return newLimiter(d, peerpb.Datagram_KIND_QUOTA, life, quota.CustomerRule(), func(name string) (customer.Limit, bool) {
+	rule := quota.CustomerRule()
+	tolerance := d.settings.Quota
+	rule.Tolerance = quota.Tolerance{Excess: tolerance.ExcessPart(), Slack: tolerance.Slack, Window: time.Duration(tolerance.Window)}
+	return newLimiter(d, peerpb.Datagram_KIND_QUOTA, life, rule, func(name string) (customer.Limit, bool) {
 		holder := d.engine.Snapshot().Customers.ByName(name)
 		if holder == nil {
 			return customer.Limit{}, false
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -49,6 +49,11 @@
 	granted        uint32
 	credit         float64
 	creditUntil    time.Time // expiry of credit
+	// demand is the rate of requests that the host receives. leaseRate is its lease until
+	// leaseUntil.
+	demand     float64
+	leaseRate  float64
+	leaseUntil time.Time
 	// refusedSecond is the second, in Unix time, in which the host was last counted as refused.
 	refusedSecond int64
 }
@@ -69,7 +74,7 @@
 	if now.Sub(h.refreshedAt) >= refreshInterval {
 		t.refreshShares(now, h)
 	}
-	h.refill(now, limit.PerSecond*h.share, capacity(limit))
+	h.refill(now, math.Max(limit.PerSecond*h.share-t.leasedRate(h.at, h), 0), capacity(limit))
 	return h
 }
 
@@ -127,7 +132,7 @@
 		h.tokens -= float64(usage.Spent - u.spent)
 		u.spent = usage.Spent
 	}
-	u.rate, u.lastHeard, u.frequent = usage.Use, now, usage.Again
+	u.rate, u.demand, u.lastHeard, u.frequent = usage.Use, usage.Demand, now, usage.Again
 	if u.share == 0 || now.Sub(h.since) < handoverPeriod {
 		t.refreshShares(now, h)
 	}
@@ -140,6 +145,9 @@
 		answer.Granted = u.granted
 	}
 	if usage.Ask != 0 && answer.Granted < usage.Wanted {
+		if rate := t.leaseTo(now, h, u); rate > 0 {
+			answer.LeaseRate, answer.LeaseMs = rate, uint32(leaseTTL.Milliseconds())
+		}
 		answer.PauseMs = uint32(h.backOff(now, u, t.rule.MaxBackoff).Milliseconds())
 	}
 	answer.Credit = h.renewCredit(now, u)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -115,6 +115,11 @@
 	Window time.Duration
 }
 
+// of returns how many requests beyond a limit and its burst are permitted in a window.
+func (x Tolerance) of(limit customer.Limit) float64 {
+	return x.Excess*limit.PerSecond*x.Window.Seconds() + x.Slack
+}
+
 // named reports whether the deployment permits any excess.
 func (x Tolerance) named() bool { return x.Window > 0 && (x.Excess > 0 || x.Slack > 0) }
 
@@ -216,14 +221,23 @@
 	return math.Max(math.Max(limit.Burst, minBurstSeconds*limit.PerSecond), 1)
 }
 
-// meter measures a rate in events a second, averaged exponentially over rateWindow.
+// meter measures a rate in events a second, averaged exponentially over its window, rateWindow by
+// default.
 type meter struct {
-	value float64
-	at    time.Time
+	window time.Duration
+	value  float64
+	at     time.Time
+}
+
+func (m *meter) seconds() float64 {
+	if m.window > 0 {
+		return m.window.Seconds()
+	}
+	return rateWindow.Seconds()
 }
 
 func (m *meter) add(now time.Time, n float64) {
-	m.value = m.rate(now) + n/rateWindow.Seconds()
+	m.value = m.rate(now) + n/m.seconds()
 	m.at = now
 }
 
@@ -231,7 +245,7 @@
 	if m.at.IsZero() {
 		return 0
 	}
-	return m.value * math.Exp(-now.Sub(m.at).Seconds()/rateWindow.Seconds())
+	return m.value * math.Exp(-now.Sub(m.at).Seconds()/m.seconds())
 }
 
 // bucket is a token bucket of variable rate and size.
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -31,6 +31,9 @@
 		Ask:      s.requestID,
 		Wanted:   uint32(s.wanted),
 	}
+	if now.Sub(s.refusedAt) < demandTTL {
+		usage.Demand = s.demand.rate(now)
+	}
 	if age := now.Sub(s.lastGrantAt); s.share > 0 && age < shareRetention {
 		usage.Part = s.share
 		usage.PartAgeMs = uint32(age.Milliseconds())
@@ -73,11 +76,17 @@
 	}
 	s.requestID = 0
 	refused := int(g.Granted) < s.wanted
-	if refused {
+	switch {
+	case g.LeaseRate > 0:
+		s.lease.renew(now, g.LeaseRate, time.Duration(g.LeaseMs)*time.Millisecond, t.firstLeaseTokens(s))
+		s.tokenInterval, s.backoffUntil = secondsToDuration(1/g.LeaseRate), time.Time{}
+	case refused:
 		t.backOff(now, s, time.Duration(g.PauseMs)*time.Millisecond)
 	}
 	s.resolve(int(g.Granted), func() Decision { return s.allow(now) })
 	switch {
+	case s.lease.active(now):
+		s.resolve(len(s.waiting), func() Decision { return t.takeLease(now, s) })
 	case refused:
 		s.resolve(len(s.waiting), func() Decision { return t.refuse(now, s) })
 	case len(s.waiting) > 0: // arrived after the token request was sent
--- a/internal/quota/served.go
+++ b/internal/quota/served.go
@@ -19,6 +19,9 @@
 	term         uint64
 
 	meter       meter
+	demand      meter // of all requests, served or not
+	lease       lease
+	refusedAt   time.Time
 	lastRequest time.Time
 	// allowedTotal and refusedTotal count requests.
 	allowedTotal, refusedTotal uint64
@@ -57,6 +60,7 @@
 func (t *Table) Take(now time.Time, name string, limit customer.Limit, done func(Decision)) (Decision, bool) {
 	s := t.stateOf(now, name, limit)
 	s.lastRequest = now
+	s.demand.add(now, 1)
 	switch {
 	case !t.fleet.Settled, t.isAlone(now): // homes are not known or not reachable
 		return t.takeFallback(now, s), true
@@ -66,6 +70,8 @@
 		return t.takeAsHome(now, s), true
 	case s.takeCredit(now):
 		return s.allow(now), true
+	case s.lease.active(now):
+		return t.takeLease(now, s), true
 	case now.Before(s.backoffUntil):
 		return t.refuse(now, s), true
 	case s.homeUnreachable:
@@ -82,7 +88,7 @@
 func (t *Table) stateOf(now time.Time, name string, limit customer.Limit) *customerState {
 	s, ok := t.customers[name]
 	if !ok {
-		s = &customerState{name: name, fallback: bucket{at: now}}
+		s = &customerState{name: name, fallback: bucket{at: now}, demand: meter{window: demandWindow}}
 		if t.rule.AccruesFallback {
 			s.fallback.tokens = t.rule.MinFallbackBurst
 		}
@@ -114,6 +120,7 @@
 		s.spent, s.credit = 0, 0
 		s.homeUnreachable = false
 		s.backoffUntil = time.Time{}
+		s.lease.until = time.Time{}
 	}
 }
 
@@ -167,7 +174,7 @@
 	}
 	size := 1.0
 	if s.share > 0 || !t.fleet.Settled {
-		size = t.rule.MinFallbackBurst
+		size = t.fallbackBurst(s.limit, perSecond)
 	}
 	s.fallback.refill(now, perSecond, math.Max(capacity(s.limit)*share, size))
 	return share
@@ -184,6 +191,14 @@
 	return math.Min(s.share+fallbackReserve/hosts, 1)
 }
 
+// takeLease decides on a request by the host's lease.
+func (t *Table) takeLease(now time.Time, s *customerState) Decision {
+	if s.lease.take(now) {
+		return s.allow(now)
+	}
+	return t.refuse(now, s)
+}
+
 func (s *customerState) takeCredit(now time.Time) bool {
 	if s.credit < 1 || !now.Before(s.creditUntil) {
 		return false
@@ -253,6 +268,7 @@
 func (s *customerState) refuse(now time.Time) Decision {
 	at := s.nextRetryAt(now)
 	s.lastRetryAt = at
+	s.refusedAt = now
 	s.refusedTotal++
 	return Decision{RetryAfter: min(at.Sub(now), maxRetryAfter), Backoff: s.backoffUntil.Sub(now)}
 }
--- a/internal/quota/tolerance.go
+++ b/internal/quota/tolerance.go
@@ -4,6 +4,8 @@
 	"hash/fnv"
 	"math"
 	"time"
+
+	"github.com/pearshelf/pearshelf/internal/customer"
 )
 
 // A host that cannot reach a customer's home knows neither what the others let through nor how
@@ -15,7 +17,7 @@
 const (
 	// fallbackPart is the part of a tolerance that separated hosts may use. The rest is kept for
 	// credits in use while a partition begins or ends.
-	fallbackPart = 0.8
+	fallbackPart = 0.7
 	// separatedPart is the largest part of the fleet that is assumed to be separated from all
 	// others at a time. A larger one divides the same tokens among more hosts.
 	separatedPart = 0.5
@@ -28,8 +30,7 @@
 	reserveBelow = 0.5
 )
 
-// usesTolerance reports whether hosts may exceed a limit by a tolerance while they cannot reach
-// its home.
+// usesTolerance reports whether hosts may exceed limits by a tolerance.
 func (t *Table) usesTolerance() bool { return t.rule.Tolerance.named() && t.rule.AccruesFallback }
 
 // isAlone reports whether this host has recently lost all others. Being the home of every customer
@@ -43,14 +44,24 @@
 // hosts serve that customer.
 func (t *Table) reserve(s *customerState) float64 {
 	x, limit := t.rule.Tolerance, s.limit
-	window := x.Window.Seconds()
 	hosts := separatedPart * math.Max(float64(t.fleet.PeakSize), 1)
-	asking := separatedPart * window * largestSurge * limit.PerSecond
-	free := fallbackPart*(x.Excess*limit.PerSecond*window+x.Slack) + separatedPart*limit.Burst
+	asking := separatedPart * x.Window.Seconds() * largestSurge * limit.PerSecond
+	free := fallbackPart*x.of(limit) + separatedPart*limit.Burst
 	part := math.Max(1/math.Max(math.Min(hosts, asking), 1), s.share/separatedPart)
 	return math.Min(free*part, t.rule.MinFallbackBurst)
 }
 
+// fallbackBurst returns the minimum capacity of the bucket of a host in fallback whose share brings
+// perSecond tokens. If the home of a customer dies that sends far beyond its limit, all hosts
+// empty their buckets at the same time; these must not add up to more than the tolerance.
+func (t *Table) fallbackBurst(limit customer.Limit, perSecond float64) float64 {
+	if !t.usesTolerance() || !t.fleet.Settled || perSecond < reserveBelow {
+		return t.rule.MinFallbackBurst
+	}
+	each := fallbackPart * t.rule.Tolerance.of(limit) / math.Max(float64(t.fleet.PeakSize), 1)
+	return math.Min(math.Max(each, 1), t.rule.MinFallbackBurst)
+}
+
 // phase returns a number from 0 to 1 that differs by host and customer. Hosts whose reserve is part
 // of a token start with it in addition, so that as many of them have a whole token as the reserves
 // add up to.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,8 @@
 	DefaultBodyIdleTimeout   = 30 * time.Second
 	DefaultEventLogCapacity  = 8192
 	MaxBufferBytes           = 16 << 20
+	DefaultQuotaWindow       = 5 * time.Second
+	maxQuotaSlack            = 1e6
 	maxCores                 = 4096
 	maxMemoryMB              = 16 << 20
 	DefaultDirectAfter       = 2 * time.Second
@@ -168,6 +170,26 @@
 	Window       config.Duration `yaml:"window"`
 }
 
+// Quota configures the enforcement of customers' limits.
+type Quota struct {
+	// Excess, Slack and Window are the tolerance of customers' limits: in each Window all hosts
+	// together may let through Excess times what the rate allows and Slack requests beyond the
+	// limit and its burst. Hosts use a part of it while they cannot know whether a limit is
+	// reached. An Excess from 1 on is the whole factor, such as 1.25 for 0.25, because platforms
+	// name either. Defaults: 0 and 0, limits are exact; the window is 5s.
+	Excess float64         `yaml:"excess"`
+	Slack  float64         `yaml:"slack"`
+	Window config.Duration `yaml:"window"`
+}
+
+// ExcessPart returns Excess as a part of the limit.
+func (q Quota) ExcessPart() float64 {
+	if q.Excess >= 1 {
+		return q.Excess - 1
+	}
+	return q.Excess
+}
+
 // Policy configures backend selection when forwarding is off.
 type Policy struct {
 	// DisabledMechanisms lists mechanisms to disable, to measure their effect; see
@@ -213,6 +235,7 @@
 	Platform Platform `yaml:"platform"`
 	Timing   Timing   `yaml:"timing"`
 	Retry    Retry    `yaml:"retry"`
+	Quota    Quota    `yaml:"quota"`
 	Policy   Policy   `yaml:"policy"`
 	Backend  Backend  `yaml:"backend"`
 	// Forwarding sends requests to the owner hosts of their service. If false,
@@ -266,6 +289,7 @@
 		s.Retry.FleetShare, s.Retry.FleetReserve = rule.Share, rule.Reserve
 	}
 	setDuration(&s.Retry.Window, rule.Window)
+	setDuration(&s.Quota.Window, DefaultQuotaWindow)
 	setDuration(&s.Backend.DialTimeout, upstream.DefaultDialTimeout)
 	setDuration(&s.Timing.Tick, DefaultTick)
 	setDuration(&s.Timing.Freshness, DefaultFreshness)
@@ -372,6 +396,12 @@
 	if s.Retry.FleetReserve < 0 {
 		v.addf("retry.fleet_reserve", "%g is negative", s.Retry.FleetReserve)
 	}
+	if !(s.Quota.Excess >= 0 && s.Quota.Excess < 2) {
+		v.addf("quota.excess", "%g is not from 0 to below 2: specify the permitted excess as a part of the limit, such as 0.25, or with the limit, such as 1.25", s.Quota.Excess)
+	}
+	if !(s.Quota.Slack >= 0 && s.Quota.Slack <= maxQuotaSlack) {
+		v.addf("quota.slack", "%g is outside 0 to %g", s.Quota.Slack, float64(maxQuotaSlack))
+	}
 	if s.Backend.LocalAddress != "" {
 		if _, err := netip.ParseAddr(s.Backend.LocalAddress); err != nil {
 			v.addf("backend.local_address", "%q is not an IP address", s.Backend.LocalAddress)
@@ -449,6 +479,7 @@
 		{"caller.idle_timeout", s.Caller.IdleTimeout, time.Second, time.Hour},
 		{"caller.body_idle_timeout", s.Caller.BodyIdleTimeout, 100 * time.Millisecond, time.Hour},
 		{"retry.window", s.Retry.Window, time.Second, time.Hour},
+		{"quota.window", s.Quota.Window, time.Second, time.Hour},
 		{"backend.dial_timeout", s.Backend.DialTimeout, 10 * time.Millisecond, time.Minute},
 		{"platform.direct_after", s.Platform.DirectAfter, time.Millisecond, time.Minute},
 		{"platform.direct_spread", s.Platform.DirectSpread, time.Millisecond, time.Minute},
