Keep each server in use by one host while a service nears a tenth unserved

Cause: the rule on servers in use counts the unserved requests of all data centres, but each data centre decided by its own. One whose own requests were served left servers out of use that it believed to be failing. And coverage by count leaves up to a fifth of the servers out.

Change: failure reports to other data centres carry the served and unserved requests of the sender's segment within the last 2 s (BackendLoad fields 40 to 42). Above 7 in 100 unserved over all data centres, the hosts that use a server take turns by rendezvous hashing: the first sends its next request to a server without requests for 1 s (1.6 s for a request that runs once and a server believed to be failing), each next host 50 ms later if none has. It applies only where one request to each server takes at most half of the requests. Idempotent requests reach failing servers as trials. The mechanisms "remote-outcomes" and "server-duty" turn it off.

The file service is not helped: it has about as many requests as servers.

pure_test.go allows the import of internal/rendezvous, which has no clock, lock or state.

Not run: the other packages, the race detector, no fleet.

--- a/internal/policy/coverage.go
+++ b/internal/policy/coverage.go
@@ -80,6 +80,8 @@
 	maxRequestShare float64
 	// tryUntried is set if this request may be the first one of a server that has joined.
 	tryUntried bool
+	// duty is set if each server must be used, by the host whose turn it is, see duty.go.
+	duty bool
 }
 
 // coverage counts the servers of this data centre in the subset that are in use. Every server is
@@ -89,6 +91,7 @@
 	need := t.coverageRule(now, req, spent)
 	need.tryUntried = req.Idempotent && !req.LastAttempt || t.conf.Random.Float64() < untriedRequestShare
 	svc := t.service(req.Service)
+	need.duty = !req.Parallel && t.hasDuty(now, svc, view, req.DataCentre)
 	candidates, used := 0, 0
 	servers := view.Candidates()
 	for i := range servers {
@@ -233,12 +236,16 @@
 
 // coverageBonus is the cost reduction for a server that has had no request for some time, if too
 // few servers are in use.
-func (s *server) coverageBonus(now time.Time, svc *service, need coverage) float64 {
+func (t *Table) coverageBonus(in comparison, k key, s *server) float64 {
+	now, svc, need := in.now, in.svc, in.need
 	if need.tryUntried && s.isUntried() && !now.Before(s.pathUntil) {
 		return unusedServerBonus
 	}
 	if need.insufficient && now.Sub(s.lastSent) > inUsePeriod && s.shouldBeUsed(now, svc, need) {
 		return unusedServerBonus
 	}
+	if need.duty && t.isDutyDue(now, k, s, in.req, false) {
+		return unusedServerBonus
+	}
 	return 0
 }
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -24,6 +24,10 @@
 	MechanismCoverage Mechanism = "breadth"
 	// MechanismDegraded uses nearly all servers while many requests are unserved.
 	MechanismDegraded Mechanism = "trouble"
+	// MechanismRemoteOutcomes uses the outcomes of other data centres, see remoteoutcomes.go.
+	MechanismRemoteOutcomes Mechanism = "remote-outcomes"
+	// MechanismDuty gives each server a host that keeps it in use, see duty.go.
+	MechanismDuty Mechanism = "server-duty"
 	// MechanismOwnDataCentre prefers servers of the host's own data centre.
 	MechanismOwnDataCentre Mechanism = "own-data-centre"
 	// MechanismColdStart expects newly started servers to be slow.
@@ -51,7 +55,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		MechanismFailureModel, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
-		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
+		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismRemoteOutcomes, MechanismDuty, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
 	}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -225,7 +225,7 @@
 		}
 		cost := t.cost(in.now, in.svc, s, b, load, in.req) + in.failure*s.failureProbability(in.now, in.svc)
 		if b.DataCentre == in.req.DataCentre && t.has(MechanismCoverage) {
-			cost -= s.coverageBonus(in.now, in.svc, in.need)
+			cost -= t.coverageBonus(in, key{in.req.Service, b.ID}, s)
 		}
 		if cost < best.cost {
 			best.server, best.state, best.cost = b, s, cost
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -22,6 +22,7 @@
 		"github.com/pearshelf/pearshelf/internal/pathloss",
 		"github.com/pearshelf/pearshelf/internal/protocol",
 		"github.com/pearshelf/pearshelf/internal/ratelimit",
+		"github.com/pearshelf/pearshelf/internal/rendezvous",
 		"github.com/pearshelf/pearshelf/internal/world",
 	}
 	// These packages may be used only as far as they read neither a clock nor the shared random
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -24,7 +24,11 @@
 			local = append(local, row)
 		}
 		if s.failureUnsent {
-			failures = append(failures, failuresOf(row))
+			failure := failuresOf(row)
+			if svc, known := t.services[k.service]; known && t.has(MechanismRemoteOutcomes) {
+				svc.addRecentOutcomes(now, failure)
+			}
+			failures = append(failures, failure)
 		}
 		s.dirty, s.failureUnsent = false, false
 	}
@@ -48,6 +52,11 @@
 // has not been updated for stateTTL. It reports whether there is something to send.
 func (t *Table) Refresh(now time.Time) (dirty bool) {
 	t.expireRoutes(now)
+	for host, at := range t.heardAt {
+		if now.Sub(at) > stateTTL {
+			delete(t.heardAt, host)
+		}
+	}
 	for _, svc := range t.services {
 		svc.expireSharingHosts(now)
 	}
@@ -87,10 +96,16 @@
 // for something that Changes returns.
 func (t *Table) Report(now time.Time, host string, incarnation uint64, loads []*peerpb.BackendLoad, isPeer bool) (replyDue bool) {
 	t.resetOnRestart(host, incarnation)
+	if isPeer {
+		t.heardAt[host] = now
+	}
 	for _, l := range loads {
 		switch {
 		case l.Backend != "":
 			t.applyReport(now, host, l, isPeer)
+			if !isPeer && t.has(MechanismRemoteOutcomes) {
+				t.service(l.Service).recordRemoteOutcomes(now, l)
+			}
 		case isPeer:
 			replyDue = t.recordPeerTotals(now, host, l) || replyDue
 		}
@@ -162,6 +177,9 @@
 	case unreached > 0:
 		s.undoUse(p.use)
 	}
+	if unreached > 0 {
+		p.unreachableAt = now
+	}
 }
 
 // recordPeerInFlight updates what requests of another host a server has in flight. The expected
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -50,6 +50,8 @@
 	oldest   time.Time
 	expected time.Duration
 	use      serverUse // recorded for the peer's last send
+	// unreachableAt is when the peer last reported that it could not connect to the server.
+	unreachableAt time.Time
 }
 
 // server is this host's state of one backend server.
@@ -135,6 +137,8 @@
 	// late counts the served requests that were answered after their latency objective, see
 	// admission.go.
 	late window
+	// remote are the latest outcomes of other data centres, by segment, see remoteoutcomes.go.
+	remote map[uint32]remoteOutcomes
 	// priorities is the typical work of this host's requests by priority, in milliseconds.
 	priorities map[int]*window
 	// deadlines is the time allowed to requests, by route.
@@ -173,8 +177,9 @@
 	started      time.Time
 	servers      map[key]*server
 	services     map[string]*service
-	incarnations map[string]uint64 // of other hosts, by host name
-	routes       map[string]*route // by Request.Group
+	incarnations map[string]uint64    // of other hosts, by host name
+	heardAt      map[string]time.Time // last report of each host of this data centre, by name
+	routes       map[string]*route    // by Request.Group
 	// fleetSize is the largest number of hosts that were ever live at the same time, see
 	// Request.FleetSize.
 	fleetSize int
@@ -203,6 +208,7 @@
 		servers:      make(map[key]*server),
 		services:     make(map[string]*service),
 		incarnations: make(map[string]uint64),
+		heardAt:      make(map[string]time.Time),
 		routes:       make(map[string]*route),
 	}
 }
@@ -211,7 +217,7 @@
 func (t *Table) service(name string) *service {
 	svc, ok := t.services[name]
 	if !ok {
-		svc = &service{typicalLatency: defaultTypicalLatency, latencies: newLatencyDistribution(), unansweredShare: priorUnansweredShare, sharingHosts: make(map[string]*peerTotals), priorities: make(map[int]*window), deadlines: make(map[string]routeDeadline)}
+		svc = &service{typicalLatency: defaultTypicalLatency, latencies: newLatencyDistribution(), unansweredShare: priorUnansweredShare, sharingHosts: make(map[string]*peerTotals), remote: make(map[uint32]remoteOutcomes), priorities: make(map[int]*window), deadlines: make(map[string]routeDeadline)}
 		svc.beliefOptions = beliefOptions{outcomes: t.has(MechanismFailureModel), unanswered: t.has(MechanismUnanswered)}
 		t.services[name] = svc
 	}
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -56,11 +56,17 @@
 // request for longest.
 func (t *Table) mostOverdueForTrial(now time.Time, svc *service, view *world.ServiceView, req Request) choice {
 	var best choice
+	duty := t.hasDuty(now, svc, view, req.DataCentre)
 	servers := view.Candidates()
 	for i := range servers {
 		b := &servers[i]
-		s, known := t.servers[key{req.Service, b.ID}]
-		if !known || b.DataCentre != req.DataCentre || !req.allows(b) || !s.isDueForTrial(now, svc) {
+		k := key{req.Service, b.ID}
+		s, known := t.servers[k]
+		if !known || b.DataCentre != req.DataCentre || !req.allows(b) {
+			continue
+		}
+		isOnDuty := duty && s.belief(now, svc) >= failingThreshold && t.isDutyDue(now, k, s, req, true)
+		if !isOnDuty && !s.isDueForTrial(now, svc) {
 			continue
 		}
 		if best.server == nil || s.lastSent.Before(best.state.lastSent) {
--- a/internal/sharing/message.go
+++ b/internal/sharing/message.go
@@ -37,6 +37,9 @@
 // Remote returns the messages to hosts of other data centres. Failures go to the hosts whose subsets
 // contain the server.
 func (f *Fleet) Remote(failing []*peerpb.BackendLoad, service func(name string) *Service) []Message {
+	for _, l := range failing {
+		l.Segment = f.segmentID
+	}
 	return groupMessages(failing, false, func(l *peerpb.BackendLoad, add func([]string)) {
 		s := service(l.Service)
 		if s == nil {
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -52,6 +52,7 @@
 	rings     map[string]*ring // by data centre
 	addresses map[string]string
 	segment   []string // addresses of the other hosts, see Segment
+	segmentID uint32   // distinguishes this host's segment from all others, in reports
 }
 
 // NewFleet arranges the live hosts: self, which is this host, and others.
@@ -67,7 +68,9 @@
 	}
 	local := f.rings[self.DataCentre]
 	parts := max(local.len()/max(rule.Hosts, 1), 1)
-	f.segment = f.addressesOf(local.segment(self.Name, parts))
+	segment := local.segment(self.Name, parts)
+	f.segment = f.addressesOf(segment)
+	f.segmentID = uint32(hashOf(segment[0]).hash)
 	return f
 }
 
