--- a/internal/sharing/message.go
+++ b/internal/sharing/message.go
@@ -37,9 +37,7 @@
 // Remote returns the messages to hosts of other data centres. Failures go to the hosts whose subsets
 // contain the server.
 func (f *Fleet) Remote(failing []*peerpb.BackendLoad, service func(name string) *Service) []Message {
-	for _, l := range failing {
-		l.Segment = f.segmentID
-	}
+	f.nameSegment(failing)
 	return groupMessages(failing, false, func(l *peerpb.BackendLoad, add func([]string)) {
 		s := service(l.Service)
 		if s == nil {
@@ -49,6 +47,13 @@
 	})
 }
 
+// nameSegment adds this host's segment to reports for other data centres.
+func (f *Fleet) nameSegment(failing []*peerpb.BackendLoad) {
+	for _, l := range failing {
+		l.Segment = f.segmentID
+	}
+}
+
 // RemoteByRelay returns the same reports as Remote, but sends them to one host of each remote data centre
 // that uses the server, which passes them on to the others there. turn selects it, so that successive
 // reports, which contain the counts of earlier ones, do not all depend on one host. Data centres without
@@ -74,6 +79,7 @@
 			add(true, []string{relays[turn%len(relays)]})
 		})
 	}
+	f.nameSegment(failing)
 	only := func(want bool) []Message {
 		return groupMessages(failing, false, func(l *peerpb.BackendLoad, add func([]string)) {
 			receivers(l, func(relay bool, addresses []string) {
--- a/internal/sharing/sharing_test.go
+++ b/internal/sharing/sharing_test.go
@@ -259,6 +259,9 @@
 		if len(relayed) != 1 || len(relayed[0].To) != 1 || len(direct) != 1 || len(direct[0].To) != len(f.Recipients(s.service, "b1-7", "dc2")) {
 			t.Fatalf("turn %d: relayed %+v, direct %+v", turn, relayed, direct)
 		}
+		if relayed[0].Loads[0].Segment != f.segmentID {
+			t.Error("a relayed report does not name the sender's segment")
+		}
 		relay := relayed[0].To[0]
 		used[relay] = true
 		at := slices.IndexFunc(s.hosts, func(h Host) bool { return h.Address == relay })
