Hosts in their first window retry with parts of the reserve and with gifts

Cause: a host that started less than a window ago could spend 0.08 of 0.2 of what its requests brought, less than one retry at one request a second; the gift that a refused request asked for came after the request had ended. Idempotent requests at such hosts ended with the first server's error.

Change: budgets and gifts are kept in thousandths of a retry; a request that finds none waits up to 50 ms for one; a host in its first window has 0.1 of what its requests bring, and of its part of the reserve 0.1 x the share of the window that it has been up for, which it may give away. docs/design/retries-and-handover.md has the argument for the bound.

--- a/experiment/replay/restart.go
+++ b/experiment/replay/restart.go
@@ -34,7 +34,7 @@
 	for _, r := range h.requests {
 		r.lose()
 	}
-	h.requests = nil
+	h.requests, h.awaiting = nil, nil
 	clock := h.fleet.clock
 	clock.After(down, func() {
 		h.isDown = false
--- a/experiment/replay/result.go
+++ b/experiment/replay/result.go
@@ -25,6 +25,8 @@
 	// Asked are all requests; of these InTime and Late were served, Refused not run,
 	// and Failed the rest.
 	Asked, InTime, Late, Refused, Failed int
+	// Withheld are those of the failed and refused that were not retried for lack of allowance.
+	Withheld int
 	// Copies are second copies sent, Sends all requests sent to servers.
 	Copies int
 	// HeldInVain is the time for which requests were kept that were then not served.
@@ -211,6 +213,7 @@
 	r.Refused += other.Refused
 	r.Failed += other.Failed
 	r.Copies += other.Copies
+	r.Withheld += other.Withheld
 	r.HeldInVain += other.HeldInVain
 	r.times.Merge(other.times)
 }
--- /dev/null
+++ b/experiment/replay/retrywait_test.go
@@ -0,0 +1,30 @@
+package replay
+
+import (
+	"testing"
+
+	"github.com/pearshelf/pearshelf/internal/policy"
+)
+
+// While hosts are restarted in turn, those in their first window have less than one retry each.
+// Requests that failed were not retried although others had retries left: they wait for one now.
+func TestRestartedHostsGetRetries(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("rolling-restart")
+	if err != nil {
+		t.Fatal(err)
+	}
+	with, without := newResult(pattern), newResult(pattern)
+	for seed := range uint64(seeds) {
+		with.add(Run(pattern, Config{Seed: seed + 1}))
+		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismGiftWait, policy.MechanismPooledRetries, policy.MechanismYoungReserve}}))
+	}
+	lookup, before := with.route("lookup"), without.route("lookup")
+	t.Logf("%d of %d lookups not retried, %.4f unserved; without %d, %.4f", lookup.Withheld, lookup.Asked, lookup.Unserved(), before.Withheld, before.Unserved())
+	if float64(lookup.Withheld) > 0.75*float64(before.Withheld) || lookup.Unserved() > before.Unserved() {
+		t.Error("hosts in their first window get too few retries")
+	}
+	if with.AllowanceSpent > 1 {
+		t.Errorf("%.2f of the allowance was spent", with.AllowanceSpent)
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,6 +22,8 @@
 
 	mu    sync.Mutex
 	table *policy.Table
+	// retryGiven is closed and replaced when another host has given a retry.
+	retryGiven chan struct{}
 	// pathLost is the latest PathState.Lost, see UpdatePathState.
 	pathLost bool
 	// pathLostSignal is closed while the path is lost.
@@ -43,6 +45,7 @@
 		pathWork:    make(chan struct{}, 1),
 
 		pathLostSignal: make(chan struct{}),
+		retryGiven:     make(chan struct{}),
 		table:          policy.NewTable(clock(), conf),
 	}
 }
@@ -212,11 +215,23 @@
 	return t.table.RetryAfter(service)
 }
 
-// AllowRetry reports whether a request to a service may be retried.
+// AllowRetry reports whether a request to a service may be retried. If not, other hosts are asked for
+// a retry.
 func (t *Table) AllowRetry(service string, fleetSize int) policy.RetryDecision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.AllowRetry(t.clock(), service, fleetSize)
+	decision := t.table.AllowRetry(t.clock(), service, fleetSize)
+	if decision.Wait > 0 {
+		t.notify()
+	}
+	return decision
+}
+
+// RetryGiven returns a channel that is closed when another host next gives a retry.
+func (t *Table) RetryGiven() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retryGiven
 }
 
 // Changes returns the rows that are due to be reported: local to the hosts of this data
@@ -242,9 +257,14 @@
 func (t *Table) Report(host string, incarnation uint64, loads []*peerpb.BackendLoad, isPeer bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	gifts := t.table.GiftsReceived()
 	if t.table.Report(t.clock(), host, incarnation, loads, isPeer) {
 		t.notify()
 	}
+	if t.table.GiftsReceived() != gifts {
+		close(t.retryGiven)
+		t.retryGiven = make(chan struct{})
+	}
 }
 
 // Stats returns the statistics of each service.
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/pearshelf/pearshelf/internal/claims"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
+	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -139,7 +140,7 @@
 
 // tryServers sends the request to one server after another until one responds.
 func (x *exchange) tryServers(ctx context.Context) error {
-	if x.req.Arrived > 0 && !x.mayRetry() {
+	if x.req.Arrived > 0 && !x.mayRetry(ctx) {
 		return refuseUnknown(errs.New(errs.KindServerShed, "a backend server may have run the request, and the retry allowance is spent", "repeat the request if it is idempotent"))
 	}
 	var last *Refusal
@@ -164,7 +165,7 @@
 		if x.written && !x.req.Idempotent {
 			return last
 		}
-		if x.checkQuarantine() != nil || !x.mayRetry() {
+		if x.checkQuarantine() != nil || !x.mayRetry(ctx) {
 			return last
 		}
 	}
@@ -232,29 +233,62 @@
 
 // mayRetry reports whether another attempt is allowed. Attempts that put no load on any server
 // are free; the others are charged to the budget, once each.
-func (x *exchange) mayRetry() bool {
+func (x *exchange) mayRetry(ctx context.Context) bool {
 	if x.freeRetry || x.retryCharged {
 		x.freeRetry = false
 		return true
 	}
-	x.retryCharged = x.allowRetry()
+	x.retryCharged = x.allowRetry(ctx)
 	x.d.metrics.Retry(x.req.Service, x.retryCharged)
 	return x.retryCharged
 }
 
 // allowRetry asks for a retry: from this host's part of the fleet's allowance if hosts pick servers
-// themselves, else from the budget of an owner host.
-func (x *exchange) allowRetry() bool {
+// themselves, else from the budget of an owner host. It waits for one from another host where that
+// may come in time.
+func (x *exchange) allowRetry(ctx context.Context) bool {
 	if x.d.balance == nil {
 		return x.state.budget.withdraw()
 	}
 	decision := x.d.balance.AllowRetry(x.req.Service, x.snap.FleetSize)
+	waited := time.Duration(0)
+	if !decision.Allowed && decision.Wait > 0 {
+		begin := time.Now()
+		decision = x.awaitRetry(ctx, decision)
+		waited = time.Since(begin)
+		x.d.metrics.RetryWait(x.req.Service, waited, decision.Allowed)
+	}
 	if !decision.Allowed {
-		x.trace.retryWithheld = fmt.Sprintf("%d of %.1f spent, up for %s", decision.Used, decision.Allowance, decision.Age.Round(time.Second))
+		x.trace.retryWithheld = fmt.Sprintf("%.3g of %.1f spent, up for %s", decision.Used, decision.Allowance, decision.Age.Round(time.Second))
+		if waited > 0 {
+			x.trace.retryWithheld += fmt.Sprintf(", waited %s for another host's", waited.Round(time.Millisecond))
+		}
 	}
 	return decision.Allowed
 }
 
+// awaitRetry waits until another host gives a retry, up to decision.Wait and the request's deadline.
+func (x *exchange) awaitRetry(ctx context.Context, decision policy.RetryDecision) policy.RetryDecision {
+	end := time.NewTimer(min(decision.Wait, time.Until(x.req.Deadline)))
+	defer end.Stop()
+	again := time.NewTicker(policy.RetryAskPeriod)
+	defer again.Stop()
+	for {
+		given := x.d.balance.RetryGiven()
+		if decision = x.d.balance.AllowRetry(x.req.Service, x.snap.FleetSize); decision.Allowed || decision.Wait == 0 {
+			return decision
+		}
+		select {
+		case <-given:
+		case <-again.C:
+		case <-end.C:
+			return decision
+		case <-ctx.Done():
+			return decision
+		}
+	}
+}
+
 // attempt sends the request to one server. done reports whether the caller has been answered;
 // otherwise refusal describes the outcome of this attempt.
 func (x *exchange) attempt(ctx context.Context, lease *serverLease) (done bool, refusal *Refusal) {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -74,7 +74,7 @@
 			return true, err
 		}
 		x.d.relays.avoid(time.Now(), host.Host)
-		if x.written && !x.mayRetry() {
+		if x.written && !x.mayRetry(ctx) {
 			return true, refuseUnknown(errs.New(errs.KindAnswerBroken, "host "+host.Host+" had the request and did not answer it", "repeat the request"))
 		}
 	}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -85,7 +85,7 @@
 // reopenAtServer resumes a download at another backend server. The resume counts as a retry.
 func (x *exchange) reopenAtServer(ctx context.Context, at rangeRequest, from *serverLease) (*serverLease, *upstream.Answer) {
 	x.tried = append(x.tried, from.Server.ID)
-	if !x.allowRetry() {
+	if !x.allowRetry(ctx) {
 		return nil, nil
 	}
 	next, err := x.acquire(ctx)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,7 @@
 	registerer       prometheus.Registerer
 	latency          *prometheus.HistogramVec
 	retries          *prometheus.CounterVec
+	retryWaits       *prometheus.HistogramVec
 	requests         *prometheus.CounterVec
 	addedLatency     *prometheus.HistogramVec
 	observationsLost prometheus.Counter
@@ -54,6 +55,11 @@
 			Name: "pearshelf_document_sent_bytes_total",
 			Help: "Bytes of documents and changes to them given to other hosts, before compression, by document.",
 		}, []string{"document"}),
+		retryWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "pearshelf_retry_wait_seconds",
+			Help:    "Time that requests waited for a retry from another host, by service and whether one came.",
+			Buckets: []float64{0.005, 0.01, 0.02, 0.05, 0.1},
+		}, []string{"service", "given"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearshelf_retries_total",
 			Help: "Requests that could be sent again, by service and whether the allowance let them.",
@@ -125,7 +131,7 @@
 		Name: "pearshelf_relayed_requests_total",
 		Help: "Requests offered to another host because this one does not reach backend servers, by result: answered, declined or failed.",
 	}, []string{"result"})
-	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -141,6 +147,11 @@
 	m.retries.WithLabelValues(service, strconv.FormatBool(allowed)).Inc()
 }
 
+// RetryWait records how long a request waited for a retry from another host.
+func (m *Metrics) RetryWait(service string, took time.Duration, given bool) {
+	m.retryWaits.WithLabelValues(service, strconv.FormatBool(given)).Observe(took.Seconds())
+}
+
 // RegisterDroppedLogLines exports the number of dropped log lines.
 func (m *Metrics) RegisterDroppedLogLines(dropped func() int64) {
 	m.registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -34,6 +34,12 @@
 	MechanismRouteLatency Mechanism = "route-times"
 	// MechanismRetryGifts gives retries to hosts that lack them, see retries.go.
 	MechanismRetryGifts Mechanism = "retry-gifts"
+	// MechanismGiftWait lets a request without a retry wait for one from another host, see retries.go.
+	MechanismGiftWait Mechanism = "gift-wait"
+	// MechanismPooledRetries lets hosts give parts of a retry, see retries.go.
+	MechanismPooledRetries Mechanism = "pooled-retries"
+	// MechanismYoungReserve gives a part of the reserve to hosts in their first window, see retries.go.
+	MechanismYoungReserve Mechanism = "young-reserve"
 	// MechanismTrials sends copies of idempotent requests to servers believed to be failing, see
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
@@ -54,6 +60,7 @@
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
+		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve,
 	}
 }
 
--- a/internal/policy/peertotals.go
+++ b/internal/policy/peertotals.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -17,8 +18,12 @@
 	receivedAt time.Time
 	// lacksRetries is set if the host has no retries left, wantsRetry if it asks this one for a retry.
 	lacksRetries, wantsRetry bool
+	// wanted is how much of a retry the host lacks, in thousandths.
+	wanted int
 	// giftNumber is the number of the host's last gift.
 	giftNumber uint64
+	// askedAt is when the host was last asked for a retry.
+	askedAt time.Time
 }
 
 // recordPeerTotals applies what a host did since its last report. Each datagram carries the totals,
@@ -37,10 +42,9 @@
 	h.counts = current
 	h.receivedAt = now
 	h.lacksRetries, h.wantsRetry = l.WantedFrom != "", l.WantedFrom == t.conf.Host && l.WantedFrom != ""
+	h.wanted = int(cmp.Or(l.WantedThousandths, wholeRetry))
 	if l.GiftNumber > h.giftNumber && l.GiftTo == t.conf.Host {
-		svc.budget.received++
-		svc.budget.receivedUntil = now.Add(giftTTL)
-		svc.askedAt = time.Time{}
+		t.receiveGift(now, svc, h, l)
 	}
 	replyDue = h.wantsRetry && t.nextGift(now, svc) != ""
 	svc.dirty = svc.dirty || replyDue
@@ -60,19 +64,46 @@
 	return replyDue
 }
 
+// receiveGift takes a retry, or a part of one, from another host. Its time counts from when the host
+// was asked, which is before it was charged: a message that was under way for long does not extend it.
+func (t *Table) receiveGift(now time.Time, svc *service, from *peerTotals, l *peerpb.BackendLoad) {
+	until, b := from.askedAt.Add(giftTTL), &svc.budget
+	if now.After(until) {
+		return
+	}
+	if now.After(b.receivedUntil) {
+		b.received = 0
+	}
+	if b.received > 0 && b.receivedUntil.Before(until) {
+		until = b.receivedUntil
+	}
+	b.receivedUntil = until
+	b.received += int(cmp.Or(l.GiftThousandths, wholeRetry))
+	t.giftsReceived++
+	svc.askedAt = time.Time{}
+	svc.asksInVain, svc.noWaitUntil = 0, time.Time{}
+}
+
 // reportTotals returns the report about a service as a whole, with a retry for a host that asked for
 // it, or a request for one if this host lacks them.
 func (t *Table) reportTotals(now time.Time, name string, svc *service) *peerpb.BackendLoad {
 	row := svc.totals.message(key{service: name})
 	if to := t.nextGift(now, svc); to != "" {
-		svc.sharingHosts[to].wantsRetry = false
-		svc.charged.add(now, t.conf.Retry.Window, 1)
+		h := svc.sharingHosts[to]
+		h.wantsRetry = false
+		svc.given.add(now, t.conf.Retry.Window+giftTTL, h.wanted)
 		svc.budget.gifts++
 		row.GiftTo = to
+		if h.wanted < wholeRetry {
+			row.GiftThousandths = uint32(h.wanted)
+		}
 	}
 	row.GiftNumber = svc.budget.gifts
-	if t.updateBudget(now, svc).wantsRetry(now) {
+	if b := t.updateBudget(now, svc); b.wantsRetry(now) {
 		row.WantedFrom = t.askedHost(now, svc)
+		if lack := b.lack(t.has(MechanismPooledRetries)); row.WantedFrom != "" && lack < wholeRetry {
+			row.WantedThousandths = uint32(lack)
+		}
 	}
 	return row
 }
@@ -80,11 +111,12 @@
 // nextGift returns a host that has asked this one for a retry, empty for none or if this host has none
 // to give.
 func (t *Table) nextGift(now time.Time, svc *service) string {
-	if !t.has(MechanismRetryGifts) || t.updateBudget(now, svc).surplus() <= 0 {
+	if !t.has(MechanismRetryGifts) {
 		return ""
 	}
+	b, pooled := t.updateBudget(now, svc), t.has(MechanismPooledRetries) && now.Sub(t.started) < t.conf.Retry.Window
 	for _, host := range sortedKeys(svc.sharingHosts) {
-		if h := svc.sharingHosts[host]; h.wantsRetry && now.Sub(h.receivedAt) <= giftTTL {
+		if h := svc.sharingHosts[host]; h.wantsRetry && now.Sub(h.receivedAt) <= giftTTL && b.canGive(now, h.wanted, pooled) {
 			return host
 		}
 	}
@@ -98,16 +130,24 @@
 		return svc.asked
 	}
 	svc.askedAt, svc.asked = now, ""
-	candidates := slices.DeleteFunc(sortedKeys(svc.sharingHosts), func(host string) bool {
-		h := svc.sharingHosts[host]
-		return h.lacksRetries || now.Sub(h.receivedAt) > peerTotalsTTL
-	})
-	if len(candidates) > 0 {
+	if svc.asksInVain++; svc.asksInVain > maxAsksInVain {
+		svc.asksInVain, svc.noWaitUntil = 0, now.Add(askPause)
+	}
+	if candidates := t.giftCandidates(now, svc); len(candidates) > 0 {
 		svc.asked = candidates[t.conf.Random.IntN(len(candidates))]
+		svc.sharingHosts[svc.asked].askedAt = now
 	}
 	return svc.asked
 }
 
+// giftCandidates returns the hosts that may have a retry to give.
+func (t *Table) giftCandidates(now time.Time, svc *service) []string {
+	return slices.DeleteFunc(sortedKeys(svc.sharingHosts), func(host string) bool {
+		h := svc.sharingHosts[host]
+		return h.lacksRetries || now.Sub(h.receivedAt) > peerTotalsTTL
+	})
+}
+
 // sortedKeys returns the keys of a map in a stable order.
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -22,38 +22,48 @@
 const (
 	// matureShare is the part of its allowance that a host spends at most in a window, youngShare
 	// that of a host that was started less than a window ago. Hosts that are killed may have spent
-	// matureShare when those that start in their place begin to spend youngShare. Gifts that are used
-	// up to giftTTL later than they were given add matureShare*giftTTL/Window at most. The three add
-	// up to the whole allowance.
+	// matureShare when those that start in their place begin to spend youngShare: the two add up to
+	// the whole allowance.
 	matureShare = 0.9
-	youngShare  = 0.08
+	youngShare  = 0.1
 	// fullySpent is the part of the allowance of a segment's hosts that counts as all of it: not every
 	// host can use its part.
 	fullySpent = 0.75
 	// peerTotalsTTL is how long the totals of a host are used after its last report. At two
 	// requests a second, one host in 400 has nothing to report for that long.
 	peerTotalsTTL = 3 * time.Second
-	// giftTTL is how long a request for a retry is answered, and how long the retry may then be used.
+	// giftTTL is how long a request for a retry is answered, and how long after it the retry may be
+	// used.
 	giftTTL = 200 * time.Millisecond
 	// askPeriod is how long a host that lacks retries waits for the one that it has asked before it
 	// asks another. The answer takes a round trip within the data centre.
 	askPeriod = 10 * time.Millisecond
-	// keptRetries is how many retries a host keeps when it gives some to others.
-	keptRetries = 1
+	// maxAsksInVain is how many hosts are asked without a gift before requests stop waiting for one,
+	// for askPause. It bounds the messages while all hosts of a segment lack retries.
+	maxAsksInVain = 5
+	askPause      = time.Second
+	// giftWait is how long a request waits for a retry from another host: the time in which
+	// maxAsksInVain hosts are asked.
+	giftWait = maxAsksInVain * askPeriod
+	// wholeRetry is one retry in the units in which budgets are kept. keptRetries is what a host keeps
+	// when it gives some to others. A host that has less than one retry cannot use it and keeps none.
+	wholeRetry  = 1000
+	keptRetries = 1 * wholeRetry
 )
 
-// retryBudget is what a host may still spend on retries of one service in a sliding window.
+// retryBudget is what a host may still spend on retries of one service in a sliding window, in
+// thousandths of a retry.
 //
 // A host spends at most a part of the allowance that its own requests and its part of the reserve
 // bring, and what others have given it out of theirs. So the sum over all hosts keeps to the
 // allowance of the fleet whichever hosts are killed, cut off, started or added, and whichever
-// messages are lost.
+// messages are lost. docs/design/retries-and-handover.md has the argument.
 type retryBudget struct {
-	// allowance is how many retries this host may make or give away in a window, used how many it
-	// has made or given away in the last one.
-	allowance float64
+	// allowance is what this host may spend or give away in a window, used what it has spent or
+	// given away in the last one.
+	allowance int
 	used      int
-	// received is the number of retries given by other hosts, up to receivedUntil.
+	// received is what other hosts have given, up to receivedUntil.
 	received      int
 	receivedUntil time.Time
 	// gifts numbers the gifts to other hosts.
@@ -62,29 +72,50 @@
 	refusedAt time.Time
 }
 
-// available is the number of retries that the host may make.
-func (b *retryBudget) available() float64 { return b.allowance - float64(b.used) + float64(b.received) }
+// available is what the host may spend on retries.
+func (b *retryBudget) available() int { return b.allowance - b.used + b.received }
 
 // wantsRetry reports whether the host asks another one for a retry: it has none left, and has needed
 // one recently.
 func (b *retryBudget) wantsRetry(now time.Time) bool {
-	return b.available() < 1 && now.Sub(b.refusedAt) <= giftTTL
+	return b.available() < wholeRetry && now.Sub(b.refusedAt) <= giftTTL
 }
 
-// surplus is the number of retries that the host can give away. Those that others gave are not given
+// canGive reports whether the host can give away a part of a retry. What others gave is not given
 // away again.
-func (b *retryBudget) surplus() int { return int(b.allowance) - b.used - keptRetries }
+func (b *retryBudget) canGive(now time.Time, part int, pooled bool) bool {
+	free := b.allowance - b.used
+	if pooled && free < wholeRetry && !b.wantsRetry(now) {
+		return free >= part // of no use to this host at present
+	}
+	return free >= part+keptRetries
+}
+
+// lack is what the host needs in addition to make one retry.
+func (b *retryBudget) lack(pooled bool) int {
+	if !pooled {
+		return wholeRetry
+	}
+	return min(max(wholeRetry-b.available(), 0), wholeRetry)
+}
 
 // updateBudget brings a service's retry budget up to date.
 func (t *Table) updateBudget(now time.Time, svc *service) *retryBudget {
 	rule, b := t.conf.Retry, &svc.budget
 	// One bucket fewer than the window has, so that no request older than the window counts.
-	requests := svc.ownSends.requests.newest(now, rule.Window, windowBuckets)
-	b.allowance = youngShare * rule.Share * float64(requests)
-	if now.Sub(t.started) >= rule.Window {
-		b.allowance = matureShare * (rule.Share*float64(requests) + rule.Reserve/float64(max(t.fleetSize, 1)))
+	earned := rule.Share * float64(svc.ownSends.requests.newest(now, rule.Window, windowBuckets))
+	reserve := rule.Reserve / float64(max(t.fleetSize, 1))
+	allowance := matureShare * (earned + reserve)
+	if age := now.Sub(t.started); age < rule.Window {
+		if !t.has(MechanismYoungReserve) {
+			reserve = 0
+		}
+		// The reserve of a host in its first window grows with its age: however often a host is
+		// restarted in a window, its processes together have youngShare of its part at most.
+		allowance = youngShare * (earned + reserve*float64(max(age, 0))/float64(rule.Window))
 	}
-	b.used = svc.charged.sum(now, rule.Window)
+	b.allowance = int(allowance * wholeRetry)
+	b.used = svc.charged.sum(now, rule.Window) + svc.given.sum(now, rule.Window+giftTTL)
 	if now.After(b.receivedUntil) {
 		b.received = 0
 	}
@@ -93,16 +124,15 @@
 
 // hasRetry reports whether a retry would be allowed.
 func (t *Table) hasRetry(now time.Time, svc *service) bool {
-	return t.updateBudget(now, svc).available() >= 1
+	return t.updateBudget(now, svc).available() >= wholeRetry
 }
 
-// charge takes a retry from the budget, first from those that other hosts gave.
+// charge takes a retry from the budget, first from what other hosts gave.
 func (t *Table) charge(now time.Time, svc *service) {
-	if b := t.updateBudget(now, svc); b.received > 0 {
-		b.received--
-		return
-	}
-	svc.charged.add(now, t.conf.Retry.Window, 1)
+	b := t.updateBudget(now, svc)
+	received := min(b.received, wholeRetry)
+	b.received -= received
+	svc.charged.add(now, t.conf.Retry.Window, wholeRetry-received)
 }
 
 // recordAttempt counts a send to a server, as a request or as a retry, for the retry allowance.
@@ -149,24 +179,51 @@
 // RetryDecision is whether a request may be retried, and what the host knew of the allowance.
 type RetryDecision struct {
 	Allowed bool
+	// Wait is how long to wait for a retry from another host if none is allowed now, 0 if none can be
+	// expected. AllowRetry is to be called again every RetryAskPeriod and when GiftsReceived changes.
+	Wait time.Duration
 	// Used is how many retries this host has made or given to others in the last window, Allowance
 	// how many it may, Received how many others have given to it.
-	Used      int
-	Allowance float64
-	Received  int
+	Used, Allowance, Received float64
 	// Age is the time since this host was started.
 	Age time.Duration
 }
 
+// RetryAskPeriod is how often a request that waits for a retry asks again.
+const RetryAskPeriod = askPeriod
+
 // AllowRetry reports whether a request of a service may be retried. fleetSize is the largest number
 // of hosts that were ever live at the same time.
 func (t *Table) AllowRetry(now time.Time, name string, fleetSize int) RetryDecision {
 	t.fleetSize = max(t.fleetSize, fleetSize)
 	svc := t.service(name)
 	b := t.updateBudget(now, svc)
-	if b.available() < 1 {
+	d := RetryDecision{
+		Allowed: b.available() >= wholeRetry, Used: inRetries(b.used), Allowance: inRetries(b.allowance),
+		Received: inRetries(b.received), Age: now.Sub(t.started),
+	}
+	if !d.Allowed {
 		b.refusedAt = now
 		svc.dirty = true
+		d.Wait = t.giftWait(now, svc)
+	}
+	return d
+}
+
+// inRetries converts thousandths of a retry.
+func inRetries(thousandths int) float64 { return float64(thousandths) / wholeRetry }
+
+// giftWait is how long a request without a retry waits for one from another host: a request that
+// ends without waiting has no use of the gift that it causes.
+func (t *Table) giftWait(now time.Time, svc *service) time.Duration {
+	if !t.has(MechanismRetryGifts) || !t.has(MechanismGiftWait) {
+		return 0
 	}
-	return RetryDecision{b.available() >= 1, b.used, b.allowance, b.received, now.Sub(t.started)}
+	if now.Before(svc.noWaitUntil) || len(t.giftCandidates(now, svc)) == 0 {
+		return 0
+	}
+	return giftWait
 }
+
+// GiftsReceived counts the gifts that other hosts gave to this one.
+func (t *Table) GiftsReceived() uint64 { return t.giftsReceived }
--- a/internal/policy/stats.go
+++ b/internal/policy/stats.go
@@ -23,7 +23,7 @@
 	for name, svc := range t.services {
 		budget := t.updateBudget(now, svc)
 		_, retries, _ := svc.sharedSends(now, t.conf.Retry.Window)
-		rows[name] = &ServiceStats{Service: name, Retries: retries, RetryAllowance: budget.allowance, RetriesLeft: budget.available()}
+		rows[name] = &ServiceStats{Service: name, Retries: retries, RetryAllowance: inRetries(budget.allowance), RetriesLeft: inRetries(budget.available())}
 	}
 	for k, s := range t.servers {
 		row, ok := rows[k.service]
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -115,14 +115,17 @@
 	typicalLatency  time.Duration
 	latencies       latencyDistribution
 	unansweredShare float64
-	// ownSends counts this host's requests and retries, charged the retries that it made or gave to
-	// other hosts, for RetryRule.
-	ownSends sendCounts
-	charged  window
-	budget   retryBudget
-	// asked is the host that was asked for a retry at askedAt.
-	asked   string
-	askedAt time.Time
+	// ownSends counts this host's requests and retries. charged is what it spent on retries, given
+	// what it gave to other hosts, in thousandths of a retry, for RetryRule.
+	ownSends       sendCounts
+	charged, given window
+	budget         retryBudget
+	// asked is the host that was asked for a retry at askedAt, asksInVain the number of hosts asked
+	// since the last gift. Requests do not wait for one until noWaitUntil.
+	asked       string
+	askedAt     time.Time
+	asksInVain  int
+	noWaitUntil time.Time
 	// staleConnectionAt is when an idle connection to one of the service's servers last broke
 	// under a request, at any host of this data centre.
 	staleConnectionAt time.Time
@@ -193,6 +196,8 @@
 	lostCheckAt  time.Time
 	knownServers int
 	heldEvidence []heldEvidence
+	// giftsReceived counts the gifts of retries from other hosts.
+	giftsReceived uint64
 }
 
 // NewTable returns an empty table of a host that was started at now.
