State transfer to a host that starts

Cause: hosts that had just started sent requests that must not run twice to servers which other hosts of the data centre knew to be failing.

A host that starts asks hosts of its segment (internal/handover) for failure beliefs with their age, slowness, last sends and usual latencies (policy.Table.Export and Import, Peer.Handover).

Run: policy, handover, frontend, sharing, metrics, daemon, dispatch, engine, the new tests of platform and experiment/replay. Not run: all of experiment/replay after this change, fleets of processes.

--- a/experiment/replay/restart.go
+++ b/experiment/replay/restart.go
@@ -1,10 +1,14 @@
 package replay
 
 import (
+	"slices"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/api/peerpb"
 	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/handover"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/world"
 )
 
 // restartHosts schedules the restarts of the pattern. Which hosts restart is drawn from a stream of
@@ -35,7 +39,8 @@
 		r.lose()
 	}
 	h.requests, h.awaiting = nil, nil
-	clock := h.fleet.clock
+	f := h.fleet
+	clock := f.clock
 	clock.After(down, func() {
 		h.isDown = false
 		h.incarnation++
@@ -44,9 +49,41 @@
 		clear(h.kept)
 		clear(h.idle)
 		clear(h.hung)
+		h.askState(handover.New(clock.Time(), f.stream(handoverStream+uint64(h.incarnation))))
 	})
 }
 
+// handoverStream is the first stream of random numbers that choose the hosts asked after a restart.
+const handoverStream = 70_000
+
+// askState asks other hosts of the data centre for what they know of servers, as the daemon does. The
+// answers come a round trip later.
+func (h *host) askState(exchange *handover.Exchange) {
+	f, table := h.fleet, h.table
+	for _, address := range exchange.Ask(f.clock.Time(), h.sharing.Segment()) {
+		other := f.byName[address]
+		f.clock.After(2*time.Duration(f.pattern.Network.Near), func() {
+			if h.table != table || h.isDown {
+				return // killed meanwhile
+			}
+			var answer *peerpb.HandoverResponse
+			if !other.isDown && !other.isCut() && !h.isCut() {
+				answer = other.table.Export(f.clock.Time(), h.uses)
+			}
+			if exchange.Answered(answer) {
+				table.Import(f.clock.Time(), answer)
+			}
+			h.askState(exchange)
+		})
+	}
+}
+
+// uses reports whether a server is in the host's subset.
+func (h *host) uses(service, server string) bool {
+	view := h.views[service]
+	return slices.ContainsFunc(view.Candidates(), func(b world.BackendView) bool { return b.ID == server })
+}
+
 // lose ends a request whose host has been killed. What its servers answer is not heard.
 func (r *request) lose() {
 	if r.over {
--- a/experiment/replay/retrywait_test.go
+++ b/experiment/replay/retrywait_test.go
@@ -28,3 +28,23 @@
 		t.Errorf("%.2f of the allowance was spent", with.AllowanceSpent)
 	}
 }
+
+// A host that starts again sends requests that must not run twice to servers which others know to be
+// failing, unless it takes over what they know.
+func TestRestartedHostsKnowFailingServers(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("rolling-restart")
+	if err != nil {
+		t.Fatal(err)
+	}
+	with, without := newResult(pattern), newResult(pattern)
+	for seed := range uint64(seeds) {
+		with.add(Run(pattern, Config{Seed: seed + 1}))
+		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismHandover}}))
+	}
+	purchase, before := with.route("purchase"), without.route("purchase")
+	t.Logf("%d of %d purchases failed, without %d", purchase.Failed, purchase.Asked, before.Failed)
+	if float64(purchase.Failed) > 0.93*float64(before.Failed) {
+		t.Error("hosts that start again know too little of failing servers")
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -267,6 +267,21 @@
 	}
 }
 
+// Export returns what this host knows of the servers that uses selects.
+func (t *Table) Export(uses func(service, server string) bool) *peerpb.HandoverResponse {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Export(t.clock(), uses)
+}
+
+// Import applies what another host knows, and returns the number of servers of which this host learned
+// something.
+func (t *Table) Import(state *peerpb.HandoverResponse) (learned int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Import(t.clock(), state)
+}
+
 // Stats returns the statistics of each service.
 func (t *Table) Stats() []policy.ServiceStats {
 	t.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/frontend"
+	"github.com/pearshelf/pearshelf/internal/handover"
 	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/membership"
 	"github.com/pearshelf/pearshelf/internal/memory"
@@ -83,9 +84,11 @@
 	probes          *http.Client
 
 	balance *balance.Table // nil if requests are forwarded to owner hosts
-	servers *availability.Table
-	limiter *limiter
-	guard   *contentGuard
+	// informed is closed once requests need not wait for what other hosts know.
+	informed chan struct{}
+	servers  *availability.Table
+	limiter  *limiter
+	guard    *contentGuard
 
 	rateLimits *rateLimiter
 	memory     *memory.Budget
@@ -131,6 +134,7 @@
 		ctx:           ctx,
 		cancel:        cancel,
 		stopRequested: make(chan struct{}),
+		informed:      make(chan struct{}),
 	}
 	d.metrics = metrics.New(d.registry)
 	d.events = event.NewLog(s.Host, d.clock, settings.DefaultEventLogCapacity)
@@ -362,6 +366,11 @@
 		d.wg.Go(func() { useLog.run(d.ctx) })
 		paths := newPathChecker(d)
 		d.wg.Go(func() { paths.run(d.ctx) })
+		// Answers of up to all hosts asked may come after the exchange has ended.
+		state := &handoverClient{d: d, answers: make(chan *peerpb.HandoverResponse, handover.MaxAsked)}
+		d.wg.Go(func() { state.run(d.ctx) })
+	} else {
+		close(d.informed)
 	}
 	d.serve(d.callerServer, d.listeners.caller)
 	if d.readyServer != nil {
--- a/internal/daemon/peerservice.go
+++ b/internal/daemon/peerservice.go
@@ -53,5 +53,33 @@
 	return &peerpb.ReleaseResponse{}, nil
 }
 
+// Handover returns what this host knows of the servers that a host which has just started uses.
+func (s *peerService) Handover(_ context.Context, req *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	if s.d.balance == nil || req.DataCentre != s.d.settings.DataCentre {
+		return &peerpb.HandoverResponse{Young: true}, nil
+	}
+	return s.d.balance.Export(usedBy(s.d.engine.Snapshot(), req.Host)), nil
+}
+
+// usedBy returns a function that reports whether a host of this data centre uses a server. If the host
+// is not known yet it may use any.
+func usedBy(snap *world.Snapshot, host string) func(service, server string) bool {
+	used := make(map[string]map[string]bool, len(snap.Services))
+	for name, view := range snap.Services {
+		subset, known := snap.Sharing.SubsetOf(host, view.Sharing)
+		if !known {
+			continue
+		}
+		used[name] = make(map[string]bool, len(subset))
+		for _, server := range subset {
+			used[name][server] = true
+		}
+	}
+	return func(service, server string) bool {
+		servers, known := used[service]
+		return !known || servers[server]
+	}
+}
+
 // Interface guard.
 var _ peerpb.Peer = (*peerService)(nil)
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -20,6 +20,7 @@
 		Protocol:              d.protocol,
 		SeparateReadyListener: d.listeners.ready != nil,
 		WhenReady:             d.engine.WhenReady(),
+		WhenInformed:          d.informed,
 		BodyIdleTimeout:       time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
 	service := admin.NewServer(admin.Parts{
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -57,6 +57,9 @@
 	Protocol *protocol.Protocol
 	// WhenReady is closed once the first configuration has been applied.
 	WhenReady <-chan struct{}
+	// WhenInformed is closed once other hosts have told what they know of servers, or a short time
+	// after WhenReady; nil if there is nothing to wait for.
+	WhenInformed <-chan struct{}
 	// SeparateReadyListener is set if readiness checks are served on their own listener
 	// instead of the caller listener.
 	SeparateReadyListener bool
@@ -200,22 +203,39 @@
 }
 
 // awaitReady returns the latest snapshot. If the host has no configuration yet, it waits
-// for one for up to startupWait.
+// for one for up to startupWait, and then for what other hosts know of servers.
 func (f *Frontend) awaitReady(ctx context.Context) *world.Snapshot {
 	snap := f.snapshot()
-	if snap.Ready {
+	if snap.Ready && isClosed(f.conf.WhenInformed) {
 		return snap
 	}
 	timer := time.NewTimer(startupWait)
 	defer timer.Stop()
-	select {
-	case <-f.conf.WhenReady:
-	case <-timer.C:
-	case <-ctx.Done():
+	for _, event := range []<-chan struct{}{f.conf.WhenReady, f.conf.WhenInformed} {
+		if event == nil {
+			continue
+		}
+		select {
+		case <-event:
+		case <-timer.C:
+			return f.snapshot()
+		case <-ctx.Done():
+			return f.snapshot()
+		}
 	}
 	return f.snapshot()
 }
 
+// isClosed reports whether a channel is closed or nil.
+func isClosed(event <-chan struct{}) bool {
+	select {
+	case <-event:
+		return true
+	default:
+		return event == nil
+	}
+}
+
 func (f *Frontend) serveForwarded(w http.ResponseWriter, r *http.Request, id string) error {
 	snap := f.snapshot()
 	req := dispatch.NewRequest(r)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -19,6 +19,8 @@
 	latency          *prometheus.HistogramVec
 	retries          *prometheus.CounterVec
 	retryWaits       *prometheus.HistogramVec
+	handoverAnswers  *prometheus.CounterVec
+	handoverServers  prometheus.Counter
 	requests         *prometheus.CounterVec
 	addedLatency     *prometheus.HistogramVec
 	observationsLost prometheus.Counter
@@ -55,6 +57,14 @@
 			Name: "pearshelf_document_sent_bytes_total",
 			Help: "Bytes of documents and changes to them given to other hosts, before compression, by document.",
 		}, []string{"document"}),
+		handoverAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_handover_answers_total",
+			Help: "Hosts that this host asked after its start for what they know of servers, by what came: used, young (not counted on) or none.",
+		}, []string{"answer"}),
+		handoverServers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearshelf_handover_servers_total",
+			Help: "Backend servers of which this host learned from others after its start, counted once for each answer.",
+		}),
 		retryWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "pearshelf_retry_wait_seconds",
 			Help:    "Time that requests waited for a retry from another host, by service and whether one came.",
@@ -131,7 +141,7 @@
 		Name: "pearshelf_relayed_requests_total",
 		Help: "Requests offered to another host because this one does not reach backend servers, by result: answered, declined or failed.",
 	}, []string{"result"})
-	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.handoverAnswers, m.handoverServers, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -152,6 +162,21 @@
 	m.retryWaits.WithLabelValues(service, strconv.FormatBool(given)).Observe(took.Seconds())
 }
 
+// HandoverAnswer counts a host that was asked for what it knows of servers.
+func (m *Metrics) HandoverAnswer(answered, used bool) {
+	label := "none"
+	switch {
+	case used:
+		label = "used"
+	case answered:
+		label = "young"
+	}
+	m.handoverAnswers.WithLabelValues(label).Inc()
+}
+
+// HandoverDone adds the servers of which this host learned from others.
+func (m *Metrics) HandoverDone(servers int) { m.handoverServers.Add(float64(servers)) }
+
 // RegisterDroppedLogLines exports the number of dropped log lines.
 func (m *Metrics) RegisterDroppedLogLines(dropped func() int64) {
 	m.registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -40,6 +40,8 @@
 	MechanismPooledRetries Mechanism = "pooled-retries"
 	// MechanismYoungReserve gives a part of the reserve to hosts in their first window, see retries.go.
 	MechanismYoungReserve Mechanism = "young-reserve"
+	// MechanismHandover takes over what other hosts know when a host starts, see state.go.
+	MechanismHandover Mechanism = "handover"
 	// MechanismTrials sends copies of idempotent requests to servers believed to be failing, see
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
@@ -60,7 +62,7 @@
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
-		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve,
+		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve, MechanismHandover,
 	}
 }
 
--- a/internal/sharing/sharing.go
+++ b/internal/sharing/sharing.go
@@ -155,13 +155,22 @@
 
 // Subset returns the servers that this host uses.
 func (f *Fleet) Subset(s *Service) []string {
+	subset, _ := f.SubsetOf(f.self.Name, s)
+	return subset
+}
+
+// SubsetOf returns the servers that a host of this data centre uses; known is false if it is not among
+// the live hosts.
+func (f *Fleet) SubsetOf(host string, s *Service) (subset []string, known bool) {
 	own := f.rings[f.self.DataCentre]
-	start, _ := own.position(f.self.Name)
-	var subset []string
+	start, known := own.position(host)
+	if !known && host != f.self.Name {
+		return nil, false
+	}
 	for _, servers := range s.rings {
 		subset = append(subset, servers.arc(start, f.rule.width(own.len(), servers.len()))...)
 	}
-	return subset
+	return subset, known
 }
 
 // Recipients returns the addresses of the other hosts of a data centre whose subsets contain a
