--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -22,6 +22,7 @@
 		SeparateReadyListener: d.listeners.ready != nil,
 		WhenReady:             d.engine.WhenReady(),
 		MaxHeldBytes:          int64(d.settings.MemoryMB*(1<<20)) / startup.MaxHeldShare,
+		WhenInformed:          d.informed,
 		BodyIdleTimeout:       time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
 	service := admin.NewServer(admin.Parts{
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -55,6 +55,9 @@
 	WhenReady <-chan struct{}
 	// MaxHeldBytes bounds the memory of requests that wait for the first configuration.
 	MaxHeldBytes int64
+	// WhenInformed is closed once other hosts have told what they know of servers, or a short time
+	// after WhenReady; nil if there is nothing to wait for.
+	WhenInformed <-chan struct{}
 	// SeparateReadyListener is set if readiness checks are served on their own listener
 	// instead of the caller listener.
 	SeparateReadyListener bool
@@ -161,6 +164,9 @@
 	if err != nil {
 		return err
 	}
+	if f.awaitInformed(r.Context()) {
+		snap = f.snapshot()
+	}
 	if err := checkPath(r); err != nil {
 		return err
 	}
@@ -202,6 +208,24 @@
 	return f.dispatch(w, req)
 }
 
+// awaitInformed waits for what other hosts know of servers, and reports whether it had to wait. The wait is
+// short: see Config.WhenInformed.
+func (f *Frontend) awaitInformed(ctx context.Context) (waited bool) {
+	select {
+	case <-f.conf.WhenInformed:
+		return false
+	default:
+	}
+	if f.conf.WhenInformed == nil {
+		return false
+	}
+	select {
+	case <-f.conf.WhenInformed:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 func (f *Frontend) serveForwarded(w http.ResponseWriter, r *http.Request, id string) error {
 	snap := f.snapshot()
 	req := dispatch.NewRequest(r)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,9 @@
 	registerer       prometheus.Registerer
 	latency          *prometheus.HistogramVec
 	retries          *prometheus.CounterVec
+	retryWaits       *prometheus.HistogramVec
+	handoverAnswers  *prometheus.CounterVec
+	handoverServers  prometheus.Counter
 	requests         *prometheus.CounterVec
 	addedLatency     *prometheus.HistogramVec
 	observationsLost prometheus.Counter
@@ -60,6 +63,19 @@
 			Name: "pearshelf_document_sent_bytes_total",
 			Help: "Bytes of documents and changes to them given to other hosts, before compression, by document.",
 		}, []string{"document"}),
+		handoverAnswers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pearshelf_handover_answers_total",
+			Help: "Hosts that this host asked after its start for what they know of servers, by what came: used, young (not counted on) or none.",
+		}, []string{"answer"}),
+		handoverServers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "pearshelf_handover_servers_total",
+			Help: "Backend servers of which this host learned from others after its start, counted once for each answer.",
+		}),
+		retryWaits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "pearshelf_retry_wait_seconds",
+			Help:    "Time that requests waited for a retry from another host, by service and whether one came.",
+			Buckets: []float64{0.005, 0.01, 0.02, 0.05, 0.1},
+		}, []string{"service", "given"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pearshelf_retries_total",
 			Help: "Requests that could be sent again, by service and whether the allowance let them.",
@@ -144,7 +160,7 @@
 		Name: "pearshelf_requests_awaiting_configuration_total",
 		Help: "Requests that arrived before the first configuration, by result: admitted, no_room, expired, stopped or left.",
 	}, []string{"result"})
-	reg.MustRegister(m.waited, m.waitRefused, m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	reg.MustRegister(m.waited, m.waitRefused, m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.handoverAnswers, m.handoverServers, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
@@ -163,6 +179,26 @@
 	m.retries.WithLabelValues(service, strconv.FormatBool(allowed)).Inc()
 }
 
+// RetryWait records how long a request waited for a retry from another host.
+func (m *Metrics) RetryWait(service string, took time.Duration, given bool) {
+	m.retryWaits.WithLabelValues(service, strconv.FormatBool(given)).Observe(took.Seconds())
+}
+
+// HandoverAnswer counts a host that was asked for what it knows of servers.
+func (m *Metrics) HandoverAnswer(answered, used bool) {
+	label := "none"
+	switch {
+	case used:
+		label = "used"
+	case answered:
+		label = "young"
+	}
+	m.handoverAnswers.WithLabelValues(label).Inc()
+}
+
+// HandoverDone adds the servers of which this host learned from others.
+func (m *Metrics) HandoverDone(servers int) { m.handoverServers.Add(float64(servers)) }
+
 // RegisterDroppedLogLines exports the number of dropped log lines.
 func (m *Metrics) RegisterDroppedLogLines(dropped func() int64) {
 	m.registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -38,6 +38,14 @@
 	MechanismRouteLatency Mechanism = "route-times"
 	// MechanismRetryGifts gives retries to hosts that lack them, see retries.go.
 	MechanismRetryGifts Mechanism = "retry-gifts"
+	// MechanismGiftWait lets a request without a retry wait for one from another host, see retries.go.
+	MechanismGiftWait Mechanism = "gift-wait"
+	// MechanismPooledRetries lets hosts give parts of a retry, see retries.go.
+	MechanismPooledRetries Mechanism = "pooled-retries"
+	// MechanismYoungReserve gives a part of the reserve to hosts in their first window, see retries.go.
+	MechanismYoungReserve Mechanism = "young-reserve"
+	// MechanismHandover takes over what other hosts know when a host starts, see state.go.
+	MechanismHandover Mechanism = "handover"
 	// MechanismTrials sends copies of idempotent requests to servers believed to be failing, see
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
@@ -60,6 +68,7 @@
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismRemoteOutcomes, MechanismDuty, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks, MechanismWaitQueue,
+		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve, MechanismHandover,
 	}
 }
 
