Start: a first document that does not come is asked for elsewhere

Cause: simulated, when known hosts hang 30 ms after their start, one of 177 hosts was ready only 3.3 s after the first known host: it asked the same dead host twice, 1.5 s each, and its hellos went to dead hosts.

Change: a host that was answered once also says hello to a random member of its data centre. Welcomes carry the size of documents (Head.bytes), from which a host derives how long to wait before it asks another source, three times at most; the second request goes to a random host of the data centre first.

Tests of engine, configsync and experiment/loops pass."

--- a/internal/engine/hello.go
+++ b/internal/engine/hello.go
@@ -61,7 +61,13 @@
 	}
 	h.next = now.Add(startup.UntilHello(now.Sub(e.world.StartedAt), h.answered))
 	hello := &peerpb.Datagram{Kind: peerpb.Datagram_KIND_HELLO, Members: []*peerpb.Member{e.members.Member(e.conf.Self.Host)}}
-	e.sendTo(hello, e.helloTargets())
+	targets := e.helloTargets()
+	if h.answered { // the known hosts may have died since
+		for _, m := range e.members.Sample(e.conf.Self.DataCentre, 1, nil) {
+			targets = append(targets[:min(len(targets), startup.MaxHelloTargets-1)], m.Address)
+		}
+	}
+	e.sendTo(hello, targets)
 }
 
 // helloTargets returns some of the known hosts, those of this data centre only if there are any.
@@ -106,7 +112,7 @@
 	if len(h.waiting) == 0 {
 		return
 	}
-	heads := e.heads()
+	heads := e.heads(now)
 	changed := !slices.EqualFunc(heads, h.told, func(a, b *peerpb.Head) bool { return a.Key == b.Key && a.Revision == b.Revision })
 	h.told = heads
 	for _, host := range slices.Sorted(maps.Keys(h.waiting)) { // the same inputs have the same effects
@@ -121,12 +127,14 @@
 }
 
 // heads returns the newest revisions that this host knows of, with a host that has each.
-func (e *Engine) heads() []*peerpb.Head {
+func (e *Engine) heads(now time.Time) []*peerpb.Head {
 	var heads []*peerpb.Head
 	for _, key := range e.world.Required {
 		head := &peerpb.Head{Key: key, Revision: e.world.Document(key).Revision, Holder: e.conf.Self.Host}
 		if announced := configsync.Announced(e.world, key); announced.GetRevision() > head.Revision {
 			head = announced
+		} else {
+			head.Bytes = uint32(configsync.SentBytes(e.world, now, key))
 		}
 		if head.Revision > 0 {
 			heads = append(heads, head)
@@ -138,7 +146,7 @@
 // sources returns the heads with the hosts from which a host should fetch the documents as holders.
 func (e *Engine) sources(now time.Time, host string) []*peerpb.Head {
 	asker := e.world.Hosts[host]
-	heads := e.heads()
+	heads := e.heads(now)
 	if asker == nil || len(heads) == 0 {
 		return heads
 	}
--- a/internal/system/configsync/configsync.go
+++ b/internal/system/configsync/configsync.go
@@ -356,7 +356,7 @@
 
 func retryAfter(doc *world.Document) time.Duration {
 	if doc.BaseRevision() == 0 {
-		return FirstFetchRetry
+		return firstRetry(doc)
 	}
 	return FetchRetry
 }
@@ -387,6 +387,13 @@
 	if len(addresses) == 0 || doc.Attempts > HolderAttempts {
 		addresses = append(addresses, s.randomOtherHost(w, source.nearOnly)...)
 	}
+	if doc.Revision == 0 && doc.Attempts == HolderAttempts { // parent and holder did not answer
+		for _, address := range s.randomOtherHost(w, true) {
+			if !slices.Contains(addresses, address) {
+				addresses = slices.Insert(addresses, 0, address)
+			}
+		}
+	}
 	if doc.Attempts > HolderAttempts && doc.Attempts%2 == 1 { // the holder may hang like the parent
 		slices.Reverse(addresses)
 	}
--- a/internal/system/configsync/firstfetch.go
+++ b/internal/system/configsync/firstfetch.go
@@ -16,9 +16,13 @@
 	// all start at once: a small host, with 10 Mbit/s, sends it within 0.4 s, a large one in a
 	// twentieth of that.
 	directBytes = 512 << 10
-	// firstHedge is the time after which a host asks another source for its first documents. A source
-	// that was killed refuses the connection at once; one that is cut off does not answer.
-	firstHedge = 500 * time.Millisecond
+	// firstHedge is the time after which a host asks another source for its first documents, plus that
+	// to transfer one at hedgeBytesPerSecond, a tenth of what a small host sends. A source that was
+	// killed refuses the connection at once; one that is cut off does not answer. maxHedges bounds these
+	// requests, since all hosts may be slow.
+	firstHedge          = 400 * time.Millisecond
+	hedgeBytesPerSecond = 100 << 10
+	maxHedges           = 3
 )
 
 // Announced returns the newest revision of a document that any host has announced, or nil.
@@ -42,24 +46,49 @@
 		direct = max(treeFanout, int(self.Capacity)/capacityPerFetcher)
 	}
 	for _, key := range w.Required {
-		doc := w.Document(key)
-		if doc.Revision == 0 {
-			continue
-		}
-		resp, err := Answer(w, now, doc, 0) // cached
-		if err == nil && len(resp.Document) > 0 {
-			direct = min(direct, directBytes/len(resp.Document))
+		if size := SentBytes(w, now, key); size > 0 {
+			direct = min(direct, directBytes/size)
 		}
 	}
 	return max(direct, treeFanout)
 }
 
+// SentBytes returns the size of a whole document as this host sends it, or 0 if it has none.
+func SentBytes(w *world.World, now time.Time, key string) int {
+	doc := w.Document(key)
+	if doc.Revision == 0 {
+		return 0
+	}
+	resp, err := Answer(w, now, doc, 0) // cached
+	if err != nil {
+		return 0
+	}
+	return len(resp.Document)
+}
+
+// firstRetry returns the time after which the fetch of a document is repeated of which this host has no
+// revision.
+func firstRetry(doc *world.Document) time.Duration {
+	if doc.ExpectedBytes == 0 || doc.Attempts >= maxHedges {
+		return FirstFetchRetry
+	}
+	return min(firstHedge+time.Duration(doc.ExpectedBytes)*time.Second/hedgeBytesPerSecond, FirstFetchRetry)
+}
+
 // FetchFromSources fetches the documents that this host lacks from the hosts that a welcome names, and
 // from the sender of the welcome if these do not have them.
 func FetchFromSources(w *world.World, now time.Time, d *peerpb.Datagram) {
 	for _, head := range d.Heads {
 		doc := w.Document(head.Key)
-		if doc.Revision > 0 || !slices.Contains(w.Required, head.Key) || now.Before(doc.FetchingUntil) {
+		if doc.Revision > 0 || !slices.Contains(w.Required, head.Key) {
+			continue
+		}
+		doc.ExpectedBytes = max(int(head.Bytes), doc.ExpectedBytes)
+		if now.Before(doc.FetchingUntil) {
+			// The fetch may have begun before the size was known.
+			if until := now.Add(firstRetry(doc)); until.Before(doc.FetchingUntil) {
+				doc.FetchingUntil = until
+			}
 			continue
 		}
 		var peers []string
@@ -71,10 +100,7 @@
 		if len(peers) == 0 {
 			continue
 		}
-		doc.FetchingUntil = now.Add(FirstFetchRetry)
-		if doc.Attempts == 0 {
-			doc.FetchingUntil = now.Add(firstHedge)
-		}
+		doc.FetchingUntil = now.Add(firstRetry(doc))
 		doc.Attempts++
 		w.Outbox.Fetches = append(w.Outbox.Fetches, world.Fetch{Key: head.Key, Peers: peers})
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -71,6 +71,8 @@
 	Key      string
 	Revision uint64
 	Raw      []byte
+	// ExpectedBytes is the size of the first revision as it is sent, 0 if unknown.
+	ExpectedBytes int
 	// Refused is the highest revision whose content was refused; RefusedReason is why.
 	Refused       uint64
 	RefusedReason string
