Wait queue: wait in the explanation of a request, number of requests ahead in refusals

Change: pearshelf explain shows the wait; a refusal names the requests ahead; queues of services out of use are dropped; a test of the metrics. The bound of TestWaitQueueKeepsServerQueuesShort rises from 0.93 to 0.95.

Not run: the whole suite.

--- a/experiment/replay/wait_test.go
+++ b/experiment/replay/wait_test.go
@@ -6,15 +6,16 @@
 	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
-// Reads with 8 s to answer filled all slots and queues of a service in a burst, and deposits with 1.5 s
-// waited behind them. A tenth of the benefit of deposits is what their callers may lose to own failures,
-// failing servers and the spread of work together.
+// Reads with 8 s to answer filled all slots and queues of a service in a burst, and a quarter of the
+// deposits, which have 1.5 s, waited behind them until they were late. There are servers enough for all
+// deposits: what their callers may lose is 0.012 by own failures and about as much again by servers that
+// begin to fail, since deposits are not repeated, with as much for chance. Reads must gain too.
 func TestWaitQueueKeepsServerQueuesShort(t *testing.T) {
 	t.Parallel()
 	_, with := play(t, "mixed-objectives")
 	_, without := play(t, "mixed-objectives", policy.MechanismWaitQueue)
 	deposit, read := with["deposit"], with["plan-read"]
-	if got := inTime(deposit); got < 0.93 {
+	if got := inTime(deposit); got < 0.95 {
 		t.Errorf("%.3f of the deposits in time, %.3f without the wait queue", got, inTime(without["deposit"]))
 	}
 	if got := inTime(read); got < inTime(without["plan-read"])+0.02 {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -39,6 +39,9 @@
 	attempts := parseAttempts(r.fields["tries"])
 	report.Steps = append(report.Steps, fmt.Sprintf("%s %s answers for service %s: outcome %s, status %s, after %s, %s before the deadline, configuration version %s",
 		r.at.Format(time.TimeOnly), r.host, r.fields["service"], r.fields["outcome"], r.fields["status"], r.fields["took"], r.fields["left"], r.fields["version"]))
+	if waited := r.fields["waited"]; waited != "" {
+		report.Steps = append(report.Steps, "waited in the host for a free slot: "+waited)
+	}
 	for n, t := range attempts {
 		report.Steps = append(report.Steps, fmt.Sprintf("attempt %d: %s", n+1, t.describe()))
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -73,3 +73,17 @@
 		}
 	}
 }
+
+// Operators see what waits in the host, for how long, and why the queue refused requests.
+func TestWaitsArePublished(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	m := metrics.New(reg)
+	m.RegisterWaiting(func() (int, int64) { return 3, 4096 })
+	m.Waited("plans", "sent", time.Second)
+	m.WaitRefused("plans", "no-time")
+	for name, want := range map[string]float64{"pearshelf_waiting_requests": 3, "pearshelf_waiting_bytes": 4096, "pearshelf_wait_seconds": 1, "pearshelf_wait_refused_total": 1} {
+		if got := value(t, reg, name); got != want {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
--- a/internal/waitqueue/pure_test.go
+++ b/internal/waitqueue/pure_test.go
@@ -15,12 +15,12 @@
 // replay of the same calls.
 func TestNoClockLockOrSocket(t *testing.T) {
 	imports := []string{
-		"cmp", "errors", "math", "math/rand/v2", "slices", "time",
+		"cmp", "errors", "math", "math/rand/v2", "slices", "strconv", "time",
 		"github.com/pearshelf/pearshelf/internal/errs",
 		"github.com/pearshelf/pearshelf/internal/policy",
 		"github.com/pearshelf/pearshelf/internal/world",
 	}
-	allowed := map[string][]string{"time": {"Duration", "Time", "Millisecond", "Second"}, "rand": {"Rand"}}
+	allowed := map[string][]string{"time": {"Duration", "Time", "Millisecond", "Second", "Minute"}, "rand": {"Rand"}}
 	names, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/waitqueue/set.go
+++ b/internal/waitqueue/set.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
@@ -18,8 +19,11 @@
 	RecheckInterval = 150 * time.Millisecond
 	// reportSpread is the longest delay between a report of another host that lowers a load and
 	// the look for a free slot. Without it all hosts of a data centre would send to the same slot:
-	// they learn of it at the same time, and of each other's sends 3 ms later.
+	// they learn of it at the same time, and of each other's sends 3 ms later. A server is used by
+	// some 8 hosts, which then look 7 ms after each other on average.
 	reportSpread = 60 * time.Millisecond
+	// queueTTL is how long an empty queue is kept after the last request of its service.
+	queueTTL = time.Minute
 	// entryBytes is the memory of a waiting request besides its body: its connection, goroutines
 	// and header.
 	entryBytes = 20 << 10
@@ -93,7 +97,11 @@
 // Submit places a request at a server, or refuses it, or lets it wait: then waiting is set, and a
 // later Review returns the decision with the same ID.
 func (s *Set) Submit(now time.Time, req Request) (d Decision, waiting bool) {
+	if _, known := s.queues[req.Policy.Service]; !known {
+		s.expireQueues(now)
+	}
 	q := s.queue(req.Policy.Service)
+	q.observe(now)
 	req.Policy.MayWait = req.Policy.MayWait && !s.draining
 	req.Policy.OthersWait = q.Len() > 0
 	placement, err := s.table.Pick(now, req.View, req.Policy)
@@ -235,7 +243,7 @@
 
 func (s *Set) refused(now time.Time, e *entry, refusal *Refusal) Decision {
 	service := e.Policy.Service
-	message := "no slot of " + service + " is expected to be free in the time that the request has"
+	message := "no slot of " + service + " is expected to be free in the time that the request has, with " + strconv.Itoa(refusal.Ahead) + " requests ahead"
 	if refusal.Reason == ReasonFull {
 		message = "this host holds as many waiting requests as it may"
 	}
@@ -264,6 +272,16 @@
 	return q
 }
 
+// expireQueues drops the queues of services that this host has not used for a while: they may have
+// been removed.
+func (s *Set) expireQueues(now time.Time) {
+	for service, q := range s.queues {
+		if q.Len() == 0 && now.Sub(q.observedAt) > queueTTL {
+			delete(s.queues, service)
+		}
+	}
+}
+
 // services returns the services in a stable order, so that the same calls give the same decisions.
 func (s *Set) services() []string {
 	names := make([]string, 0, len(s.queues))
