policy: refuse customers above their fair share first

Cause: while a service refuses requests, a customer that sends many times its usual rate within its limit displaces all others.

Change: a request carries its customer and the customer's limit. While a service refuses, thresholds of admission are lower for customers above their max-min fair share and higher for those below. Hosts of a segment report customers' counts once a second then. The purity check covers internal/fairshare too. Mechanism fair-shares turns it off.

Tests of internal/policy, internal/fairshare and internal/dispatch pass. Not run: race detector, e2e.

--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -94,6 +94,17 @@
 	return slotLease(lease), nil
 }
 
+// customerWeight returns the customer's limit in requests a second, 0 for none.
+func (x *exchange) customerWeight() float64 {
+	if x.req.Customer == "" {
+		return 0
+	}
+	if holder := x.snap.Customers.ByName(x.req.Customer); holder != nil {
+		return holder.Limit.PerSecond
+	}
+	return 0
+}
+
 // policyRequest describes the current state of the request to the balancer. A copy in flight
 // counts as a server that has had the request.
 func (x *exchange) policyRequest() policy.Request {
@@ -112,6 +123,8 @@
 		Availability: x.d.availability.Now(),
 		RateLimits:   x.snap.RateLimits,
 		Priority:     x.req.Priority,
+		Customer:     x.req.Customer,
+		Weight:       x.customerWeight(),
 		ReceivedAt:   x.start,
 		Deadline:     x.req.Deadline,
 	}
--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -41,10 +41,11 @@
 	if !t.has(MechanismStandingQueue) || req.Deadline.IsZero() {
 		return nil
 	}
+	fairness := t.fairnessFactor(now, svc, req)
 	estimate := best.state.estimate(now, svc, t.typicalLatency(svc, req.Group), best.state.load(now))
 	expected := estimate.expected
 	svc.recordDeadline(now, req)
-	if t.routeIfKnown(now, req.Group) != nil && svc.latencies.probabilityAfter(req.timeLeft(now), expected) > missedDeadlineThreshold {
+	if t.routeIfKnown(now, req.Group) != nil && svc.latencies.probabilityAfter(req.timeLeft(now), expected) > min(fairness, 1)*missedDeadlineThreshold {
 		return errs.New(errs.KindQueueFull, "no backend server of "+req.Service+" can answer before the request's deadline", "repeat the request after the time in Retry-After, or allow more time")
 	}
 	if !req.FirstAttempt {
@@ -57,6 +58,7 @@
 	if svc.hasHigherPriorityWork(now, req.Priority) {
 		strictness = lowPriorityFactor
 	}
+	strictness *= fairness
 	late := svc.latencies.probabilityAfter(req.objectiveLeft(now), expected)
 	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is not draining: the answer would be late", "repeat the request after the time in Retry-After")
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -45,6 +45,8 @@
 	MechanismPathChecks Mechanism = "path-checks"
 	// MechanismStandingQueue refuses requests while there is a standing queue, see admission.go.
 	MechanismStandingQueue Mechanism = "standing-queue"
+	// MechanismFairShares refuses customers above their fair share first, see fairness.go.
+	MechanismFairShares Mechanism = "fair-shares"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
@@ -53,7 +55,7 @@
 		MechanismFailureModel, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
-		MechanismReturnOneByOne, MechanismPathChecks,
+		MechanismReturnOneByOne, MechanismPathChecks, MechanismFairShares,
 	}
 }
 
--- a/internal/policy/peertotals.go
+++ b/internal/policy/peertotals.go
@@ -36,6 +36,7 @@
 	}
 	h.counts = current
 	h.receivedAt = now
+	svc.recordPeerCustomers(now, host, l.Customers)
 	h.lacksRetries, h.wantsRetry = l.WantedFrom != "", l.WantedFrom == t.conf.Host && l.WantedFrom != ""
 	if l.GiftNumber > h.giftNumber && l.GiftTo == t.conf.Host {
 		svc.budget.received++
@@ -71,6 +72,7 @@
 		row.GiftTo = to
 	}
 	row.GiftNumber = svc.budget.gifts
+	row.Customers = svc.customersToReport(now)
 	if t.updateBudget(now, svc).wantsRetry(now) {
 		row.WantedFrom = t.askedHost(now, svc)
 	}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -98,6 +98,10 @@
 	Group string
 	// Priority is the priority under overload, 0 is the highest.
 	Priority int
+	// Customer is the name of the customer that sent the request, empty for none, and Weight its
+	// limit in requests a second, 0 for none; see fairness.go.
+	Customer string
+	Weight   float64
 	// Exclude lists the IDs of the servers already tried.
 	Exclude []string
 	// Availability is what the servers report about themselves. A server that reports that it
@@ -133,6 +137,8 @@
 	process int // the server.process that was picked
 	group   string
 	pending *pending
+	// customer is Request.Customer.
+	customer string
 	// objectiveAt is when the latency objective of the request expires.
 	objectiveAt time.Time
 }
@@ -142,11 +148,14 @@
 func (t *Table) Pick(now time.Time, view *world.ServiceView, req Request) (*Placement, error) {
 	best := t.choose(now, view, req)
 	svc := t.service(req.Service)
+	t.recordCustomer(now, svc, req)
 	if best.server == nil {
+		svc.refusedAt = now
 		return nil, t.noServerError(req, best.eligible)
 	}
 	t.recordPriority(now, svc, req)
 	if err := t.admit(now, svc, best, req); err != nil {
+		svc.refusedAt = now
 		return nil, err
 	}
 	return t.place(now, svc, best, req), nil
@@ -248,6 +257,8 @@
 		group:   req.Group,
 		pending: waiting,
 
+		customer: req.Customer,
+
 		objectiveAt: now.Add(req.objectiveLeft(now)),
 	}
 	svc.recordSends(now, 1)
--- a/internal/policy/pure_test.go
+++ b/internal/policy/pure_test.go
@@ -19,6 +19,7 @@
 		"github.com/pearshelf/pearshelf/internal/api/peerpb",
 		"github.com/pearshelf/pearshelf/internal/availability",
 		"github.com/pearshelf/pearshelf/internal/errs",
+		"github.com/pearshelf/pearshelf/internal/fairshare",
 		"github.com/pearshelf/pearshelf/internal/pathloss",
 		"github.com/pearshelf/pearshelf/internal/protocol",
 		"github.com/pearshelf/pearshelf/internal/ratelimit",
@@ -31,6 +32,7 @@
 		"time":         {"Duration", "Time", "Nanosecond", "Microsecond", "Millisecond", "Second", "Minute"},
 		"rand":         {"Rand"},
 		"availability": {"TableView", "Reason", "Available", "Returning", "ServerOf"},
+		"fairshare":    {"Ledger", "NewLedger", "Count", "ReportedCustomers"},
 		"pathloss":     {"Detector"},
 		"ratelimit":    {"View"},
 	}
@@ -38,6 +40,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	divisions, err := filepath.Glob("../fairshare/*.go") // the division of capacity is a decision too
+	if err != nil {
+		t.Fatal(err)
+	}
+	names = append(names, divisions...)
 	for _, name := range names {
 		if strings.HasSuffix(name, "_test.go") {
 			continue
--- a/internal/policy/report.go
+++ b/internal/policy/report.go
@@ -110,6 +110,9 @@
 		delete(s.peers, host)
 	}
 	for _, svc := range t.services {
+		if svc.shares != nil {
+			svc.shares.ForgetHost(host)
+		}
 		if h, known := svc.sharingHosts[host]; known {
 			h.counts, h.giftNumber = counts{}, 0 // both restart at zero
 		}
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/fairshare"
 	"github.com/pearshelf/pearshelf/internal/pathloss"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -137,6 +138,12 @@
 	late window
 	// priorities is the typical work of this host's requests by priority, in milliseconds.
 	priorities map[int]*window
+	// shares counts what customers requested and received, nil if no request had a customer.
+	// refusedAt is when this host last refused a request, customersReportedAt when it last
+	// reported shares, see fairness.go.
+	shares              *fairshare.Ledger
+	refusedAt           time.Time
+	customersReportedAt time.Time
 	// deadlines is the time allowed to requests, by route.
 	deadlines map[string]routeDeadline
 	// totals are this host's counts over all servers; sharingHosts holds the latest totals of the
