--- a/cmd/pearshelf/main.go
+++ b/cmd/pearshelf/main.go
@@ -77,7 +77,7 @@
 }
 
 type accountLogs struct {
-	By   string   `help:"Group by: cause, service, customer or second." enum:"cause,service,customer,second" default:"cause"`
+	By   string   `help:"Group by: cause, service, customer or second; limit compares the refusals of customers with their limits." enum:"cause,service,customer,second,limit" default:"cause"`
 	Logs []string `arg:"" optional:"" help:"Logs of the hosts, each named after its host; standard input if none." type:"existingfile"`
 }
 
--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"regexp"
 	"slices"
 	"strconv"
 )
@@ -14,6 +15,8 @@
 	ByService  Grouping = "service"
 	ByCustomer Grouping = "customer"
 	BySecond   Grouping = "second"
+	// ByLimit selects the table of Limits instead.
+	ByLimit Grouping = "limit"
 )
 
 // AccountRow counts the unserved requests of one cause and group.
@@ -94,3 +97,57 @@
 		return ""
 	}
 }
+
+// LimitRow counts the refused requests of a customer, and compares them with its limit.
+type LimitRow struct {
+	Customer string
+	// PerSecond is the limit that refusals name, 0 if none does.
+	PerSecond float64
+	// OverLimit were beyond the limit, FairShare beyond the customer's share of an overloaded
+	// service; Other were refused for reasons that do not depend on the customer.
+	OverLimit, FairShare, Other int
+	// Seconds is the number of seconds with a refusal beyond the limit. In each the limit allowed
+	// PerSecond requests.
+	Seconds int
+}
+
+// limitReason matches the limit in the logged reason of a refusal beyond it.
+var limitReason = regexp.MustCompile(`, ([0-9.e+]+) requests a second, is reached`)
+
+// Limits returns the customers with refused requests, those with most first.
+func (l *Logs) Limits() []LimitRow {
+	rows := make(map[string]*LimitRow)
+	seconds := make(map[string]map[int64]bool)
+	for _, r := range l.requests {
+		name := r.fields["customer"]
+		if r.served() || r.isForOtherHost() || name == "" || r.fields["outcome"] != "not-run" {
+			continue
+		}
+		row, known := rows[name]
+		if !known {
+			row = &LimitRow{Customer: name}
+			rows[name], seconds[name] = row, make(map[int64]bool)
+		}
+		switch l.cause(r, parseAttempts(r.fields["tries"])).Kind {
+		case CauseLimit:
+			row.OverLimit++
+			seconds[name][r.at.Unix()] = true
+			if named := limitReason.FindStringSubmatch(r.fields["reason"]); named != nil {
+				row.PerSecond, _ = strconv.ParseFloat(named[1], 64) // the expression matches numbers only; 0 says unknown
+			}
+		case CauseFairShare:
+			row.FairShare++
+		default:
+			row.Other++
+		}
+	}
+	all := make([]LimitRow, 0, len(rows))
+	for name, row := range rows {
+		row.Seconds = len(seconds[name])
+		all = append(all, *row)
+	}
+	slices.SortFunc(all, func(a, b LimitRow) int {
+		return cmp.Or(cmp.Compare(b.OverLimit+b.FairShare+b.Other, a.OverLimit+a.FairShare+a.Other), cmp.Compare(a.Customer, b.Customer))
+	})
+	return all
+}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -16,6 +16,7 @@
 const (
 	CauseAnswered           CauseKind = "answered"
 	CauseLimit              CauseKind = "customer-limit"
+	CauseFairShare          CauseKind = "fair-share" // the customer had more than its share of an overloaded service
 	CauseUnknownKey         CauseKind = "unknown-key"
 	CauseQuarantined        CauseKind = "quarantined"
 	CauseRateLimits         CauseKind = "servers-rate-limits"
@@ -48,6 +49,10 @@
 // they processed it.
 const serversEndedText = "servers ended under"
 
+// fairShareText is part of the logged reason if the customer had more than its fair share of an
+// overloaded service.
+const fairShareText = "more than its fair share"
+
 // decisiveAttempt returns the last attempt that was not abandoned in favour of another one.
 func decisiveAttempt(attempts []attempt) attempt {
 	for _, t := range slices.Backward(attempts) {
@@ -124,6 +129,8 @@
 		return Cause{CauseQuarantined, "refused, because " + reason + "; it has not run"}
 	case strings.Contains(reason, pathLostText):
 		return Cause{CausePathLost, "it was sent to no server: " + reason}
+	case strings.Contains(reason, fairShareText):
+		return Cause{CauseFairShare, "it was sent to no server: " + reason}
 	case strings.Contains(reason, rateLimitsFullText):
 		return Cause{CauseRateLimits, "it was sent to no server: " + reason}
 	default:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -109,3 +109,12 @@
 		t.Errorf("no row for customer fan: %v", rows)
 	}
 }
+
+// A customer's refusals beyond its limit must not be mixed with those of an overloaded service: the
+// first call for a higher limit, the others for capacity.
+func TestLimitsSeparateTheReasonsOfRefusals(t *testing.T) {
+	want := explain.LimitRow{Customer: "fan", PerSecond: 3, OverLimit: 1, Seconds: 1}
+	if rows := read(t).Limits(); !slices.Contains(rows, want) {
+		t.Errorf("got %+v, want %+v among them", rows, want)
+	}
+}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -44,10 +44,28 @@
 	if err != nil {
 		return err
 	}
+	if by == explain.ByLimit {
+		return a.print(limitTable(logs.Limits()))
+	}
 	account := logs.Account(by)
 	return a.print(accountTable(by, account))
 }
 
+func limitTable(limits []explain.LimitRow) Table {
+	t := Table{
+		Columns: []string{"over_limit", "fair_share", "other", "seconds", "limit", "customer"},
+		Summary: fmt.Sprintf("%d customers with refused requests", len(limits)),
+	}
+	for _, row := range limits {
+		limit := "none"
+		if row.PerSecond > 0 {
+			limit = strconv.FormatFloat(row.PerSecond, 'g', -1, 64)
+		}
+		t.Rows = append(t.Rows, []string{strconv.Itoa(row.OverLimit), strconv.Itoa(row.FairShare), strconv.Itoa(row.Other), strconv.Itoa(row.Seconds), limit, row.Customer})
+	}
+	return t
+}
+
 func accountTable(by explain.Grouping, account explain.Account) Table {
 	t := Table{
 		Columns: []string{"not_run", "lost", "share", "cause"},
