--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -42,10 +42,11 @@
 	if !t.has(MechanismStandingQueue) || req.Deadline.IsZero() {
 		return nil
 	}
+	fairness := t.fairnessFactor(now, svc, req)
 	estimate := best.state.estimate(now, svc, t.typicalLatency(svc, req.Group), best.state.load(now))
 	expected := estimate.expected
 	svc.recordDeadline(now, req)
-	if t.routeIfKnown(now, req.Group) != nil && svc.latencies.probabilityAfter(req.timeLeft(now), expected) > missedDeadlineThreshold {
+	if t.routeIfKnown(now, req.Group) != nil && svc.latencies.probabilityAfter(req.timeLeft(now), expected) > min(fairness, 1)*missedDeadlineThreshold {
 		return errs.New(errs.KindQueueFull, "no backend server of "+req.Service+" can answer before the request's deadline", "repeat the request after the time in Retry-After, or allow more time")
 	}
 	if err := t.deferred(now, svc, view, best, req); err != nil {
@@ -54,13 +55,17 @@
 	if !req.FirstAttempt {
 		return nil
 	}
-	if t.routeIfKnown(now, req.Group) != nil && svc.mustYield(now, req, estimate) {
+	if t.exceedsFairShare(now, svc, best, req) {
+		return errs.New(errs.KindQueueFull, "customer "+req.Customer+" has more than its fair share of "+req.Service+", which has more requests than it can serve", "repeat the request after the time in Retry-After; add capacity or lower the customer's limit")
+	}
+	if t.routeIfKnown(now, req.Group) != nil && svc.mustYield(now, req, estimate, fairness) {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is already as long as requests with shorter deadlines can wait", "repeat the request after the time in Retry-After; add capacity")
 	}
 	strictness := 1.0
 	if svc.hasHigherPriorityWork(now, req.Priority) {
 		strictness = lowPriorityFactor
 	}
+	strictness *= fairness
 	late := svc.latencies.probabilityAfter(req.objectiveLeft(now), expected)
 	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is not draining: the answer would be late", "repeat the request after the time in Retry-After")
--- a/internal/policy/deadline.go
+++ b/internal/policy/deadline.go
@@ -57,9 +57,9 @@
 }
 
 // mustYield reports whether a request must not extend the queue: it has the time to wait in it, but
-// requests with shorter deadlines have not.
-func (svc *service) mustYield(now time.Time, req Request, e estimate) bool {
-	return e.exceedsQueue(svc.yieldsTo(now, req), maxQueueShare)
+// requests with shorter deadlines have not. fairness scales the queue that it may extend.
+func (svc *service) mustYield(now time.Time, req Request, e estimate, fairness float64) bool {
+	return e.exceedsQueue(svc.yieldsTo(now, req), fairness*maxQueueShare)
 }
 
 // exceedsQueue reports whether the queue takes more than a share of the shortest allowed time, 0 for
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -59,6 +59,8 @@
 	MechanismStandingQueue Mechanism = "standing-queue"
 	// MechanismWaitQueue lets requests wait in the host for a free slot, see defer.go.
 	MechanismWaitQueue Mechanism = "wait-queue"
+	// MechanismFairShares refuses customers above their fair share first, see fairness.go.
+	MechanismFairShares Mechanism = "fair-shares"
 )
 
 // Mechanisms lists all mechanisms that can be disabled.
@@ -67,7 +69,7 @@
 		MechanismFailureModel, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismRemoteOutcomes, MechanismDuty, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
-		MechanismReturnOneByOne, MechanismPathChecks, MechanismWaitQueue,
+		MechanismReturnOneByOne, MechanismPathChecks, MechanismWaitQueue, MechanismFairShares,
 		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve, MechanismHandover,
 	}
 }
--- a/internal/policy/peertotals.go
+++ b/internal/policy/peertotals.go
@@ -41,6 +41,10 @@
 	}
 	h.counts = current
 	h.receivedAt = now
+	if current.shed > previous.shed {
+		svc.refusedAt = now
+	}
+	svc.recordPeerCustomers(now, host, l.Customers)
 	h.lacksRetries, h.wantsRetry = l.WantedFrom != "", l.WantedFrom == t.conf.Host && l.WantedFrom != ""
 	h.wanted = int(cmp.Or(l.WantedThousandths, wholeRetry))
 	if l.GiftNumber > h.giftNumber && l.GiftTo == t.conf.Host {
@@ -99,6 +103,7 @@
 		}
 	}
 	row.GiftNumber = svc.budget.gifts
+	row.Customers = svc.customersToReport(now)
 	if b := t.updateBudget(now, svc); b.wantsRetry(now) {
 		row.WantedFrom = t.askedHost(now, svc)
 		if lack := b.lack(t.has(MechanismPooledRetries)); row.WantedFrom != "" && lack < wholeRetry {
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -49,8 +49,8 @@
 	ID uint64
 	// Priority is the priority under overload, 0 is the highest.
 	Priority int
-	// Rank orders requests of the same priority, lower ones first. It is 0 unless the caller
-	// divides capacity between customers.
+	// Rank orders requests of the same priority, lower ones first: 0, or 1 for a request of a
+	// customer above its fair share.
 	Rank float64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
--- a/internal/waitqueue/set.go
+++ b/internal/waitqueue/set.go
@@ -43,8 +43,6 @@
 	Refresh func() (*world.ServiceView, policy.Request)
 	// BodyBytes is the memory that the request's body occupies.
 	BodyBytes int64
-	// Rank is Item.Rank.
-	Rank float64
 	// MaxWait limits the wait, 0 for no limit of its own.
 	MaxWait time.Duration
 }
@@ -111,7 +109,7 @@
 	}
 	s.lastID++
 	id := s.lastID
-	item := Item{ID: id, Priority: req.Policy.Priority, Rank: req.Rank, Deadline: req.Policy.Deadline, Until: wait.Until, Bytes: req.BodyBytes + entryBytes}
+	item := Item{ID: id, Priority: req.Policy.Priority, Rank: s.table.QueueRank(now, req.Policy), Deadline: req.Policy.Deadline, Until: wait.Until, Bytes: req.BodyBytes + entryBytes}
 	if limit := now.Add(req.MaxWait); req.MaxWait > 0 && limit.Before(item.Until) {
 		item.Until = limit
 	}
