--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -72,12 +72,12 @@
 	snapshot   func() *world.Snapshot
 	dispatcher Dispatcher
 	metrics    *metrics.Metrics
-	room       *waitingRoom
+	startup    *startupQueue
 }
 
 // New returns a frontend.
 func New(conf Config, snapshot func() *world.Snapshot, dispatcher Dispatcher, m *metrics.Metrics) *Frontend {
-	return &Frontend{conf: conf, snapshot: snapshot, dispatcher: dispatcher, metrics: m, room: newWaitingRoom(conf.MaxHeldBytes)}
+	return &Frontend{conf: conf, snapshot: snapshot, dispatcher: dispatcher, metrics: m, startup: newStartupQueue(conf.MaxHeldBytes)}
 }
 
 // handler is an http.HandlerFunc that may return a refusal.
--- a/internal/frontend/waitingroom.go
+++ b/internal/frontend/startupqueue.go
@@ -32,23 +32,23 @@
 	waitLeft     = "left"     // the caller disconnected
 )
 
-// waitingRoom holds requests until the first configuration is in force, and lets them in by deadline.
-type waitingRoom struct {
+// startupQueue holds requests until the first configuration is in force, and lets them in by deadline.
+type startupQueue struct {
 	mu       sync.Mutex
 	hold     startup.Hold
-	doors    map[*startup.Held]chan struct{}
+	admitted map[*startup.Held]chan struct{} // closed when the request is let in
 	draining bool
 	results  map[string]int // since the last log line
 }
 
-func newWaitingRoom(maxBytes int64) *waitingRoom {
+func newStartupQueue(maxBytes int64) *startupQueue {
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxHeldBytes
 	}
-	return &waitingRoom{
-		hold:    startup.Hold{MaxBytes: maxBytes},
-		doors:   make(map[*startup.Held]chan struct{}),
-		results: make(map[string]int),
+	return &startupQueue{
+		hold:     startup.Hold{MaxBytes: maxBytes},
+		admitted: make(map[*startup.Held]chan struct{}),
+		results:  make(map[string]int),
 	}
 }
 
@@ -59,7 +59,7 @@
 	if snap := f.snapshot(); snap.Ready {
 		return snap, false, nil
 	}
-	result := f.room.wait(r.Context(), f.conf.WhenReady, func() bool { return f.snapshot().Leaving }, arrived, f.allowedTime(r), r.ContentLength)
+	result := f.startup.wait(r.Context(), f.conf.WhenReady, func() bool { return f.snapshot().Leaving }, arrived, f.allowedTime(r), r.ContentLength)
 	f.metrics.AwaitedConfiguration(result)
 	switch result {
 	case waitAdmitted:
@@ -83,12 +83,12 @@
 }
 
 // wait blocks until the request is let in or can wait no longer, and returns the result.
-func (w *waitingRoom) wait(ctx context.Context, ready <-chan struct{}, stopping func() bool, arrived time.Time, allowed time.Duration, body int64) (result string) {
+func (w *startupQueue) wait(ctx context.Context, ready <-chan struct{}, stopping func() bool, arrived time.Time, allowed time.Duration, body int64) (result string) {
 	w.mu.Lock()
 	held := w.hold.Enter(arrived, allowed, body)
-	door := make(chan struct{})
+	admit := make(chan struct{})
 	if held != nil {
-		w.doors[held] = door
+		w.admitted[held] = admit
 	}
 	w.mu.Unlock()
 	if held == nil {
@@ -100,10 +100,10 @@
 	defer check.Stop()
 	for {
 		select {
-		case <-door:
+		case <-admit:
 			return waitAdmitted
 		case <-ready:
-			ready = nil // the door opens in turn
+			ready = nil // admit is closed in turn
 			w.drain()
 		case <-timer.C:
 			return w.leave(held, waitExpired)
@@ -118,31 +118,31 @@
 }
 
 // leave removes a request that gives up, unless it has been let in meanwhile.
-func (w *waitingRoom) leave(held *startup.Held, result string) string {
+func (w *startupQueue) leave(held *startup.Held, result string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if _, waiting := w.doors[held]; !waiting {
+	if _, waiting := w.admitted[held]; !waiting {
 		return waitAdmitted
 	}
 	w.hold.Leave(held)
-	delete(w.doors, held)
+	delete(w.admitted, held)
 	w.results[result]++
 	return result
 }
 
 // drain starts letting the requests in, if that has not begun.
-func (w *waitingRoom) drain() {
+func (w *startupQueue) drain() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.draining {
 		return
 	}
 	w.draining = true
-	go w.letIn(time.Now(), w.hold.FirstPause(time.Now(), rand.Float64()))
+	go w.admitAll(time.Now(), w.hold.FirstPause(time.Now(), rand.Float64()))
 }
 
-// letIn lets the waiting requests in, the one with the earliest deadline first.
-func (w *waitingRoom) letIn(began time.Time, pause time.Duration) {
+// admitAll lets the waiting requests in, the one with the earliest deadline first.
+func (w *startupQueue) admitAll(began time.Time, pause time.Duration) {
 	for {
 		time.Sleep(pause)
 		w.mu.Lock()
@@ -155,14 +155,14 @@
 			return
 		}
 		w.results[waitAdmitted]++
-		close(w.doors[next])
-		delete(w.doors, next)
+		close(w.admitted[next])
+		delete(w.admitted, next)
 		w.mu.Unlock()
 	}
 }
 
 // log writes one line about the requests that waited.
-func (w *waitingRoom) log(took time.Duration) {
+func (w *startupQueue) log(took time.Duration) {
 	klog.InfoS("requests waited for the first configuration",
 		"admitted", w.results[waitAdmitted],
 		"expired", w.results[waitExpired],
--- a/internal/frontend/waitingroom_test.go
+++ b/internal/frontend/startupqueue_test.go
@@ -15,15 +15,15 @@
 // have waited for longer than the fixed 0.5 s after which they were refused, and a request that has too
 // little time left is refused and not let in later.
 func TestWaitingRequestsAreLetIn(t *testing.T) {
-	room := newWaitingRoom(0)
+	queue := newStartupQueue(0)
 	ready := make(chan struct{})
 	var wg sync.WaitGroup
 	results := make(chan string, 20)
 	arrived := time.Now()
 	for range 19 {
-		wg.Go(func() { results <- room.wait(context.Background(), ready, never, arrived, 4*time.Second, 0) })
+		wg.Go(func() { results <- queue.wait(context.Background(), ready, never, arrived, 4*time.Second, 0) })
 	}
-	if got := room.wait(context.Background(), ready, never, arrived, 100*time.Millisecond, 0); got != waitExpired {
+	if got := queue.wait(context.Background(), ready, never, arrived, 100*time.Millisecond, 0); got != waitExpired {
 		t.Errorf("request with 100 ms: %s, want %s", got, waitExpired)
 	}
 	time.Sleep(600*time.Millisecond - time.Since(arrived))
@@ -42,17 +42,17 @@
 
 // A caller that disconnects and a host that stops end the wait; nothing is left behind.
 func TestWaitEnds(t *testing.T) {
-	room := newWaitingRoom(0)
+	queue := newStartupQueue(0)
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	if got := room.wait(ctx, nil, never, time.Now(), time.Minute, 0); got != waitLeft {
+	if got := queue.wait(ctx, nil, never, time.Now(), time.Minute, 0); got != waitLeft {
 		t.Errorf("disconnected caller: %s", got)
 	}
 	ready := make(chan struct{})
-	if got := room.wait(context.Background(), ready, func() bool { return true }, time.Now(), time.Minute, 0); got != waitStopped {
+	if got := queue.wait(context.Background(), ready, func() bool { return true }, time.Now(), time.Minute, 0); got != waitStopped {
 		t.Errorf("stopping host: %s", got)
 	}
-	if room.hold.Len() != 0 || len(room.doors) != 0 {
-		t.Errorf("%d requests and %d doors are left", room.hold.Len(), len(room.doors))
+	if queue.hold.Len() != 0 || len(queue.admitted) != 0 {
+		t.Errorf("%d requests and %d channels are left", queue.hold.Len(), len(queue.admitted))
 	}
 }
