Learn how long failures of servers last, by service

Cause: the belief that a server is failing decays at a constant rate. Where failures last about as long each time, requests that run only once are lost on servers that are tried before that time.

Change: internal/policy/durations.go keeps the likelihood of Weibull parameters from the intervals in which failures ended. The learnt distribution replaces the constants where a likelihood ratio test rejects a constant rate of recovery; otherwise they hold exactly. The mechanism "learnt-durations" turns it off. Replay patterns may have spells of fixed length.

--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -137,6 +137,8 @@
 	// Share of the time is spent in spells, which last Mean on average.
 	Share float64         `yaml:"share"`
 	Mean  config.Duration `yaml:"mean"`
+	// Fixed makes each spell last Mean exactly, instead of exponentially distributed lengths.
+	Fixed bool `yaml:"fixed"`
 	// Fails is the share of requests that meet Kind in a spell.
 	Fails float64 `yaml:"fails"`
 	Kind  string  `yaml:"kind"`
--- a/experiment/replay/server.go
+++ b/experiment/replay/server.go
@@ -96,6 +96,9 @@
 		mean *= (1 - s.service.Spells.Share) / s.service.Spells.Share
 	}
 	length := distuv.Exponential{Rate: 1 / mean, Src: s.random}.Rand()
+	if s.inSpell && s.service.Spells.Fixed {
+		length = mean
+	}
 	s.clock.After(time.Duration(length), func() {
 		s.inSpell = !s.inSpell
 		s.nextSpell()
--- a/internal/daemon/uselog.go
+++ b/internal/daemon/uselog.go
@@ -61,6 +61,7 @@
 		"belief", change.Belief,
 		"troubled", change.Degraded,
 		"limited", change.Limited,
+		"near-limit", change.NearLimit,
 		"accuser", change.Accuser,
 		"evidence", change.Evidence,
 		"hosts", u.hostCount(snap, change),
--- a/internal/policy/coverage.go
+++ b/internal/policy/coverage.go
@@ -201,7 +201,7 @@
 	if need.includeFailing {
 		return s.unansweredLogOdds(now, svc) <= overdueLogOdds
 	}
-	return s.belief(now, svc) < failingThreshold
+	return s.belief(now, svc) < s.health.threshold()
 }
 
 // serverUse is the time of a send to a server and that of the previous one.
@@ -235,17 +235,17 @@
 }
 
 // coverageBonus is the cost reduction for a server that has had no request for some time, if too
-// few servers are in use.
-func (t *Table) coverageBonus(in comparison, k key, s *server) float64 {
+// few servers are in use. onDuty is set if it is this host's turn to use the server.
+func (t *Table) coverageBonus(in comparison, k key, s *server) (bonus float64, onDuty bool) {
 	now, svc, need := in.now, in.svc, in.need
 	if need.tryUntried && s.isUntried() && !now.Before(s.pathUntil) {
-		return unusedServerBonus
+		return unusedServerBonus, false
 	}
 	if need.insufficient && now.Sub(s.lastSent) > inUsePeriod && s.shouldBeUsed(now, svc, need) {
-		return unusedServerBonus
+		return unusedServerBonus, false
 	}
 	if need.duty && t.isDutyDue(now, k, s, in.req, false) {
-		return unusedServerBonus
+		return unusedServerBonus, true
 	}
-	return 0
+	return 0, false
 }
--- a/internal/policy/health.go
+++ b/internal/policy/health.go
@@ -38,6 +38,10 @@
 type healthModel struct {
 	probability float64
 	at          time.Time
+	// durations is what is known of the service's failures, nil if the constants hold. episode is the
+	// current failure of this server.
+	durations *durationModel
+	episode   episode
 }
 
 // stationaryBelief is the belief without any observation.
@@ -46,6 +50,9 @@
 // probabilityAt returns the probability at a given time. Without observations it decays to
 // stationaryBelief.
 func (s *healthModel) probabilityAt(now time.Time) float64 {
+	if s.usesLearnt() {
+		return s.learntProbabilityAt(now)
+	}
 	age := max(now.Sub(s.at).Seconds(), 0)
 	weight := math.Exp(-(onsetPerSecond + recoveryPerSecond) * age)
 	return stationaryBelief + (s.probability-stationaryBelief)*weight
@@ -58,11 +65,42 @@
 	s.at = now
 }
 
+// usesLearnt reports whether the learnt durations apply: the server is in a failure, and they differ
+// clearly from the assumed ones.
+func (s *healthModel) usesLearnt() bool {
+	return s.durations != nil && s.durations.inForce && s.episode.isFailing()
+}
+
+// threshold is the belief below which the server is kept in use in normal operation.
+func (s *healthModel) threshold() float64 {
+	if s.usesLearnt() {
+		return learntThreshold
+	}
+	return failingThreshold
+}
+
+// learntProbabilityAt is probabilityAt of a server in a failure, by the learnt durations: the failure
+// continues with a probability that depends on its age, and after its end another may have begun.
+func (s *healthModel) learntProbabilityAt(now time.Time) float64 {
+	started := s.episode.startedAt
+	continues := s.probability * s.durations.stillFailing(now.Sub(started), s.at.Sub(started))
+	onset := s.durations.onsetRate()
+	stationary := onset / (onset + recoveryPerSecond)
+	again := stationary * (1 - math.Exp(-(onset+recoveryPerSecond)*max(now.Sub(s.at).Seconds(), 0)))
+	return continues + (1-continues)*again
+}
+
 func (s *healthModel) observeFailure(now time.Time) {
+	if s.durations != nil {
+		s.durations.failed(now, &s.episode)
+	}
 	s.update(now, failingFailureRate/healthyFastFailureRate)
 }
 func (s *healthModel) observeLateError(now time.Time) { s.update(now, lateErrorLikelihoodRatio) }
 func (s *healthModel) observeSuccess(now time.Time) {
+	if s.durations != nil {
+		s.durations.answered(now, &s.episode)
+	}
 	s.update(now, (1-failingFailureRate)/(1-healthyFailureRate))
 }
 func (s *healthModel) observeUnanswered(now time.Time, logOdds float64) {
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -10,6 +10,8 @@
 const (
 	// MechanismFailureModel estimates from outcomes whether a server is failing, see health.go.
 	MechanismFailureModel Mechanism = "spells"
+	// MechanismLearntDurations learns how long failures last, see durations.go.
+	MechanismLearntDurations Mechanism = "learnt-durations"
 	// MechanismUnanswered uses unanswered requests as evidence, see unanswered.go.
 	MechanismUnanswered Mechanism = "silence"
 	// MechanismCopies sends second copies of idempotent requests, see copies.go.
@@ -54,7 +56,7 @@
 // Mechanisms lists all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismFailureModel, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
+		MechanismFailureModel, MechanismLearntDurations, MechanismUnanswered, MechanismCopies, MechanismSharedOutcomes, MechanismSharedLoads,
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismRemoteOutcomes, MechanismDuty, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -159,6 +159,8 @@
 	state    *server
 	cost     float64
 	eligible int
+	// duty is set if the server was chosen because it is this host's turn to use it, see duty.go.
+	duty bool
 }
 
 // choose compares the servers of this host's subset, and servers outside it if none of the subset
@@ -223,12 +225,15 @@
 		if load >= float64(b.Slots*maxRequestsPerSlot) || s.inFlight > 0 && t.returnsOneByOne(in.req, b) {
 			continue
 		}
+		onDuty := false
 		cost := t.cost(in.now, in.svc, s, b, load, in.req) + in.failure*s.failureProbability(in.now, in.svc)
 		if b.DataCentre == in.req.DataCentre && t.has(MechanismCoverage) {
-			cost -= t.coverageBonus(in, key{in.req.Service, b.ID}, s)
+			var bonus float64
+			bonus, onDuty = t.coverageBonus(in, key{in.req.Service, b.ID}, s)
+			cost -= bonus
 		}
 		if cost < best.cost {
-			best.server, best.state, best.cost = b, s, cost
+			best.server, best.state, best.cost, best.duty = b, s, cost, onDuty
 		}
 	}
 }
@@ -250,6 +255,9 @@
 
 		objectiveAt: now.Add(req.objectiveLeft(now)),
 	}
+	if best.duty {
+		svc.dutySends++
+	}
 	svc.recordSends(now, 1)
 	s.inFlight++
 	s.pending = append(s.pending, waiting)
--- a/internal/policy/stats.go
+++ b/internal/policy/stats.go
@@ -15,6 +15,41 @@
 	// RetryAllowance is the number of retries that this host may make in a window, RetriesLeft the
 	// number that it may make now, those given by other hosts included.
 	RetryAllowance, RetriesLeft float64
+	// NearLimit is set if nearly a tenth of the service's requests are unserved over all data
+	// centres, DutySends counts the requests that this host then sent to keep servers in use.
+	NearLimit bool
+	DutySends uint64
+	// Durations is what is learnt of the durations of failures.
+	Durations DurationStats
+}
+
+// DurationStats is what a host has learnt of the durations of a service's failures.
+type DurationStats struct {
+	// Observations is the number of failures observed to their end, Evidence the log likelihood
+	// ratio against a constant rate of recovery.
+	Observations int
+	Evidence     float64
+	// InForce is set if the learnt distribution is used: Shape and Scale of a Weibull distribution.
+	InForce bool
+	Shape   float64
+	Scale   time.Duration
+	// WellFor is the mean time between a recovery and the next failure.
+	WellFor time.Duration
+}
+
+// stats returns what is learnt, nothing for nil.
+func (d *durationModel) stats() DurationStats {
+	if d == nil {
+		return DurationStats{}
+	}
+	return DurationStats{
+		Observations: d.observations,
+		Evidence:     d.evidence,
+		InForce:      d.inForce,
+		Shape:        d.shape,
+		Scale:        time.Duration(d.scale * float64(time.Second)),
+		WellFor:      time.Duration(float64(time.Second) / d.onsetRate()),
+	}
 }
 
 // Stats returns the statistics of each service.
@@ -23,7 +58,7 @@
 	for name, svc := range t.services {
 		budget := t.updateBudget(now, svc)
 		_, retries, _ := svc.sharedSends(now, t.conf.Retry.Window)
-		rows[name] = &ServiceStats{Service: name, Retries: retries, RetryAllowance: budget.allowance, RetriesLeft: budget.available()}
+		rows[name] = &ServiceStats{Service: name, Retries: retries, RetryAllowance: budget.allowance, RetriesLeft: budget.available(), NearLimit: svc.isNearLimit(now), DutySends: svc.dutySends, Durations: svc.durations.stats()}
 	}
 	for k, s := range t.servers {
 		row, ok := rows[k.service]
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -139,6 +139,10 @@
 	late window
 	// remote are the latest outcomes of other data centres, by segment, see remoteoutcomes.go.
 	remote map[uint32]remoteOutcomes
+	// durations is what is learnt of how long the servers' failures last, nil if that is disabled.
+	durations *durationModel
+	// dutySends counts requests that this host sent to keep a server in use, see duty.go.
+	dutySends uint64
 	// priorities is the typical work of this host's requests by priority, in milliseconds.
 	priorities map[int]*window
 	// deadlines is the time allowed to requests, by route.
@@ -219,6 +223,9 @@
 	if !ok {
 		svc = &service{typicalLatency: defaultTypicalLatency, latencies: newLatencyDistribution(), unansweredShare: priorUnansweredShare, sharingHosts: make(map[string]*peerTotals), remote: make(map[uint32]remoteOutcomes), priorities: make(map[int]*window), deadlines: make(map[string]routeDeadline)}
 		svc.beliefOptions = beliefOptions{outcomes: t.has(MechanismFailureModel), unanswered: t.has(MechanismUnanswered)}
+		if t.has(MechanismLearntDurations) {
+			svc.durations = newDurationModel()
+		}
 		t.services[name] = svc
 	}
 	return svc
@@ -235,7 +242,7 @@
 		return s
 	}
 	s = &server{slowness: 1, peers: make(map[string]*peerLoad)}
-	s.health = healthModel{probability: stationaryBelief, at: now}
+	s.health = healthModel{probability: stationaryBelief, at: now, durations: t.service(k.service).durations}
 	if view != nil {
 		s.slots = view.Slots
 		s.started = view.Started
@@ -279,7 +286,7 @@
 		return
 	}
 	fresh := &server{slowness: 1, peers: s.peers, counts: s.counts, slots: s.slots, started: s.started, process: s.process + 1, lastSent: s.lastSent, watch: s.watch, checkedAt: s.checkedAt}
-	fresh.health = healthModel{probability: stationaryBelief, at: now}
+	fresh.health = healthModel{probability: stationaryBelief, at: now, durations: s.health.durations}
 	for _, peer := range s.peers {
 		peer.inFlight = 0
 	}
--- a/internal/policy/trial.go
+++ b/internal/policy/trial.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if best.server == nil || s.lastSent.Before(best.state.lastSent) {
-			best.server, best.state = b, s
+			best.server, best.state, best.duty = b, s, isOnDuty
 		}
 	}
 	return best
--- a/internal/policy/unused.go
+++ b/internal/policy/unused.go
@@ -38,8 +38,10 @@
 	Belief   float64
 	Degraded bool
 	Limited  bool
-	Accuser  string
-	Evidence string
+	// NearLimit is set if nearly a tenth of the service's requests are unserved over all data centres.
+	NearLimit bool
+	Accuser   string
+	Evidence  string
 }
 
 // usageWatch is the state of UseChanges for one server.
@@ -72,6 +74,7 @@
 			change.Why = s.reasonUnused(now, svc, b, req)
 			change.Belief = s.belief(now, svc)
 			change.Degraded = svc.isDegraded(now)
+			change.NearLimit = svc.isNearLimit(now)
 			change.Limited = svc.isHeavilyLimited(now)
 			change.Accuser, change.Evidence = s.accused.host, s.accused.evidence
 		}
