Retries go where they earn most

Cause: while all servers of a service shed, the retry allowance is spent first come, first served, also by requests of a low priority.

A request leaves as many retries as requests that earn clearly more have needed in the last 2.5 s, or are expected to need by their rate and the share that is refused (internal/policy/retrybenefit.go). The total is unchanged. With one kind of request nothing changes.

Copies that yielded to retries of their own kind failed TestSecondCopies and are not kept.

Run: policy, dispatch, metrics, experiment/replay. Not run: platform and the other packages after this change, fleets of processes.

--- a/experiment/replay/request.go
+++ b/experiment/replay/request.go
@@ -347,7 +347,7 @@
 		return
 	}
 	w := &retryWait{request: r, otherwise: otherwise}
-	decision := w.allowRetry()
+	decision := w.allowRetry(false)
 	switch {
 	case decision.Allowed:
 		r.place()
--- a/experiment/replay/retrywait.go
+++ b/experiment/replay/retrywait.go
@@ -14,9 +14,9 @@
 	until     time.Duration
 }
 
-func (w *retryWait) allowRetry() policy.RetryDecision {
+func (w *retryWait) allowRetry(again bool) policy.RetryDecision {
 	h := w.request.host
-	return h.table.AllowRetry(h.fleet.clock.Time(), w.request.route.Service, h.fleet.pattern.Hosts)
+	return h.table.AllowRetryOf(h.fleet.clock.Time(), w.request.policyRequest(), again)
 }
 
 // start lets the request wait, as long as its time lasts.
@@ -47,7 +47,7 @@
 		h.awaiting = slices.Delete(h.awaiting, i, i+1)
 		return false
 	}
-	decision := w.allowRetry()
+	decision := w.allowRetry(true)
 	if !decision.Allowed && decision.Wait > 0 && h.fleet.clock.Now < w.until {
 		h.tell()
 		return true
--- a/experiment/replay/retrywait_test.go
+++ b/experiment/replay/retrywait_test.go
@@ -48,3 +48,28 @@
 		t.Error("hosts that start again know too little of failing servers")
 	}
 }
+
+// While all servers shed, the retries go to the kind of request that earns most by them. First come,
+// first served, both kinds got as many.
+func TestRetriesGoWhereTheyEarnMost(t *testing.T) {
+	t.Parallel()
+	pattern, err := Load("retry-value")
+	if err != nil {
+		t.Fatal(err)
+	}
+	with, without := newResult(pattern), newResult(pattern)
+	for seed := range uint64(seeds) {
+		with.add(Run(pattern, Config{Seed: seed + 1}))
+		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismRetryBenefit}}))
+	}
+	for _, route := range []string{"booking", "export"} {
+		t.Logf("%s: %.4f unserved, without %.4f", route, with.route(route).Unserved(), without.route(route).Unserved())
+	}
+	if with.route("booking").Unserved() > 0.9*without.route("booking").Unserved() {
+		t.Error("the retries of the more urgent kind go to the other one")
+	}
+	all, before := with.Total(), without.Total()
+	if all.Unserved() > before.Unserved()+0.005 || with.AllowanceSpent > 1 {
+		t.Errorf("%.4f unserved in all, without %.4f; %.2f of the allowance", all.Unserved(), before.Unserved(), with.AllowanceSpent)
+	}
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -215,12 +215,12 @@
 	return t.table.RetryAfter(service)
 }
 
-// AllowRetry reports whether a request to a service may be retried. If not, other hosts are asked for
-// a retry.
-func (t *Table) AllowRetry(service string, fleetSize int) policy.RetryDecision {
+// AllowRetry reports whether a request may be retried. If not, other hosts are asked for a retry. again
+// is set if the request has asked before.
+func (t *Table) AllowRetry(req policy.Request, again bool) policy.RetryDecision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	decision := t.table.AllowRetry(t.clock(), service, fleetSize)
+	decision := t.table.AllowRetryOf(t.clock(), req, again)
 	if decision.Wait > 0 {
 		t.notify()
 	}
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -250,7 +250,7 @@
 	if x.d.balance == nil {
 		return x.state.budget.withdraw()
 	}
-	decision := x.d.balance.AllowRetry(x.req.Service, x.snap.FleetSize)
+	decision := x.d.balance.AllowRetry(x.retryRequest(), false)
 	waited := time.Duration(0)
 	if !decision.Allowed && decision.Wait > 0 {
 		begin := time.Now()
@@ -260,6 +260,9 @@
 	}
 	if !decision.Allowed {
 		x.trace.retryWithheld = fmt.Sprintf("%.3g of %.1f spent, up for %s", decision.Used, decision.Allowance, decision.Age.Round(time.Second))
+		if decision.Kept > 0 {
+			x.trace.retryWithheld += fmt.Sprintf(", %.0f left to requests that earn more", decision.Kept)
+		}
 		if waited > 0 {
 			x.trace.retryWithheld += fmt.Sprintf(", waited %s for another host's", waited.Round(time.Millisecond))
 		}
@@ -267,6 +270,14 @@
 	return decision.Allowed
 }
 
+// retryRequest describes the request for the retry allowance.
+func (x *exchange) retryRequest() policy.Request {
+	return policy.Request{
+		Service: x.req.Service, Group: x.req.Group, Priority: x.req.Priority, FleetSize: x.snap.FleetSize,
+		Objective: x.req.Objective, ReceivedAt: x.start, Deadline: x.req.Deadline,
+	}
+}
+
 // awaitRetry waits until another host gives a retry, up to decision.Wait and the request's deadline.
 func (x *exchange) awaitRetry(ctx context.Context, decision policy.RetryDecision) policy.RetryDecision {
 	end := time.NewTimer(min(decision.Wait, time.Until(x.req.Deadline)))
@@ -275,7 +286,7 @@
 	defer again.Stop()
 	for {
 		given := x.d.balance.RetryGiven()
-		if decision = x.d.balance.AllowRetry(x.req.Service, x.snap.FleetSize); decision.Allowed || decision.Wait == 0 {
+		if decision = x.d.balance.AllowRetry(x.retryRequest(), true); decision.Allowed || decision.Wait == 0 {
 			return decision
 		}
 		select {
--- a/internal/policy/copies.go
+++ b/internal/policy/copies.go
@@ -66,7 +66,10 @@
 	spent := t.spentAllowance(now, req.Service, req.FleetSize)
 	busy := t.utilization(now, view, req)
 	cost := copyBaseCost + copyLoadCost*busy*busy + copyAllowanceCost*spent*spent + t.crossDataCentreCost(best.server, req)
-	return waiting*(1-other) > cost
+	// A copy leaves retries to more urgent requests. While servers hang it is what saves a request, so
+	// that it does not yield to others of its kind.
+	kept := t.keptForBetter(now, svc, priorityWeight(req.Priority))
+	return waiting*(1-other) > cost && t.updateBudget(now, svc).available() >= wholeRetry+kept
 }
 
 // lossIfWaiting is the expected loss of a request that continues to wait on a server: the answer
--- a/internal/policy/mechanisms.go
+++ b/internal/policy/mechanisms.go
@@ -42,6 +42,8 @@
 	MechanismYoungReserve Mechanism = "young-reserve"
 	// MechanismHandover takes over what other hosts know when a host starts, see state.go.
 	MechanismHandover Mechanism = "handover"
+	// MechanismRetryBenefit leaves retries to the requests that earn most by them, see retrybenefit.go.
+	MechanismRetryBenefit Mechanism = "retry-benefit"
 	// MechanismTrials sends copies of idempotent requests to servers believed to be failing, see
 	// trial.go.
 	MechanismTrials Mechanism = "trials"
@@ -62,7 +64,7 @@
 		MechanismReportedLoad, MechanismCoverage, MechanismDegraded, MechanismOwnDataCentre,
 		MechanismColdStart, MechanismIdleConnections, MechanismRouteLatency, MechanismRetryGifts, MechanismTrials, MechanismStandingQueue,
 		MechanismReturnOneByOne, MechanismPathChecks,
-		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve, MechanismHandover,
+		MechanismGiftWait, MechanismPooledRetries, MechanismYoungReserve, MechanismHandover, MechanismRetryBenefit,
 	}
 }
 
--- a/internal/policy/retries.go
+++ b/internal/policy/retries.go
@@ -149,6 +149,7 @@
 		s.counts.requests++
 		svc.totals.requests++
 		svc.ownSends.requests.add(now, t.conf.Retry.Window, 1)
+		svc.arrivals.add(now, t.conf.Retry.Window, req.Priority)
 	}
 }
 
@@ -185,6 +186,8 @@
 	// Used is how many retries this host has made or given to others in the last window, Allowance
 	// how many it may, Received how many others have given to it.
 	Used, Allowance, Received float64
+	// Kept is how many retries are left to requests that earn more by them.
+	Kept float64
 	// Age is the time since this host was started.
 	Age time.Duration
 }
@@ -195,14 +198,18 @@
 // AllowRetry reports whether a request of a service may be retried. fleetSize is the largest number
 // of hosts that were ever live at the same time.
 func (t *Table) AllowRetry(now time.Time, name string, fleetSize int) RetryDecision {
+	return t.allowRetry(now, t.service(name), fleetSize, 0)
+}
+
+// allowRetry reports whether a retry is allowed that leaves a part of the budget to others.
+func (t *Table) allowRetry(now time.Time, svc *service, fleetSize, kept int) RetryDecision {
 	t.fleetSize = max(t.fleetSize, fleetSize)
-	svc := t.service(name)
 	b := t.updateBudget(now, svc)
 	d := RetryDecision{
-		Allowed: b.available() >= wholeRetry, Used: inRetries(b.used), Allowance: inRetries(b.allowance),
+		Allowed: b.available() >= wholeRetry+kept, Kept: inRetries(kept), Used: inRetries(b.used), Allowance: inRetries(b.allowance),
 		Received: inRetries(b.received), Age: now.Sub(t.started),
 	}
-	if !d.Allowed {
+	if !d.Allowed && kept == 0 {
 		b.refusedAt = now
 		svc.dirty = true
 		d.Wait = t.giftWait(now, svc)
--- a/internal/policy/table.go
+++ b/internal/policy/table.go
@@ -120,6 +120,8 @@
 	ownSends       sendCounts
 	charged, given window
 	budget         retryBudget
+	needs          retryNeeds
+	arrivals       arrivalCounts
 	// asked is the host that was asked for a retry at askedAt, asksInVain the number of hosts asked
 	// since the last gift. Requests do not wait for one until noWaitUntil.
 	asked       string
