Wait queue: no wait for a standing queue

Change: a request that yields to shorter deadlines waits only while there is no standing queue by the rule of admission.go; otherwise it is refused as before.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -57,17 +57,21 @@
 	if t.routeIfKnown(now, req.Group) != nil && svc.mustYield(now, req, estimate) {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is already as long as requests with shorter deadlines can wait", "repeat the request after the time in Retry-After; add capacity")
 	}
-	strictness := 1.0
-	if svc.hasHigherPriorityWork(now, req.Priority) {
-		strictness = lowPriorityFactor
-	}
 	late := svc.latencies.probabilityAfter(req.objectiveLeft(now), expected)
-	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
+	if svc.hasStandingQueue(now, req) && late > svc.strictness(now, req)*standingLate {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is not draining: the answer would be late", "repeat the request after the time in Retry-After")
 	}
 	return nil
 }
 
+// strictness scales the thresholds of a standing queue for a request.
+func (svc *service) strictness(now time.Time, req Request) float64 {
+	if svc.hasHigherPriorityWork(now, req.Priority) {
+		return lowPriorityFactor
+	}
+	return 1
+}
+
 // lateShare is the share of late answers among the recent answers of this data centre, 0 if there
 // are too few answers.
 func (svc *service) lateShare(now time.Time) float64 {
--- a/internal/policy/defer.go
+++ b/internal/policy/defer.go
@@ -102,6 +102,12 @@
 	return choice{server: c.free, state: c.freeState, cost: c.freeCost, eligible: c.eligible}, true
 }
 
+// hasStandingQueue reports whether so many answers are late that requests of this priority are refused:
+// a queue that does not drain only delays what waits for it.
+func (svc *service) hasStandingQueue(now time.Time, req Request) bool {
+	return svc.lateShare(now) > svc.strictness(now, req)*standingShare
+}
+
 // deferred returns a NoFreeSlot for a request that is to wait in the host, otherwise nil. best is
 // its best server, without a server if all are full.
 func (t *Table) deferred(now time.Time, svc *service, view *world.ServiceView, best choice, req Request) error {
@@ -120,7 +126,7 @@
 			share = waitedQueueShare
 		}
 		if shortest := svc.yieldsTo(now, req); shortest > 0 && t.routeIfKnown(now, req.Group) != nil {
-			yields = req.OthersWait || e.exceedsQueue(shortest, share)
+			yields = (req.OthersWait || e.exceedsQueue(shortest, share)) && !svc.hasStandingQueue(now, req)
 		}
 		slowness = best.state.slowness
 	}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -183,7 +183,7 @@
 mutant "answers outweigh a path" internal/policy/report.go 's/ \&\& now.Sub(s.answeredAt) > answeredRecently {/ {/' ./internal/policy -run AnswersOutweigh
 mutant "broken connection out of reach" internal/policy/outcome.go 's/unreachable := s.pathFailures > 0 || done.ServerUnreachable/unreachable := false/' ./internal/policy -run BrokenConnection
 mutant "fresh connections after a path fault" internal/policy/connections.go 's/hasPathFault := .*/hasPathFault := false/' ./internal/policy -run PathFault
-mutant "requests wait for a free slot" internal/policy/defer.go 's/	if !yields .*/	if true {/' ./experiment/replay -run 'WaitQueueKeeps|WaitingInstead'
+mutant "requests wait for a free slot" internal/policy/defer.go 's/return req.MayWait .*/return false/' ./experiment/replay -run 'WaitQueueKeeps|WaitingInstead'
 mutant "waiting requests are refused in time" internal/waitqueue/queue.go 's/arrivalFactor  *= 1.25/arrivalFactor = 1000/' ./internal/waitqueue
 mutant "each refused later" internal/waitqueue/queue.go 's/case priority <= item.Priority .*/case false:/' ./internal/waitqueue
 mutant "recheck without a report" internal/waitqueue/set.go 's/^	s.reviewWithin(now, RecheckInterval)$//' ./internal/balance -run LostReport
