--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -61,11 +61,7 @@
 	if t.routeIfKnown(now, req.Group) != nil && svc.mustYield(now, req, estimate, fairness) {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is already as long as requests with shorter deadlines can wait", "repeat the request after the time in Retry-After; add capacity")
 	}
-	strictness := 1.0
-	if svc.hasHigherPriorityWork(now, req.Priority) {
-		strictness = lowPriorityFactor
-	}
-	strictness *= fairness
+	strictness := fairness * svc.strictness(now, req)
 	late := svc.latencies.probabilityAfter(req.objectiveLeft(now), expected)
 	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is not draining: the answer would be late", "repeat the request after the time in Retry-After")
@@ -73,6 +69,14 @@
 	return nil
 }
 
+// strictness scales the thresholds of a standing queue for a request.
+func (svc *service) strictness(now time.Time, req Request) float64 {
+	if svc.hasHigherPriorityWork(now, req.Priority) {
+		return lowPriorityFactor
+	}
+	return 1
+}
+
 // lateShare is the share of late answers among the recent answers of this data centre, 0 if there
 // are too few answers.
 func (svc *service) lateShare(now time.Time) float64 {
