Settings: the excess over customers' limits is a part of the limit, and nothing else

Cause: values from 1 on were read as the whole factor, so that a typing error would have been taken for another tolerance. The platform names 0.25.

--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -33,7 +33,7 @@
 func newCustomerLimiter(d *Daemon, life uint64) *limiter {
 	rule := quota.CustomerRule()
 	tolerance := d.settings.Quota
-	rule.Tolerance = quota.Tolerance{Excess: tolerance.ExcessPart(), Slack: tolerance.Slack, Window: time.Duration(tolerance.Window)}
+	rule.Tolerance = quota.Tolerance{Excess: tolerance.Excess, Slack: tolerance.Slack, Window: time.Duration(tolerance.Window)}
 	return newLimiter(d, peerpb.Datagram_KIND_QUOTA, life, rule, func(name string) (customer.Limit, bool) {
 		holder := d.engine.Snapshot().Customers.ByName(name)
 		if holder == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -177,21 +177,12 @@
 	// Excess, Slack and Window are the tolerance of customers' limits: in each Window all hosts
 	// together may let through Excess times what the rate allows and Slack requests beyond the
 	// limit and its burst. Hosts use a part of it while they cannot know whether a limit is
-	// reached. An Excess from 1 on is the whole factor, such as 1.25 for 0.25, because platforms
-	// name either. Defaults: 0 and 0, limits are exact; the window is 5s.
+	// reached. Defaults: 0 and 0, limits are exact; the window is 5s.
 	Excess float64         `yaml:"excess"`
 	Slack  float64         `yaml:"slack"`
 	Window config.Duration `yaml:"window"`
 }
 
-// ExcessPart returns Excess as a part of the limit.
-func (q Quota) ExcessPart() float64 {
-	if q.Excess >= 1 {
-		return q.Excess - 1
-	}
-	return q.Excess
-}
-
 // Policy configures backend selection when forwarding is off.
 type Policy struct {
 	// DisabledMechanisms lists mechanisms to disable, to measure their effect; see
@@ -433,8 +424,8 @@
 	if ratio := s.Scheduling.WaitQueue.DeferralRatio; !(ratio >= minDeferralRatio && ratio <= maxDeferralRatio) {
 		v.addf("scheduling.wait_queue.deferral_ratio", "%g is outside %g to %g", ratio, minDeferralRatio, maxDeferralRatio)
 	}
-	if !(s.Quota.Excess >= 0 && s.Quota.Excess < 2) {
-		v.addf("quota.excess", "%g is not from 0 to below 2: specify the permitted excess as a part of the limit, such as 0.25, or with the limit, such as 1.25", s.Quota.Excess)
+	if !(s.Quota.Excess >= 0 && s.Quota.Excess < 1) {
+		v.addf("quota.excess", "%g is not from 0 to below 1: specify the permitted excess as a part of the limit, such as 0.25", s.Quota.Excess)
 	}
 	if !(s.Quota.Slack >= 0 && s.Quota.Slack <= maxQuotaSlack) {
 		v.addf("quota.slack", "%g is outside 0 to %g", s.Quota.Slack, float64(maxQuotaSlack))
