--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,7 @@
 	MaxBufferBytes           = 16 << 20
 	DefaultQuotaWindow       = 5 * time.Second
 	maxQuotaSlack            = 1e6
+	maxQuotaExcess           = 10
 	maxCores                 = 4096
 	maxMemoryMB              = 16 << 20
 	DefaultDirectAfter       = 2 * time.Second
@@ -424,8 +425,8 @@
 	if ratio := s.Scheduling.WaitQueue.DeferralRatio; !(ratio >= minDeferralRatio && ratio <= maxDeferralRatio) {
 		v.addf("scheduling.wait_queue.deferral_ratio", "%g is outside %g to %g", ratio, minDeferralRatio, maxDeferralRatio)
 	}
-	if !(s.Quota.Excess >= 0 && s.Quota.Excess < 1) {
-		v.addf("quota.excess", "%g is not from 0 to below 1: specify the permitted excess as a part of the limit, such as 0.25", s.Quota.Excess)
+	if !(s.Quota.Excess >= 0 && s.Quota.Excess <= maxQuotaExcess) {
+		v.addf("quota.excess", "%g is outside 0 to %g: specify the permitted excess as a part of the limit, such as 0.25", s.Quota.Excess, float64(maxQuotaExcess))
 	}
 	if !(s.Quota.Slack >= 0 && s.Quota.Slack <= maxQuotaSlack) {
 		v.addf("quota.slack", "%g is outside 0 to %g", s.Quota.Slack, float64(maxQuotaSlack))
