--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -24,8 +24,9 @@
 	// to. Both are zero for an owner host.
 	view   *world.ServiceView
 	server process.Server
-	// dataCentre is the server's data centre.
+	// dataCentre is the server's data centre; isRemote is set if it is not this host's.
 	dataCentre string
+	isRemote   bool
 	// adjust modifies the outgoing headers.
 	adjust func(http.Header)
 }
@@ -42,6 +43,7 @@
 		adjust:    x.targetHeader(lease),
 
 		dataCentre: lease.Server.DataCentre,
+		isRemote:   lease.Server.DataCentre != x.snap.Self.DataCentre,
 	}
 }
 
@@ -64,7 +66,7 @@
 	if x.d.conf.BeforeWrite != nil {
 		x.d.conf.BeforeWrite(x.req)
 	}
-	if x.d.crossZone != nil && to.dataCentre != "" && to.dataCentre != x.snap.Self.DataCentre {
+	if x.d.crossZone != nil && to.isRemote {
 		ctx = upstream.WithMeter(ctx, x.d.crossZone)
 	}
 	response, failure := to.transport.Do(ctx, out, func() error { return x.checkBeforeWrite(to, token) }, to.maxIdle)
