Policy: one test for a standing queue

Admission and the wait queue each compared the share of late answers with the threshold. Behaviour is unchanged.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -63,7 +63,7 @@
 	}
 	strictness := fairness * svc.strictness(now, req)
 	late := svc.latencies.probabilityAfter(req.objectiveLeft(now), expected)
-	if svc.lateShare(now) > strictness*standingShare && late > strictness*standingLate {
+	if svc.hasStandingQueue(now, strictness) && late > strictness*standingLate {
 		return errs.New(errs.KindQueueFull, "the queue of "+req.Service+" is not draining: the answer would be late", "repeat the request after the time in Retry-After")
 	}
 	return nil
--- a/internal/policy/defer.go
+++ b/internal/policy/defer.go
@@ -102,10 +102,10 @@
 	return choice{server: c.free, state: c.freeState, cost: c.freeCost, eligible: c.eligible}, true
 }
 
-// hasStandingQueue reports whether so many answers are late that requests of this priority are refused:
+// hasStandingQueue reports whether so many answers are late that requests of this strictness are refused:
 // a queue that does not drain only delays what waits for it.
-func (svc *service) hasStandingQueue(now time.Time, req Request) bool {
-	return svc.lateShare(now) > svc.strictness(now, req)*standingShare
+func (svc *service) hasStandingQueue(now time.Time, strictness float64) bool {
+	return svc.lateShare(now) > strictness*standingShare
 }
 
 // deferred returns a NoFreeSlot for a request that is to wait in the host, otherwise nil. best is
@@ -126,7 +126,7 @@
 			share = waitedQueueShare
 		}
 		if shortest := svc.yieldsTo(now, req); shortest > 0 && t.routeIfKnown(now, req.Group) != nil {
-			yields = (req.OthersWait || e.exceedsQueue(shortest, share)) && !svc.hasStandingQueue(now, req)
+			yields = (req.OthersWait || e.exceedsQueue(shortest, share)) && !svc.hasStandingQueue(now, svc.strictness(now, req))
 		}
 		slowness = best.state.slowness
 	}
