--- a/experiment/replay/retrywait_test.go
+++ b/experiment/replay/retrywait_test.go
@@ -6,19 +6,25 @@
 	"github.com/pearshelf/pearshelf/internal/policy"
 )
 
-// While hosts are restarted in turn, those in their first window have less than one retry each.
-// Requests that failed were not retried although others had retries left: they wait for one now.
-func TestRestartedHostsGetRetries(t *testing.T) {
-	t.Parallel()
-	pattern, err := Load("rolling-restart")
+// playWithout sums plays of a pattern with all mechanisms, and without some of them.
+func playWithout(t *testing.T, name string, mechanisms ...policy.Mechanism) (with, without *Result) {
+	t.Helper()
+	_, with, err := sumSeeds(name, seeds, Config{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	with, without := newResult(pattern), newResult(pattern)
-	for seed := range uint64(seeds) {
-		with.add(Run(pattern, Config{Seed: seed + 1}))
-		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismGiftWait, policy.MechanismPooledRetries, policy.MechanismYoungReserve}}))
+	_, without, err = sumSeeds(name, seeds, Config{Without: mechanisms})
+	if err != nil {
+		t.Fatal(err)
 	}
+	return with, without
+}
+
+// While hosts are restarted in turn, those in their first window have less than one retry each.
+// Requests that failed were not retried although others had retries left: they wait for one now.
+func TestRestartedHostsGetRetries(t *testing.T) {
+	t.Parallel()
+	with, without := playWithout(t, "rolling-restart", policy.MechanismGiftWait, policy.MechanismPooledRetries, policy.MechanismYoungReserve)
 	lookup, before := with.route("lookup"), without.route("lookup")
 	t.Logf("%d of %d lookups not retried, %.4f unserved; without %d, %.4f", lookup.Withheld, lookup.Asked, lookup.Unserved(), before.Withheld, before.Unserved())
 	if float64(lookup.Withheld) > 0.75*float64(before.Withheld) || lookup.Unserved() > before.Unserved() {
@@ -33,15 +39,7 @@
 // failing, unless it takes over what they know.
 func TestRestartedHostsKnowFailingServers(t *testing.T) {
 	t.Parallel()
-	pattern, err := Load("rolling-restart")
-	if err != nil {
-		t.Fatal(err)
-	}
-	with, without := newResult(pattern), newResult(pattern)
-	for seed := range uint64(seeds) {
-		with.add(Run(pattern, Config{Seed: seed + 1}))
-		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismHandover}}))
-	}
+	with, without := playWithout(t, "rolling-restart", policy.MechanismHandover)
 	purchase, before := with.route("purchase"), without.route("purchase")
 	t.Logf("%d of %d purchases failed, without %d", purchase.Failed, purchase.Asked, before.Failed)
 	if float64(purchase.Failed) > 0.93*float64(before.Failed) {
@@ -53,15 +51,7 @@
 // first served, both kinds got as many.
 func TestRetriesGoWhereTheyEarnMost(t *testing.T) {
 	t.Parallel()
-	pattern, err := Load("retry-value")
-	if err != nil {
-		t.Fatal(err)
-	}
-	with, without := newResult(pattern), newResult(pattern)
-	for seed := range uint64(seeds) {
-		with.add(Run(pattern, Config{Seed: seed + 1}))
-		without.add(Run(pattern, Config{Seed: seed + 1, Without: []policy.Mechanism{policy.MechanismRetryBenefit}}))
-	}
+	with, without := playWithout(t, "retry-value", policy.MechanismRetryBenefit)
 	for _, route := range []string{"booking", "export"} {
 		t.Logf("%s: %.4f unserved, without %.4f", route, with.route(route).Unserved(), without.route(route).Unserved())
 	}
