--- a/review/_play/lateanswers.go
+++ b/review/_play/lateanswers.go
@@ -13,9 +13,9 @@
 		servers = 10
 		slots   = 4
 		queue   = 2
-		work    = 100 * time.Millisecond
-		rate    = 300.0 // a second; the servers can do 400
-		clump   = 12
+		work    = 50 * time.Millisecond
+		rate    = 560.0 // a second; the servers can do 800
+		clump   = 14
 		length  = 30 * time.Second
 	)
 	w, err := newWorld(p, []string{"bidpost"}, []route{
