Dispatch: a late rejection of another request counts for none

Cause: roundTrip took a response for a rejection by its status and headers, and compared the request ID only afterwards. A faulty server may send a rejection a second time where the response to the next request of the connection is expected; the host then sent that request, which the server was running, to another server. isFromServer knew the ID to be wrong for the load report of the same response. A rejection without an ID on a kept connection counted too.

isForThisRequest now decides whose a response is before anything that it states counts: by its ID, or without one by a connection that has carried no other request. Any other response is mismatched: the outcome is unknown, which is true, and only idempotent requests are sent again.

Event 601 names the status and the ID of such a response.

--- /dev/null
+++ b/internal/dispatch/identity_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pearshelf/pearshelf/internal/availability"
+	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/metrics"
+	"github.com/pearshelf/pearshelf/internal/process"
+	"github.com/pearshelf/pearshelf/internal/protocol"
+	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/internal/world"
+)
+
+const (
+	ownID     = "own"
+	anotherID = "another"
+	targetID  = "Target"
+)
+
+// unlimited is a RateLimits that never withholds a request.
+type unlimited struct{ RateLimits }
+
+func (unlimited) RecordLimit(process.Server, time.Time, protocol.RateLimit) {}
+
+// newSendingExchange returns the exchange of a request with the ID ownID, which can be sent to any
+// address.
+func newSendingExchange(t *testing.T) *exchange {
+	t.Helper()
+	proto := protocol.Default()
+	proto.Target = targetID
+	req := NewRequest(httptest.NewRequest(http.MethodPost, "/x", nil))
+	req.ID, req.Deadline, req.Idempotent = ownID, time.Now().Add(time.Minute), true
+	if err := req.body.buffer(); err != nil {
+		t.Fatal(err)
+	}
+	transport := upstream.NewTransport(upstream.Config{})
+	t.Cleanup(transport.Close)
+	snap := &world.Snapshot{}
+	return &exchange{
+		d: &Dispatcher{
+			proto: proto, conf: Config{PeerScheme: "http"}, backends: transport, owners: transport,
+			availability: availability.NewTable(time.Now), rateLimits: unlimited{},
+			metrics: metrics.New(prometheus.NewRegistry()), snapshot: func() *world.Snapshot { return snap },
+		},
+		req: req, snap: snap, view: &world.ServiceView{},
+	}
+}
+
+// serverWith returns the address of a server whose responses have a status and headers. A value of
+// "" for the request ID leaves it out.
+func serverWith(t *testing.T, status int, header map[string]string) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for name, value := range header {
+			if value != "" {
+				w.Header().Set(name, value)
+			}
+		}
+		w.WriteHeader(status)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// openConnection leaves a kept connection to an address, so that the next request does not get a
+// new one.
+func openConnection(t *testing.T, transport *upstream.Transport, address string) {
+	t.Helper()
+	out, err := http.NewRequest(http.MethodGet, "http://"+address, upstream.Body(nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, failure := transport.Do(t.Context(), out, nil, 0)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	response.DrainAndClose()
+}
+
+// What a response states counts only if it is a response to this request: a rejection or load
+// report that a server sent late, for another request of the same connection, must not be taken
+// for this one's. Guards against running a non-idempotent request twice.
+func TestResponseCountsOnlyForItsRequest(t *testing.T) {
+	rejections := map[string]struct {
+		status int
+		notRun string
+	}{
+		"rejection":   {http.StatusServiceUnavailable, "true"},
+		"misdirected": {http.StatusMisdirectedRequest, ""},
+		"own error":   {http.StatusInternalServerError, ""},
+	}
+	for _, c := range []struct {
+		id               string
+		reused           bool
+		allowMissingEcho bool
+		isForThis        bool
+	}{
+		{id: ownID, reused: false, isForThis: true},
+		{id: ownID, reused: true, isForThis: true},
+		{id: anotherID, reused: false, isForThis: false},
+		{id: anotherID, reused: true, isForThis: false},
+		{id: anotherID, reused: true, allowMissingEcho: true, isForThis: false},
+		{id: "", reused: false, isForThis: true},
+		{id: "", reused: true, isForThis: false},
+		{id: "", reused: true, allowMissingEcho: true, isForThis: true},
+	} {
+		for name, rejection := range rejections {
+			t.Run(fmt.Sprintf("%s, id %q, reused %t, missing allowed %t", name, c.id, c.reused, c.allowMissingEcho), func(t *testing.T) {
+				x := newSendingExchange(t)
+				address := serverWith(t, rejection.status, map[string]string{
+					protocol.HeaderRequestID: c.id, protocol.HeaderNotRun: rejection.notRun, protocol.HeaderLoad: "3/4",
+				})
+				if c.reused {
+					openConnection(t, x.d.backends, address)
+				}
+				x.view.Config = &config.Service{AllowMissingEcho: c.allowMissingEcho}
+				result := x.roundTrip(t.Context(), destination{transport: x.d.backends, scheme: "http", address: address, view: x.view, adjust: func(http.Header) {}})
+				if result.failure != nil {
+					t.Fatal(result.failure)
+				}
+				if result.response.Reused != c.reused {
+					t.Fatalf("connection reused %t, want %t", result.response.Reused, c.reused)
+				}
+				isRejection := name != "own error"
+				if got, want := result.kind == responseNotRun, isRejection && c.isForThis; got != want {
+					t.Errorf("counts as not run: %t, want %t", got, want)
+				}
+				if !c.isForThis && result.kind != responseMismatched {
+					t.Errorf("kind %d, want that of a mismatched response", result.kind)
+				}
+				if got, want := result.reported.Load != nil, name != "misdirected" && c.isForThis; got != want {
+					t.Errorf("load report counts: %t, want %t", got, want)
+				}
+			})
+		}
+	}
+}
+
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -70,10 +71,19 @@
 	lease.attempt.finish("wrong-answer")
 	x.tried = append(x.tried, lease.Server.ID)
 	x.observe(lease, peerpb.Observation_KIND_FAILED, 0)
-	x.d.events.Record(event.AnswerWrong, x.req.Service, lease.Server.ID, "response carries another request's ID, or no signature")
+	x.d.events.Record(event.AnswerWrong, x.req.Service, lease.Server.ID, x.describeMismatch(response))
 	return refuseUnknown(errs.New(errs.KindWrongAnswer, "backend server "+lease.Server.ID+" sent a response that does not belong to this request", "ask for the outcome before repeating a non-idempotent request"))
 }
 
+// describeMismatch says, for events, to which request a response belongs instead of this one.
+func (x *exchange) describeMismatch(response *upstream.Answer) string {
+	echo := response.Header.Get(x.d.proto.RequestID)
+	if echo == x.req.ID {
+		return fmt.Sprintf("response to request %s with status %d has no signature or is encoded", x.req.ID, response.StatusCode)
+	}
+	return fmt.Sprintf("response with status %d and request ID %.40q instead of that to request %s", response.StatusCode, echo, x.req.ID)
+}
+
 // truncationError distinguishes a deadline that passed while the body was read from a broken
 // connection.
 func (x *exchange) truncationError(ctx context.Context, err error) *errs.Error {
@@ -136,14 +146,20 @@
 	if proto.IdentityEncodingOnly && response.Header.Get("Content-Encoding") != "" {
 		return false
 	}
-	return x.echoesRequestID(response, view)
+	if response.Header.Get(proto.RequestID) == "" {
+		return view.Config.AllowMissingEcho
+	}
+	return x.isForThisRequest(response, view)
 }
 
-// echoesRequestID reports whether a response carries the ID of this request.
-func (x *exchange) echoesRequestID(response *upstream.Answer, view *world.ServiceView) bool {
-	echo := response.Header.Get(x.d.proto.RequestID)
-	if echo == "" {
-		return view.Config.AllowMissingEcho
+// isForThisRequest reports whether a response was sent in reply to this request. What a response
+// states about the request or its server counts only then: a faulty server may send an extra
+// response where the one to the connection's next request is expected. A response without an ID
+// is identified by its connection if that has carried no other request. view is nil for a
+// response of another host.
+func (x *exchange) isForThisRequest(response *upstream.Answer, view *world.ServiceView) bool {
+	if echo := response.Header.Get(x.d.proto.RequestID); echo != "" {
+		return echo == x.req.ID
 	}
-	return echo == x.req.ID
+	return !response.Reused || view != nil && view.Config.AllowMissingEcho
 }
--- a/internal/dispatch/roundtrip.go
+++ b/internal/dispatch/roundtrip.go
@@ -15,7 +15,7 @@
 
 const (
 	responseOwn        responseKind = iota // valid response of the server to this request
-	responseNotRun                         // the server reports that it did not run the request
+	responseNotRun                         // response to this request: the server did not run it
 	responseMismatched                     // belongs to another request, or is not from the server
 )
 
@@ -62,6 +62,8 @@
 	result := sendResult{response: response, reported: reported, failure: failure}
 	switch {
 	case failure != nil:
+	case !x.isForThisRequest(response, to.view):
+		result.kind = responseMismatched
 	case x.isMisdirected(response), x.d.proto.IsNotRun(response.Header):
 		result.kind = responseNotRun
 	case !x.isResponseTo(response, to.view):
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -46,11 +46,9 @@
 }
 
 // isFromServer reports whether a response is from the server that was asked. Another server
-// may have its address by now, and a response with the ID of another request may be from any
-// server. A response without an ID came on a connection that carried only this request.
+// may have its address by now, and a response to another request may be from any server.
 func (x *exchange) isFromServer(response *upstream.Answer, to destination) bool {
-	echo := response.Header.Get(x.d.proto.RequestID)
-	return !x.isMisdirected(response) && (echo == "" || x.echoesRequestID(response, to.view))
+	return !x.isMisdirected(response) && x.isForThisRequest(response, to.view)
 }
 
 // recordServerState records the state that a server reports, and emits events for changes.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -52,7 +52,9 @@
 mutant "a server's report at an owner's pick" internal/slots/pool.go 's/return req.Available == nil || req.Available(b)/return true/' ./internal/slots
 mutant "a server's report at the first byte" internal/dispatch/send.go 's/if err := x.checkServer(to); err != nil {/if err := x.checkServer(to); err != nil \&\& false {/' ./platform -run UpToTheFirstByte
 mutant "rotation at the first byte" internal/dispatch/serverstate.go 's/if view == to.view || view == nil || view.Backend(to.server.ID) != nil {/if view == nil || len(view.Backends) >= 0 {/' ./platform -run UpToTheFirstByte
-mutant "whose report" internal/dispatch/serverstate.go 's/return !x.isMisdirected(response) \&\& .*/return !x.isMisdirected(response) || echo != ""/' ./platform -run WhoseReport
+mutant "whose report" internal/dispatch/serverstate.go 's/return !x.isMisdirected(response) \&\& .*/return !x.isMisdirected(response)/' ./platform -run WhoseReport
+mutant "identity before a rejection" internal/dispatch/roundtrip.go 's/case !x.isForThisRequest(response, to.view):/case false:/' ./platform -run LateRejection
+mutant "identity of a response without an ID" internal/dispatch/result.go 's/return !response.Reused || view/return view == nil || view/' ./internal/dispatch -run CountsOnlyForItsRequest
 mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
 mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(state.RestUntil)//' ./internal/availability
