Dispatch: what another host states counts only for its own request

The same cause as with backend servers: forward and relayThrough looked for a decline before the request ID was compared, and a download was resumed by a response with any ID.

Failed before, pass now: TestLateDeclineOfAnotherRequest (owner host, relay: "done false, error <nil>; want the outcome unknown"), TestResumeByAnotherRequestsResponse ("resumed by a response with the ID another: true, want false"). TestHostWithoutPathDeclinesARelayedRequest gets a protocol, which hostDeclined now reads; its checks are unchanged.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -57,6 +57,9 @@
 // only that host, so that another one may run it. A host that lost its path to the servers while
 // it had an idempotent request has declined it too.
 func (x *exchange) hostDeclined(response *upstream.Answer) bool {
+	if !x.isForThisRequest(response, nil) {
+		return false
+	}
 	kind := errs.Kind(response.Header.Get(HeaderKind))
 	switch Outcome(response.Header.Get(HeaderOutcome)) {
 	case OutcomeNotRun:
@@ -116,9 +119,13 @@
 			others.headers(h)
 			at.setHeaders(h)
 		}))
-		if failure == nil {
+		if failure != nil {
+			continue
+		}
+		if x.isForThisRequest(response, nil) {
 			return response
 		}
+		response.Discard()
 	}
 	return nil
 }
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/availability"
 	"github.com/pearshelf/pearshelf/internal/config"
+	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/process"
 	"github.com/pearshelf/pearshelf/internal/protocol"
@@ -144,3 +145,43 @@
 	}
 }
 
+// A decline that another host sent for another request must not lead to a second send of this one:
+// the host may have passed it to a server.
+func TestLateDeclineOfAnotherRequest(t *testing.T) {
+	address := serverWith(t, http.StatusServiceUnavailable, map[string]string{
+		protocol.HeaderRequestID: anotherID, HeaderOutcome: string(OutcomeNotRun), HeaderKind: string(errs.KindStaleHost),
+	})
+	for name, send := range map[string]func(x *exchange) (bool, error){
+		"owner host": func(x *exchange) (bool, error) {
+			x.view.Owners = []world.OwnerView{{Host: "h2", Address: address}}
+			return x.forward(t.Context())
+		},
+		"relay": func(x *exchange) (bool, error) {
+			x.d.relays = newRelayTable()
+			return x.relayThrough(t.Context(), world.RelayHost{OwnerView: world.OwnerView{Host: "h2", Address: address}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			done, err := send(newSendingExchange(t))
+			refusal, ok := err.(*Refusal)
+			if !done || !ok || refusal.Outcome != OutcomeUnknown {
+				t.Errorf("done %t, error %v; want the outcome unknown", done, err)
+			}
+		})
+	}
+}
+
+// A download is resumed only by a response to this request: the validators of different resources
+// may be equal.
+func TestResumeByAnotherRequestsResponse(t *testing.T) {
+	for id, want := range map[string]bool{ownID: true, anotherID: false} {
+		x := newSendingExchange(t)
+		address := serverWith(t, http.StatusPartialContent, map[string]string{protocol.HeaderRequestID: id, "ETag": `"v1"`})
+		others := otherHosts{func() []world.OwnerView { return []world.OwnerView{{Host: "h2", Address: address}} }, func(http.Header) {}}
+		response := x.reopenAtHost(t.Context(), rangeRequest{offset: 1, etag: `"v1"`}, others, new([]string))
+		if (response != nil) != want {
+			t.Errorf("resumed by a response with the ID %s: %t, want %t", id, response != nil, want)
+		}
+	}
+}
+
--- a/internal/dispatch/relay_test.go
+++ b/internal/dispatch/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/metrics"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
@@ -98,7 +99,7 @@
 // A host that has found servers unreachable itself declines a relayed request, so that another host
 // may take it, instead of trying all of its servers.
 func TestHostWithoutPathDeclinesARelayedRequest(t *testing.T) {
-	x := &exchange{d: &Dispatcher{balance: balance.NewTable(time.Now, policy.Config{})}, req: &Request{ForwardedBy: "h1"}, snap: &world.Snapshot{HostsRelay: true}}
+	x := &exchange{d: &Dispatcher{proto: protocol.Default(), balance: balance.NewTable(time.Now, policy.Config{})}, req: &Request{ForwardedBy: "h1"}, snap: &world.Snapshot{HostsRelay: true}}
 	if x.isCutOff() {
 		t.Error("declined without a reason")
 	}
