Dispatch: no second send on the connection of a borrowed slot's rejection

The same cause on the path of owner hosts: a request whose borrowed slot was in use may go to the same server again with the same ID, on the connection on which the rejection came. A late repetition of the rejection would count for the second send. That connection is closed for requests that are not idempotent.

Failed before, passes now: TestRejectionOfBorrowedSlotClosesConnection ("borrowed true: next send on the same connection true").

--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -185,3 +185,29 @@
 	}
 }
 
+// A request whose borrowed slot was in use may be sent to the same server again, with the same ID.
+// It must not go out on the same connection: the rejection could arrive once more there, and count
+// for the second send. Guards against running a non-idempotent request twice.
+func TestRejectionOfBorrowedSlotClosesConnection(t *testing.T) {
+	x := newSendingExchange(t)
+	x.state = &serviceState{budget: newRetryBudget()}
+	address := serverWith(t, http.StatusServiceUnavailable, map[string]string{protocol.HeaderRequestID: ownID, protocol.HeaderNotRun: "true"})
+	to := destination{transport: x.d.backends, scheme: "http", address: address, view: x.view, adjust: func(http.Header) {}}
+	for _, borrowed := range []bool{false, true, false} {
+		first := x.roundTrip(t.Context(), to)
+		if first.failure != nil {
+			t.Fatal(first.failure)
+		}
+		x.req.Idempotent = false
+		x.handleNotRun(&serverLease{Borrowed: borrowed, attempt: &attempt{}}, first.response)
+		x.req.Idempotent = true // sent although this host's view is never fresh
+		second := x.roundTrip(t.Context(), to)
+		if second.failure != nil {
+			t.Fatal(second.failure)
+		}
+		if second.response.Reused == borrowed {
+			t.Errorf("borrowed %t: next send on the same connection %t", borrowed, second.response.Reused)
+		}
+		second.response.DrainAndClose()
+	}
+}
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -52,7 +52,13 @@
 
 // handleNotRun records that the server did not run the request.
 func (x *exchange) handleNotRun(lease *serverLease, response *upstream.Answer) *Refusal {
-	response.DrainAndClose()
+	if lease.Borrowed && !x.req.Idempotent {
+		// The request may go to the same server again, where a late repetition of this response
+		// on the same connection would count for the second send.
+		response.Discard()
+	} else {
+		response.DrainAndClose()
+	}
 	lease.attempt.finish("not-run/" + strconv.Itoa(response.StatusCode))
 	if x.isMisdirected(response) {
 		// Another server has the address: the intended one is gone.
