Config: one limit for documents, above every translation of a store's value

Cause: maxDocumentBytes was the store's ValueBytes, 1 MiB, but was applied to the translation into the hosts' own format, which is longer: each route repeats its host name, a digest stands for each key. The newest configuration, which the store had taken, was refused for good ("document has 1067242 bytes, limit is 1048576"), and the store has no older one for hosts that start.

MaxDocumentBytes, 16 MiB, now limits every document in the hosts' format, where it is read and where a peer's response is unpacked. The lengths of the worst translations of 1 MiB are 1.1 to 6.2 MB. A peer's document beyond the limit is refused instead of cut off.

Failed before, pass now: - TestConfigurationAtStoreLimitIsInForce: "/large0/ is answered with 404", event config-refused "document has 1386884 bytes, limit is 1048576" - TestLargestConfigurationsAreAccepted: 6 of 8 rows, such as "document has 6174645 bytes, limit is 1048576" - TestLargestDocumentFromPeer (with the old DecodeContent, as a mutant)

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,10 +33,15 @@
 	MaxAttempts          = 100
 	MaxBackendsPerShard  = 20_000
 	minDuration          = time.Millisecond
-	maxDocumentBytes     = 1 << 20
-	maxDiscoveredBytes   = 8 << 20 // 20,000 registered servers of at most 400 bytes each
 	remedyFixAndPublish  = "correct the document and publish it again; the last valid version remains active"
 	allowedDetectionText = "fast or careful"
+
+	// MaxDocumentBytes limits a document in this format, before compression. It must not refuse
+	// what operators may publish: a platform that allows values of 1 MiB may have them in a format
+	// of its own, whose translation is several times as long, because it repeats the host name in
+	// each route and has a digest in place of each key. It also leaves room for the list of
+	// 20,000 backend servers, of at most 400 bytes each.
+	MaxDocumentBytes = 16 << 20
 )
 
 // Detection selects a service's trade-off between detection time and false
@@ -222,7 +227,7 @@
 // ParseDocument parses and validates a shard document and applies defaults.
 func ParseDocument(raw []byte) (*Document, error) {
 	doc := &Document{}
-	if err := decode(raw, doc, maxDocumentBytes); err != nil {
+	if err := decode(raw, doc); err != nil {
 		return nil, err
 	}
 	check := &validator{}
@@ -236,7 +241,7 @@
 // ParseHostList parses and validates the host list.
 func ParseHostList(raw []byte) (*HostList, error) {
 	list := &HostList{}
-	if err := decode(raw, list, maxDocumentBytes); err != nil {
+	if err := decode(raw, list); err != nil {
 		return nil, err
 	}
 	check := &validator{}
@@ -253,15 +258,15 @@
 // ParseIndex parses the shard index.
 func ParseIndex(raw []byte) (*Index, error) {
 	index := &Index{}
-	if err := decode(raw, index, maxDocumentBytes); err != nil {
+	if err := decode(raw, index); err != nil {
 		return nil, err
 	}
 	return index, nil
 }
 
-func decode(raw []byte, into any, limitBytes int) error {
-	if len(raw) > limitBytes {
-		return errs.New(errs.KindConfig, fmt.Sprintf("document has %d bytes, limit is %d", len(raw), limitBytes), "split it into more shards")
+func decode(raw []byte, into any) error {
+	if len(raw) > MaxDocumentBytes {
+		return errs.New(errs.KindConfig, fmt.Sprintf("document has %d bytes, limit is %d", len(raw), MaxDocumentBytes), "split it into more shards")
 	}
 	err := decodeStrict(raw, into)
 	if errors.Is(err, io.EOF) {
--- a/internal/config/discovered.go
+++ b/internal/config/discovered.go
@@ -35,7 +35,7 @@
 // not affect the others.
 func ParseDiscovered(raw []byte) (found *Discovered, faults []string, err error) {
 	found = &Discovered{}
-	if err := decode(raw, found, maxDiscoveredBytes); err != nil {
+	if err := decode(raw, found); err != nil {
 		return nil, nil, err
 	}
 	check := &validator{}
--- a/internal/system/configsync/answer.go
+++ b/internal/system/configsync/answer.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -20,8 +22,6 @@
 	// same document at the same time. Remaining times in a reused answer are too long by up to
 	// this value.
 	answerCacheTTL = 400 * time.Millisecond
-	// maxDocumentBytes limits the size of a decompressed document.
-	maxDocumentBytes = 16 << 20
 )
 
 // compressors is a pool because each gzip writer takes 0.8 MB.
@@ -86,9 +86,12 @@
 	if err != nil {
 		return nil, errs.Wrap(err, errs.KindPeerUnreachable, "document from a peer has no valid gzip header", "no action needed: the document is fetched again")
 	}
-	raw, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes))
+	raw, err := io.ReadAll(io.LimitReader(reader, config.MaxDocumentBytes+1))
 	if err != nil {
 		return nil, errs.Wrap(err, errs.KindPeerUnreachable, "document from a peer cannot be decompressed", "no action needed: the document is fetched again")
 	}
+	if len(raw) > config.MaxDocumentBytes {
+		return nil, errs.New(errs.KindConfig, fmt.Sprintf("document from a peer has more than %d bytes", config.MaxDocumentBytes), "run the same version on all hosts")
+	}
 	return raw, nil
 }
