Claims: the test of a late release does not depend on random delays

The network now holds the releases back, and the test plays that order each time: nothing delivered, a quorum's part, the rest.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -17,11 +17,13 @@
 )
 
 // fakeNetwork connects tables without sockets. Calls take a random time of up to
-// delay, releases up to 20 times as long.
+// delay, releases up to 20 times as long. If heldReleases is set, it receives the
+// releases, which take effect when called.
 type fakeNetwork struct {
-	tables map[string]*claims.Table
-	down   map[string]bool
-	delay  time.Duration
+	tables       map[string]*claims.Table
+	down         map[string]bool
+	delay        time.Duration
+	heldReleases chan func()
 }
 
 // lateAttempts is the number of attempts to claim a held key while slow releases
@@ -53,8 +55,15 @@
 }
 
 func (s *fakePeer) Release(_ context.Context, req *peerpb.ReleaseRequest) (*peerpb.ReleaseResponse, error) {
+	release := func() {
+		s.n.tables[s.host].Release(claims.Key{Service: req.Service, Key: req.Key}, req.RequestId, req.Finished)
+	}
+	if s.n.heldReleases != nil {
+		s.n.heldReleases <- release
+		return &peerpb.ReleaseResponse{}, nil
+	}
 	s.n.simulateLatency(20 * s.n.delay)
-	s.n.tables[s.host].Release(claims.Key{Service: req.Service, Key: req.Key}, req.RequestId, req.Finished)
+	release()
 	return &peerpb.ReleaseResponse{}, nil
 }
 
@@ -184,24 +193,39 @@
 // The release of a claim by one owner may arrive after the same request has claimed
 // the key through another owner. It must not free the newer claim.
 func TestLateReleaseKeepsNewerClaim(t *testing.T) {
-	net, candidates := newNetwork(6, time.Minute, 5*time.Millisecond)
+	net, candidates := newNetwork(6, time.Minute, 0)
+	net.heldReleases = make(chan func(), len(candidates.Hosts))
 	key := claims.Key{Service: "s", Key: "k"}
-	first := claims.NewCoordinator("h0", net.tables["h0"], net, time.Second)
-	held, err := first.Claim(t.Context(), candidates, key, "request", time.Minute)
+	claim := func(host, request string) (*claims.Claim, error) {
+		return claims.NewCoordinator(host, net.tables[host], net, time.Second).Claim(t.Context(), candidates, key, request, time.Minute)
+	}
+	first, err := claim("h0", "request")
 	if err != nil {
 		t.Fatal(err)
 	}
-	held.Release(false) // takes up to 100 ms to arrive
-	second := claims.NewCoordinator("h1", net.tables["h1"], net, time.Second)
-	for err = errors.New("not yet"); err != nil; {
-		_, err = second.Claim(t.Context(), candidates, key, "request", time.Minute)
+	first.Release(false)
+	var releases []func()
+	for range len(candidates.Hosts) - 1 {
+		releases = append(releases, <-net.heldReleases)
 	}
-	third := claims.NewCoordinator("h2", net.tables["h2"], net, time.Second)
-	for range 3 * lateAttempts {
-		if _, err := third.Claim(t.Context(), candidates, key, "other", time.Minute); err == nil {
-			t.Fatal("late release freed a held key")
-		}
-		net.simulateLatency(2 * net.delay)
+	if _, err := claim("h1", "request"); errs.KindOf(err) != errs.KindDuplicateRequest {
+		t.Fatalf("claim of a key whose release has not arrived: got %v, want KindDuplicateRequest", err)
+	}
+	for range len(candidates.Hosts) - 1 { // of the claim that was refused
+		(<-net.heldReleases)()
+	}
+	early := claims.Quorum(len(candidates.Hosts)) - 1 // h0 has released its own vote
+	for _, release := range releases[:early] {
+		release()
+	}
+	if _, err := claim("h1", "request"); err != nil {
+		t.Fatal(err)
+	}
+	for _, release := range releases[early:] {
+		release()
+	}
+	if _, err := claim("h2", "other"); errs.KindOf(err) != errs.KindDuplicateRequest {
+		t.Fatalf("claim of a held key after late releases: got %v, want KindDuplicateRequest", err)
 	}
 }
 
