Dispatch: one function says whether a response is the server's valid one

isOwnResponse, isResponseTo, isForThisRequest and isFromServer were four names for three questions. isValidResponse (identity, signature, encoding) replaces the first two; it takes the view of the send in both places. The comment of Daemon.Stop is wrapped.

--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -62,10 +62,9 @@
 	}
 }
 
-// Stop shuts the host down gracefully: it announces the stop, keeps serving while the
-// load balancer and the other hosts learn of it, sends on or refuses the requests that wait for a
-// slot, drains the requests in flight and leaves
-// the fleet. If ctx ends, the remaining steps do not wait.
+// Stop shuts the host down gracefully: it announces the stop, keeps serving while the load
+// balancer and the other hosts learn of it, sends on or refuses the requests that wait for a slot,
+// drains the requests in flight and leaves the fleet. If ctx ends, the remaining steps do not wait.
 func (d *Daemon) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Timing.StopTimeout))
 	defer cancel()
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -104,7 +104,7 @@
 		next.Release()
 		return nil, nil
 	}
-	if !x.isOwnResponse(response) {
+	if !x.isValidResponse(response, to.view) {
 		response.Discard()
 		next.Release()
 		return nil, nil
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -138,12 +138,10 @@
 	return x.d.proto.Target != "" && response.StatusCode == http.StatusMisdirectedRequest
 }
 
-// isOwnResponse reports whether a response belongs to this request and is from the server.
-func (x *exchange) isOwnResponse(response *upstream.Answer) bool {
-	return x.isResponseTo(response, x.view)
-}
-
-func (x *exchange) isResponseTo(response *upstream.Answer, view *world.ServiceView) bool {
+// isValidResponse reports whether a response can be passed to the caller as the server's own: it was
+// sent in reply to this request, and has the signature and the encoding that the protocol requires.
+// view is the service when the request was sent.
+func (x *exchange) isValidResponse(response *upstream.Answer, view *world.ServiceView) bool {
 	proto := x.d.proto
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && proto.Signature != "" && response.Header.Get(proto.Signature) == "" {
--- a/internal/dispatch/roundtrip.go
+++ b/internal/dispatch/roundtrip.go
@@ -66,7 +66,7 @@
 		result.kind = responseMismatched
 	case x.isMisdirected(response), x.d.proto.IsNotRun(response.Header):
 		result.kind = responseNotRun
-	case !x.isResponseTo(response, to.view):
+	case !x.isValidResponse(response, to.view):
 		result.kind = responseMismatched
 	default:
 		result.truncated = bufferResponse(response, x.d.conf.BufferBytes, x.d.memory)
