Soak: servers that reject and send answers again, late

The soak could not have found that a late rejection of an earlier request was believed: its servers sent wrong IDs only with responses of requests that they had run. They now refuse a share of the requests and send a share of all answers again where the answer to the connection's next request is expected.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -59,6 +59,9 @@
 	{"server asks for rest", func(s *soak, ctx context.Context) {
 		s.failServer(ctx, backend.Faults{ShedAll: true, Rest: s.between(leastRest, mostRest)})
 	}},
+	{"late rejections", func(s *soak, ctx context.Context) {
+		s.failServer(ctx, backend.Faults{ShedRate: 0.5, LateRate: 0.5})
+	}},
 	{"server leaves", (*soak).leaveServer},
 	{"server names a limit", (*soak).limitServer},
 	{"server slow", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{SlowFactor: 8}) }},
--- a/experiment/soak/soak_test.go
+++ b/experiment/soak/soak_test.go
@@ -13,7 +13,8 @@
 // that ever failed stays here with a line on its cause.
 //
 //	104: a caller's own client sent a read twice when its connection broke
-var seeds = []uint64{1, 2, 104}
+//	205: late rejections of earlier requests were believed
+var seeds = []uint64{1, 2, 104, 205}
 
 // Every promise holds on real processes under faults from outside.
 func TestSoak(t *testing.T) {
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -36,8 +36,12 @@
 	CloseAfterRun bool
 	// Draining says so on every answer.
 	Draining bool
-	// ShedAll refuses every request as not run.
-	ShedAll bool
+	// ShedAll refuses every request as not run, ShedRate a share of them.
+	ShedAll  bool
+	ShedRate float64
+	// LateRate is the share of answers that are sent again where the answer to the connection's
+	// next request is expected.
+	LateRate float64
 	// Rest is what the server asks for with each refusal, 0 for nothing.
 	Rest time.Duration
 	// Unhealthy makes the health endpoint tell the truth.
@@ -103,7 +107,7 @@
 		runs:     make(map[string]int),
 	}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
-	go func() { _ = s.server.Serve(listener) }() // ends with Close
+	go func() { _ = s.server.Serve(lateListener{listener, s.repeatsLate}) }() // ends with Close
 	return s
 }
 
@@ -188,6 +192,7 @@
 	reset   bool
 	wrong   bool
 	cut     bool
+	shed    bool
 }
 
 func (s *Server) decide() plan {
@@ -204,9 +209,17 @@
 	p.reset = s.rng.Float64() < p.faults.ResetRate || p.faults.CloseAfterRun
 	p.wrong = s.rng.Float64() < p.faults.WrongIDRate
 	p.cut = s.rng.Float64() < p.faults.CutRate
+	p.shed = p.faults.ShedAll || s.rng.Float64() < p.faults.ShedRate
 	return p
 }
 
+// repeatsLate decides whether an answer is sent again.
+func (s *Server) repeatsLate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64() < s.faults.LateRate
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	p := s.decide()
 	id := r.Header.Get(protocol.HeaderRequestID)
@@ -255,7 +268,7 @@
 func (s *Server) enter(p plan) (inUse int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.faults.ShedAll || s.conf.Slots > 0 && s.inUse >= s.conf.Slots {
+	if p.shed || s.conf.Slots > 0 && s.inUse >= s.conf.Slots {
 		s.shed++
 		return s.inUse, false
 	}
