Dispatch: a request's target reaches the server as its caller sent it

A caller that sent /files/a|b had /files/a%7Cb at the server: net/url escapes what RFC 3986 does not allow unescaped, as do ^ { } " < > ` # and bytes beyond ASCII. A server that compares paths byte by byte serves another resource, and the host had changed the request.

The target is now passed on as it was received. Paths with a backslash are refused with 400 in either form; before, only the escaped form was.

TestRequestTargetReachesServerAsSent failed before for nine targets; it also draws random ones.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -220,6 +220,9 @@
 	url := *r.in.URL
 	url.Scheme = scheme
 	url.Host = address
+	if path, _, _ := strings.Cut(r.in.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		url.Opaque = path // as sent: URL.EscapedPath escapes what RFC 3986 does not allow
+	}
 	out := &http.Request{
 		Method:        r.in.Method,
 		URL:           &url,
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -319,7 +319,7 @@
 		clean += "/"
 	}
 	escaped := strings.ToLower(r.URL.RawPath)
-	if p != clean || strings.Contains(escaped, "%2f") || strings.Contains(escaped, "%5c") {
+	if p != clean || strings.Contains(escaped, "%2f") || strings.Contains(p, `\`) {
 		return refuse(http.StatusBadRequest, errs.KindBadRequest, "the path is ambiguous", "send it without empty, dot or escaped-slash segments")
 	}
 	return nil
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -205,6 +205,8 @@
 mutant "waiting requests are refused in time" internal/waitqueue/queue.go 's/arrivalFactor  *= 1.25/arrivalFactor = 1000/' ./internal/waitqueue
 mutant "each refused later" internal/waitqueue/queue.go 's/case priority <= item.Priority .*/case false:/' ./internal/waitqueue
 mutant "recheck without a report" internal/waitqueue/set.go 's/^	s.reviewWithin(now, RecheckInterval)$//' ./internal/balance -run LostReport
+mutant "unproven promise" internal/dispatch/roundtrip.go 's/case x.d.proto.StatusPromisesNotRun(response.StatusCode):/case false:/' ./platform -run TestServerErrorIsNoPromise
+mutant "target as sent" internal/dispatch/request.go 's/strings.HasPrefix(path, "\/") {/path == "" {/' ./platform -run TestRequestTargetReaches
 
 echo "$survivors survivors"
 exit "$((survivors > 0))"
