Dispatch: the test of a borrowed slot's rejection sends again what was not written

It now sends again under the same condition and bound, and a failure after a byte was written still fails it.

--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -185,6 +185,23 @@
 	}
 }
 
+// roundTripUntilWritten sends the request until a byte of it has left, as the dispatcher does: a
+// connection that was closed a moment ago may be picked once more. Any other failure fails the test.
+func (x *exchange) roundTripUntilWritten(t *testing.T, to destination) sendResult {
+	t.Helper()
+	for range maxUnsentFailures {
+		result := x.roundTrip(t.Context(), to)
+		if result.failure == nil {
+			return result
+		}
+		if result.failure.Written {
+			t.Fatal(result.failure)
+		}
+	}
+	t.Fatalf("no byte of the request was written on %d connections", maxUnsentFailures)
+	return sendResult{}
+}
+
 // A request whose borrowed slot was in use may be sent to the same server again, with the same ID.
 // It must not go out on the same connection: the rejection could arrive once more there, and count
 // for the second send. Guards against running a non-idempotent request twice.
@@ -194,17 +211,11 @@
 	address := serverWith(t, http.StatusServiceUnavailable, map[string]string{protocol.HeaderRequestID: ownID, protocol.HeaderNotRun: "true"})
 	to := destination{transport: x.d.backends, scheme: "http", address: address, view: x.view, adjust: func(http.Header) {}}
 	for _, borrowed := range []bool{false, true, false} {
-		first := x.roundTrip(t.Context(), to)
-		if first.failure != nil {
-			t.Fatal(first.failure)
-		}
+		first := x.roundTripUntilWritten(t, to)
 		x.req.Idempotent = false
 		x.handleNotRun(&serverLease{Borrowed: borrowed, attempt: &attempt{}}, first.response)
 		x.req.Idempotent = true // sent although this host's view is never fresh
-		second := x.roundTrip(t.Context(), to)
-		if second.failure != nil {
-			t.Fatal(second.failure)
-		}
+		second := x.roundTripUntilWritten(t, to)
 		if second.response.Reused == borrowed {
 			t.Errorf("borrowed %t: next send on the same connection %t", borrowed, second.response.Reused)
 		}
