Limit the head of a response to 64 KiB at every client

Callers of a host saw nothing at first: a server that sent a head, or interim responses, without end was read up to 10 MB a connection (net/http's default) by requests, copies, trials, health checks, calls to other hosts and calls to the store. Thirty such servers at a time are more than a small host has.

All clients are now made by upstream.NewHTTPTransport; a test finds any other. Responses of other hosts may have 4 KiB more, for the fields that a host adds to a server's head.

The error was that of a broken connection, so the host also checked whether the server had ended. It is head-too-long now: evidence against the server, also on a reused connection; an idempotent request goes to another server, any other is answered 502 as unknown. A head of 48 KiB passes.

Ruled out by the same tests: chunk extensions and trailers (net/http limits both), slow heads (they end at the request's deadline, 504 as unknown), and bodies of the store's list and watch (limited before).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -240,14 +240,23 @@
 		Meter:       d.relayMeter,
 		TLS:         tlsConf,
 		DialTimeout: min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
+
+		MaxHeadBytes: upstream.MaxHostHeadBytes,
 	})
-	d.probes = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: d.dialServer}}
+	d.probes = newProbeClient(d.dialServer)
 	d.platformWatcher = &platformWatcher{d: d}
 	d.observer = newObserver(d.bus, d.metrics, d.events, time.Duration(d.settings.Timing.Tick)/2)
 	d.observer.disabled = !*d.settings.Forwarding
 	return nil
 }
 
+// newProbeClient returns the client for health checks. Each opens a connection of its own.
+func newProbeClient(dial upstream.DialFunc) *http.Client {
+	transport := upstream.NewHTTPTransport(dial, upstream.MaxHeadBytes)
+	transport.DisableKeepAlives = true
+	return &http.Client{Transport: transport}
+}
+
 // serverDial returns the function that opens connections to backend servers.
 func serverDial(conf settings.Backend, hooks Hooks) upstream.DialFunc {
 	if hooks.DialServer != nil {
--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -41,6 +41,7 @@
 	KindServerShed          Kind = "backend-server-shed"
 	KindAnswerBroken        Kind = "answer-broken"
 	KindWrongAnswer         Kind = "wrong-answer"
+	KindHeadTooLong         Kind = "head-too-long"
 	KindHostFailed          Kind = "host-failed"
 	KindDeadline            Kind = "deadline-exceeded"
 	KindQuarantined         Kind = "request-quarantined"
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -91,6 +91,8 @@
 		return Cause{CauseConnectionBroken, "the connection to server " + last.server + " broke after the request was sent: it may have run" + retryNote(r)}
 	case kind == "wrong-answer":
 		return Cause{CauseWrongAnswer, "server " + last.server + " sent a response that belongs to another request" + retryNote(r)}
+	case kind == "head-too-long":
+		return Cause{CauseWrongAnswer, "server " + last.server + " sent a response whose head is too long: it may have run the request" + retryNote(r)}
 	case strings.HasSuffix(last.result, "/504"):
 		return Cause{CauseTimeout, "server " + last.server + " gave up at the request's deadline"}
 	default:
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -38,6 +38,7 @@
 	errs.KindQueueTimeout:    "connection_limit_reached",
 	errs.KindServerShed:      "destination_unavailable",
 	errs.KindWrongAnswer:     "http_protocol_error",
+	errs.KindHeadTooLong:     "http_response_header_section_size",
 	errs.KindBadRequest:      "http_request_error",
 	errs.KindCustomerLimit:   "http_request_denied",
 	errs.KindUnknownKey:      "http_request_denied",
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
 const (
@@ -31,12 +32,10 @@
 	if conf != nil {
 		scheme = "https"
 	}
-	transport := &http.Transport{
-		TLSClientConfig:     conf,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DialContext:         dialer.DialContext,
-	}
+	transport := upstream.NewHTTPTransport(dialer.DialContext, upstream.MaxHeadBytes)
+	transport.TLSClientConfig = conf
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	transport.IdleConnTimeout = idleTimeout
 	return &Clients{
 		scheme: scheme,
 		http:   &http.Client{Transport: transport},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
 const (
@@ -62,7 +64,10 @@
 
 // NewClient returns a client of the platform at a base URL.
 func NewClient(base string) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{}}
+	transport := upstream.NewHTTPTransport((&net.Dialer{Timeout: CallTimeout}).DialContext, upstream.MaxHeadBytes)
+	transport.Proxy = http.ProxyFromEnvironment
+	transport.ForceAttemptHTTP2 = true
+	return &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
 }
 
 // Documents returns nil: the index says what there is.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -25,6 +25,8 @@
 	writes uint64
 	sealed bool
 	guard  Guard
+	// received counts the bytes received since the last request began.
+	received int64
 	// serverIdleTimeout is the idle timeout that the server announced, 0 if none.
 	serverIdleTimeout time.Duration
 }
@@ -49,6 +51,22 @@
 	return n, err
 }
 
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received += int64(n)
+	return n, err
+}
+
+// hasReceived reports whether at least n bytes have been received since the last request began.
+func (c *trackedConn) hasReceived(n int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received >= n
+}
+
 // undoWrite uncounts a write of which the kernel accepted no byte, as on a
 // connection that the peer has closed.
 func (c *trackedConn) undoWrite() {
@@ -78,6 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard = guard
+	c.received = 0
 	return c.writes
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,7 +29,8 @@
 
 // Transport sends requests over pooled connections.
 type Transport struct {
-	http *http.Transport
+	http         *http.Transport
+	maxHeadBytes int64
 }
 
 // Config configures a Transport.
@@ -40,6 +41,8 @@
 	// on an unresponsive address sooner, but the kernel retransmits a lost SYN only
 	// after 1 s.
 	DialTimeout time.Duration
+	// MaxHeadBytes limits the head of a response. The default is MaxHeadBytes.
+	MaxHeadBytes int64
 	// Dial opens the connections. The default is a net.Dialer.
 	Dial DialFunc
 	// Meter, if set, returns the meter of connections to an address, or nil for none.
@@ -60,13 +63,15 @@
 	if conf.OnDial == nil {
 		conf.OnDial = func(error) {}
 	}
-	return &Transport{http: &http.Transport{
-		DialContext:         trackingDial(conf),
-		TLSClientConfig:     conf.TLS,
-		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
+	if conf.MaxHeadBytes == 0 {
+		conf.MaxHeadBytes = MaxHeadBytes
+	}
+	transport := NewHTTPTransport(trackingDial(conf), conf.MaxHeadBytes)
+	transport.TLSClientConfig = conf.TLS
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerAddress
+	transport.IdleConnTimeout = idleConnTimeout
+	transport.DisableCompression = true
+	return &Transport{http: transport, maxHeadBytes: conf.MaxHeadBytes}
 }
 
 // Close closes idle connections.
@@ -182,6 +187,10 @@
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
 		f.Reused = reused
+		if f.Written && ctx.Err() == nil && conn.hasReceived(t.maxHeadBytes) {
+			f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
+			f.Reused = false // the server is at fault, not the connection
+		}
 		return nil, f
 	}
 	if conn != nil {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -37,6 +37,8 @@
 mutant "connection kept after the end" internal/dispatch/response.go 's/return c.response.Body.Close()/c.response.Discard(); return nil/' ./e2e -ginkgo.focus "share them"
 mutant "written is unknown" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./e2e -ginkgo.focus "told as unknown"
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
+mutant "limit of a head" internal/upstream/head.go 's/, MaxResponseHeaderBytes: maxHeadBytes//' ./internal/upstream -run EndlessHead
+mutant "reason of a cut head" internal/upstream/upstream.go 's/conn.hasReceived(t.maxHeadBytes)/false/' ./internal/upstream -run EndlessHead
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
