A rejection whose body does not end no longer holds its request

What callers saw: a server rejects a request (X-Not-Executed, or 421) and its body trickles. The host read up to 16 KiB of it before it sent the request to another server, with no limit of time but the request's own: the request was refused with 503 at the end of its route's timeout although a sound server was free.

DrainAndClose now returns after 5 ms at the latest and drains on in the background, up to 250 ms; then the connection is closed. It closes the transport's body, not the connection, so that a connection that already carries another request is never closed. A short body is still drained and its connection kept.

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"io/fs"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -176,3 +178,75 @@
 		}
 	}
 }
+
+// endlessBodies are responses whose bodies do not end: the beginning and what is repeated.
+var endlessBodies = map[string][2]string{
+	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	"chunk extension": {"Transfer-Encoding: chunked\r\n\r\n1;", "a"},
+	"trailers":        {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: a\r\n"},
+	"long body":       {"Content-Length: 1000000000000\r\n\r\n", "a"},
+	"body to the end": {"\r\n", "a"},
+}
+
+// Guards against unwanted bodies that hold their connections until the request's deadline.
+func TestUnwantedBodyWithoutEndIsCutOff(t *testing.T) {
+	for name, body := range endlessBodies {
+		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
+			t.Run(name+" "+speed, func(t *testing.T) {
+				t.Parallel()
+				s := startEndlessServer(t, "HTTP/1.1 503 Service Unavailable\r\n"+body[0], body[1], pause)
+				answer, failure := sendTo(t, t.Context(), upstream.NewTransport(upstream.Config{}), s.address)
+				if failure != nil {
+					t.Fatal(failure)
+				}
+				answer.DrainAndClose()
+				select {
+				case <-s.closed:
+				case <-time.After(10 * time.Second):
+					t.Error("the connection is still open")
+				}
+			})
+		}
+	}
+}
+
+// silentBody is a body of which no byte arrives until it is closed.
+type silentBody struct{ closed chan struct{} }
+
+func (b silentBody) Read([]byte) (int, error) { <-b.closed; return 0, net.ErrClosed }
+func (b silentBody) Close() error             { return nil }
+
+// Guards against a request that waits for the end of a body that it does not want.
+func TestRequestDoesNotWaitForUnwantedBody(t *testing.T) {
+	body := silentBody{closed: make(chan struct{})}
+	defer close(body.closed)
+	answer := &upstream.Answer{Response: &http.Response{Body: body}}
+	answer.DrainAndClose() // must return
+}
+
+// Guards against a new connection after each rejection: a short body that is not wanted is read, and its
+// connection carries the next request.
+func TestConnectionOfDrainedBodyIsReused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, strings.Repeat("a", 1000))
+	}))
+	defer server.Close()
+	transport := upstream.NewTransport(upstream.Config{})
+	reused := 0
+	const requests = 20
+	for range requests {
+		answer, failure := sendTo(t, t.Context(), transport, strings.TrimPrefix(server.URL, "http://"))
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		if answer.Reused {
+			reused++
+		}
+		answer.DrainAndClose()
+	}
+	if reused == 0 {
+		t.Errorf("none of %d requests was sent on a connection that had carried another one", requests)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -85,6 +85,9 @@
 	// Reused is true if the connection had carried an earlier request.
 	Reused bool
 	conn   *trackedConn
+	// received is the body as the connection delivers it. Unlike Body, which may be a buffer, it can be
+	// closed during a read.
+	received io.Closer
 }
 
 // Discard closes the response body and the connection, so that no late data on it
@@ -96,17 +99,53 @@
 	}
 }
 
+const (
+	// maxDrainBytes and maxDrainTime limit how much of an unwanted body is read, and for how long, to
+	// keep the connection reusable. Opening another one costs less.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 250 * time.Millisecond
+	// drainWait is how long DrainAndClose blocks. A body that follows its head at once has arrived by
+	// then, and its connection is free for the next request.
+	drainWait = 5 * time.Millisecond
+)
+
 // DrainAndClose drains and closes the body of a response that is not passed on, so that
 // the connection can be reused. It does not close the connection itself, which may
-// carry another request as soon as the body has been read to its end.
+// carry another request as soon as the body has been read to its end. If the body does not
+// end within drainWait, draining goes on in the background: the request must not wait for it.
 func (a *Answer) DrainAndClose() {
+	if a.Body == http.NoBody {
+		return
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		a.drain()
+	}()
+	wait := time.NewTimer(drainWait)
+	defer wait.Stop()
+	select {
+	case <-drained:
+	case <-wait.C:
+	}
+}
+
+// drain reads up to maxDrainBytes of the body for up to maxDrainTime. If more is left, the connection
+// is closed.
+func (a *Answer) drain() {
+	limit := time.AfterFunc(maxDrainTime, a.abandon)
+	defer limit.Stop()
 	_, _ = io.CopyN(io.Discard, a.Body, maxDrainBytes) // Close drops the connection if more is left
 	a.Body.Close()
 }
 
-// maxDrainBytes limits how much of an unwanted body is read to keep the connection
-// reusable.
-const maxDrainBytes = 16 << 10
+// abandon ends a read of the body and closes the connection. It does nothing once the body has been
+// read to its end, when the connection may carry another request.
+func (a *Answer) abandon() {
+	if a.received != nil {
+		a.received.Close()
+	}
+}
 
 // Failure is the error of a request that got no response.
 type Failure struct {
@@ -196,7 +235,7 @@
 	if conn != nil {
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 	}
-	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, conn: conn}, nil
+	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, conn: conn, received: resp.Body}, nil
 }
 
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
