A health check with a response without end fails

Watchers counted a server as sound whose health check answered with a body without end: one mebibyte of it was read, the rest ignored. Fast bodies with a length, in chunks and to the end of the connection passed the check; the test failed for these three. Slow ones ran into the check's timeout before.

--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -207,9 +207,13 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBodyBytes)); err != nil {
+	length, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxProbeBodyBytes+1))
+	if err != nil {
 		return err
 	}
+	if length > maxProbeBodyBytes {
+		return fmt.Errorf("health check answered with more than %d bytes", maxProbeBodyBytes)
+	}
 	echo := resp.Header.Get(protocol.HeaderRequestID)
 	if resp.StatusCode >= http.StatusInternalServerError || echo != "" && echo != id {
 		return fmt.Errorf("health check answered with status %d and request ID %q", resp.StatusCode, echo)
--- a/internal/daemon/probe_test.go
+++ b/internal/daemon/probe_test.go
@@ -100,3 +100,22 @@
 		})
 	}
 }
+
+// Guards against a good health check of a server whose response has no end: a long body counted as good
+// once a megabyte of it had been read.
+func TestEndlessResponseFailsHealthCheck(t *testing.T) {
+	for name, response := range endlessResponses {
+		t.Run(name+" fast", func(t *testing.T) {
+			t.Parallel()
+			if _, err := probeEndless(t, response, 0, time.Minute); err == nil {
+				t.Error("the health check succeeded")
+			}
+		})
+		t.Run(name+" slow", func(t *testing.T) {
+			t.Parallel()
+			if _, err := probeEndless(t, response, 20*time.Millisecond, 100*time.Millisecond); err == nil {
+				t.Error("the health check succeeded")
+			}
+		})
+	}
+}
