The deadline ends a streamed response of an idempotent request

What callers saw: a response to a request that may be sent as a copy (idempotent, with a body that is kept) was passed on without end, beyond the deadline that the caller or the route had set, if its body was longer than the buffer or had trailers announced. Nor did the caller's disconnect end it, until a write failed.

Cause: a send has its own context, so that a copy or a trial can be cancelled alone. It was detached from the request's as soon as its head, and the part of the body that is buffered, had arrived. The deadline then ended only the request's context, which nothing read from.

Evidence: TestEndlessBodyIsNoSuccess, with a server of the test's own: GET was held for 10 s with a deadline of 400 ms, for long bodies, chunks, a body to the end of the connection, a server error and a download, fast and (the download and the long body) slow. POST, which has no copy, ended at its deadline before. The send now is detached after its result has been handled.

Ruled out by the same test: a success that looks complete (none, of all kinds).

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -128,7 +128,7 @@
 		h.cancelPending()
 	}
 	defer p.cancel()
-	p.detach()
+	defer p.detach() // only now: the deadline and the caller's disconnect must still end a body that is streamed
 	defer p.lease.Release()
 	return h.x.handleResult(ctx, p.lease, result)
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -42,6 +42,7 @@
 mutant "time to drain a body" internal/upstream/upstream.go 's/^	limit := time.AfterFunc(maxDrainTime, a.abandon)$/	limit := time.AfterFunc(time.Hour, a.abandon)/' ./internal/upstream -run UnwantedBodyWithoutEnd
 mutant "a request does not wait for draining" internal/upstream/upstream.go 's/^	case <-wait.C:$/	case <-(chan int)(nil):/' ./internal/upstream -timeout 20s -run WaitForUnwantedBody
 mutant "health check without end" internal/daemon/effects.go 's/if length > maxProbeBodyBytes {/if false {/' ./internal/daemon -run EndlessResponseFails
+mutant "deadline of a streamed response" internal/dispatch/hedge.go 's/defer p.detach() .*/p.detach()/' ./platform -run EndlessBodyIsNoSuccess
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
