A paused host sends nothing until its server list is confirmed

What callers and servers saw: requests, idempotent or not, reached servers up to several seconds after the store had acknowledged that they leave, from hosts whose process had not run for more than timing.freshness.

Cause: after a pause the view counted as fresh again with the first datagram, which may have lain in the socket's buffer since before the pause ended and says nothing of the list of servers; and only non-idempotent requests asked whether it was fresh. So the old list was in force until the next heartbeat and fetch.

Why it works: after a pause the host asks other hosts (readers first), and readers also the platform, for a newer server list. Only the answer to a question asked after the pause ends the state, and only once the revision that it names is in force. A host that was itself paused confirms nothing, also before its first tick.

The two engine tests that took any datagram for a sign of a fresh view now demand that a datagram does not suffice and that a confirmation does.

--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -133,7 +133,9 @@
 			return
 		}
 		if !fetch.Platform {
-			f.d.engine.Post(func(now time.Time) { f.d.engine.FetchFailed(now, fetch.Key) })
+			if fetch.ConfirmFor.IsZero() {
+				f.d.engine.Post(func(now time.Time) { f.d.engine.FetchFailed(now, fetch.Key) })
+			}
 			return
 		}
 		klog.InfoS("fetching document from platform", "key", fetch.Key, "after", fetch.After, "peers", len(fetch.Peers), "host", f.d.settings.Host)
@@ -143,10 +145,19 @@
 		f.d.metrics.PlatformCall(err)
 		if err == nil && value != nil {
 			f.d.publishDocument(value.Key, value.Revision, value.Raw)
+			f.confirm(fetch, value.Revision)
 		}
 	})
 }
 
+// confirm reports the revision that a host or the platform holds, if a confirmation was requested.
+func (f *effects) confirm(fetch world.Fetch, revision uint64) {
+	if fetch.ConfirmFor.IsZero() {
+		return
+	}
+	f.d.engine.Post(func(now time.Time) { f.d.engine.ListConfirmed(now, fetch.ConfirmFor, revision) })
+}
+
 // fetchFromPeers asks the peers in turn until one returns the document. Each call has its
 // own time-out, so that a peer that hangs does not keep the next from being asked.
 func (f *effects) fetchFromPeers(fetch world.Fetch) bool {
@@ -168,6 +179,10 @@
 		klog.V(3).InfoS("cannot fetch document from peer", "key", fetch.Key, "peer", address, "err", err)
 		return false
 	}
+	if resp.Revision == fetch.After && !fetch.ConfirmFor.IsZero() {
+		f.confirm(fetch, resp.Revision)
+		return true
+	}
 	if resp.Revision <= fetch.After {
 		return false
 	}
@@ -177,6 +192,7 @@
 		return false
 	}
 	f.d.publishDocument(fetch.Key, resp.Revision, raw)
+	f.confirm(fetch, resp.Revision)
 	return true
 }
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -153,6 +153,9 @@
 		if x.isCutOff() {
 			return x.refusePathLost()
 		}
+		if refusal := x.awaitFresh(ctx); refusal != nil {
+			return x.finalRefusal(last, refusal)
+		}
 		lease, err := x.acquire(ctx)
 		if errs.KindOf(err) == errs.KindPathLost {
 			continue // it may be relayed
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -91,11 +91,11 @@
 	if world.HasPassed(now, x.req.Deadline) {
 		return errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
 	}
-	if x.req.Idempotent {
-		return nil
+	if x.req.Idempotent && to.server.ID == "" {
+		return nil // the owner host checks its own view
 	}
 	if !x.d.snapshot().Fresh(now, boottime.Suspended()) {
-		return errs.New(errs.KindStaleHost, "this host was paused and its view is not up to date yet", "repeat the request after the time in Retry-After")
+		return staleHost()
 	}
 	return nil
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -99,12 +99,12 @@
 	inbox    chan func(now time.Time)
 	snapshot atomic.Pointer[world.Snapshot]
 
-	lastTick     time.Time
-	pauseEndedAt time.Time // end of the last pause; zero if the view is fresh
-	synced       bool      // a peer has completed a full state sync
-	ready        bool
-	readyCh      chan struct{} // closed when this host becomes ready
-	peers        []string      // addresses of other hosts, as of the current tick
+	lastTick  time.Time
+	freshness freshness
+	synced    bool // a peer has completed a full state sync
+	ready     bool
+	readyCh   chan struct{} // closed when this host becomes ready
+	peers     []string      // addresses of other hosts, as of the current tick
 	// joinedHosts are the hosts that have joined since the last tick.
 	joinedHosts   []string
 	headAnnounced bool // another host has announced a document revision since the last tick
@@ -176,6 +176,7 @@
 	for _, system := range e.systems {
 		system.Run(e.world, now)
 	}
+	e.updateFreshness(now)
 	if e.conf.Forwarding { // otherwise the balancer knows
 		e.SetPathLost(now, e.world.NetworkSuspect)
 	}
@@ -196,30 +197,6 @@
 	}
 }
 
-// detectPause marks the view stale if this process was paused for longer than
-// Freshness, and fresh again once another host has been heard from since then, or
-// if no other host is live.
-func (e *Engine) detectPause(now time.Time) {
-	suspended := e.conf.Suspended()
-	suspendedFor := suspended - e.world.Suspended
-	pause := max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+suspendedFor)
-	e.lastTick = now
-	e.world.Suspended = suspended
-	if pause > e.conf.Freshness {
-		e.pauseEndedAt = now
-		e.world.FreshUntil = now.Add(-time.Nanosecond) // the old value may still be ahead by the monotonic clock
-		e.world.Record(now, event.HostPaused, "", "", pause.Round(time.Millisecond).String()+", including suspended time of "+suspendedFor.Round(time.Millisecond).String())
-	}
-	if e.pauseEndedAt.IsZero() {
-		return
-	}
-	alone := e.members.LiveCount() <= 1
-	if alone || e.members.LastContact().After(e.pauseEndedAt) {
-		e.pauseEndedAt = time.Time{}
-		e.world.Record(now, event.HostFresh, "", "", "")
-	}
-}
-
 // stopRequested reports whether an operator has asked this process to stop.
 // Directives issued to an earlier process with the same host name are ignored.
 func (e *Engine) stopRequested() bool {
@@ -316,7 +293,7 @@
 		defer close(e.readyCh) // after the snapshot with Ready set is published
 		w.Record(now, event.HostReady, "", "", "")
 	}
-	if e.pauseEndedAt.IsZero() {
+	if !e.isStale() {
 		w.FreshUntil = now.Add(e.conf.Freshness)
 	}
 	e.snapshot.Store(e.views.build(w, now, e.ready))
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -32,12 +32,16 @@
 func newEngine() *engine.Engine { return newEngineWith(nil) }
 
 func newEngineWith(suspended func() time.Duration) *engine.Engine {
+	return newEngineWithEffects(suspended, noEffects{})
+}
+
+func newEngineWithEffects(suspended func() time.Duration, effects engine.Effects) *engine.Engine {
 	return engine.New(engine.Config{
 		Suspended: suspended,
 		Self:      world.Identity{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1"},
 		Tick:      100 * time.Millisecond, Freshness: time.Second, Seeds: []string{"10.0.0.2:1"},
 		Membership: membership.Config{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1", ProbeInterval: time.Second, ProbeTimeout: 400 * time.Millisecond, GossipInterval: 100 * time.Millisecond},
-	}, &hlc.Clock{}, noEffects{}, epoch)
+	}, &hlc.Clock{}, effects, epoch)
 }
 
 // A new host that got an old revision from a stale platform must not become ready
@@ -65,9 +69,11 @@
 	}
 }
 
-// After a pause of the process, the view must be stale until another host has been heard from.
+// After a pause of the process, the view must be stale until another host has confirmed the server
+// list. A datagram does not: it may have been sent during the pause.
 func TestPauseMakesTheViewStale(t *testing.T) {
-	e := newEngine()
+	asked := &fetchCollector{}
+	e := newEngineWithEffects(nil, asked)
 	now := epoch
 	step := func(d time.Duration) {
 		now = now.Add(d)
@@ -85,8 +91,13 @@
 	}
 	e.Datagram(now.Add(time.Millisecond), "10.0.0.2:1", &peerpb.Datagram{From: "h2"})
 	step(100 * time.Millisecond)
+	if e.Snapshot().FreshUntil.After(now) {
+		t.Fatal("view is fresh although no host has confirmed the server list")
+	}
+	e.ListConfirmed(now, asked.confirmFor(t), 0)
+	step(100 * time.Millisecond)
 	if !e.Snapshot().FreshUntil.After(now) {
-		t.Fatal("view is stale although another host was heard from")
+		t.Fatal("view is stale although the server list was confirmed")
 	}
 }
 
@@ -95,7 +106,8 @@
 func TestSuspensionMakesTheViewStale(t *testing.T) {
 	for _, suspension := range []time.Duration{3 * time.Second, time.Minute} {
 		suspended := 5 * time.Hour
-		e := newEngineWith(func() time.Duration { return suspended })
+		asked := &fetchCollector{}
+		e := newEngineWithEffects(func() time.Duration { return suspended }, asked)
 		e.Merge(epoch, []*peerpb.Member{{Host: "h2", Address: "10.0.0.2:1", DataCentre: "dc1", Incarnation: 1}}, nil, 0)
 		now := epoch.Add(100 * time.Millisecond)
 		e.Step(now)
@@ -109,13 +121,18 @@
 		}
 		e.Step(now)
 		if e.Snapshot().Fresh(now, suspended) {
-			t.Errorf("view is fresh after a suspension of %s before another host was heard from", suspension)
+			t.Errorf("view is fresh after a suspension of %s before the server list was confirmed", suspension)
 		}
 		later := now.Add(200 * time.Millisecond)
 		e.Datagram(later, "10.0.0.2:1", &peerpb.Datagram{Kind: peerpb.Datagram_KIND_GOSSIP, From: "h2"})
 		e.Step(later.Add(100 * time.Millisecond))
-		if !e.Snapshot().Fresh(later.Add(200*time.Millisecond), suspended) {
-			t.Errorf("view is stale after a suspension of %s although another host was heard from", suspension)
+		if e.Snapshot().Fresh(later.Add(100*time.Millisecond), suspended) {
+			t.Errorf("view is fresh after a suspension of %s although no host has confirmed the server list", suspension)
+		}
+		e.ListConfirmed(later.Add(100*time.Millisecond), asked.confirmFor(t), 0)
+		e.Step(later.Add(200 * time.Millisecond))
+		if !e.Snapshot().Fresh(later.Add(300*time.Millisecond), suspended) {
+			t.Errorf("view is stale after a suspension of %s although the server list was confirmed", suspension)
 		}
 	}
 }
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -160,6 +160,9 @@
 		return &peerpb.DocumentResponse{}, false, nil
 	}
 	resp, err = configsync.Answer(e.world, now, doc, req.After)
+	if e.isStale() && err == nil && len(resp.Document) == 0 {
+		resp = &peerpb.DocumentResponse{} // this host cannot tell whether its revision is the newest
+	}
 	return resp, len(resp.GetDocument()) == 0 && now.Before(doc.FetchingUntil), err
 }
 
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -65,13 +65,16 @@
 // immediate tick are covered by needsImmediateTick, and all other timers tolerate
 // a delay of idleTickFactor intervals.
 func (e *Engine) idle() bool {
-	return e.ready && e.pauseEndedAt.IsZero() && !e.world.Leaving && !e.conf.Forwarding &&
+	return e.ready && !e.isStale() && !e.world.Leaving && !e.conf.Forwarding &&
 		e.world.Settled && !configsync.NeedsTick(e.world, e.lastTick) && e.members.Idle()
 }
 
 // Input runs an input and ticks immediately if the input requires it. It must be called
 // on the loop's goroutine.
 func (e *Engine) Input(now time.Time, input func(now time.Time)) {
+	if world.Elapsed(e.lastTick, now) > e.conf.Freshness {
+		e.Step(now) // before this host answers others from a view that may be out of date
+	}
 	input(now)
 	if e.needsImmediateTick() {
 		e.Step(now)
@@ -83,6 +86,9 @@
 // would otherwise wait for a tick on each of them.
 func (e *Engine) needsImmediateTick() bool {
 	w := e.world
+	if e.freshness.confirmed {
+		return true // requests are waiting for a fresh view
+	}
 	if w.QuarantineChanged {
 		return true // any matching request accepted until then may crash a backend server
 	}
--- a/internal/world/outbox.go
+++ b/internal/world/outbox.go
@@ -24,6 +24,9 @@
 	Peers []string
 	// Platform allows asking the platform if no peer has the document.
 	Platform bool
+	// ConfirmFor is set if the answer that no newer revision exists is needed too, because this
+	// process was paused until then.
+	ConfirmFor time.Time
 }
 
 // Evidence is a report on backend servers to send to other hosts.
--- a/internal/world/snapshot.go
+++ b/internal/world/snapshot.go
@@ -103,7 +103,7 @@
 // Snapshot is an immutable view of the world for the request path.
 type Snapshot struct {
 	Self Identity
-	// FreshUntil is the time until which non-idempotent requests may be sent.
+	// FreshUntil is the time until which requests may be sent to backend servers.
 	FreshUntil time.Time
 	// Suspended is the total time that the machine had been suspended since boot when this
 	// snapshot was made; see package boottime.
@@ -155,7 +155,7 @@
 	ClaimCandidateAddresses map[string]string
 }
 
-// Fresh reports whether the view may be trusted for non-idempotent requests. suspended is
+// Fresh reports whether requests may be sent to backend servers by this view. suspended is
 // the total time that the machine has been suspended since boot. It is needed because
 // FreshUntil is compared by the monotonic clock, which stands still during a suspension.
 func (s *Snapshot) Fresh(now time.Time, suspended time.Duration) bool {
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -299,8 +299,7 @@
 	Settled bool
 	// Leaving is set during a planned stop of this host.
 	Leaving bool
-	// FreshUntil is the time until which the view may be trusted for non-idempotent
-	// requests.
+	// FreshUntil is the time until which requests may be sent by this view.
 	FreshUntil time.Time
 	// Suspended is the total time that the machine has been suspended since boot.
 	Suspended time.Duration
