A reader's own pause does not count as an outage of the store

What servers saw: requests up to several seconds after the store had removed their entries, also from hosts that were not paused themselves.

Cause: a reader counted 2.5 s by the clock without a response of the store as an outage. If its own process did not run for that long, it granted 2.2 s of grace for missing registrations, although the responses lay in its socket. The grace is part of the list, so that all hosts kept the servers.

Why it works: an outage is measured in time during which the process runs. An interval between two looks at the clock adds 0.5 s at most.

Ruled out: the local view of outages (world.PlatformAnswers) as a cause by itself: it shortens the grace of a list and grants none.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -54,6 +54,7 @@
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "limit of a translated configuration" internal/config/config.go 's/MaxDocumentBytes = 16 << 20/MaxDocumentBytes = 1 << 20/' ./platform -run 'LargestConfigurations|AtStoreLimit'
 mutant "document of a peer beyond the limit" internal/system/configsync/answer.go 's/if len(raw) > config.MaxDocumentBytes {/if false {/' ./internal/system/configsync -run LargestDocument
+mutant "own pause is no outage" platform/runningtime.go 's/min(max(now.Sub(r.last), 0), maxRunningStep)/max(now.Sub(r.last), 0)/' ./platform -run OwnPause
 mutant "watch with too many changes" platform/mirror.go 's/if errors.Is(err, errResponseTooLarge) {/if false {/' ./platform -run TooLargeWatch
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "a server's report at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
