A confirmed index is in force only with the documents that it lists

What callers would have seen: after a pause, requests by an old shard of the configuration, for as long as the newer one that the confirmed index lists is being fetched.

Cause: the confirmation compared the revision of the index alone.

Evidence: TestViewIsStaleUntilTheListedDocumentsArrive fails without the added condition (mutant "listed documents after a pause").

--- a/internal/engine/freshness.go
+++ b/internal/engine/freshness.go
@@ -75,7 +75,7 @@
 	doc := e.world.Document(e.listKey())
 	staleFor := now.Sub(f.pauseEndedAt)
 	switch {
-	case f.confirmed && !doc.Needs(f.revision):
+	case f.confirmed && !doc.Needs(f.revision) && len(configsync.Wanted(e.world)) == 0:
 		e.endStale(now, fmt.Sprintf("server list revision %d confirmed after %s", doc.Revision, staleFor.Round(time.Millisecond)))
 	case staleFor > confirmLimit:
 		e.endStale(now, fmt.Sprintf("server list revision %d not confirmed: no host and no platform answered within %s", doc.Revision, confirmLimit))
--- a/internal/engine/freshness_test.go
+++ b/internal/engine/freshness_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+// Guards against requests by an old shard of the configuration after the index has been confirmed.
+func TestViewIsStaleUntilTheListedDocumentsArrive(t *testing.T) {
+	asked := &fetchCollector{}
+	e := newEngineWithEffects(nil, asked)
+	e.Merge(epoch, []*peerpb.Member{{Host: "h2", Address: "10.0.0.2:1", DataCentre: "dc1", Incarnation: 1}}, nil, 0)
+	e.HandleDocument(epoch, world.KeyIndex, 2, []byte("shards: {main: 1}\n"))
+	e.HandleDocument(epoch, "services/main", 1, []byte("services: []\n"))
+	e.Step(epoch.Add(100 * time.Millisecond))
+	now := epoch.Add(3 * time.Second)
+	e.Step(now)
+	e.ListConfirmed(now, asked.confirmFor(t), 3)
+	e.HandleDocument(now, world.KeyIndex, 3, []byte("shards: {main: 2}\n"))
+	e.Step(now)
+	if e.Snapshot().Fresh(now, 0) {
+		t.Error("the view is fresh although a newer shard is listed")
+	}
+	e.HandleDocument(now, "services/main", 2, []byte("services: []\n"))
+	e.Step(now)
+	if !e.Snapshot().Fresh(now, 0) {
+		t.Error("the view is stale although it has all listed documents")
+	}
+}
+
 // Guards against hosts that were paused together and confirm each other's old server lists.
 func TestPausedHostDoesNotConfirmTheListOfAnother(t *testing.T) {
 	held := &peerpb.DocumentRequest{Key: world.KeyDiscovered, After: 5, From: "other1"}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -41,7 +41,8 @@
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
 mutant "stale view of a paused host" internal/dispatch/send.go 's/if x.req.Idempotent \&\& to.server.ID == "" {/if x.req.Idempotent {/' ./platform -run PausedHostSends
 mutant "requests held while stale" internal/dispatch/exchange.go 's/if refusal := x.awaitFresh(ctx); refusal != nil {/if refusal := x.awaitFresh(ctx); false {/' ./platform -run PausedHostRefusesWithAShortRetryAfter
-mutant "confirmation after a pause" internal/engine/freshness.go 's/case f.confirmed \&\& !doc.Needs(f.revision):/case f.confirmed || e.members.LastContact().After(f.pauseEndedAt):/' ./internal/engine -run DuringAPause
+mutant "confirmation after a pause" internal/engine/freshness.go 's/case f.confirmed \&\& !doc.Needs(f.revision) \&\& .*:/case f.confirmed || e.members.LastContact().After(f.pauseEndedAt):/' ./internal/engine -run DuringAPause
+mutant "listed documents after a pause" internal/engine/freshness.go 's/ \&\& len(configsync.Wanted(e.world)) == 0:/:/' ./internal/engine -run ListedDocuments
 mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(pauseEndedAt) {/ {/' ./internal/engine -run DuringAPause
 mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil /if false \&\& err == nil /' ./internal/engine -run ConfirmTheListOfAnother
 mutant "confirmation before the first tick" internal/engine/loop.go 's/if world.Elapsed(e.lastTick, now) > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
