--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,6 +45,13 @@
 mutant "deadline of a streamed response" internal/dispatch/hedge.go 's/defer p.detach() .*/p.detach()/' ./platform -run EndlessBodyIsNoSuccess
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
+mutant "stale view of a paused host" internal/dispatch/send.go 's/if x.req.Idempotent \&\& to.server.ID == "" {/if x.req.Idempotent {/' ./platform -run PausedHostSends
+mutant "requests held while stale" internal/dispatch/exchange.go 's/if refusal := x.awaitFresh(ctx); refusal != nil {/if refusal := x.awaitFresh(ctx); false {/' ./platform -run PausedHostRefusesWithAShortRetryAfter
+mutant "confirmation after a pause" internal/engine/freshness.go 's/case f.confirmed \&\& !doc.Needs(f.revision) \&\& .*:/case f.confirmed || e.members.LastContact().After(f.pauseEndedAt):/' ./internal/engine -run DuringAPause
+mutant "listed documents after a pause" internal/engine/freshness.go 's/ \&\& len(configsync.Wanted(e.world)) == 0:/:/' ./internal/engine -run ListedDocuments
+mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(pauseEndedAt) {/ {/' ./internal/engine -run DuringAPause
+mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil /if false \&\& err == nil /' ./internal/engine -run ConfirmTheListOfAnother
+mutant "confirmation before the first tick" internal/engine/loop.go 's/if world.Elapsed(e.lastTick, now) > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
 mutant "identity of a claim" internal/claims/coordinator.go 's|id:          requestID + "/" + ulid.Make().String(),|id: requestID + ulid.ULID{}.String(),|' ./internal/claims
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
@@ -54,6 +61,7 @@
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "limit of a translated configuration" internal/config/config.go 's/MaxDocumentBytes = 16 << 20/MaxDocumentBytes = 1 << 20/' ./platform -run 'LargestConfigurations|AtStoreLimit'
 mutant "document of a peer beyond the limit" internal/system/configsync/answer.go 's/if len(raw) > config.MaxDocumentBytes {/if false {/' ./internal/system/configsync -run LargestDocument
+mutant "own pause is no outage" platform/runningtime.go 's/min(max(now.Sub(r.last), 0), maxRunningStep)/max(now.Sub(r.last), 0)/' ./platform -run OwnPause
 mutant "watch with too many changes" platform/mirror.go 's/if errors.Is(err, errResponseTooLarge) {/if false {/' ./platform -run TooLargeWatch
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "a server's report at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
