A response that switches protocols is not one to the request

What callers saw: a server answered 101 to a request that asked for no upgrade, and kept sending. The request was held beyond its deadline, and the connection never closed: the bytes of another protocol have no end, and the transport leaves such a connection to its reader, whom no deadline reached.

Evidence: TestEndlessBodyIsNoSuccess/protocol_switch: POST was held for 10 s with a deadline of 400 ms. Such a response is discarded now like that of another request: an idempotent request goes to another server, others are answered 502 as unknown.

--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -143,6 +143,9 @@
 // view is the service when the request was sent.
 func (x *exchange) isValidResponse(response *upstream.Answer, view *world.ServiceView) bool {
 	proto := x.d.proto
+	if response.StatusCode < http.StatusOK {
+		return false // no request asks to switch protocols, and bytes of another protocol have no end
+	}
 	success := response.StatusCode < http.StatusMultipleChoices
 	if success && proto.Signature != "" && response.Header.Get(proto.Signature) == "" {
 		return false
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -43,6 +43,7 @@
 mutant "a request does not wait for draining" internal/upstream/upstream.go 's/^	case <-wait.C:$/	case <-(chan int)(nil):/' ./internal/upstream -timeout 20s -run WaitForUnwantedBody
 mutant "health check without end" internal/daemon/effects.go 's/if length > maxProbeBodyBytes {/if false {/' ./internal/daemon -run EndlessResponseFails
 mutant "deadline of a streamed response" internal/dispatch/hedge.go 's/defer p.detach() .*/p.detach()/' ./platform -run EndlessBodyIsNoSuccess
+mutant "switch of protocols" internal/dispatch/result.go 's/if response.StatusCode < http.StatusOK {/if false {/' ./platform -run 'EndlessBodyIsNoSuccess/protocol'
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
