Soak: servers whose answers have no end

A new fault of the soak, drawn like the others: three in ten answers of a server go on without end, in the head or in the body, until the host closes the connection.

--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -64,6 +64,7 @@
 	{"server slow", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{SlowFactor: 8}) }},
 	{"wrong answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{WrongIDRate: 0.3}) }},
 	{"cut answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{CutRate: 0.3}) }},
+	{"endless answers", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{EndlessRate: 0.3}) }},
 	{"server connections", (*soak).disturbServerLink},
 	{"platform down", (*soak).platformDown},
 	{"platform silent", (*soak).platformSilent},
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -28,6 +28,8 @@
 	WrongIDRate float64
 	// CutRate is the share whose body ends early.
 	CutRate float64
+	// EndlessRate is the share whose answer does not end after the run, in its head or its body.
+	EndlessRate float64
 	// SlowFactor multiplies the service time, 0 for 1.
 	SlowFactor float64
 	// Hang keeps requests until they are cancelled.
@@ -188,6 +190,7 @@
 	reset   bool
 	wrong   bool
 	cut     bool
+	endless bool
 }
 
 func (s *Server) decide() plan {
@@ -204,6 +207,7 @@
 	p.reset = s.rng.Float64() < p.faults.ResetRate || p.faults.CloseAfterRun
 	p.wrong = s.rng.Float64() < p.faults.WrongIDRate
 	p.cut = s.rng.Float64() < p.faults.CutRate
+	p.endless = p.faults.EndlessRate > 0 && s.rng.Float64() < p.faults.EndlessRate
 	return p
 }
 
@@ -302,6 +306,8 @@
 		panic(http.ErrAbortHandler)
 	case p.reset:
 		panic(http.ErrAbortHandler)
+	case p.endless:
+		answerEndlessly(w, r)
 	case p.err:
 		http.Error(w, "internal error", http.StatusInternalServerError)
 	case strings.HasPrefix(r.URL.Path, "/download"):
@@ -315,6 +321,30 @@
 	}
 }
 
+// maxEndlessBytes bounds an endless answer, in case the caller never closes the connection.
+const maxEndlessBytes = 16 << 20
+
+// answerEndlessly sends an answer whose head or body, by the ID of the request, does not end until the
+// caller closes the connection.
+func answerEndlessly(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	id := r.Header.Get(protocol.HeaderRequestID)
+	begin := "HTTP/1.1 200 OK\r\n" + protocol.HeaderRequestID + ": " + id + "\r\n"
+	piece := "X-Filler: " + strings.Repeat("a", 1000) + "\r\n"
+	if len(id) > 0 && id[len(id)-1]%2 == 0 {
+		begin += "Transfer-Encoding: chunked\r\n\r\n"
+		piece = "400\r\n" + strings.Repeat("a", 1<<10) + "\r\n"
+	}
+	_, err = io.WriteString(conn, begin)
+	for sent := 0; err == nil && sent < maxEndlessBytes; sent += len(piece) {
+		_, err = io.WriteString(conn, piece)
+	}
+}
+
 // answer names server, request and body, so that a test can tell whose it is.
 func answer(w http.ResponseWriter, id string, r *http.Request, body []byte) {
 	w.Header().Set("Content-Type", "text/plain")
