Log: each send names its connection, the response and what shows that it did not run

From the log of a host, a rejection by the server could not be told from the rejection of another request, nor a send of which no byte left from one that was given no connection: all read "not-run/503" or the kind of the error.

The field "tries" of a request's line now has for each send - conn: "new", or "kept/N" after N earlier requests - got: the status of the response and its request ID, "own", "none" or "id:..." - not-run-by: what shows that the send did not run the request: "rejection", "unwritten", "unsent" or "host"; nothing if it may have run

pearshelf explain shows all three. The ID of a faulty server's response is cut to 40 characters and cannot be confused with the line's own words.

Only the log changes: no decision reads the new fields.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -89,10 +89,15 @@
 	response, failure := x.send(ctx, x.toRelay(host))
 	if failure != nil {
 		attempt.finish(string(toTypedError(failure.Unwrap()).Kind))
+		attempt.recordFailure(failure)
 		x.d.metrics.Relayed("failed")
 		x.countRelay(failure.Written)
 		return x.handleHostFailure(ctx, failure)
 	}
+	attempt.recordResponse(response, x.d.proto.RequestID, x.req.ID)
+	if Outcome(response.Header.Get(HeaderOutcome)) == OutcomeNotRun && x.isForThisRequest(response, nil) {
+		attempt.evidence = evidenceHost
+	}
 	if x.hostDeclined(response) {
 		attempt.finish("declined")
 		x.d.metrics.Relayed("declined")
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -23,6 +23,7 @@
 	}
 	response := result.response
 	lease.done.NewConnection = !response.Reused
+	lease.attempt.recordResponse(response, x.d.proto.RequestID, x.req.ID)
 	x.attemptsArrived++
 	reportLoad(lease, result.reported)
 	lease.attempt.reported = formatState(result.reported)
@@ -59,6 +60,7 @@
 	} else {
 		response.DrainAndClose()
 	}
+	lease.attempt.evidence = evidenceRejection
 	lease.attempt.finish("not-run/" + strconv.Itoa(response.StatusCode))
 	if x.isMisdirected(response) {
 		// Another server has the address: the intended one is gone.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -104,6 +104,7 @@
 func (x *exchange) handleFailure(ctx context.Context, lease *serverLease, failure *upstream.Failure) *Refusal {
 	typed := toTypedError(failure.Unwrap())
 	lease.attempt.finish(string(typed.Kind))
+	lease.attempt.recordFailure(failure)
 	lease.done.Unsent = !failure.Written
 	if isCallerGone(ctx) {
 		x.written = x.written || failure.Written
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -11,6 +11,7 @@
 
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/logging"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -46,8 +47,32 @@
 	purpose purpose
 	// namesRateLimit is set if the server reports a rate limit in its response.
 	namesRateLimit bool
+	// connection describes the connection, empty before it is known.
+	connection string
+	// response is the status of the response and whose it is, empty for none.
+	response string
+	// evidence shows that this send has not run the request, empty if it may have.
+	evidence notRunEvidence
 }
 
+// notRunEvidence is what shows that a server has not run a request, and never will.
+type notRunEvidence string
+
+// Evidence of a send that did not run the request.
+const (
+	// evidenceRejection: the server rejected the request in a response to it.
+	evidenceRejection notRunEvidence = "rejection"
+	// evidenceUnwritten: no byte was written to the connection, and none can be.
+	evidenceUnwritten notRunEvidence = "unwritten"
+	// evidenceUnsent: the request was given no connection.
+	evidenceUnsent notRunEvidence = "unsent"
+	// evidenceHost: another host stated that no server has run the request.
+	evidenceHost notRunEvidence = "host"
+)
+
+// maxLoggedID bounds the length of another request's ID in the log.
+const maxLoggedID = 40
+
 // purpose is why a request is sent to a server when another one has, or has had, it.
 type purpose string
 
@@ -92,6 +117,52 @@
 	}
 }
 
+// recordResponse records a response, its connection, and whose response it is.
+func (t *attempt) recordResponse(response *upstream.Answer, idHeader, ownID string) {
+	t.connection = formatConnection(response.Reused, response.Earlier)
+	t.response = strconv.Itoa(response.StatusCode) + ":" + formatResponseID(response.Header.Get(idHeader), ownID)
+}
+
+// recordFailure records the connection of a send without a response, and the evidence if the
+// request was not sent.
+func (t *attempt) recordFailure(failure *upstream.Failure) {
+	if failure.Assigned {
+		t.connection = formatConnection(failure.Reused, failure.Earlier)
+	}
+	switch {
+	case failure.Written:
+	case failure.Assigned:
+		t.evidence = evidenceUnwritten
+	default:
+		t.evidence = evidenceUnsent
+	}
+}
+
+// formatConnection returns "new", or "kept/N" with the number of earlier requests.
+func formatConnection(reused bool, earlier int) string {
+	if !reused {
+		return "new"
+	}
+	return "kept/" + strconv.Itoa(earlier)
+}
+
+// formatResponseID returns "own", "none", or "id:" and the ID of another request, reduced to
+// characters that cannot be confused with the log's own.
+func formatResponseID(id, own string) string {
+	switch id {
+	case own:
+		return "own"
+	case "":
+		return "none"
+	}
+	return "id:" + strings.Map(func(r rune) rune {
+		if r <= ' ' || r == ';' || r == '=' || r >= 0x7f {
+			return '_'
+		}
+		return r
+	}, id[:min(len(id), maxLoggedID)])
+}
+
 // namesRateLimit reports whether a server has reported a rate limit: every request to such a
 // server must be in the log.
 func (t *trace) namesRateLimit() bool {
@@ -118,6 +189,15 @@
 		if a.reported != "" {
 			text.WriteString(" said=" + a.reported)
 		}
+		if a.connection != "" {
+			text.WriteString(" conn=" + a.connection)
+		}
+		if a.response != "" {
+			text.WriteString(" got=" + a.response)
+		}
+		if a.evidence != "" {
+			text.WriteString(" not-run-by=" + string(a.evidence))
+		}
 		text.WriteString(" took=" + a.duration.Round(time.Millisecond).String())
 		text.WriteString(" belief=" + strconv.FormatFloat(a.belief, 'f', 2, 64))
 		text.WriteString(" load=" + strconv.FormatFloat(a.load, 'f', 1, 64))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -118,3 +118,23 @@
 		t.Errorf("got %+v, want %+v among them", rows, want)
 	}
 }
+
+// The report of a request shows, for each send, the connection, the response and what shows that the
+// request did not run. Guards against a refused request whose sends cannot be told apart.
+func TestReportShowsEvidenceOfEachSend(t *testing.T) {
+	const log = `I0406 12:52:23.700000   14785 trace.go:110] "request" request="resent" service="checkout" customer="" idempotent=false outcome="not-run" status=503 reason="backend-server-shed: shed" took="4ms" left="2.9s" version=4 servers=16 tries="b1 not-run/503 conn=kept/12 got=503:own not-run-by=rejection took=2ms belief=0.01 load=1.0; b2 dial-failed not-run-by=unsent took=2ms belief=0.01 load=1.0; b3 wrong-answer conn=kept/3 got=503:id:9c41 took=2ms belief=0.01 load=1.0" missed=0`
+	l := &explain.Logs{}
+	if err := l.Read(strings.NewReader(log), "h1"); err != nil {
+		t.Fatal(err)
+	}
+	steps := strings.Join(l.Request("resent").Steps, "\n")
+	for _, part := range []string{
+		"connection kept/12; response 503:own; not run, shown by: rejection",
+		"0 requests in progress there; not run, shown by: unsent",
+		"connection kept/3; response 503:id:9c41",
+	} {
+		if !strings.Contains(steps, part) {
+			t.Errorf("steps of the request lack %q: %s", part, steps)
+		}
+	}
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -82,12 +82,15 @@
 	purpose      string  // of a second or later send, empty for the first one
 	statusBefore string  // what the server had reported before it was picked, if anything
 	statusAfter  string  // what the server reported in its response, if anything
+	connection   string  // "new", or "kept/N" after N earlier requests; empty for none
+	response     string  // status and ID of the response, empty for none
+	evidence     string  // what shows that this send did not run the request, empty if nothing
 }
 
 // describe describes the attempt in one line.
 func (t attempt) describe() string {
 	if t.isRelay() {
-		return fmt.Sprintf("relayed through host %s, %s after %s", t.server, t.result, t.took)
+		return fmt.Sprintf("relayed through host %s, %s after %s", t.server, t.result, t.took) + t.describeDelivery()
 	}
 	send := "server"
 	if t.purpose != "" {
@@ -100,6 +103,21 @@
 	if t.statusAfter != "" {
 		text += "; the server reported in its response: " + t.statusAfter
 	}
+	return text + t.describeDelivery()
+}
+
+// describeDelivery describes the connection, the response, and what shows that the request did not run.
+func (t attempt) describeDelivery() string {
+	var text string
+	if t.connection != "" {
+		text += "; connection " + t.connection
+	}
+	if t.response != "" {
+		text += "; response " + t.response
+	}
+	if t.evidence != "" {
+		text += "; not run, shown by: " + t.evidence
+	}
 	return text
 }
 
@@ -145,6 +163,12 @@
 				t.purpose = text
 			case "known":
 				t.statusBefore = text
+			case "conn":
+				t.connection = text
+			case "got":
+				t.response = text
+			case "not-run-by":
+				t.evidence = text
 			case "said":
 				t.statusAfter = text
 			case "belief":
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,10 +21,12 @@
 type trackedConn struct {
 	net.Conn
 
-	mu     sync.Mutex
-	writes uint64
-	sealed bool
-	guard  Guard
+	mu sync.Mutex
+	// requests counts the requests that the connection was given to.
+	requests int
+	writes   uint64
+	sealed   bool
+	guard    Guard
 	// serverIdleTimeout is the idle timeout that the server announced, 0 if none.
 	serverIdleTimeout time.Duration
 }
@@ -78,9 +80,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard = guard
+	c.requests++
 	return c.writes
 }
 
+// earlierRequests returns the number of requests before the current one.
+func (c *trackedConn) earlierRequests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests - 1
+}
+
 // sealIfUnwritten reports whether no write has begun since the count was
 // writesBefore. If so, it seals the connection.
 func (c *trackedConn) sealIfUnwritten(writesBefore uint64) bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -79,7 +79,9 @@
 	FirstByte time.Duration
 	// Reused is true if the connection had carried an earlier request.
 	Reused bool
-	conn   *trackedConn
+	// Earlier is the number of requests that the connection had been given to before.
+	Earlier int
+	conn    *trackedConn
 }
 
 // Discard closes the response body and the connection, so that no late data on it
@@ -112,7 +114,12 @@
 	// Reused is true if the connection had carried an earlier request. The failure
 	// may then concern only the connection, not the server.
 	Reused bool
-	err    *errs.Error
+	// Earlier is the number of requests that the connection had been given to before. It
+	// is 0 if the request was given no connection.
+	Earlier int
+	// Assigned is true if the request was given a connection.
+	Assigned bool
+	err      *errs.Error
 }
 
 // Error implements the error interface.
@@ -129,6 +136,7 @@
 	mu           sync.Mutex
 	conn         *trackedConn
 	writesBefore uint64
+	earlier      int
 	reused       bool
 }
 
@@ -147,13 +155,14 @@
 			conn.sealIfIdle(info.IdleTime, a.maxIdle)
 		}
 		a.writesBefore = conn.beginRequest(a.guard)
+		a.earlier = conn.earlierRequests()
 	}
 }
 
-func (a *attempt) connection() (conn *trackedConn, writesBefore uint64, reused bool) {
+func (a *attempt) connection() (conn *trackedConn, writesBefore uint64, earlier int, reused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn, a.writesBefore, a.reused
+	return a.conn, a.writesBefore, a.earlier, a.reused
 }
 
 func underlying(conn net.Conn) *trackedConn {
@@ -178,20 +187,20 @@
 	req.GetBody = nil
 	start := time.Now()
 	resp, err := t.http.RoundTrip(req)
-	conn, writesBefore, reused := a.connection()
+	conn, writesBefore, earlier, reused := a.connection()
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
-		f.Reused = reused
+		f.Reused, f.Earlier = reused, earlier
 		return nil, f
 	}
 	if conn != nil {
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 	}
-	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, conn: conn}, nil
+	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn}, nil
 }
 
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
-	f := &Failure{Connected: conn != nil}
+	f := &Failure{Connected: conn != nil, Assigned: conn != nil}
 	f.Written = conn != nil && !conn.sealIfUnwritten(writesBefore)
 	switch {
 	case errors.Is(err, errWriteRejected):
