--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -69,7 +69,10 @@
 				x.d.relays = newRelayTable()
 				_, _ = x.relayThrough(t.Context(), world.RelayHost{OwnerView: world.OwnerView{Host: "h2", Address: address}})
 			} else {
-				x.sendTo(t, address)
+				refusal := x.sendTo(t, address)
+				if got, want := refusal.Outcome == OutcomeNotRun, x.trace.attempts[0].evidence != ""; got != want {
+					t.Errorf("outcome %q, evidence %q", refusal.Outcome, x.trace.attempts[0].evidence)
+				}
 			}
 			line := x.trace.String()
 			for _, want := range c.want {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -36,6 +36,9 @@
 mutant "resumed download" internal/dispatch/response.go 's/if !c.resumable {/if true {/' ./e2e -ginkgo.focus "continues a download"
 mutant "connection kept after the end" internal/dispatch/response.go 's/return c.response.Body.Close()/c.response.Discard(); return nil/' ./e2e -ginkgo.focus "share them"
 mutant "written is unknown" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./e2e -ginkgo.focus "told as unknown"
+mutant "write accepted in part" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if err != nil {/' ./internal/upstream -run CountsAsUnwritten
+mutant "write accepted not at all" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream -run CountsAsUnwritten
+mutant "written request read by the server" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./internal/upstream -run UnwrittenRequestIsNeverRead
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
