After a pause every document is confirmed, and only by hosts that were not paused

Responses now say that their sender cannot tell; such a document is applied and confirms nothing, and a host that starts does not begin with it. The limit now runs from the last answer. - The platform's answer that nothing is newer did not confirm (by reading).

Class: the absence of a statement, or a statement of somebody who cannot know, taken for a proof.

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -375,7 +375,7 @@
 	h.in(delay, e.life, func(now time.Time) {
 		if doc, ok := h.fleet.documents[f.Key]; ok && f.After < doc.revision {
 			h.engine.HandleDocument(now, f.Key, doc.revision, doc.raw)
-			h.engine.ListConfirmed(now, f.ConfirmFor, doc.revision)
+			h.engine.DocumentConfirmed(now, f, doc.revision)
 		}
 	})
 }
@@ -398,9 +398,11 @@
 				panic(err) // a fault of the program
 			}
 			h.engine.HandleDocument(now, f.Key, resp.Revision, raw)
-			h.engine.ListConfirmed(now, f.ConfirmFor, resp.Revision)
-		case resp != nil && resp.Revision == f.After && !f.ConfirmFor.IsZero():
-			h.engine.ListConfirmed(now, f.ConfirmFor, resp.Revision)
+			if configsync.Confirms(f, resp) {
+				h.engine.DocumentConfirmed(now, f, resp.Revision)
+			}
+		case resp != nil && configsync.Confirms(f, resp):
+			h.engine.DocumentConfirmed(now, f, resp.Revision)
 		case len(f.Peers) > 1:
 			f.Peers = f.Peers[1:]
 			e.askDocument(f)
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -143,9 +143,13 @@
 		defer cancel()
 		value, err := f.d.platform.Get(ctx, fetch.Key, fetch.After)
 		f.d.metrics.PlatformCall(err)
-		if err == nil && value != nil {
+		switch {
+		case err != nil:
+		case value != nil:
 			f.d.publishDocument(value.Key, value.Revision, value.Raw)
 			f.confirm(fetch, value.Revision)
+		case fetch.After > 0: // the platform has no newer revision
+			f.confirm(fetch, fetch.After)
 		}
 	})
 }
@@ -155,7 +159,7 @@
 	if fetch.ConfirmFor.IsZero() {
 		return
 	}
-	f.d.engine.Post(func(now time.Time) { f.d.engine.ListConfirmed(now, fetch.ConfirmFor, revision) })
+	f.d.engine.Post(func(now time.Time) { f.d.engine.DocumentConfirmed(now, fetch, revision) })
 }
 
 // fetchFromPeers asks the peers in turn until one returns the document. Each call has its
@@ -179,12 +183,15 @@
 		klog.V(3).InfoS("cannot fetch document from peer", "key", fetch.Key, "peer", address, "err", err)
 		return false
 	}
-	if resp.Revision == fetch.After && !fetch.ConfirmFor.IsZero() {
-		f.confirm(fetch, resp.Revision)
-		return true
-	}
+	confirms := configsync.Confirms(fetch, resp)
 	if resp.Revision <= fetch.After {
-		return false
+		if confirms {
+			f.confirm(fetch, resp.Revision)
+		}
+		return confirms
+	}
+	if resp.Unconfirmed && !f.d.engine.Ready() {
+		return false // a host that starts has no older list to be careful with
 	}
 	raw, err := configsync.DecodeContent(resp)
 	if err != nil {
@@ -192,7 +199,9 @@
 		return false
 	}
 	f.d.publishDocument(fetch.Key, resp.Revision, raw)
-	f.confirm(fetch, resp.Revision)
+	if confirms {
+		f.confirm(fetch, resp.Revision)
+	}
 	return true
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -94,7 +94,7 @@
 	if e.Snapshot().FreshUntil.After(now) {
 		t.Fatal("view is fresh although no host has confirmed the server list")
 	}
-	e.ListConfirmed(now, asked.confirmFor(t), 0)
+	e.DocumentConfirmed(now, asked.question(t, world.KeyIndex), 0)
 	step(100 * time.Millisecond)
 	if !e.Snapshot().FreshUntil.After(now) {
 		t.Fatal("view is stale although the server list was confirmed")
@@ -129,7 +129,7 @@
 		if e.Snapshot().Fresh(later.Add(100*time.Millisecond), suspended) {
 			t.Errorf("view is fresh after a suspension of %s although no host has confirmed the server list", suspension)
 		}
-		e.ListConfirmed(later.Add(100*time.Millisecond), asked.confirmFor(t), 0)
+		e.DocumentConfirmed(later.Add(100*time.Millisecond), asked.question(t, world.KeyIndex), 0)
 		e.Step(later.Add(200 * time.Millisecond))
 		if !e.Snapshot().Fresh(later.Add(300*time.Millisecond), suspended) {
 			t.Errorf("view is stale after a suspension of %s although the server list was confirmed", suspension)
--- a/internal/engine/freshness.go
+++ b/internal/engine/freshness.go
@@ -21,26 +21,27 @@
 	peersOnlyAttempts = 5
 	// platformConfirmInterval is the minimum interval between two such questions to the platform.
 	platformConfirmInterval = time.Second
-	// confirmLimit is the time after the end of a pause at which an unconfirmed server list is used
-	// again: neither another host nor the platform can be reached.
+	// confirmLimit is the time without an answer after which unconfirmed documents are used again:
+	// neither another host nor the platform can be reached.
 	confirmLimit = 2 * time.Second
 )
 
-// freshness tracks whether the server list may be out of date because this process was paused. Data
-// that arrives after a pause may have been sent before its end, so only the answer to a question
-// that was asked afterwards ends that state.
+// freshness tracks whether the documents may be out of date because this process was paused. Data
+// that arrives after a pause may have been sent before its end, so only answers to questions that were
+// asked afterwards end that state.
 type freshness struct {
 	pauseEndedAt time.Time // end of the last pause, zero if the view is fresh
 	attempts     int
 	nextAt       time.Time // when the next source is asked
 	platformAt   time.Time // when the platform may be asked
-	// confirmed is set once a source has answered, with the revision of its server list.
-	confirmed bool
-	revision  uint64
+	// confirmed holds, for each document that a source has answered for, the newest revision named.
+	// answeredAt is the time of the last answer, zero if there was none.
+	confirmed  map[string]uint64
+	answeredAt time.Time
 }
 
 // detectPause marks the view stale if this process was paused for longer than Freshness, and fresh
-// again once the server list has been confirmed.
+// again once the documents have been confirmed.
 func (e *Engine) detectPause(now time.Time) {
 	suspended := e.conf.Suspended()
 	suspendedFor := suspended - e.world.Suspended
@@ -48,39 +49,57 @@
 	e.lastTick = now
 	e.world.Suspended = suspended
 	if pause > e.conf.Freshness {
-		e.freshness = freshness{pauseEndedAt: now}
+		e.freshness = freshness{pauseEndedAt: now, confirmed: make(map[string]uint64)}
 		e.world.FreshUntil = now.Add(-time.Nanosecond) // the old value may still be ahead by the monotonic clock
 		e.world.Record(now, event.HostPaused, "", "", pause.Round(time.Millisecond).String()+", including suspended time of "+suspendedFor.Round(time.Millisecond).String())
 	}
 }
 
-// isStale reports whether the server list has not been confirmed since the last pause.
+// isStale reports whether the documents have not been confirmed since the last pause.
 func (e *Engine) isStale() bool { return !e.freshness.pauseEndedAt.IsZero() }
 
-// listKey returns the key of the document that lists the backend servers or their documents.
-func (e *Engine) listKey() string {
+// keysToConfirm returns the keys of the documents that must be confirmed after a pause. An index lists
+// the revisions of the others.
+func (e *Engine) keysToConfirm() []string {
 	if slices.Contains(e.world.Required, world.KeyDiscovered) {
-		return world.KeyDiscovered
+		return e.world.Required
 	}
-	return world.KeyIndex
+	return []string{world.KeyIndex}
 }
 
-// updateFreshness ends the stale state if the server list has been confirmed, and else asks for a
+// isConfirmed reports whether every document has been confirmed since the last pause and is in force
+// at the confirmed revision.
+func (e *Engine) isConfirmed() bool {
+	if !e.isStale() || len(e.freshness.confirmed) == 0 {
+		return false
+	}
+	for _, key := range e.keysToConfirm() {
+		revision, answered := e.freshness.confirmed[key]
+		if !answered || e.world.Document(key).Needs(revision) {
+			return false
+		}
+	}
+	return len(configsync.Wanted(e.world)) == 0
+}
+
+// updateFreshness ends the stale state if the documents have been confirmed, and else asks for a
 // confirmation.
 func (e *Engine) updateFreshness(now time.Time) {
 	if !e.isStale() {
 		return
 	}
 	f := &e.freshness
-	doc := e.world.Document(e.listKey())
-	staleFor := now.Sub(f.pauseEndedAt)
+	lastSign := f.pauseEndedAt
+	if f.answeredAt.After(lastSign) {
+		lastSign = f.answeredAt
+	}
 	switch {
-	case f.confirmed && !doc.Needs(f.revision) && len(configsync.Wanted(e.world)) == 0:
-		e.endStale(now, fmt.Sprintf("server list revision %d confirmed after %s", doc.Revision, staleFor.Round(time.Millisecond)))
-	case staleFor > confirmLimit:
-		e.endStale(now, fmt.Sprintf("server list revision %d not confirmed: no host and no platform answered within %s", doc.Revision, confirmLimit))
+	case e.isConfirmed():
+		e.endStale(now, "documents confirmed after "+now.Sub(f.pauseEndedAt).Round(time.Millisecond).String())
+	case now.Sub(lastSign) > confirmLimit:
+		e.endStale(now, fmt.Sprintf("documents not confirmed: no host and no platform answered within %s", confirmLimit))
 	case !now.Before(f.nextAt):
-		e.requestConfirmation(now, doc)
+		e.requestConfirmation(now)
 	}
 }
 
@@ -89,24 +108,29 @@
 	e.world.Record(now, event.HostFresh, "", "", detail)
 }
 
-// requestConfirmation asks other hosts, readers first, whether they hold a newer server list. Readers
-// and hosts without others ask the platform too.
-func (e *Engine) requestConfirmation(now time.Time, doc *world.Document) {
+// requestConfirmation asks other hosts, readers first, whether they hold newer documents. Readers and
+// hosts without others ask the platform too.
+func (e *Engine) requestConfirmation(now time.Time) {
 	f := &e.freshness
 	f.nextAt = now.Add(confirmInterval)
 	f.attempts++
-	question := world.Fetch{Key: doc.Key, After: doc.BaseRevision(), ConfirmFor: f.pauseEndedAt}
 	peers := e.confirmingPeers()
-	for _, address := range peers {
-		ask := question
-		ask.Peers = []string{address}
-		e.world.Outbox.Fetches = append(e.world.Outbox.Fetches, ask)
-	}
 	asksPlatform := configsync.IsReader(e.world) || len(peers) == 0 || f.attempts > peersOnlyAttempts
-	if asksPlatform && !now.Before(f.platformAt) {
+	asksPlatform = asksPlatform && !now.Before(f.platformAt)
+	if asksPlatform {
 		f.platformAt = now.Add(platformConfirmInterval)
-		question.Platform = true
-		e.world.Outbox.Fetches = append(e.world.Outbox.Fetches, question)
+	}
+	for _, key := range e.keysToConfirm() {
+		question := world.Fetch{Key: key, After: e.world.Document(key).BaseRevision(), ConfirmFor: f.pauseEndedAt}
+		for _, address := range peers {
+			ask := question
+			ask.Peers = []string{address}
+			e.world.Outbox.Fetches = append(e.world.Outbox.Fetches, ask)
+		}
+		if asksPlatform {
+			question.Platform = true
+			e.world.Outbox.Fetches = append(e.world.Outbox.Fetches, question)
+		}
 	}
 }
 
@@ -132,12 +156,12 @@
 	return addresses
 }
 
-// ListConfirmed handles the answer to a request for confirmation: another host or the platform held
-// the given revision of the server list after the pause that ended at pauseEndedAt.
-func (e *Engine) ListConfirmed(now, pauseEndedAt time.Time, revision uint64) {
-	if !e.isStale() || !e.freshness.pauseEndedAt.Equal(pauseEndedAt) {
+// DocumentConfirmed handles the answer to a request for confirmation: another host or the platform held
+// the given revision of the document after the pause that the request names.
+func (e *Engine) DocumentConfirmed(now time.Time, question world.Fetch, revision uint64) {
+	if !e.isStale() || !e.freshness.pauseEndedAt.Equal(question.ConfirmFor) {
 		return
 	}
-	e.freshness.confirmed = true
-	e.freshness.revision = max(e.freshness.revision, revision)
+	e.freshness.answeredAt = now
+	e.freshness.confirmed[question.Key] = max(e.freshness.confirmed[question.Key], revision)
 }
--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -160,8 +160,8 @@
 		return &peerpb.DocumentResponse{}, false, nil
 	}
 	resp, err = configsync.Answer(e.world, now, doc, req.After)
-	if e.isStale() && err == nil && len(resp.Document) == 0 {
-		resp = &peerpb.DocumentResponse{} // this host cannot tell whether its revision is the newest
+	if e.isStale() && err == nil {
+		resp = &peerpb.DocumentResponse{Revision: resp.Revision, Document: resp.Document, Gzipped: resp.Gzipped, Unconfirmed: true}
 	}
 	return resp, len(resp.GetDocument()) == 0 && now.Before(doc.FetchingUntil), err
 }
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -86,7 +86,7 @@
 // would otherwise wait for a tick on each of them.
 func (e *Engine) needsImmediateTick() bool {
 	w := e.world
-	if e.freshness.confirmed {
+	if e.isConfirmed() {
 		return true // requests are waiting for a fresh view
 	}
 	if w.QuarantineChanged {
--- a/internal/system/configsync/answer.go
+++ b/internal/system/configsync/answer.go
@@ -95,3 +95,9 @@
 	}
 	return raw, nil
 }
+
+// Confirms reports whether a peer's response confirms a revision: the peer has not been paused itself,
+// and holds a revision at least as new as the requesting host's.
+func Confirms(fetch world.Fetch, resp *peerpb.DocumentResponse) bool {
+	return !fetch.ConfirmFor.IsZero() && !resp.Unconfirmed && resp.Revision > 0 && resp.Revision >= fetch.After
+}
