Platform: any list read after an outage of the store says so

What callers would see: servers whose registrations lapsed in an outage get no requests from any host until they have registered again. Found by the review: the grace was known to the watch only, so that a list read for another purpose (by a host that confirms its list after a pause, more often than before) had none, and replaced the grace at all hosts. A listing after the store had dropped its history had none either, since the response was recorded after the list was made.

TestAnyListAfterOutageSaysSo failed for both. Outages are tracked once for all readers of a source, and a listing is recorded before its grace is read.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -51,11 +51,13 @@
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
 mutant "stale view of a paused host" internal/dispatch/send.go 's/if x.req.Idempotent \&\& to.server.ID == "" {/if x.req.Idempotent {/' ./platform -run PausedHostSends
 mutant "requests held while stale" internal/dispatch/exchange.go 's/if refusal := x.awaitFresh(ctx); refusal != nil {/if refusal := x.awaitFresh(ctx); false {/' ./platform -run PausedHostRefusesWithAShortRetryAfter
-mutant "confirmation after a pause" internal/engine/freshness.go 's/case f.confirmed \&\& !doc.Needs(f.revision) \&\& .*:/case f.confirmed || e.members.LastContact().After(f.pauseEndedAt):/' ./internal/engine -run DuringAPause
-mutant "listed documents after a pause" internal/engine/freshness.go 's/ \&\& len(configsync.Wanted(e.world)) == 0:/:/' ./internal/engine -run ListedDocuments
-mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(pauseEndedAt) {/ {/' ./internal/engine -run DuringAPause
-mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil /if false \&\& err == nil /' ./internal/engine -run ConfirmTheListOfAnother
+mutant "confirmation after a pause" internal/engine/freshness.go 's/^	case e.isConfirmed():/	case f.attempts > 1:/' ./internal/engine -run DuringAPause
+mutant "listed documents after a pause" internal/engine/freshness.go 's/return len(configsync.Wanted(e.world)) == 0/return true/' ./internal/engine -run ListedDocuments
+mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(question.ConfirmFor) {/ {/' ./internal/engine -run DuringAPause
+mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
 mutant "confirmation before the first tick" internal/engine/loop.go 's/if world.Elapsed(e.lastTick, now) > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
+mutant "configuration after a pause" internal/engine/freshness.go 's/if !answered || e.world.Document(key).Needs(revision) {/if answered \&\& e.world.Document(key).Needs(revision) {/' ./internal/engine -run AgesTheConfiguration
+mutant "empty answer confirms nothing" internal/system/configsync/answer.go 's/ \&\& resp.Revision > 0 \&\& / \&\& /' ./internal/engine -run EmptyAnswer
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
 mutant "identity of a claim" internal/claims/coordinator.go 's|id:          requestID + "/" + ulid.Make().String(),|id: requestID + ulid.ULID{}.String(),|' ./internal/claims
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
@@ -66,6 +68,7 @@
 mutant "limit of a translated configuration" internal/config/config.go 's/MaxDocumentBytes = 16 << 20/MaxDocumentBytes = 1 << 20/' ./platform -run 'LargestConfigurations|AtStoreLimit'
 mutant "document of a peer beyond the limit" internal/system/configsync/answer.go 's/if len(raw) > config.MaxDocumentBytes {/if false {/' ./internal/system/configsync -run LargestDocument
 mutant "own pause is no outage" platform/runningtime.go 's/min(max(now.Sub(r.last), 0), maxRunningStep)/max(now.Sub(r.last), 0)/' ./platform -run OwnPause
+mutant "grace in any list after an outage" platform/mirror.go 's/^	m.source.outages.recordResponse(m.source.now())$//' ./platform -run AnyListAfterOutage
 mutant "watch with too many changes" platform/mirror.go 's/if errors.Is(err, errResponseTooLarge) {/if false {/' ./platform -run TooLargeWatch
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "a server's report at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
@@ -176,7 +179,7 @@
 mutant "signature" internal/dispatch/result.go 's/proto.Signature != ""/proto.Signature == "-"/' ./platform -run Idempotent
 mutant "misdirected" internal/dispatch/roundtrip.go 's/case x.isMisdirected(response), x.d/case x.d/' ./platform -run NotRun
 mutant "indirect probes" internal/membership/probe.go 's/if !p.indirectSent \&\& !now.Before(p.indirectAt) {/if false {/' ./internal/membership
-mutant "stale after a pause" internal/engine/engine.go "s/if pause > e.conf.Freshness {/if false {/" ./internal/engine
+mutant "stale after a pause" internal/engine/freshness.go "s/if pause > e.conf.Freshness {/if false {/" ./internal/engine
 mutant "deadlines extended by a pause" internal/membership/probe.go 's/if gap := now.Sub(l.lastTick); gap > pauseProbeIntervals\*l.conf.ProbeInterval {/if gap := now.Sub(l.lastTick); gap < 0 {/' ./internal/membership
 
 mutant "new host is no reader" internal/system/configsync/configsync.go 's/return w.Settled \&\& slices/return slices/' ./e2e -ginkgo.focus "all hosts restart"
