Upstream: a discarded response leaves its connection to the next request

What callers saw: 502 for a request that is not idempotent, at a sound server, where another caller's response on the same connection was thrown away, for example as that of another request.

Cause: net/http pools the connection of a response without a body before it returns the response, so that the next request may have begun when Discard closes the connection.

Discard closes a connection only if no later request has begun on it, under the lock under which requests begin, and seals it so that none can follow.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -122,6 +122,18 @@
 	return true
 }
 
+// sealAfter seals the connection unless it has been given to more than the given number of requests,
+// and reports whether it is sealed.
+func (c *trackedConn) sealAfter(requests int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests > requests {
+		return c.sealed
+	}
+	c.sealed = true
+	return true
+}
+
 // trackingDial returns a dial function whose connections are of type trackedConn.
 func trackingDial(conf Config) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -93,10 +93,11 @@
 }
 
 // Discard closes the response body and the connection, so that no late data on it
-// can reach another caller.
+// can reach another caller. A connection that already carries the next request, as it
+// may once the response has been read to its end, is left to that request.
 func (a *Answer) Discard() {
 	a.Body.Close()
-	if a.conn != nil {
+	if a.conn != nil && a.conn.sealAfter(a.Earlier+1) {
 		a.conn.Close()
 	}
 }
