--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -132,7 +132,6 @@
 	e.clock.Observe(now, hlc.Timestamp(clock))
 	e.members.Merge(now, members)
 	e.mergeRegisters(now, registers)
-	e.members.RecordContact(now)
 }
 
 // AnswerSync handles a full sync request from another host. The other host first sends
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -189,7 +189,6 @@
 // Receive processes a datagram from an address and returns the replies. Registers and evidence
 // in the datagram are left to the caller.
 func (l *List) Receive(now time.Time, address string, d *peerpb.Datagram) []Packet {
-	l.lastContact = now
 	l.mergeGossip(now, d.Members)
 	switch d.Kind {
 	case peerpb.Datagram_KIND_PING:
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -49,7 +49,6 @@
 	nextGossip     time.Time
 	nextSync       time.Time
 	nextReconnect  time.Time
-	lastContact    time.Time
 }
 
 // New returns a list that contains only this host. The incarnation is derived from the start
@@ -57,16 +56,15 @@
 func New(conf Config, delegate Delegate, queue *gossip.Queue, now time.Time) *List {
 	conf.SetDefaults()
 	l := &List{
-		conf:        conf,
-		delegate:    delegate,
-		queue:       queue,
-		rng:         rand.New(rand.NewPCG(conf.Seed, uint64(len(conf.Host)))),
-		table:       newMemberTable(conf.DataCentre),
-		relays:      make(map[uint64]relay),
-		awareness:   awareness{max: conf.AwarenessMax},
-		started:     now,
-		lastTick:    now,
-		lastContact: now,
+		conf:      conf,
+		delegate:  delegate,
+		queue:     queue,
+		rng:       rand.New(rand.NewPCG(conf.Seed, uint64(len(conf.Host)))),
+		table:     newMemberTable(conf.DataCentre),
+		relays:    make(map[uint64]relay),
+		awareness: awareness{max: conf.AwarenessMax},
+		started:   now,
+		lastTick:  now,
 	}
 	l.self = &peerpb.Member{
 		Host:        conf.Host,
@@ -101,12 +99,6 @@
 // LiveCount returns the number of hosts that are alive or suspect.
 func (l *List) LiveCount() int { return l.table.live }
 
-// LastContact returns when another host last sent a datagram or answered a call.
-func (l *List) LastContact() time.Time { return l.lastContact }
-
-// RecordContact records that another host answered a synchronous call.
-func (l *List) RecordContact(now time.Time) { l.lastContact = now }
-
 func isLive(m *peerpb.Member) bool {
 	return m.Liveness == peerpb.Liveness_LIVENESS_ALIVE || m.Liveness == peerpb.Liveness_LIVENESS_SUSPECT
 }
