--- a/internal/engine/freshness.go
+++ b/internal/engine/freshness.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// confirmInterval is the time after which another source is asked to confirm the server list.
+	// confirmInterval is the time after which other sources are asked to confirm the documents.
 	confirmInterval = 100 * time.Millisecond
 	// confirmPeers is the number of hosts that are asked at the same time. Some may be paused too.
 	confirmPeers = 3
@@ -40,8 +40,8 @@
 	answeredAt time.Time
 }
 
-// detectPause marks the view stale if this process was paused for longer than Freshness, and fresh
-// again once the documents have been confirmed.
+// detectPause marks the view stale if this process was paused for longer than Freshness. See
+// updateFreshness for its end.
 func (e *Engine) detectPause(now time.Time) {
 	suspended := e.conf.Suspended()
 	suspendedFor := suspended - e.world.Suspended
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,8 +137,8 @@
 	// Tick is the interval of the control loop. Default: 100ms.
 	Tick config.Duration `yaml:"tick"`
 	// Freshness is the length of a pause after which a host sends no
-	// requests to backend servers until another host or the platform has
-	// confirmed its server list. Default: 1s.
+	// requests to backend servers until other hosts or the platform have
+	// confirmed its server list and configuration. Default: 1s.
 	Freshness config.Duration `yaml:"freshness"`
 	// ProbeInterval is the interval of membership probes. Lower values detect
 	// failed hosts sooner but send more datagrams. Default: 1s.
