--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,7 +29,8 @@
 
 // Transport sends requests over pooled connections.
 type Transport struct {
-	http *http.Transport
+	http         *http.Transport
+	maxHeadBytes int64
 }
 
 // Config configures a Transport.
@@ -40,6 +41,8 @@
 	// on an unresponsive address sooner, but the kernel retransmits a lost SYN only
 	// after 1 s.
 	DialTimeout time.Duration
+	// MaxHeadBytes limits the head of a response. The default is MaxHeadBytes.
+	MaxHeadBytes int64
 	// Dial opens the connections. The default is a net.Dialer.
 	Dial DialFunc
 	// Meter, if set, returns the meter of connections to an address, or nil for none.
@@ -60,13 +63,15 @@
 	if conf.OnDial == nil {
 		conf.OnDial = func(error) {}
 	}
-	return &Transport{http: &http.Transport{
-		DialContext:         trackingDial(conf),
-		TLSClientConfig:     conf.TLS,
-		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}}
+	if conf.MaxHeadBytes == 0 {
+		conf.MaxHeadBytes = MaxHeadBytes
+	}
+	transport := NewHTTPTransport(trackingDial(conf), conf.MaxHeadBytes)
+	transport.TLSClientConfig = conf.TLS
+	transport.MaxIdleConnsPerHost = maxIdleConnsPerAddress
+	transport.IdleConnTimeout = idleConnTimeout
+	transport.DisableCompression = true
+	return &Transport{http: transport, maxHeadBytes: conf.MaxHeadBytes}
 }
 
 // Close closes idle connections.
@@ -79,7 +84,12 @@
 	FirstByte time.Duration
 	// Reused is true if the connection had carried an earlier request.
 	Reused bool
-	conn   *trackedConn
+	// Earlier is the number of requests that the connection had been given to before.
+	Earlier int
+	conn    *trackedConn
+	// received is the body as the connection delivers it. Unlike Body, which may be a buffer, it can be
+	// closed during a read.
+	received io.Closer
 }
 
 // Discard closes the response body and the connection, so that no late data on it
@@ -91,17 +101,53 @@
 	}
 }
 
+const (
+	// maxDrainBytes and maxDrainTime limit how much of an unwanted body is read, and for how long, to
+	// keep the connection reusable. Opening another one costs less.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 250 * time.Millisecond
+	// drainWait is how long DrainAndClose blocks. A body that follows its head at once has arrived by
+	// then, and its connection is free for the next request.
+	drainWait = 5 * time.Millisecond
+)
+
 // DrainAndClose drains and closes the body of a response that is not passed on, so that
 // the connection can be reused. It does not close the connection itself, which may
-// carry another request as soon as the body has been read to its end.
+// carry another request as soon as the body has been read to its end. If the body does not
+// end within drainWait, draining goes on in the background: the request must not wait for it.
 func (a *Answer) DrainAndClose() {
+	if a.Body == http.NoBody {
+		return
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		a.drain()
+	}()
+	wait := time.NewTimer(drainWait)
+	defer wait.Stop()
+	select {
+	case <-drained:
+	case <-wait.C:
+	}
+}
+
+// drain reads up to maxDrainBytes of the body for up to maxDrainTime. If more is left, the connection
+// is closed.
+func (a *Answer) drain() {
+	limit := time.AfterFunc(maxDrainTime, a.abandon)
+	defer limit.Stop()
 	_, _ = io.CopyN(io.Discard, a.Body, maxDrainBytes) // Close drops the connection if more is left
 	a.Body.Close()
 }
 
-// maxDrainBytes limits how much of an unwanted body is read to keep the connection
-// reusable.
-const maxDrainBytes = 16 << 10
+// abandon ends a read of the body and closes the connection. It does nothing once the body has been
+// read to its end, when the connection may carry another request.
+func (a *Answer) abandon() {
+	if a.received != nil {
+		a.received.Close()
+	}
+}
 
 // Failure is the error of a request that got no response.
 type Failure struct {
@@ -112,7 +158,12 @@
 	// Reused is true if the connection had carried an earlier request. The failure
 	// may then concern only the connection, not the server.
 	Reused bool
-	err    *errs.Error
+	// Earlier is the number of requests that the connection had been given to before. It
+	// is 0 if the request was given no connection.
+	Earlier int
+	// Assigned is true if the request was given a connection.
+	Assigned bool
+	err      *errs.Error
 }
 
 // Error implements the error interface.
@@ -129,6 +180,7 @@
 	mu           sync.Mutex
 	conn         *trackedConn
 	writesBefore uint64
+	earlier      int
 	reused       bool
 }
 
@@ -147,13 +199,14 @@
 			conn.sealIfIdle(info.IdleTime, a.maxIdle)
 		}
 		a.writesBefore = conn.beginRequest(a.guard)
+		a.earlier = conn.earlierRequests()
 	}
 }
 
-func (a *attempt) connection() (conn *trackedConn, writesBefore uint64, reused bool) {
+func (a *attempt) connection() (conn *trackedConn, writesBefore uint64, earlier int, reused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn, a.writesBefore, a.reused
+	return a.conn, a.writesBefore, a.earlier, a.reused
 }
 
 func underlying(conn net.Conn) *trackedConn {
@@ -178,20 +231,24 @@
 	req.GetBody = nil
 	start := time.Now()
 	resp, err := t.http.RoundTrip(req)
-	conn, writesBefore, reused := a.connection()
+	conn, writesBefore, earlier, reused := a.connection()
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
-		f.Reused = reused
+		f.Reused, f.Earlier = reused, earlier
+		if f.Written && ctx.Err() == nil && conn.hasReceived(t.maxHeadBytes) {
+			f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
+			f.Reused = false // the server is at fault, not the connection
+		}
 		return nil, f
 	}
 	if conn != nil {
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 	}
-	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, conn: conn}, nil
+	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn, received: resp.Body}, nil
 }
 
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
-	f := &Failure{Connected: conn != nil}
+	f := &Failure{Connected: conn != nil, Assigned: conn != nil}
 	f.Written = conn != nil && !conn.sealIfUnwritten(writesBefore)
 	switch {
 	case errors.Is(err, errWriteRejected):
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -36,9 +36,26 @@
 mutant "resumed download" internal/dispatch/response.go 's/if !c.resumable {/if true {/' ./e2e -ginkgo.focus "continues a download"
 mutant "connection kept after the end" internal/dispatch/response.go 's/return c.response.Body.Close()/c.response.Discard(); return nil/' ./e2e -ginkgo.focus "share them"
 mutant "written is unknown" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./e2e -ginkgo.focus "told as unknown"
+mutant "write accepted in part" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if err != nil {/' ./internal/upstream -run CountsAsUnwritten
+mutant "write accepted not at all" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream -run CountsAsUnwritten
+mutant "written request read by the server" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./internal/upstream -run UnwrittenRequestIsNeverRead
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
+mutant "limit of a head" internal/upstream/head.go 's/, MaxResponseHeaderBytes: maxHeadBytes//' ./internal/upstream -run EndlessHead
+mutant "reason of a cut head" internal/upstream/upstream.go 's/conn.hasReceived(t.maxHeadBytes)/false/' ./internal/upstream -run EndlessHead
+mutant "time to drain a body" internal/upstream/upstream.go 's/^	limit := time.AfterFunc(maxDrainTime, a.abandon)$/	limit := time.AfterFunc(time.Hour, a.abandon)/' ./internal/upstream -run UnwantedBodyWithoutEnd
+mutant "a request does not wait for draining" internal/upstream/upstream.go 's/^	case <-wait.C:$/	case <-(chan int)(nil):/' ./internal/upstream -timeout 20s -run WaitForUnwantedBody
+mutant "health check without end" internal/daemon/effects.go 's/if length > maxProbeBodyBytes {/if length > maxProbeBodyBytes \&\& false {/' ./internal/daemon -run EndlessResponseFails
+mutant "deadline of a streamed response" internal/dispatch/hedge.go 's/defer p.detach() .*/p.detach()/' ./platform -run EndlessBodyIsNoSuccess
+mutant "switch of protocols" internal/dispatch/result.go 's/if response.StatusCode < http.StatusOK {/if false {/' ./platform -run 'EndlessBodyIsNoSuccess/protocol'
 mutant "last look at the write" internal/upstream/conn.go 's/if err := guard(); err != nil {/if err := guard(); err != nil \&\& false {/' ./internal/upstream
 mutant "last look of a frozen host" internal/dispatch/send.go 's/if !x.d.snapshot().Fresh(now, /if false \&\& !x.d.snapshot().Fresh(now, /' ./e2e -ginkgo.focus "freezes between"
+mutant "stale view of a paused host" internal/dispatch/send.go 's/if x.req.Idempotent \&\& to.server.ID == "" {/if x.req.Idempotent {/' ./platform -run PausedHostSends
+mutant "requests held while stale" internal/dispatch/exchange.go 's/if refusal := x.awaitFresh(ctx); refusal != nil {/if refusal := x.awaitFresh(ctx); false {/' ./platform -run PausedHostRefusesWithAShortRetryAfter
+mutant "confirmation after a pause" internal/engine/freshness.go 's/case f.confirmed \&\& !doc.Needs(f.revision) \&\& .*:/case f.confirmed || e.members.LastContact().After(f.pauseEndedAt):/' ./internal/engine -run DuringAPause
+mutant "listed documents after a pause" internal/engine/freshness.go 's/ \&\& len(configsync.Wanted(e.world)) == 0:/:/' ./internal/engine -run ListedDocuments
+mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(pauseEndedAt) {/ {/' ./internal/engine -run DuringAPause
+mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil /if false \&\& err == nil /' ./internal/engine -run ConfirmTheListOfAnother
+mutant "confirmation before the first tick" internal/engine/loop.go 's/if world.Elapsed(e.lastTick, now) > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
 mutant "identity of a claim" internal/claims/coordinator.go 's|id:          requestID + "/" + ulid.Make().String(),|id: requestID + ulid.ULID{}.String(),|' ./internal/claims
 mutant "quorum of claims" internal/claims/coordinator.go 's/		return 4$/		return 2/' ./internal/claims
@@ -48,6 +65,7 @@
 mutant "bad document refused" internal/config/config.go 's/decoder.KnownFields(true)/decoder.KnownFields(false)/' ./e2e -ginkgo.focus "bad document"
 mutant "limit of a translated configuration" internal/config/config.go 's/MaxDocumentBytes = 16 << 20/MaxDocumentBytes = 1 << 20/' ./platform -run 'LargestConfigurations|AtStoreLimit'
 mutant "document of a peer beyond the limit" internal/system/configsync/answer.go 's/if len(raw) > config.MaxDocumentBytes {/if false {/' ./internal/system/configsync -run LargestDocument
+mutant "own pause is no outage" platform/runningtime.go 's/min(max(now.Sub(r.last), 0), maxRunningStep)/max(now.Sub(r.last), 0)/' ./platform -run OwnPause
 mutant "watch with too many changes" platform/mirror.go 's/if errors.Is(err, errResponseTooLarge) {/if false {/' ./platform -run TooLargeWatch
 mutant "drain" internal/system/rotation/rotation.go 's/^	p.removeDrained()$//' ./e2e -ginkgo.focus "operator's drain"
 mutant "a server's report at the pick" internal/policy/copies.go 's/ \&\& r.isAvailable(b)$//' ./internal/policy -run ServersThatTake
@@ -205,6 +223,8 @@
 mutant "waiting requests are refused in time" internal/waitqueue/queue.go 's/arrivalFactor  *= 1.25/arrivalFactor = 1000/' ./internal/waitqueue
 mutant "each refused later" internal/waitqueue/queue.go 's/case priority <= item.Priority .*/case false:/' ./internal/waitqueue
 mutant "recheck without a report" internal/waitqueue/set.go 's/^	s.reviewWithin(now, RecheckInterval)$//' ./internal/balance -run LostReport
+mutant "unproven promise" internal/dispatch/roundtrip.go 's/case x.d.proto.StatusPromisesNotRun(response.StatusCode):/case false:/' ./platform -run TestServerErrorIsNoPromise
+mutant "target as sent" internal/dispatch/request.go 's/strings.HasPrefix(path, "\/") {/path == "" {/' ./platform -run TestRequestTargetReaches
 
 echo "$survivors survivors"
 exit "$((survivors > 0))"
