--- a/internal/engine/inputs.go
+++ b/internal/engine/inputs.go
@@ -132,7 +132,6 @@
 	e.clock.Observe(now, hlc.Timestamp(clock))
 	e.members.Merge(now, members)
 	e.mergeRegisters(now, registers)
-	e.members.RecordContact(now)
 }
 
 // AnswerSync handles a full sync request from another host. The other host first sends
@@ -160,8 +159,8 @@
 		return &peerpb.DocumentResponse{}, false, nil
 	}
 	resp, err = configsync.Answer(e.world, now, doc, req.After)
-	if e.isStale() && err == nil && len(resp.Document) == 0 {
-		resp = &peerpb.DocumentResponse{} // this host cannot tell whether its revision is the newest
+	if e.isStale() && err == nil {
+		resp = &peerpb.DocumentResponse{Revision: resp.Revision, Document: resp.Document, Gzipped: resp.Gzipped, Unconfirmed: true}
 	}
 	return resp, len(resp.GetDocument()) == 0 && now.Before(doc.FetchingUntil), err
 }
