--- a/internal/daemon/probe_test.go
+++ b/internal/daemon/probe_test.go
@@ -1,63 +1,15 @@
 package daemon
 
 import (
-	"bufio"
-	"context"
-	"fmt"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
+	"github.com/pearshelf/pearshelf/standin/endless"
 )
 
-// startEndlessServer starts a server that responds to each connection's first request with a beginning
-// and then repeats a piece until the client closes the connection.
-func startEndlessServer(t *testing.T, begin, repeat string, pause time.Duration) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := fmt.Fprint(conn, begin)
-				for err == nil {
-					time.Sleep(pause)
-					_, err = fmt.Fprint(conn, repeat)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
-// countingConn counts the bytes read.
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // endlessResponses are responses without end: the beginning and what is repeated.
 var endlessResponses = map[string][2]string{
 	"head":              {"HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("a", 1000)},
@@ -73,17 +25,12 @@
 // and the bytes read of the response.
 func probeEndless(t *testing.T, response [2]string, pause, timeout time.Duration) (read int64, err error) {
 	t.Helper()
-	var received atomic.Int64
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &countingConn{Conn: conn, read: &received}, nil
-	}
-	f := &effects{d: &Daemon{ctx: t.Context(), probes: newProbeClient(dial)}}
-	err = f.probe(world.Probe{Address: startEndlessServer(t, response[0], response[1], pause), Path: "/", Timeout: timeout})
-	return received.Load(), err
+	var dialer endless.Dialer
+	server := endless.StartFor(t, endless.Response{Begin: response[0], Repeat: response[1], Pause: pause})
+	f := &effects{d: &Daemon{ctx: t.Context(), probes: newProbeClient(dialer.Dial)}}
+	err = f.probe(world.Probe{Address: server.Address(), Path: "/", Timeout: timeout})
+	read, _ = dialer.Read()
+	return read, err
 }
 
 // Guards against health checks whose responses without end use up the host's memory.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,9 +1,7 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"io/fs"
 	"net"
@@ -13,81 +11,14 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/upstream"
+	"github.com/pearshelf/pearshelf/standin/endless"
 )
 
-// endlessServer responds to each request with a beginning and then repeats a piece until the client
-// closes the connection.
-type endlessServer struct {
-	address string
-	begin   string
-	repeat  string
-	// pause is the time between two pieces, 0 for none.
-	pause time.Duration
-	// closed receives a value for each connection that the client has closed.
-	closed chan struct{}
-}
-
-func startEndlessServer(t *testing.T, begin, repeat string, pause time.Duration) *endlessServer {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	s := &endlessServer{address: l.Addr().String(), begin: begin, repeat: repeat, pause: pause, closed: make(chan struct{}, 100)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return s
-}
-
-func (s *endlessServer) serve(conn net.Conn) {
-	defer func() { s.closed <- struct{}{} }()
-	defer conn.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-		return
-	}
-	_, err := fmt.Fprint(conn, s.begin)
-	for err == nil {
-		time.Sleep(s.pause)
-		_, err = fmt.Fprint(conn, s.repeat)
-	}
-}
-
-// countingDial returns a dial function that counts the bytes read from its connections.
-func countingDial(read *atomic.Int64) upstream.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &countingConn{Conn: conn, read: read}, nil
-	}
-}
-
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // endlessHeads are heads of responses that do not end: the beginning and what is repeated.
 var endlessHeads = map[string][2]string{
 	"status line":       {"HTTP/1.1 200 ", strings.Repeat("a", 1000)},
@@ -111,17 +42,17 @@
 func TestEndlessHeadsAreCutOff(t *testing.T) {
 	for name, head := range endlessHeads {
 		t.Run(name, func(t *testing.T) {
-			s := startEndlessServer(t, head[0], head[1], 0)
-			var read atomic.Int64
-			transport := upstream.NewTransport(upstream.Config{Dial: countingDial(&read)})
-			_, failure := sendTo(t, t.Context(), transport, s.address)
+			s := endless.StartFor(t, endless.Response{Begin: head[0], Repeat: head[1]})
+			var dialer endless.Dialer
+			transport := upstream.NewTransport(upstream.Config{Dial: dialer.Dial})
+			_, failure := sendTo(t, t.Context(), transport, s.Address())
 			if failure == nil || !failure.Written || errs.KindOf(failure) != errs.KindHeadTooLong {
 				t.Fatalf("got %v, want a failure after the write of kind %s", failure, errs.KindHeadTooLong)
 			}
-			if n := read.Load(); n > upstream.MaxHeadBytes {
+			if n, _ := dialer.Read(); n > upstream.MaxHeadBytes {
 				t.Errorf("%d bytes were read, more than MaxHeadBytes", n)
 			}
-			<-s.closed
+			<-s.Closed
 		})
 	}
 }
@@ -131,14 +62,14 @@
 	for name, head := range endlessHeads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := startEndlessServer(t, head[0], head[1], 20*time.Millisecond)
+			s := endless.StartFor(t, endless.Response{Begin: head[0], Repeat: head[1], Pause: 20 * time.Millisecond})
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 			defer cancel()
-			_, failure := sendTo(t, ctx, upstream.NewTransport(upstream.Config{}), s.address)
+			_, failure := sendTo(t, ctx, upstream.NewTransport(upstream.Config{}), s.Address())
 			if failure == nil || !failure.Written || errs.KindOf(failure) != errs.KindDeadline {
 				t.Fatalf("got %v, want a failure after the write of kind %s", failure, errs.KindDeadline)
 			}
-			<-s.closed
+			<-s.Closed
 		})
 	}
 }
@@ -146,9 +77,12 @@
 // Guards against a limit that rejects responses with large heads, such as many cookies.
 func TestLargeHeadPasses(t *testing.T) {
 	const fields, fieldBytes = 48, 1 << 10
-	s := startEndlessServer(t, "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+
-		strings.Repeat("Set-Cookie: "+strings.Repeat("a", fieldBytes)+"\r\n", fields)+"\r\nok", "", time.Minute)
-	answer, failure := sendTo(t, t.Context(), upstream.NewTransport(upstream.Config{}), s.address)
+	s := endless.StartFor(t, endless.Response{
+		Begin: "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n" +
+			strings.Repeat("Set-Cookie: "+strings.Repeat("a", fieldBytes)+"\r\n", fields) + "\r\nok",
+		Pause: time.Minute,
+	})
+	answer, failure := sendTo(t, t.Context(), upstream.NewTransport(upstream.Config{}), s.Address())
 	if failure != nil {
 		t.Fatal(failure)
 	}
@@ -194,14 +128,14 @@
 		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
 			t.Run(name+" "+speed, func(t *testing.T) {
 				t.Parallel()
-				s := startEndlessServer(t, "HTTP/1.1 503 Service Unavailable\r\n"+body[0], body[1], pause)
-				answer, failure := sendTo(t, t.Context(), upstream.NewTransport(upstream.Config{}), s.address)
+				s := endless.StartFor(t, endless.Response{Begin: "HTTP/1.1 503 Service Unavailable\r\n" + body[0], Repeat: body[1], Pause: pause})
+				answer, failure := sendTo(t, t.Context(), upstream.NewTransport(upstream.Config{}), s.Address())
 				if failure != nil {
 					t.Fatal(failure)
 				}
 				answer.DrainAndClose()
 				select {
-				case <-s.closed:
+				case <-s.Closed:
 				case <-time.After(10 * time.Second):
 					t.Error("the connection is still open")
 				}
