Upstream: a request begins under one lock, received bytes are counted without one

beginRequest returns the number of earlier requests, which took the connection's lock a second time for each request; each read of a connection took it too. No decision changes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -237,10 +237,9 @@
 	})
 	d.liveness = upstream.NewLivenessChecker(d.dialServer)
 	d.owners = upstream.NewTransport(upstream.Config{
-		Meter:       d.relayMeter,
-		TLS:         tlsConf,
-		DialTimeout: min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
-
+		Meter:        d.relayMeter,
+		TLS:          tlsConf,
+		DialTimeout:  min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
 		MaxHeadBytes: upstream.MaxHostHeadBytes,
 	})
 	d.probes = newProbeClient(d.dialServer)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,7 +29,7 @@
 	sealed   bool
 	guard    Guard
 	// received counts the bytes received since the last request began.
-	received int64
+	received atomic.Int64
 	// serverIdleTimeout is the idle timeout that the server announced, 0 if none.
 	serverIdleTimeout time.Duration
 }
@@ -56,19 +57,10 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.received += int64(n)
+	c.received.Add(int64(n))
 	return n, err
 }
 
-// hasReceived reports whether at least n bytes have been received since the last request began.
-func (c *trackedConn) hasReceived(n int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.received >= n
-}
-
 // undoWrite uncounts a write of which the kernel accepted no byte, as on a
 // connection that the peer has closed.
 func (c *trackedConn) undoWrite() {
@@ -92,22 +84,15 @@
 	return nil
 }
 
-// beginRequest sets the guard of the next request and returns the number of writes
-// so far, the reference for sealIfUnwritten.
-func (c *trackedConn) beginRequest(guard Guard) uint64 {
+// beginRequest sets the guard of the next request. It returns the number of writes so far, the
+// reference for sealIfUnwritten, and the number of earlier requests.
+func (c *trackedConn) beginRequest(guard Guard) (writes uint64, earlier int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.guard = guard
-	c.received = 0
+	c.received.Store(0)
 	c.requests++
-	return c.writes
-}
-
-// earlierRequests returns the number of requests before the current one.
-func (c *trackedConn) earlierRequests() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requests - 1
+	return c.writes, c.requests - 1
 }
 
 // sealIfUnwritten reports whether no write has begun since the count was
--- a/internal/upstream/idle_test.go
+++ b/internal/upstream/idle_test.go
@@ -40,7 +40,7 @@
 		t.Fatal("sealed after 7 s idle of 10 s")
 	}
 	conn.sealIfIdle(9*time.Second, 0)
-	writesBefore := conn.beginRequest(nil)
+	writesBefore, _ := conn.beginRequest(nil)
 	if _, err := conn.Write([]byte("POST")); !errors.Is(err, errSealed) {
 		t.Errorf("write after 9 s idle of 10 s: got %v, want errSealed", err)
 	}
@@ -78,7 +78,7 @@
 func TestFailedWriteIsUnwritten(t *testing.T) {
 	for n, want := range map[int]bool{0: true, 1: false} {
 		conn := &trackedConn{Conn: failingConn{n: n}}
-		writesBefore := conn.beginRequest(nil)
+		writesBefore, _ := conn.beginRequest(nil)
 		if _, err := conn.Write([]byte("POST")); err == nil {
 			t.Fatal("write succeeded, want an error")
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -199,8 +199,7 @@
 		if info.WasIdle {
 			conn.sealIfIdle(info.IdleTime, a.maxIdle)
 		}
-		a.writesBefore = conn.beginRequest(a.guard)
-		a.earlier = conn.earlierRequests()
+		a.writesBefore, a.earlier = conn.beginRequest(a.guard)
 	}
 }
 
@@ -236,7 +235,7 @@
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
 		f.Reused, f.Earlier = reused, earlier
-		if f.Written && ctx.Err() == nil && conn.hasReceived(t.maxHeadBytes) {
+		if f.Written && ctx.Err() == nil && conn.received.Load() >= t.maxHeadBytes {
 			f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
 			f.Reused = false // the server is at fault, not the connection
 		}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -41,7 +41,7 @@
 mutant "written request read by the server" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./internal/upstream -run UnwrittenRequestIsNeverRead
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
 mutant "limit of a head" internal/upstream/head.go 's/, MaxResponseHeaderBytes: maxHeadBytes//' ./internal/upstream -run EndlessHead
-mutant "reason of a cut head" internal/upstream/upstream.go 's/conn.hasReceived(t.maxHeadBytes)/false/' ./internal/upstream -run EndlessHead
+mutant "reason of a cut head" internal/upstream/upstream.go 's/conn.received.Load() >= t.maxHeadBytes/false/' ./internal/upstream -run EndlessHead
 mutant "time to drain a body" internal/upstream/upstream.go 's/^	limit := time.AfterFunc(maxDrainTime, a.abandon)$/	limit := time.AfterFunc(time.Hour, a.abandon)/' ./internal/upstream -run UnwantedBodyWithoutEnd
 mutant "a request does not wait for draining" internal/upstream/upstream.go 's/^	case <-wait.C:$/	case <-(chan int)(nil):/' ./internal/upstream -timeout 20s -run WaitForUnwantedBody
 mutant "health check without end" internal/daemon/effects.go 's/if length > maxProbeBodyBytes {/if length > maxProbeBodyBytes \&\& false {/' ./internal/daemon -run EndlessResponseFails
