--- a/internal/engine/freshness.go
+++ b/internal/engine/freshness.go
@@ -70,7 +70,7 @@
 // isConfirmed reports whether every document has been confirmed since the last pause and is in force
 // at the confirmed revision.
 func (e *Engine) isConfirmed() bool {
-	if !e.isStale() || len(e.freshness.confirmed) == 0 {
+	if !e.isStale() {
 		return false
 	}
 	for _, key := range e.keysToConfirm() {
