--- a/e2e/atmostonce_test.go
+++ b/e2e/atmostonce_test.go
@@ -114,7 +114,7 @@
 
 	It("and can be repeated with the same key after it was told as not run", func() {
 		f := start(4, []config.Service{shop(1)}, longHorizon)
-		f.Backends["shop"]["b1"].SetFaults(backend.Faults{ShedAll: true})
+		f.Backends["shop"]["b1"].SetFaults(backend.Faults{ShedRate: 1})
 		Expect(mustCall("POST", url(f, 0), "x", "Idempotency-Key", "retry").outcome()).To(Equal("not-run"))
 		f.Backends["shop"]["b1"].SetFaults(backend.Faults{})
 		Eventually(func() string {
--- a/e2e/evidence_test.go
+++ b/e2e/evidence_test.go
@@ -89,7 +89,7 @@
 		Entry("an answer that is cut short", backend.Faults{CutRate: 1}),
 		Entry("an answer that is another request's", backend.Faults{WrongIDRate: 1}),
 		Entry("an error", backend.Faults{ErrorRate: 1}),
-		Entry("a server without room", backend.Faults{ShedAll: true}),
+		Entry("a server without room", backend.Faults{ShedRate: 1}),
 	)
 
 	It("is no server that ended before the request came", func() {
--- a/e2e/notrun_test.go
+++ b/e2e/notrun_test.go
@@ -48,7 +48,7 @@
 	It("when every server sheds", func() {
 		f := start(2, []config.Service{shop(2)})
 		for _, s := range f.Backends["shop"] {
-			s.SetFaults(backend.Faults{ShedAll: true})
+			s.SetFaults(backend.Faults{ShedRate: 1})
 		}
 		expectTrueRefusal(f, order(f, "shed"), "shed")
 	})
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -58,7 +58,7 @@
 
 	It("counts a refusal that an owner host gave as a refusal, and keeps its kind inside", func() {
 		f := start(4, []config.Service{shop(1)})
-		f.Backends["shop"]["b1"].SetFaults(backend.Faults{ShedAll: true})
+		f.Backends["shop"]["b1"].SetFaults(backend.Faults{ShedRate: 1})
 		for _, d := range f.Hosts { // at least one of them is no owner
 			r := mustCall("POST", "http://"+d.CallerAddress()+"/shop/order", "x")
 			Expect(r.outcome()).To(Equal("not-run"))
--- a/e2e/storm_test.go
+++ b/e2e/storm_test.go
@@ -32,7 +32,7 @@
 
 var serverFaults = []backend.Faults{
 	{ErrorRate: 0.6}, {ResetRate: 0.5}, {WrongIDRate: 0.5}, {CutRate: 0.5}, {CloseAfterRun: true},
-	{SlowFactor: 10}, {ShedAll: true}, {Draining: true}, {},
+	{SlowFactor: 10}, {ShedRate: 1}, {Draining: true}, {},
 }
 
 // weather changes two things at a time until ctx ends, then heals all.
--- a/experiment/soak/faults.go
+++ b/experiment/soak/faults.go
@@ -55,9 +55,9 @@
 	{"server errors", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ErrorRate: 0.75}) }},
 	{"server resets", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ResetRate: 0.5}) }},
 	{"server hangs", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{Hang: true}) }},
-	{"server sheds", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ShedAll: true}) }},
+	{"server sheds", func(s *soak, ctx context.Context) { s.failServer(ctx, backend.Faults{ShedRate: 1}) }},
 	{"server asks for rest", func(s *soak, ctx context.Context) {
-		s.failServer(ctx, backend.Faults{ShedAll: true, Rest: s.between(leastRest, mostRest)})
+		s.failServer(ctx, backend.Faults{ShedRate: 1, Rest: s.between(leastRest, mostRest)})
 	}},
 	{"late rejections", func(s *soak, ctx context.Context) {
 		s.failServer(ctx, backend.Faults{ShedRate: 0.5, LateRate: 0.5})
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -38,8 +38,7 @@
 	CloseAfterRun bool
 	// Draining says so on every answer.
 	Draining bool
-	// ShedAll refuses every request as not run, ShedRate a share of them.
-	ShedAll  bool
+	// ShedRate is the share of requests refused as not run.
 	ShedRate float64
 	// LateRate is the share of answers that are sent again where the answer to the connection's
 	// next request is expected.
@@ -212,7 +211,7 @@
 	p.reset = s.rng.Float64() < p.faults.ResetRate || p.faults.CloseAfterRun
 	p.wrong = s.rng.Float64() < p.faults.WrongIDRate
 	p.cut = s.rng.Float64() < p.faults.CutRate
-	p.shed = p.faults.ShedAll || s.rng.Float64() < p.faults.ShedRate
+	p.shed = s.rng.Float64() < p.faults.ShedRate
 	p.endless = p.faults.EndlessRate > 0 && s.rng.Float64() < p.faults.EndlessRate
 	return p
 }
