Engine: a suspended host confirms nothing before its first tick either

A host whose machine was suspended could confirm another host's server list by the first datagrams after it, with a list as old as the suspension: Input looked at the steady clock alone, which stands still then, and only the tick asked how long the machine had been suspended. Found by reading the change once more: the same question stood in two places, and one of them was incomplete.

TestSuspendedHostDoesNotConfirmTheListOfAnother failed before. Both places now ask pauseSince.

--- a/internal/engine/freshness.go
+++ b/internal/engine/freshness.go
@@ -40,14 +40,19 @@
 	answeredAt time.Time
 }
 
+// pauseSince returns how long this process has been paused if it has not run since the last tick, and
+// the part of that for which its machine was suspended.
+func (e *Engine) pauseSince(now time.Time) (pause, suspendedFor time.Duration) {
+	suspendedFor = e.conf.Suspended() - e.world.Suspended
+	return max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+suspendedFor), suspendedFor
+}
+
 // detectPause marks the view stale if this process was paused for longer than Freshness. See
 // updateFreshness for its end.
 func (e *Engine) detectPause(now time.Time) {
-	suspended := e.conf.Suspended()
-	suspendedFor := suspended - e.world.Suspended
-	pause := max(world.Elapsed(e.lastTick, now), now.Sub(e.lastTick)+suspendedFor)
+	pause, suspendedFor := e.pauseSince(now)
 	e.lastTick = now
-	e.world.Suspended = suspended
+	e.world.Suspended += suspendedFor
 	if pause > e.conf.Freshness {
 		e.freshness = freshness{pauseEndedAt: now, confirmed: make(map[string]uint64)}
 		e.world.FreshUntil = now.Add(-time.Nanosecond) // the old value may still be ahead by the monotonic clock
--- a/internal/engine/freshness_test.go
+++ b/internal/engine/freshness_test.go
@@ -189,6 +189,26 @@
 	}
 }
 
+// Guards against a host that confirms another's server list right after its machine was suspended: its
+// steady clock stood still, so that only the tick knew of the pause.
+func TestSuspendedHostDoesNotConfirmTheListOfAnother(t *testing.T) {
+	var suspended time.Duration
+	h := newDirectHostWith(t, 2, func() time.Duration { return suspended })
+	now := epoch.Add(100 * time.Millisecond)
+	h.Step(now)
+	suspended = time.Minute
+	question := world.Fetch{Key: world.KeyDiscovered, After: 1, ConfirmFor: epoch}
+	h.Input(now.Add(time.Millisecond), func(now time.Time) {
+		resp, _, err := h.AnswerDocument(now, &peerpb.DocumentRequest{Key: question.Key, After: question.After, From: "other1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if configsync.Confirms(question, resp) {
+			t.Error("a host confirms its list before it has noticed that it was suspended")
+		}
+	})
+}
+
 // Guards against an incomplete list that the empty answer of a host without one confirms.
 func TestEmptyAnswerConfirmsNothing(t *testing.T) {
 	if configsync.Confirms(world.Fetch{ConfirmFor: epoch}, &peerpb.DocumentResponse{}) {
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -72,7 +72,7 @@
 // Input runs an input and ticks immediately if the input requires it. It must be called
 // on the loop's goroutine.
 func (e *Engine) Input(now time.Time, input func(now time.Time)) {
-	if world.Elapsed(e.lastTick, now) > e.conf.Freshness {
+	if pause, _ := e.pauseSince(now); pause > e.conf.Freshness {
 		e.Step(now) // before this host answers others from a view that may be out of date
 	}
 	input(now)
--- a/internal/engine/servers_test.go
+++ b/internal/engine/servers_test.go
@@ -35,6 +35,12 @@
 
 // newDirectHost returns a host that knows registered servers in three data centres.
 func newDirectHost(t testing.TB, servers int) *directHost {
+	t.Helper()
+	return newDirectHostWith(t, servers, func() time.Duration { return 0 })
+}
+
+// newDirectHostWith is newDirectHost on a machine that has been suspended for the given time.
+func newDirectHostWith(t testing.TB, servers int, suspended func() time.Duration) *directHost {
 	t.Helper()
 	h := &directHost{t: t}
 	h.Engine = engine.New(engine.Config{
@@ -43,7 +49,7 @@
 		Freshness:         time.Second,
 		Membership:        membership.Config{Host: "h1", Address: "10.0.0.1:1", DataCentre: "dc1", ProbeInterval: time.Second, ProbeTimeout: 400 * time.Millisecond, GossipInterval: 100 * time.Millisecond},
 		RequiredDocuments: []string{world.KeyPublished, world.KeyDiscovered},
-		Suspended:         func() time.Duration { return 0 },
+		Suspended:         suspended,
 	}, &hlc.Clock{}, &h.fetches, epoch)
 	var others []*peerpb.Member
 	for n := range otherHosts {
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -55,7 +55,7 @@
 mutant "listed documents after a pause" internal/engine/freshness.go 's/return len(configsync.Wanted(e.world)) == 0/return true/' ./internal/engine -run ListedDocuments
 mutant "confirmation for this pause" internal/engine/freshness.go 's/ || !e.freshness.pauseEndedAt.Equal(question.ConfirmFor) {/ {/' ./internal/engine -run DuringAPause
 mutant "confirmation by a paused host" internal/engine/inputs.go 's/if e.isStale() \&\& err == nil {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
-mutant "confirmation before the first tick" internal/engine/loop.go 's/if world.Elapsed(e.lastTick, now) > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
+mutant "confirmation before the first tick" internal/engine/loop.go 's/if pause, _ := e.pauseSince(now); pause > e.conf.Freshness {/if false {/' ./internal/engine -run ConfirmTheListOfAnother
 mutant "configuration after a pause" internal/engine/freshness.go 's/if !answered || e.world.Document(key).Needs(revision) {/if answered \&\& e.world.Document(key).Needs(revision) {/' ./internal/engine -run AgesTheConfiguration
 mutant "empty answer confirms nothing" internal/system/configsync/answer.go 's/ \&\& resp.Revision > 0 \&\& / \&\& /' ./internal/engine -run EmptyAnswer
 mutant "claims" internal/dispatch/exchange.go 's/if x.req.Idempotent || x.req.Key == "" {/if true {/' ./e2e -ginkgo.focus "same key comes through|repeated through"
