Loops: hosts of the simulation confirm as real ones do

The store of the simulation confirmed a document only if it was newer, and a question for a confirmation that nobody answered counted as a failed fetch.

--- a/experiment/loops/loops.go
+++ b/experiment/loops/loops.go
@@ -373,10 +373,14 @@
 		delay += h.fleet.conf.ListTakes
 	}
 	h.in(delay, e.life, func(now time.Time) {
-		if doc, ok := h.fleet.documents[f.Key]; ok && f.After < doc.revision {
+		doc, ok := h.fleet.documents[f.Key]
+		if !ok {
+			return
+		}
+		if f.After < doc.revision {
 			h.engine.HandleDocument(now, f.Key, doc.revision, doc.raw)
-			h.engine.DocumentConfirmed(now, f, doc.revision)
 		}
+		h.engine.DocumentConfirmed(now, f, doc.revision)
 	})
 }
 
@@ -406,7 +410,7 @@
 		case len(f.Peers) > 1:
 			f.Peers = f.Peers[1:]
 			e.askDocument(f)
-		default:
+		case f.ConfirmFor.IsZero():
 			h.engine.FetchFailed(now, f.Key)
 		}
 	}
