--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -113,18 +113,9 @@
 	}
 }
 
-// endlessBodies are responses whose bodies do not end: the beginning and what is repeated.
-var endlessBodies = map[string][2]string{
-	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
-	"chunk extension": {"Transfer-Encoding: chunked\r\n\r\n1;", "a"},
-	"trailers":        {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: a\r\n"},
-	"long body":       {"Content-Length: 1000000000000\r\n\r\n", "a"},
-	"body to the end": {"\r\n", "a"},
-}
-
 // Guards against unwanted bodies that hold their connections until the request's deadline.
 func TestUnwantedBodyWithoutEndIsCutOff(t *testing.T) {
-	for name, body := range endlessBodies {
+	for name, body := range endless.Bodies {
 		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": 20 * time.Millisecond} {
 			t.Run(name+" "+speed, func(t *testing.T) {
 				t.Parallel()
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -31,6 +31,16 @@
 	Pause time.Duration
 }
 
+// Bodies are bodies that do not end, by name: the last header with the blank line, and the piece that is
+// repeated.
+var Bodies = map[string][2]string{
+	"chunks":          {"Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+	"chunk extension": {"Transfer-Encoding: chunked\r\n\r\n1;", "a"},
+	"trailers":        {"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: a\r\n"},
+	"long body":       {"Content-Length: 1000000000000\r\n\r\n", "a"},
+	"body to the end": {"\r\n", "a"},
+}
+
 // Server answers the first request of each connection with a response without end.
 type Server struct {
 	// Closed receives a value for each response that the client has cut off.
