--- a/review/_play2/endpoint.go
+++ b/review/_play2/endpoint.go
@@ -18,6 +18,8 @@
 	id, service, zone string
 	slots             int
 	store             *store
+	// arrived, if set, is called when a request arrives, before it waits for a slot.
+	arrived func(r *http.Request)
 	// work does what a request asks for and returns the answer.
 	work func(r *http.Request) answer
 
@@ -87,6 +89,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.arrived != nil {
+		e.arrived(r)
+	}
 	io.Copy(io.Discard, r.Body)
 	select {
 	case e.slot <- struct{}{}:
@@ -99,6 +104,9 @@
 	e.running.Add(1)
 	a := e.work(r)
 	running := e.running.Add(-1)
+	if a.status == 0 {
+		return
+	}
 	w.Header().Set("X-Upstream-Signature", "sig."+id)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
 	w.WriteHeader(a.status)
--- a/review/_play2/main.go
+++ b/review/_play2/main.go
@@ -144,6 +144,8 @@
 		cannotRun("the case took too long")
 	}()
 	switch os.Args[1] {
+	case "retired":
+		retired()
 	case "removed":
 		removed()
 	default:
