--- a/review/_play2/host.go
+++ b/review/_play2/host.go
@@ -82,10 +82,11 @@
 }
 
 // freeAddress returns an address that is free for TCP and UDP. Its port is below those that the machine
-// gives to outgoing connections, so that none of these takes it before the process listens.
+// gives to outgoing connections, so that none of these takes it before the process listens. Programs that
+// run at the same time look in different ranges.
 func freeAddress() string {
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+os.Getpid()%18*1000+rand.IntN(1000))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
