--- a/review/_play2/removed.go
+++ b/review/_play2/removed.go
@@ -20,13 +20,11 @@
 	deposit := route("r-deposit", "unsafe", "/deposit/", "plans", 4, 2)
 	s.put("op/config", configuration("clinic.example", 7, []string{"slots", "plans"}, slots, plan, deposit))
 	zones := []string{"addis-a", "addis-b"}
-	work := func(r *http.Request) answer {
+	work := func(r *http.Request) (time.Duration, bool) {
 		if r.Method == "POST" {
-			time.Sleep(400 * time.Millisecond)
-		} else {
-			time.Sleep(1200 * time.Millisecond)
+			return 400 * time.Millisecond, false
 		}
-		return answer{200, "an answer of the service"}
+		return 1200 * time.Millisecond, false
 	}
 	for i, zone := range zones {
 		for j := range 2 {
--- a/review/_play2/retired.go
+++ b/review/_play2/retired.go
@@ -31,14 +31,8 @@
 		for j := range 12 {
 			hangs := j < 3 // six of twenty-four
 			id := fmt.Sprintf("i-roster%d%d", i, j)
-			e := startEndpoint(s, "roster", id, zone, 4, func(r *http.Request) answer {
-				if hangs && failing.Load() && rand.IntN(4) > 0 {
-					<-r.Context().Done()
-					return answer{}
-				}
-				work := time.Duration(1400+rand.IntN(1600)) * time.Millisecond
-				time.Sleep(work)
-				return answer{200, "a roster"}
+			e := startEndpoint(s, "roster", id, zone, 4, func(*http.Request) (time.Duration, bool) {
+				return time.Duration(1400+rand.IntN(1600)) * time.Millisecond, hangs && failing.Load() && rand.IntN(4) > 0
 			})
 			e.arrived = func(r *http.Request) {
 				if at := drainedAt.Load(); at != 0 && isLeaving.Load().(map[string]bool)[id] && time.Since(time.Unix(0, at)) > drain {
@@ -47,9 +41,8 @@
 				}
 			}
 			endpoints = append(endpoints, e)
-			startEndpoint(s, "slots", fmt.Sprintf("i-slots%d%d", i, j), zone, 4, func(*http.Request) answer {
-				time.Sleep(500 * time.Millisecond)
-				return answer{200, "a slot"}
+			startEndpoint(s, "slots", fmt.Sprintf("i-slots%d%d", i, j), zone, 4, func(*http.Request) (time.Duration, bool) {
+				return 500 * time.Millisecond, false
 			})
 		}
 	}
