Dispatch: a request is sent only once on each connection

What callers saw: a request that is not idempotent was refused as not run (503) although it ran, or ran at two servers.

Cause: a rejection is identified by the ID of its request, which is the same in each send of that request. Where two registered servers have one address (an ended one that has not expired yet and its successor), a request rejected by 421 goes to the same address again on the kept connection. If the server repeats its rejection late, that counts for the second send, which the server runs.

The fix: a request avoids the connections on which any server has responded to it. This replaces the special case of borrowed slots, which closed the connection of a rejection. Its test is replaced by TestRejectedRequestAvoidsItsConnection, which checks all four combinations of borrowed and idempotent, and that other requests keep the connection; with the lines that record the connections taken out it fails (mutants).

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -60,6 +61,9 @@
 	// it may have reached.
 	attemptsRun     int
 	attemptsArrived int
+	// answeredOn are the connections on which servers have responded to the request. It is not sent on
+	// them again: a response may be repeated there, and its ID does not tell one send from another.
+	answeredOn []upstream.Connection
 	// inFlight counts the servers that have the request and have not responded yet.
 	inFlight int
 	// quarantineTrial is set for a suspected request that may be sent to one server only, to
--- a/internal/dispatch/identity_test.go
+++ b/internal/dispatch/identity_test.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, failure := transport.Do(t.Context(), out, nil, 0)
+	response, failure := transport.Do(t.Context(), out, upstream.Conditions{})
 	if failure != nil {
 		t.Fatal(failure)
 	}
@@ -202,23 +202,32 @@
 	return sendResult{}
 }
 
-// A request whose borrowed slot was in use may be sent to the same server again, with the same ID.
-// It must not go out on the same connection: the rejection could arrive once more there, and count
-// for the second send. Guards against running a non-idempotent request twice.
-func TestRejectionOfBorrowedSlotClosesConnection(t *testing.T) {
-	x := newSendingExchange(t)
-	x.state = &serviceState{budget: newRetryBudget()}
-	address := serverWith(t, http.StatusServiceUnavailable, map[string]string{protocol.HeaderRequestID: ownID, protocol.HeaderNotRun: "true"})
-	to := destination{transport: x.d.backends, scheme: "http", address: address, view: x.view, adjust: func(http.Header) {}}
-	for _, borrowed := range []bool{false, true, false} {
-		first := x.roundTripUntilWritten(t, to)
-		x.req.Idempotent = false
-		x.handleNotRun(&serverLease{Borrowed: borrowed, attempt: &attempt{}}, first.response)
-		x.req.Idempotent = true // sent although this host's view is never fresh
-		second := x.roundTripUntilWritten(t, to)
-		if second.response.Reused == borrowed {
-			t.Errorf("borrowed %t: next send on the same connection %t", borrowed, second.response.Reused)
+// A request that was rejected may be sent to the same address again, with the same ID: its borrowed slot
+// was in use, or another server has taken the address. It must not go out on the same connection: the
+// rejection could arrive once more there, and count for the second send. Other requests may use that
+// connection. Guards against running a non-idempotent request twice.
+func TestRejectedRequestAvoidsItsConnection(t *testing.T) {
+	for _, borrowed := range []bool{false, true} {
+		for _, idempotent := range []bool{false, true} {
+			x := newSendingExchange(t)
+			x.state = &serviceState{budget: newRetryBudget()}
+			address := serverWith(t, http.StatusServiceUnavailable, map[string]string{protocol.HeaderRequestID: ownID, protocol.HeaderNotRun: "true"})
+			lease := &serverLease{Borrowed: borrowed, attempt: &attempt{}, reportLoad: func(protocol.Load) {}}
+			to := destination{transport: x.d.backends, scheme: "http", address: address, view: x.view, adjust: func(http.Header) {}}
+			result := x.roundTripUntilWritten(t, to)
+			x.req.Idempotent = idempotent
+			x.handleResult(t.Context(), lease, result)
+			x.req.Idempotent = true // sent although this host's view is never fresh
+			again := to
+			again.avoid = x.toServer(lease).avoid
+			if second := x.roundTripUntilWritten(t, again); second.response.Reused {
+				t.Errorf("borrowed %t, idempotent %t: the same request went out on its connection again", borrowed, idempotent)
+			} else {
+				second.response.DrainAndClose()
+			}
+			if other := x.roundTripUntilWritten(t, to); !other.response.Reused {
+				t.Errorf("borrowed %t, idempotent %t: no connection was left to another request", borrowed, idempotent)
+			}
 		}
-		second.response.DrainAndClose()
 	}
 }
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -104,6 +104,7 @@
 		next.Release()
 		return nil, nil
 	}
+	x.answeredOn = append(x.answeredOn, response.Connection())
 	if !x.isValidResponse(response, to.view) {
 		response.Discard()
 		next.Release()
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -22,6 +22,7 @@
 		return false, x.handleFailure(ctx, lease, result.failure)
 	}
 	response := result.response
+	x.answeredOn = append(x.answeredOn, response.Connection())
 	lease.done.NewConnection = !response.Reused
 	lease.attempt.recordResponse(response, x.d.proto.RequestID, x.req.ID)
 	x.attemptsArrived++
@@ -56,13 +57,7 @@
 
 // handleNotRun records that the server did not run the request.
 func (x *exchange) handleNotRun(lease *serverLease, response *upstream.Answer) *Refusal {
-	if lease.Borrowed && !x.req.Idempotent {
-		// The request may go to the same server again, where a late repetition of this response
-		// on the same connection would count for the second send.
-		response.Discard()
-	} else {
-		response.DrainAndClose()
-	}
+	response.DrainAndClose()
 	lease.attempt.evidence = evidenceRejection
 	lease.attempt.finish("not-run/" + strconv.Itoa(response.StatusCode))
 	if x.isMisdirected(response) {
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
@@ -20,6 +21,8 @@
 	address   string // IP:port
 	// maxIdle is how long the connection may have been idle, 0 for no limit.
 	maxIdle time.Duration
+	// avoid are the connections that must not carry the request.
+	avoid []upstream.Connection
 	// view is the service view when the request was sent, server the process that it is sent
 	// to. Both are zero for an owner host.
 	view   *world.ServiceView
@@ -38,6 +41,7 @@
 		scheme:    "http",
 		address:   lease.Server.Address,
 		maxIdle:   lease.maxIdle,
+		avoid:     slices.Clone(x.answeredOn),
 		view:      x.view,
 		server:    x.serverOf(lease),
 		adjust:    x.targetHeader(lease),
@@ -69,7 +73,11 @@
 	if x.d.crossZone != nil && to.isRemote {
 		ctx = upstream.WithMeter(ctx, x.d.crossZone)
 	}
-	response, failure := to.transport.Do(ctx, out, func() error { return x.checkBeforeWrite(to, token) }, to.maxIdle)
+	response, failure := to.transport.Do(ctx, out, upstream.Conditions{
+		Guard:   func() error { return x.checkBeforeWrite(to, token) },
+		MaxIdle: to.maxIdle,
+		Avoid:   to.avoid,
+	})
 	if failure != nil && !failure.Written {
 		x.returnToken(token)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -107,6 +107,13 @@
 	return true
 }
 
+// seal seals the connection. A request on it then counts as not written.
+func (c *trackedConn) seal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+}
+
 // sealAfter seals the connection unless it has been given to more than the given number of requests,
 // and reports whether it is sealed.
 func (c *trackedConn) sealAfter(requests int) bool {
--- a/internal/upstream/discard_test.go
+++ b/internal/upstream/discard_test.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			t.Error(err)
 		}
-		return transport.Do(context.Background(), req, nil, 0)
+		return transport.Do(context.Background(), req, upstream.Conditions{})
 	}
 	first, failure := do("/first")
 	if failure != nil {
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return transport.Do(ctx, req, nil, 0)
+	return transport.Do(ctx, req, upstream.Conditions{})
 }
 
 // Guards against heads of responses that use up the host's memory: a server that sent a head without
--- a/internal/upstream/unwritten_test.go
+++ b/internal/upstream/unwritten_test.go
@@ -155,7 +155,7 @@
 	}
 	watchdog := time.AfterFunc(20*time.Millisecond, cancel) // paused servers do not respond
 	defer watchdog.Stop()
-	answer, failure := transport.Do(ctx, request, guard, 0)
+	answer, failure := transport.Do(ctx, request, upstream.Conditions{Guard: guard})
 	if failure != nil {
 		return failure
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,8 +176,7 @@
 
 // attempt tracks the connection that one request uses.
 type attempt struct {
-	guard   Guard
-	maxIdle time.Duration
+	conditions Conditions
 
 	mu           sync.Mutex
 	conn         *trackedConn
@@ -189,6 +189,23 @@
 // returns an error, nothing is written and the request counts as not written.
 type Guard func() error
 
+// Conditions restrict how a request is sent. The zero value sets none.
+type Conditions struct {
+	// Guard is checked before the first byte.
+	Guard Guard
+	// MaxIdle is how long the connection may have been idle, 0 for no limit but the one that the server
+	// announced.
+	MaxIdle time.Duration
+	// Avoid are connections that must not carry the request.
+	Avoid []Connection
+}
+
+// Connection identifies a connection.
+type Connection struct{ conn *trackedConn }
+
+// Connection returns the connection on which the response arrived.
+func (a *Answer) Connection() Connection { return Connection{a.conn} }
+
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	conn := underlying(info.Conn)
 	a.mu.Lock()
@@ -197,9 +214,12 @@
 	if conn != nil {
 		a.reused = info.Reused
 		if info.WasIdle {
-			conn.sealIfIdle(info.IdleTime, a.maxIdle)
+			conn.sealIfIdle(info.IdleTime, a.conditions.MaxIdle)
+		}
+		if slices.Contains(a.conditions.Avoid, Connection{conn}) {
+			conn.seal()
 		}
-		a.writesBefore, a.earlier = conn.beginRequest(a.guard)
+		a.writesBefore, a.earlier = conn.beginRequest(a.conditions.Guard)
 	}
 }
 
@@ -222,11 +242,10 @@
 }
 
 // Do sends a request exactly once. The request's body must not be nil; Body
-// returns one for requests without content. guard may be nil. A connection that has
-// been idle for longer than maxIdle is not used; 0 leaves only the limit that the
-// server announced.
-func (t *Transport) Do(ctx context.Context, req *http.Request, guard Guard, maxIdle time.Duration) (*Answer, *Failure) {
-	a := &attempt{guard: guard, maxIdle: maxIdle}
+// returns one for requests without content. If the only free connection does not meet the
+// conditions, the request counts as not written.
+func (t *Transport) Do(ctx context.Context, req *http.Request, conditions Conditions) (*Answer, *Failure) {
+	a := &attempt{conditions: conditions}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
 	req.GetBody = nil
 	start := time.Now()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -85,12 +85,12 @@
 func TestTransportNeverResends(t *testing.T) {
 	c := newAbortingServer(t)
 	transport := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout})
-	answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
+	answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), upstream.Conditions{})
 	if failure != nil {
 		t.Fatal(failure)
 	}
 	drain(t, answer.Body)
-	_, failure = transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
+	_, failure = transport.Do(t.Context(), c.request(t, upstream.Body(nil)), upstream.Conditions{})
 	if failure == nil || !failure.Written {
 		t.Fatalf("got %+v, want a failure after the write", failure)
 	}
@@ -109,7 +109,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(t.Context(), req, nil, 0)
+	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(t.Context(), req, upstream.Conditions{})
 	if failure == nil || failure.Written || failure.Connected || errs.KindOf(failure) != errs.KindDialFailed {
 		t.Fatalf("got %+v, want a dial failure", failure)
 	}
@@ -123,7 +123,7 @@
 	reject := func() error { return errors.New("paused") }
 	for _, reused := range []bool{false, true} {
 		if reused {
-			answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), nil, 0)
+			answer, failure := transport.Do(t.Context(), c.request(t, upstream.Body(nil)), upstream.Conditions{})
 			if failure != nil {
 				t.Fatal(failure)
 			}
@@ -131,7 +131,7 @@
 		}
 		before := c.runs.Load()
 		body := io.NopCloser(strings.NewReader("payload"))
-		_, failure := transport.Do(t.Context(), c.request(t, body), reject, 0)
+		_, failure := transport.Do(t.Context(), c.request(t, body), upstream.Conditions{Guard: reject})
 		if failure == nil || failure.Written || errs.KindOf(failure) != errs.KindStaleHost {
 			t.Fatalf("got %+v, want a write rejected by the guard", failure)
 		}
@@ -163,7 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(ctx, req, nil, 0)
+	_, failure := upstream.NewTransport(upstream.Config{DialTimeout: upstream.DefaultDialTimeout}).Do(ctx, req, upstream.Conditions{})
 	if failure == nil || !failure.Written || errs.KindOf(failure) != errs.KindDeadline {
 		t.Fatalf("got %+v, want a deadline failure after the write", failure)
 	}
--- a/internal/upstream/writefailure_test.go
+++ b/internal/upstream/writefailure_test.go
@@ -67,7 +67,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			_, failure := transport.Do(t.Context(), request, nil, 0)
+			_, failure := transport.Do(t.Context(), request, upstream.Conditions{})
 			if failure == nil || failure.Written != c.written {
 				t.Fatalf("failure %+v, want one with written %t", failure, c.written)
 			}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -81,7 +81,8 @@
 mutant "identity of a response without an ID" internal/dispatch/result.go 's/return !response.Reused || view/return view == nil || view/' ./internal/dispatch -run CountsOnlyForItsRequest
 mutant "identity before a decline" internal/dispatch/forward.go '/^	if !x.isForThisRequest(response, nil) {$/,/^	}$/d' ./internal/dispatch -run LateDecline
 mutant "identity of a resumed download" internal/dispatch/forward.go 's/if x.isForThisRequest(response, nil) {/if true {/' ./internal/dispatch -run ResumeByAnother
-mutant "rejection of a borrowed slot" internal/dispatch/result.go 's/if lease.Borrowed \&\& !x.req.Idempotent {/if false {/' ./internal/dispatch -run BorrowedSlot
+mutant "rejection of an earlier send" internal/dispatch/result.go 's/x.answeredOn = append.*//' ./internal/dispatch -run RejectedRequestAvoids
+mutant "connection that carried the request" internal/upstream/upstream.go 's/if slices.Contains(a.conditions.Avoid.*/if false {/' ./platform -run RejectionRepeatedForNextSend
 mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
 mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(state.RestUntil)//' ./internal/availability
