Frontend: a relaying host takes a request for idempotent only if its own route says so

What callers could see: a request that is not idempotent runs twice, where the host that took it has an older configuration than the host that relays it.

Cause: the relaying host compared the kind of its own route only if that led to the same service. A split route leads to one of several services at random, and a moved one to another, so that the word of the entry host alone counted.

Found by reading; no run with real processes has shown it. The fix looks at the kind wherever the route leads.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -231,7 +231,7 @@
 	req := dispatch.NewRequest(r)
 	req.ID = id
 	req.Service = r.Header.Get(dispatch.HeaderService)
-	req.Idempotent = r.Header.Get(dispatch.HeaderIdempotent) == "true" && f.locallyIdempotent(snap, r, req.Service)
+	req.Idempotent = r.Header.Get(dispatch.HeaderIdempotent) == "true" && locallyIdempotent(snap, r)
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	req.Customer = r.Header.Get(protocol.HeaderCustomer)
@@ -279,10 +279,11 @@
 
 // locallyIdempotent reports whether this host's configuration allows a forwarded request to
 // be treated as idempotent. If the configurations of the two hosts differ, the request
-// counts as non-idempotent, which is the safe choice.
-func (f *Frontend) locallyIdempotent(snap *world.Snapshot, r *http.Request, service string) bool {
+// counts as non-idempotent, which is the safe choice. The service is not compared: a split
+// route leads to one of several, and a moved one to another.
+func locallyIdempotent(snap *world.Snapshot, r *http.Request) bool {
 	match, ok := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
-	return !ok || match.Service != service || match.Idempotent
+	return !ok || match.Idempotent
 }
 
 // localHomes returns the home regions of a forwarded request according to this host's
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
 mutant "identity before a decline" internal/dispatch/forward.go '/^	if !x.isForThisRequest(response, nil) {$/,/^	}$/d' ./internal/dispatch -run LateDecline
 mutant "identity of a resumed download" internal/dispatch/forward.go 's/if x.isForThisRequest(response, nil) {/if true {/' ./internal/dispatch -run ResumeByAnother
 mutant "rejection of an earlier send" internal/dispatch/result.go 's/x.answeredOn = append.*//' ./internal/dispatch -run RejectedRequestAvoids
-mutant "connection that carried the request" internal/upstream/upstream.go 's/if slices.Contains(a.conditions.Avoid.*/if false {/' ./platform -run RejectionRepeatedForNextSend
+mutant "connection that carried the request" internal/upstream/upstream.go 's/\tconn.seal()$/\t_ = conn/' ./platform -run RejectionRepeatedForNextSend
 mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
 mutant "the later end of two rests" internal/availability/availability.go 's/ \&\& until.After(state.RestUntil)//' ./internal/availability
