Dispatch: requests whose service a configuration removes are refused at once

Cause: a request kept its last view of the service. Each turn was also counted as a send.

Requests in the wait queue see no servers of a removed service, so that the next review of the queue (150 ms at most) ends their wait. The loop in acquire asks the context and the deadline, and a lease that is returned unused counts as no send. The pool of owner hosts still holds such a request until a slot is free or its queue_wait has passed.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -171,7 +171,7 @@
 	snap := d.snapshot()
 	view, ok := snap.Services[req.Service]
 	if !ok {
-		return refuseNotRun(errs.New(errs.KindNoRoute, "service "+req.Service+" is not configured here", "repeat the request; see config diff if it persists"), 0)
+		return serviceRemoved(req.Service)
 	}
 	returnMemory, refusal := d.bufferBody(req)
 	defer returnMemory()
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -149,6 +149,9 @@
 	}
 	var last *Refusal
 	for x.attemptsRun < x.req.maxAttempts() && len(x.tried) < maxSends && x.unsentFailures < maxUnsentFailures && !x.isExpired(ctx) {
+		if gone := x.refreshView(); gone != nil {
+			return x.finalRefusal(last, gone)
+		}
 		if x.shouldRelay() {
 			if done, err := x.relay(ctx); done {
 				return err
@@ -219,19 +222,18 @@
 // may have been drained while the request was queued.
 func (x *exchange) acquire(ctx context.Context) (*serverLease, error) {
 	for {
-		x.refreshView()
+		if gone := x.refreshView(); gone != nil {
+			return nil, gone
+		}
 		lease, err := x.pickServer(ctx)
 		if err != nil || x.inRotation(lease.Server) {
 			return lease, err
 		}
+		lease.done.Unsent = true
 		lease.Release()
-	}
-}
-
-func (x *exchange) refreshView() {
-	x.snap = x.d.snapshot()
-	if view, ok := x.snap.Services[x.req.Service]; ok {
-		x.view = x.d.viewFor(x.req, view)
+		if x.isExpired(ctx) {
+			return nil, errs.New(errs.KindDeadline, "the deadline passed before the request was sent", "allow more time")
+		}
 	}
 }
 
--- a/internal/dispatch/wait.go
+++ b/internal/dispatch/wait.go
@@ -50,7 +50,7 @@
 	}
 	if waiter != nil {
 		if refusal := x.checkQuarantine(); refusal != nil {
-			d.Lease.Finish(policy.Result{Outcome: policy.Neutral, Unsent: true})
+			returnUnused(d.Lease)
 			return nil, refusal
 		}
 	}
@@ -71,6 +71,8 @@
 		snap := d.snapshot()
 		if current, ok := snap.Services[req.Service]; ok {
 			view = d.viewFor(request, current)
+		} else {
+			view = noServers(view)
 		}
 		req.Availability, req.RateLimits, req.FleetSize = d.availability.Now(), snap.RateLimits, snap.FleetSize
 		return view, req
@@ -88,7 +90,10 @@
 			result = waitRefused
 		}
 		x.recordWait(result, time.Since(began), d.Ahead)
-		x.refreshView()
+		if gone := x.refreshView(); gone != nil {
+			returnUnused(d.Lease)
+			return balance.Decision{}, gone
+		}
 		return d, nil
 	case <-ctx.Done():
 		waiter.Leave()
