Dispatch: nothing is sent to servers of a service that a configuration has removed

Cause: the review of copies kept the last view of the service, in which nobody leaves any more, and the last look before the first byte let a send to an unknown service pass.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -69,7 +69,9 @@
 // until the next review.
 func (h *hedge) reviewCopy(ctx context.Context, first *serverLease) time.Duration {
 	x := h.x
-	x.refreshView()
+	if x.refreshView() != nil {
+		return noFurtherReview
+	}
 	request := x.copyPolicyRequest(first)
 	copyNow, after := x.d.balance.ReviewCopy(x.view, request, first.balanced)
 	switch {
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -160,8 +160,8 @@
 
 // checkRotation forbids a send to a server that has left the rotation since it was picked.
 func (x *exchange) checkRotation(to destination) error {
-	view := x.d.snapshot().Services[x.req.Service]
-	if view == to.view || view == nil || view.Backend(to.server.ID) != nil {
+	view, configured := x.d.snapshot().Services[x.req.Service]
+	if configured && (view == to.view || view.Backend(to.server.ID) != nil) {
 		return nil
 	}
 	x.d.metrics.SendWithheld("out-of-rotation")
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -17,7 +17,7 @@
 //   - The service is gone: nothing more is sent, whether for the first time, as a retry, a copy, a trial or
 //     the rest of a download, and no wait goes on. What servers are working on is still answered by them.
 //
-// Each wait ends with a call of refreshView.
+// Each wait ends with a call of refreshView. checkBeforeWrite decides once more before the first byte.
 
 // removedRetryAfter is the Retry-After of a request whose service is gone. This host knows already where
 // the request's route leads now.
