Dispatch: a request is repeated only while each configuration seen calls its route idempotent

What callers could see: a request runs twice although the configuration in force calls its route not idempotent: retried, copied or relayed after the change.

Cause: the kind was decided once, when the request arrived, and kept while it waited or a server worked.

TestKindOfRouteIsThatOfAllConfigurationsSeen covers routes that leave, change back, or are covered by a longer prefix.

The fix: refreshView, which comes before each further send, looks the route up again when the routes have changed. Once any of them declares it not idempotent, the request is not repeated.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -187,6 +187,8 @@
 		state: d.service(req.Service),
 		start: time.Now(),
 
+		routes: req.Routes,
+
 		attemptsArrived: req.Arrived,
 		written:         req.Arrived > 0,
 		counted:         req.Counted,
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/policy"
+	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
@@ -54,6 +55,9 @@
 	// counted is set once the request has been counted for the retry allowance, here or by the host
 	// that relayed it.
 	counted bool
+	// routes are the routes by which notIdempotent was last decided; see refreshView.
+	routes        *route.Table
+	notIdempotent bool
 	// status is the status code of the response that was passed on, 0 for none.
 	status int
 	trace  trace
@@ -152,6 +156,9 @@
 		if gone := x.refreshView(); gone != nil {
 			return x.finalRefusal(last, gone)
 		}
+		if x.written && !x.mayRepeat() {
+			return last
+		}
 		if x.shouldRelay() {
 			if done, err := x.relay(ctx); done {
 				return err
@@ -175,7 +182,7 @@
 			return nil
 		}
 		last = refusal
-		if x.written && !x.req.Idempotent {
+		if x.written && !x.mayRepeat() {
 			return last
 		}
 		if x.checkQuarantine() != nil || !x.mayRetry(ctx) {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -44,7 +44,7 @@
 	h.Set(protocol.HeaderDeadline, deadlineMs(x.req.Deadline))
 	h.Set(HeaderForwardedBy, x.snap.Self.Host)
 	h.Set(HeaderService, x.req.Service)
-	h.Set(HeaderIdempotent, strconv.FormatBool(x.req.Idempotent))
+	h.Set(HeaderIdempotent, strconv.FormatBool(x.mayRepeat()))
 	if x.req.Customer != "" {
 		h.Set(protocol.HeaderCustomer, x.req.Customer)
 	}
@@ -65,7 +65,7 @@
 	case OutcomeNotRun:
 		return kind == errs.KindStaleHost || kind == errs.KindNoRoute || kind == errs.KindDialFailed || kind == errs.KindPathLost
 	case OutcomeUnknown:
-		return kind == errs.KindPathLost && x.req.Idempotent
+		return kind == errs.KindPathLost && x.mayRepeat()
 	default:
 		return false
 	}
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -29,7 +29,7 @@
 // mayHedge reports whether the request may be sent to a second server while the first is still
 // processing it.
 func (x *exchange) mayHedge(lease *serverLease) bool {
-	return lease.balanced != nil && !x.quarantineTrial && x.req.Idempotent && x.req.body.buffered && x.attemptsRun+2 <= x.req.maxAttempts()
+	return lease.balanced != nil && !x.quarantineTrial && x.mayRepeat() && x.req.body.buffered && x.attemptsRun+2 <= x.req.maxAttempts()
 }
 
 // hedge sends the request to a server, and to a second one when the policy says so.
@@ -69,7 +69,7 @@
 // until the next review.
 func (h *hedge) reviewCopy(ctx context.Context, first *serverLease) time.Duration {
 	x := h.x
-	if x.refreshView() != nil {
+	if x.refreshView() != nil || !x.mayRepeat() {
 		return noFurtherReview
 	}
 	request := x.copyPolicyRequest(first)
--- a/internal/dispatch/lease.go
+++ b/internal/dispatch/lease.go
@@ -76,7 +76,7 @@
 		return x.pickBalanced(ctx)
 	}
 	lease, err := x.state.pool.Acquire(ctx, x.view, slots.Request{
-		Idempotent: x.req.Idempotent,
+		Idempotent: x.mayRepeat(),
 		Session:    x.req.Session,
 		Deadline:   x.req.Deadline,
 		Exclude:    x.tried,
@@ -105,7 +105,7 @@
 func (x *exchange) policyRequest() policy.Request {
 	return policy.Request{
 		Service:      x.req.Service,
-		Idempotent:   x.req.Idempotent,
+		Idempotent:   x.mayRepeat(),
 		DataCentre:   x.snap.Self.DataCentre,
 		Group:        x.req.Group,
 		Objective:    x.req.Objective,
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -252,7 +252,7 @@
 	switch {
 	case isCallerGone(ctx):
 		return true, refuse(x.written || failure.Written, typed)
-	case failure.Written && !x.req.Idempotent:
+	case failure.Written && !x.mayRepeat():
 		return true, refuseUnknown(typed)
 	}
 	x.written = x.written || failure.Written
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -19,6 +19,7 @@
 	"github.com/pearshelf/pearshelf/internal/protocol"
 	"github.com/pearshelf/pearshelf/internal/quarantine"
 	"github.com/pearshelf/pearshelf/internal/region"
+	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -57,8 +58,9 @@
 	ID string
 	// Service is the service of the request's route.
 	Service string
-	// Idempotent is set if the route is declared idempotent.
+	// Idempotent is set if the route is declared idempotent, by Routes.
 	Idempotent bool
+	Routes     *route.Table
 	// Key is the caller's idempotency key, may be empty.
 	Key string
 	// Session is the session ID for affinity, may be empty.
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -133,7 +133,7 @@
 // it passes the server's own error to the caller.
 func (x *exchange) handleServerError(ctx context.Context, lease *serverLease, response *upstream.Answer) (done bool, refusal *Refusal) {
 	x.tried = append(x.tried, lease.Server.ID)
-	canRetry := x.req.Idempotent && x.attemptsRun < x.req.maxAttempts() && len(x.tried) < len(x.view.Backends)
+	canRetry := x.mayRepeat() && x.attemptsRun < x.req.maxAttempts() && len(x.tried) < len(x.view.Backends)
 	if x.inFlight == 0 && canRetry && lease.balanced != nil {
 		// The outcome is reported before the request may wait for a retry.
 		lease.setOutcome(peerpb.Observation_KIND_FAILED, response.FirstByte)
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -9,13 +9,14 @@
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
-// A request keeps the service of the route by which it arrived, and may outlast the
+// A request keeps the service and the kind of the route by which it arrived, and may outlast the
 // configuration that declared them. What it may still do is decided here, for every send and every wait:
 //
 //   - The service is configured: the request goes on, to the servers that the newest view lists. This
 //     holds also if its route has moved to another service or is gone.
 //   - The service is gone: nothing more is sent, whether for the first time, as a retry, a copy, a trial or
 //     the rest of a download, and no wait goes on. What servers are working on is still answered by them.
+//   - Any configuration seen declares the request not idempotent: it is not sent again.
 //
 // Each wait ends with a call of refreshView. checkBeforeWrite decides once more before the first byte.
 
@@ -35,9 +36,17 @@
 		return serviceRemoved(x.req.Service)
 	}
 	x.view = x.d.viewFor(x.req, view)
+	if x.req.Idempotent && x.routes != x.snap.Routes {
+		x.routes = x.snap.Routes
+		match, routed := x.routes.Of(x.req.in)
+		x.notIdempotent = x.notIdempotent || routed && !match.Idempotent
+	}
 	return nil
 }
 
+// mayRepeat reports whether the request may be sent to a server although another one may have run it.
+func (x *exchange) mayRepeat() bool { return x.req.Idempotent && !x.notIdempotent }
+
 // returnUnused returns a lease to whose server the request is not sent.
 func returnUnused(lease *balance.Lease) {
 	if lease != nil {
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"net/http"
 	"testing"
 
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/process"
+	"github.com/pearshelf/pearshelf/internal/route"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -36,3 +38,38 @@
 		t.Errorf("a copy is considered in %s", after)
 	}
 }
+
+// A request is repeated only if each configuration since its arrival declares its route idempotent.
+func TestKindOfRouteIsThatOfAllConfigurationsSeen(t *testing.T) {
+	routesWith := func(routes ...config.Route) *route.Table { return route.Build(nil, routes) }
+	to := []config.Share{{Service: "shop", Weight: 1}}
+	idempotent := routesWith(config.Route{Path: "/x", Split: to, Idempotent: true})
+	notIdempotent := routesWith(config.Route{Path: "/x", Split: to})
+	for name, c := range map[string]struct {
+		later []*route.Table
+		want  bool
+	}{
+		"unchanged":                     {[]*route.Table{idempotent}, true},
+		"route is gone":                 {[]*route.Table{routesWith()}, true},
+		"not idempotent":                {[]*route.Table{notIdempotent}, false},
+		"not idempotent for some time":  {[]*route.Table{notIdempotent, idempotent}, false},
+		"a longer prefix is not either": {[]*route.Table{routesWith(config.Route{Path: "/", Split: to, Idempotent: true}, config.Route{Path: "/x", Split: to})}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newSendingExchange(t)
+			x.req.Service, x.req.in.Method = "shop", http.MethodPost
+			x.routes = idempotent
+			for _, routes := range c.later {
+				x.d.snapshot = func() *world.Snapshot {
+					return &world.Snapshot{Routes: routes, Services: map[string]*world.ServiceView{"shop": {Config: &config.Service{}}}}
+				}
+				if gone := x.refreshView(); gone != nil {
+					t.Fatal(gone)
+				}
+			}
+			if got := x.mayRepeat(); got != c.want {
+				t.Errorf("may be repeated: %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -170,7 +170,7 @@
 	if err := checkPath(r); err != nil {
 		return err
 	}
-	match, ok := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	match, ok := snap.Routes.Of(r)
 	if !ok {
 		return refuse(http.StatusNotFound, errs.KindNoRoute, "no route for "+r.Method+" "+r.URL.Path, "check the path; show routes lists what is served")
 	}
@@ -178,6 +178,7 @@
 	req.ID = id
 	req.Service = match.Service
 	req.Idempotent = match.Idempotent
+	req.Routes = snap.Routes
 	req.Attempts = match.Attempts
 	req.Group = match.Group
 	req.Objective = match.Objective
@@ -232,6 +233,7 @@
 	req.ID = id
 	req.Service = r.Header.Get(dispatch.HeaderService)
 	req.Idempotent = r.Header.Get(dispatch.HeaderIdempotent) == "true" && locallyIdempotent(snap, r)
+	req.Routes = snap.Routes
 	req.Key = r.Header.Get(dispatch.HeaderIdempotencyKey)
 	req.Session = r.Header.Get(dispatch.HeaderSession)
 	req.Customer = r.Header.Get(protocol.HeaderCustomer)
@@ -282,14 +284,14 @@
 // counts as non-idempotent, which is the safe choice. The service is not compared: a split
 // route leads to one of several, and a moved one to another.
 func locallyIdempotent(snap *world.Snapshot, r *http.Request) bool {
-	match, ok := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	match, ok := snap.Routes.Of(r)
 	return !ok || match.Idempotent
 }
 
 // localHomes returns the home regions of a forwarded request according to this host's
 // configuration.
 func localHomes(snap *world.Snapshot, r *http.Request, req *dispatch.Request) region.Homes {
-	match, _ := snap.Routes.Lookup(hostName(r), r.Method, r.URL.Path)
+	match, _ := snap.Routes.Of(r)
 	homes := match.Homes
 	if holder := snap.Customers.ByName(req.Customer); holder != nil {
 		homes = homes.Intersect(holder.Homes)
@@ -345,16 +347,6 @@
 	return nil
 }
 
-// hostName returns the Host header without its port. IPv6 literals are returned
-// unchanged, including any port.
-func hostName(r *http.Request) string {
-	host, _, found := strings.Cut(r.Host, ":")
-	if found && strings.HasPrefix(r.Host, "[") {
-		return r.Host
-	}
-	return host
-}
-
 func refuse(status int, kind errs.Kind, message, remedy string) error {
 	return &dispatch.Refusal{Outcome: dispatch.OutcomeNotRun, Status: status, Err: errs.New(kind, message, remedy)}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -127,7 +128,22 @@
 // zero if none has an objective.
 func (t *Table) Objectives(service string) Objectives { return t.objectives[service] }
 
-// Lookup finds the route of a request. The path must be clean.
+// Of finds the route of a request. Its path must be clean.
+func (t *Table) Of(r *http.Request) (Match, bool) {
+	return t.Lookup(hostName(r), r.Method, r.URL.Path)
+}
+
+// hostName returns the Host header without its port. IPv6 literals are returned
+// unchanged, including any port.
+func hostName(r *http.Request) string {
+	host, _, found := strings.Cut(r.Host, ":")
+	if found && strings.HasPrefix(r.Host, "[") {
+		return r.Host
+	}
+	return host
+}
+
+// Lookup finds the route of a host name, method and path. The path must be clean.
 func (t *Table) Lookup(host, method, path string) (Match, bool) {
 	host = strings.ToLower(host)
 	for {
