Daemon: a document waits for room in the control loop's inbox instead of being dropped

What operators could see: a configuration never comes into force on a host that reads the store, until the next change or a fresh list, if the control loop's inbox was full when the store delivered it.

Cause: handleDocument ignored that Post had found no room, although the watch counts a value as seen once it has been delivered.

Evidence: TestConfigurationDeliveredWhileControlLoopIsBusy failed before in 3 of 3 runs ("the configuration is not in force" 20 s after the inbox had room again; trace: Post returned false for services/published revision 2). A loop that stands for over 1 s hides it, since the host then asks again. 5 of 5 passed after. The handlers of the bus run on goroutines of their own, so that waiting holds nothing up.

--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -72,6 +72,8 @@
 	d.bus.Publish(bus.TopicDocuments, raw, bus.MetaKey, key, bus.MetaRevision, strconv.FormatUint(revision, 10))
 }
 
+// handleDocument waits for room in the control loop's inbox: a document that was delivered once is not
+// delivered again.
 func (d *Daemon) handleDocument(msg *message.Message) error {
 	revision, err := strconv.ParseUint(msg.Metadata.Get(bus.MetaRevision), 10, 64)
 	if err != nil {
@@ -79,8 +81,7 @@
 	}
 	key := msg.Metadata.Get(bus.MetaKey)
 	raw := msg.Payload
-	d.engine.Post(func(now time.Time) { d.engine.HandleDocument(now, key, revision, raw) })
-	return nil
+	return d.engine.Deliver(d.ctx, func(now time.Time) { d.engine.HandleDocument(now, key, revision, raw) })
 }
 
 func (d *Daemon) handleEvent(msg *message.Message) error {
--- a/internal/engine/loop.go
+++ b/internal/engine/loop.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// Deliver queues an input for the loop, and waits for room if the inbox is full. It returns an error
+// if ctx ends before. It must not be called from the loop's goroutine.
+func (e *Engine) Deliver(ctx context.Context, input func(now time.Time)) error {
+	select {
+	case e.inbox <- input:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Do runs f on the loop's goroutine and waits for it to finish. An error means that f has
 // not run and never will, so variables that f writes are safe to use once Do returns.
 func (e *Engine) Do(ctx context.Context, f func(w *world.World, now time.Time)) error {
