pearshelfd: SIGHUP does not end a process that is still reading its settings

What operators could see: a host that is told of changed settings while it starts ends instead. Cause: signal.Notify was called only once the settings had been read. What is left is the time before main.

--- a/cmd/pearshelfd/main.go
+++ b/cmd/pearshelfd/main.go
@@ -32,6 +32,8 @@
 }
 
 func main() {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first: by default the signal ends the process
 	var f flags
 	kong.Parse(&f,
 		kong.Name("pearshelfd"),
@@ -42,7 +44,7 @@
 	if err := logging.SetKlogOutput(lines, f.Verbose); err != nil {
 		fmt.Fprintln(os.Stderr, "pearshelfd: verbosity not set:", err)
 	}
-	err := run(f, lines)
+	err := run(f, lines, hangups)
 	klog.Flush()
 	lines.Close()
 	if err != nil {
@@ -58,7 +60,7 @@
 	return exitFailure
 }
 
-func run(f flags, lines *logging.Writer) error {
+func run(f flags, lines *logging.Writer, hangups <-chan os.Signal) error {
 	s, err := settings.Load(f.Settings)
 	if err != nil || f.Check {
 		return err
@@ -68,7 +70,7 @@
 		return err
 	}
 	d.Metrics().RegisterDroppedLogLines(lines.Dropped)
-	reloadOnHangup(f.Settings)
+	go reloadOnHangup(f.Settings, hangups)
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -88,16 +90,12 @@
 
 // reloadOnHangup checks the settings again on each SIGHUP. What differs takes
 // effect at the next start.
-func reloadOnHangup(path string) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			if _, err := settings.Load(path); err != nil {
-				klog.ErrorS(err, "settings refused; those in force stay", "path", path)
-				continue
-			}
-			klog.InfoS("settings read again; they take effect at the next start", "path", path)
+func reloadOnHangup(path string, hangups <-chan os.Signal) {
+	for range hangups {
+		if _, err := settings.Load(path); err != nil {
+			klog.ErrorS(err, "settings refused; those in force stay", "path", path)
+			continue
 		}
-	}()
+		klog.InfoS("settings read again; they take effect at the next start", "path", path)
+	}
 }
