A caller that pauses in the middle of its body is answered at its deadline

Cause: the deadline cancelled the send, but the read of the caller's body that was in progress did not end, and both the transport and the reading of short bodies wait for it.

The fix: at the deadline a read of the body that is in progress ends. A short body that is not complete by then is refused with 408, since nothing of it was sent.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,8 +5,10 @@
 package dispatch
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -173,11 +175,6 @@
 	if !ok {
 		return serviceRemoved(req.Service)
 	}
-	returnMemory, refusal := d.bufferBody(req)
-	defer returnMemory()
-	if refusal != nil {
-		return refusal
-	}
 	x := &exchange{
 		d:     d,
 		w:     w,
@@ -193,11 +190,16 @@
 		written:         req.Arrived > 0,
 		counted:         req.Counted,
 	}
+	ctx, stop := x.headerDeadline(req.in.Context())
+	defer stop()
+	returnMemory, refusal := d.bufferBody(req)
+	defer returnMemory()
+	if refusal != nil {
+		return refusal
+	}
 	if refusal := x.refuseIfNoneInHome(view); refusal != nil {
 		return refusal
 	}
-	ctx, stop := x.headerDeadline(req.in.Context())
-	defer stop()
 	if d.shouldForward(req, view, snap) {
 		if done, err := x.forward(ctx); done {
 			return err
@@ -223,7 +225,10 @@
 		d.memory.Release(size)
 		release()
 	}
-	if err := req.body.buffer(); err != nil {
+	if err := req.body.buffer(); errors.Is(err, os.ErrDeadlineExceeded) && world.HasPassed(time.Now(), req.Deadline) {
+		late := errs.Wrap(err, errs.KindDeadline, "the request body was not complete before the deadline", "send the body without pauses, or allow more time")
+		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusRequestTimeout, Err: late}
+	} else if err != nil {
 		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: toTypedError(err)}
 	}
 	return returnMemory, nil
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -75,12 +75,16 @@
 	quarantineTrial bool
 }
 
-// headerDeadline returns a context that is cancelled at the request's deadline. headerArrived
+// headerDeadline returns a context that is cancelled at the request's deadline, when reads of its body
+// end too. headerArrived
 // stops the timer if the deadline applies to the response header only.
 func (x *exchange) headerDeadline(parent context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(parent)
 	x.cancel = cancel
-	x.timer = time.AfterFunc(time.Until(x.req.Deadline), func() { cancel(context.DeadlineExceeded) })
+	x.timer = time.AfterFunc(time.Until(x.req.Deadline), func() {
+		cancel(context.DeadlineExceeded)
+		x.req.interruptBody()
+	})
 	return ctx, func() {
 		x.timer.Stop()
 		cancel(context.Canceled)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -105,6 +105,20 @@
 	cachedSubject quarantine.Subject
 }
 
+// Interrupter is a request body whose reads can be ended from another goroutine.
+type Interrupter interface {
+	io.ReadCloser
+	Interrupt()
+}
+
+// interruptBody ends reads of the body: neither this host nor the transport waits for a caller that
+// pauses in the middle of it.
+func (r *Request) interruptBody() {
+	if body, ok := r.in.Body.(Interrupter); ok {
+		body.Interrupt()
+	}
+}
+
 // maxAttempts returns how many backend servers may run the request.
 func (r *Request) maxAttempts() int {
 	if r.Attempts > 0 {
