--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -26,8 +26,15 @@
 	if err := x.checkServer(to); err != nil {
 		t.Errorf("before the change: %v", err)
 	}
+	look := x.refresher(x.policyRequest())
+	if seen, _ := look(); len(seen.Backends) != 1 {
+		t.Errorf("before the change a waiting request sees %d servers", len(seen.Backends))
+	}
 
 	snap = &world.Snapshot{}
+	if seen, _ := look(); len(seen.Backends) != 0 {
+		t.Errorf("a waiting request still sees %d servers", len(seen.Backends))
+	}
 	if err := x.checkServer(to); err == nil {
 		t.Error("a send that is under way is not withheld")
 	}
