--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -87,7 +87,7 @@
 mutant "interrupt without a read" internal/frontend/idle.go 's/if r.reading {/if true {/' ./platform -run ConnectionIsKeptAfterDeadline
 mutant "wait for a removed service" internal/dispatch/wait.go 's/view = noServers(view)/_ = noServers/' ./internal/dispatch -run RemovedService
 mutant "send to a removed service" internal/dispatch/serverstate.go 's/if configured \&\& (view/if !configured || (view/' ./internal/dispatch -run RemovedService
-mutant "kind of a changed route" internal/dispatch/standing.go 's/routed \&\& !match.Idempotent/routed \&\& false/' ./platform -run NotRepeatedOnce
+mutant "kind of a changed route" internal/dispatch/standing.go 's/routed \&\& !match.Idempotent/routed \&\& match.Idempotent/' ./platform -run NotRepeatedOnce
 mutant "document in a full inbox" internal/daemon/effects.go 's/return d.engine.Deliver(d.ctx, \(.*\))$/d.engine.Post(\1); return nil/' ./platform -run WhileControlLoopIsBusy
 mutant "a report of an older process" internal/process/process.go 's/return s.Started > other.Started .*/return false/' ./internal/availability
 mutant "leaving holds" internal/availability/availability.go 's/case !s.LeavingSince.IsZero():/case now.Sub(s.LeavingSince) < time.Minute:/' ./internal/availability
