Dispatch: a relayed request that may have run is not sent again if this host calls its route not idempotent

What callers could see: a request runs twice, where the entry host, with an older configuration, has sent it before and relays it as idempotent.

Cause: tryServers looked at the kind only after a send of its own, and since returned the refusal of the last send, which is nil here.

Evidence: TestRelayedRequestThatMayHaveRunIsNotSentAgain failed before (nil pointer). The request is now refused as unknown.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -161,7 +161,7 @@
 			return x.finalRefusal(last, gone)
 		}
 		if x.written && !x.mayRepeat() {
-			return last
+			return x.refuseRepeat(last)
 		}
 		if x.shouldRelay() {
 			if done, err := x.relay(ctx); done {
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -47,6 +47,15 @@
 // mayRepeat reports whether the request may be sent to a server although another one may have run it.
 func (x *exchange) mayRepeat() bool { return x.req.Idempotent && !x.notIdempotent }
 
+// refuseRepeat returns the refusal of a request that a server may have run and that may not be repeated.
+// last is that of the last send, nil if another host has sent the request.
+func (x *exchange) refuseRepeat(last *Refusal) *Refusal {
+	if last != nil {
+		return last
+	}
+	return refuseUnknown(errs.New(errs.KindServerShed, "a backend server may have run the request, and its route is not idempotent", "ask for the outcome before repeating it"))
+}
+
 // returnUnused returns a lease to whose server the request is not sent.
 func returnUnused(lease *balance.Lease) {
 	if lease != nil {
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -80,3 +80,17 @@
 		})
 	}
 }
+
+// Guards against running a request twice: the host that relays it has sent it to a server, and this host's
+// configuration declares its route not idempotent.
+func TestRelayedRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	x := newSendingExchange(t)
+	x.req.Service, x.req.Arrived, x.req.Idempotent = "shop", 1, false
+	x.written, x.freeRetry = true, true
+	snap := &world.Snapshot{Services: map[string]*world.ServiceView{"shop": {Config: &config.Service{}}}}
+	x.d.snapshot = func() *world.Snapshot { return snap }
+	refusal := x.toRefusal(x.tryServers(t.Context()))
+	if refusal == nil || refusal.Outcome != OutcomeUnknown {
+		t.Errorf("refusal %v, want the outcome unknown", refusal)
+	}
+}
