--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -76,8 +76,7 @@
 }
 
 // headerDeadline returns a context that is cancelled at the request's deadline, when reads of its body
-// end too. headerArrived
-// stops the timer if the deadline applies to the response header only.
+// end too. headerArrived stops the timer if the deadline applies to the response header only.
 func (x *exchange) headerDeadline(parent context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(parent)
 	x.cancel = cancel
