Dispatch: refreshView itself decides that a request is not repeated

What callers could see: a request runs twice, if its route stops being idempotent while the rest of its download is fetched from another server, or between the look at the kind and the choice of a server.

Cause: the look at the kind stood beside refreshView in two of its callers; a resumed download had none.

The two looks and refuseRepeat are gone: each way to a server asks refreshView. A download resumed through another host still relies on the kind last seen here.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -159,9 +159,6 @@
 		if gone := x.refreshView(); gone != nil {
 			return x.finalRefusal(last, gone)
 		}
-		if x.written && !x.mayRepeat() {
-			return x.refuseRepeat(last)
-		}
 		if x.shouldRelay() {
 			if done, err := x.relay(ctx); done {
 				return err
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -69,7 +69,7 @@
 // until the next review.
 func (h *hedge) reviewCopy(ctx context.Context, first *serverLease) time.Duration {
 	x := h.x
-	if x.refreshView() != nil || !x.mayRepeat() {
+	if x.refreshView() != nil {
 		return noFurtherReview
 	}
 	request := x.copyPolicyRequest(first)
--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -28,7 +28,8 @@
 	return refuseNotRun(errs.New(errs.KindNoRoute, "service "+service+" is no longer configured", "repeat the request: its route may lead to another service; see config diff if it persists"), removedRetryAfter)
 }
 
-// refreshView adopts the newest view of the request's service. It returns a refusal if there is none.
+// refreshView adopts the newest view of the request's service. It returns a refusal if nothing more may be
+// sent for the request.
 func (x *exchange) refreshView() *Refusal {
 	x.snap = x.d.snapshot()
 	view, ok := x.snap.Services[x.req.Service]
@@ -41,21 +42,15 @@
 		match, routed := x.routes.Of(x.req.in)
 		x.notIdempotent = x.notIdempotent || routed && !match.Idempotent
 	}
+	if (x.written || x.inFlight > 0) && !x.mayRepeat() {
+		return refuseUnknown(errs.New(errs.KindServerShed, "a backend server may have run the request, and its route is not idempotent", "ask for the outcome before repeating it"))
+	}
 	return nil
 }
 
 // mayRepeat reports whether the request may be sent to a server although another one may have run it.
 func (x *exchange) mayRepeat() bool { return x.req.Idempotent && !x.notIdempotent }
 
-// refuseRepeat returns the refusal of a request that a server may have run and that may not be repeated.
-// last is that of the last send, nil if another host has sent the request.
-func (x *exchange) refuseRepeat(last *Refusal) *Refusal {
-	if last != nil {
-		return last
-	}
-	return refuseUnknown(errs.New(errs.KindServerShed, "a backend server may have run the request, and its route is not idempotent", "ask for the outcome before repeating it"))
-}
-
 // returnUnused returns a lease to whose server the request is not sent.
 func returnUnused(lease *balance.Lease) {
 	if lease != nil {
--- a/internal/dispatch/standing_test.go
+++ b/internal/dispatch/standing_test.go
@@ -94,3 +94,27 @@
 		t.Errorf("refusal %v, want the outcome unknown", refusal)
 	}
 }
+
+// Guards against running a request twice: its route stopped being idempotent after a server may have run it,
+// and the rest of its download, or a retry, was about to be sent.
+func TestNoFurtherServerOnceRouteIsNotIdempotent(t *testing.T) {
+	to := []config.Share{{Service: "shop", Weight: 1}}
+	for name, sent := range map[string]func(x *exchange){
+		"may have run":            func(x *exchange) { x.written = true },
+		"a server is still at it": func(x *exchange) { x.inFlight = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newSendingExchange(t)
+			x.req.Service = "shop"
+			x.routes = route.Build(nil, []config.Route{{Path: "/x", Split: to, Idempotent: true}})
+			snap := &world.Snapshot{Routes: route.Build(nil, []config.Route{{Path: "/x", Split: to}}), Services: map[string]*world.ServiceView{"shop": {Config: &config.Service{}}}}
+			x.d.snapshot = func() *world.Snapshot { return snap }
+			sent(x)
+			lease, err := x.acquire(t.Context())
+			refusal, ok := err.(*Refusal)
+			if lease != nil || !ok || refusal.Outcome != OutcomeUnknown {
+				t.Errorf("lease %v, error %v; want a refusal as unknown", lease, err)
+			}
+		})
+	}
+}
