Tests: crowds of clients that do not behave, against one real process

200 clients (600 silent ones, 30 with HTTP/2) come to each listener of one host with 96 MB of memory and 400 descriptors. The checks are that the process lives, that its peak stays within the memory, that 300 descriptors at most are in use, and that an ordinary caller is answered during the crowd and after it.

--- /dev/null
+++ b/e2e/crowd/crowd_test.go
@@ -0,0 +1,113 @@
+package crowd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// crowdSize is how many clients connect at the same time, visits how often each does.
+	crowdSize = 200
+	visits    = 3
+	// silentCrowd is more than the process has descriptors.
+	silentCrowd = 600
+	// streamClients open an HTTP/2 connection each.
+	streamClients = 30
+)
+
+// crowd is clients that all send the same.
+type crowd struct {
+	cancel  context.CancelFunc
+	settled sync.WaitGroup // until each client has sent everything once, or was refused
+	left    sync.WaitGroup
+}
+
+// gather starts the clients. Each keeps its connection until the host closes it, and then comes again.
+func gather(size int, address string, s shape) *crowd {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &crowd{cancel: cancel}
+	c.settled.Add(size)
+	for range size {
+		c.left.Go(func() {
+			settle := sync.OnceFunc(c.settled.Done)
+			defer settle()
+			for range visits {
+				visit(ctx, address, s, settle)
+			}
+		})
+	}
+	return c
+}
+
+// disperse closes all connections.
+func (c *crowd) disperse() {
+	c.cancel()
+	c.left.Wait()
+}
+
+// visit sends a shape on a new connection, calls sent, and reads until the host closes the connection or ctx ends.
+func visit(ctx context.Context, address string, s shape, sent func()) {
+	dialer := &net.Dialer{Timeout: patience}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return // refused
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(io.Discard, conn) // until the host closes the connection
+	}()
+	if err := conn.SetWriteDeadline(time.Now().Add(patience)); err != nil {
+		return
+	}
+	_, err = conn.Write(s.begin)
+	for i := 0; i < endlessPieces && err == nil && len(s.repeat) > 0; i++ {
+		_, err = conn.Write(s.repeat)
+	}
+	sent()
+	<-read
+}
+
+// play lets a crowd of one shape come to each listener of a host of its own.
+func play(t *testing.T, size int, form func(listener) shape) {
+	for _, l := range listeners {
+		t.Run(l.name, func(t *testing.T) {
+			h := startHost(t)
+			c := gather(size, h.address(l), form(l))
+			c.settled.Wait()
+			h.awaitIdle()
+			h.askDuring()
+			c.disperse()
+			h.check()
+		})
+	}
+}
+
+func TestCrowdOfShortLines(t *testing.T)      { play(t, crowdSize, wholeShortLines) }
+func TestCrowdOfOneName(t *testing.T)         { play(t, crowdSize, wholeOneName) }
+func TestCrowdWithoutBodies(t *testing.T)     { play(t, crowdSize, withoutBody) }
+func TestCrowdOfUnfinishedHeads(t *testing.T) { play(t, crowdSize, unfinishedHead) }
+func TestCrowdOfHeadsOverLimit(t *testing.T)  { play(t, crowdSize, headOverLimit) }
+func TestCrowdOfEndlessLines(t *testing.T)    { play(t, crowdSize, endlessLine) }
+func TestCrowdOfOddLines(t *testing.T)        { play(t, crowdSize, oddLines) }
+func TestCrowdOfEmptyLines(t *testing.T)      { play(t, crowdSize, emptyLines) }
+func TestCrowdOfSilence(t *testing.T)         { play(t, silentCrowd, silence) }
+func TestCrowdOfLongBodies(t *testing.T)      { play(t, crowdSize, longBody) }
+
+// Requests inside the limits are served in calm, whatever their fields.
+func TestModestRequestsAreServed(t *testing.T) {
+	h := startHost(t)
+	for name, s := range modest(callers) {
+		if status, err := h.send(callers, s); err != nil || status != http.StatusOK {
+			t.Errorf("%s: status %d, %v", name, status, err)
+		}
+	}
+	h.check()
+}
