--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -10,15 +10,8 @@
 	"time"
 )
 
-const (
-	// crowdSize is how many clients connect at the same time, visits how often each does.
-	crowdSize = 200
-	visits    = 3
-	// silentCrowd is more than the process has descriptors.
-	silentCrowd = 600
-	// streamClients open an HTTP/2 connection each.
-	streamClients = 30
-)
+// visits is how often each client connects.
+const visits = 3
 
 // crowd is clients that all send the same.
 type crowd struct {
@@ -28,11 +21,11 @@
 }
 
 // gather starts the clients. Each keeps its connection until the host closes it, and then comes again.
-func gather(size int, address string, s shape) *crowd {
+func gather(clients int, address string, s shape) *crowd {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &crowd{cancel: cancel}
-	c.settled.Add(size)
-	for range size {
+	c.settled.Add(clients)
+	for range clients {
 		c.left.Go(func() {
 			settle := sync.OnceFunc(c.settled.Done)
 			defer settle()
@@ -76,11 +69,11 @@
 }
 
 // play lets a crowd of one shape come to each listener of a host of its own.
-func play(t *testing.T, size int, form func(listener) shape) {
+func play(t *testing.T, clients int, form func(listener) shape) {
 	for _, l := range listeners {
 		t.Run(l.name, func(t *testing.T) {
 			h := startHost(t)
-			c := gather(size, h.address(l), form(l))
+			c := gather(clients, h.address(l), form(l))
 			c.settled.Wait()
 			h.awaitIdle()
 			h.askDuring()
@@ -90,16 +83,16 @@
 	}
 }
 
-func TestCrowdOfShortLines(t *testing.T)      { play(t, crowdSize, wholeShortLines) }
-func TestCrowdOfOneName(t *testing.T)         { play(t, crowdSize, wholeOneName) }
-func TestCrowdWithoutBodies(t *testing.T)     { play(t, crowdSize, withoutBody) }
-func TestCrowdOfUnfinishedHeads(t *testing.T) { play(t, crowdSize, unfinishedHead) }
-func TestCrowdOfHeadsOverLimit(t *testing.T)  { play(t, crowdSize, headOverLimit) }
-func TestCrowdOfEndlessLines(t *testing.T)    { play(t, crowdSize, endlessLine) }
-func TestCrowdOfOddLines(t *testing.T)        { play(t, crowdSize, oddLines) }
-func TestCrowdOfEmptyLines(t *testing.T)      { play(t, crowdSize, emptyLines) }
-func TestCrowdOfSilence(t *testing.T)         { play(t, silentCrowd, silence) }
-func TestCrowdOfLongBodies(t *testing.T)      { play(t, crowdSize, longBody) }
+func TestCrowdOfShortLines(t *testing.T)      { play(t, size.clients, wholeShortLines) }
+func TestCrowdOfOneName(t *testing.T)         { play(t, size.clients, wholeOneName) }
+func TestCrowdWithoutBodies(t *testing.T)     { play(t, size.clients, withoutBody) }
+func TestCrowdOfUnfinishedHeads(t *testing.T) { play(t, size.clients, unfinishedHead) }
+func TestCrowdOfHeadsOverLimit(t *testing.T)  { play(t, size.clients, headOverLimit) }
+func TestCrowdOfEndlessLines(t *testing.T)    { play(t, size.clients, endlessLine) }
+func TestCrowdOfOddLines(t *testing.T)        { play(t, size.clients, oddLines) }
+func TestCrowdOfEmptyLines(t *testing.T)      { play(t, size.clients, emptyLines) }
+func TestCrowdOfSilence(t *testing.T)         { play(t, size.silentClients, silence) }
+func TestCrowdOfLongBodies(t *testing.T)      { play(t, size.clients, longBody) }
 
 // Requests inside the limits are served in calm, whatever their fields.
 func TestModestRequestsAreServed(t *testing.T) {
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -30,13 +31,6 @@
 )
 
 const (
-	// memoryMB is the memory of the host's machine, which the peak of the process must not exceed.
-	memoryMB = 96
-	// descriptorLimit is the limit of the process. maxDescriptors of them may be in use: what is left is for
-	// connections to servers, to other hosts and to the platform.
-	descriptorLimit = 400
-	maxDescriptors  = 300
-
 	// patience bounds waits whose length proves nothing.
 	patience = 30 * time.Second
 	// sampleInterval is the time between two counts of the process's descriptors.
@@ -64,6 +58,26 @@
 	listeners = []listener{callers, readiness, peers, operators}
 )
 
+// scale is the size of a play.
+type scale struct {
+	// memoryMB is the memory of the host's machine, which the peak of the process must not exceed.
+	memoryMB int
+	// descriptorLimit is the limit of the process. maxDescriptors of them may be in use: what is left is for
+	// connections to servers, to other hosts and to the platform.
+	descriptorLimit, maxDescriptors int
+	// clients connect at the same time, silentClients are those that send nothing, streamClients those that open an
+	// HTTP/2 connection each.
+	clients, silentClients, streamClients int
+}
+
+var (
+	// smallScale shows each fault with few clients, fullScale has the limits of a machine in use.
+	smallScale = scale{memoryMB: 96, descriptorLimit: 400, maxDescriptors: 300, clients: 200, silentClients: 600, streamClients: 30}
+	fullScale  = scale{memoryMB: 284, descriptorLimit: 4100, maxDescriptors: 3075, clients: 1000, silentClients: 6000, streamClients: 100}
+
+	size = smallScale
+)
+
 // host is a running daemon with its own platform and backend servers.
 type host struct {
 	t       *testing.T
@@ -91,6 +105,11 @@
 })
 
 func TestMain(m *testing.M) {
+	full := flag.Bool("full", false, "play with the limits of a machine in use")
+	flag.Parse()
+	if *full {
+		size = fullScale
+	}
 	code := m.Run()
 	if program, err := daemon(); err == nil {
 		os.RemoveAll(filepath.Dir(program))
@@ -136,7 +155,7 @@
 	return map[string]any{
 		"host":        "h1",
 		"data_centre": "dc1",
-		"memory_mb":   memoryMB,
+		"memory_mb":   size.memoryMB,
 		"caller":      map[string]any{"listen": h.address(callers), "ready_listen": h.address(readiness)},
 		"peer":        map[string]any{"listen": h.address(peers), "insecure": true},
 		"operator":    map[string]any{"listen": h.address(operators), "insecure": true},
@@ -186,7 +205,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	h.command = exec.Command("sh", "-c", `ulimit -n "$1"; exec "$2" --settings "$3"`, "sh", strconv.Itoa(descriptorLimit), program, settings)
+	h.command = exec.Command("sh", "-c", `ulimit -n "$1"; exec "$2" --settings "$3"`, "sh", strconv.Itoa(size.descriptorLimit), program, settings)
 	h.command.Stdout, h.command.Stderr = log, log
 	if err := h.command.Start(); err != nil {
 		h.t.Fatal(err)
@@ -334,12 +353,12 @@
 	h.mu.Lock()
 	descriptors := h.descriptors
 	h.mu.Unlock()
-	h.t.Logf("peak %d MB of %d, %d descriptors", peak, memoryMB, descriptors)
-	if peak > memoryMB {
-		h.t.Errorf("the process took %d MB at its peak; its machine has %d", peak, memoryMB)
+	h.t.Logf("peak %d MB of %d, %d descriptors", peak, size.memoryMB, descriptors)
+	if peak > size.memoryMB {
+		h.t.Errorf("the process took %d MB at its peak; its machine has %d", peak, size.memoryMB)
 	}
-	if descriptors > maxDescriptors {
-		h.t.Errorf("%d descriptors in use, want %d at most", descriptors, maxDescriptors)
+	if descriptors > size.maxDescriptors {
+		h.t.Errorf("%d descriptors in use, want %d at most", descriptors, size.maxDescriptors)
 	}
 	if err := h.askAsCaller(); err != nil {
 		h.t.Errorf("an ordinary request after the crowd: %v", err)
--- a/e2e/crowd/streams_test.go
+++ b/e2e/crowd/streams_test.go
@@ -88,7 +88,7 @@
 				t.Fatal(err)
 			}
 			h := startHost(t)
-			c := gather(streamClients, h.address(l), shape{begin: frames})
+			c := gather(size.streamClients, h.address(l), shape{begin: frames})
 			c.settled.Wait()
 			h.awaitIdle()
 			h.askDuring()
@@ -107,13 +107,13 @@
 		t.Run(l.name, func(t *testing.T) {
 			h := startHost(t)
 			lines := shortLines(headBytes)
-			conns := make([]net.Conn, 0, crowdSize)
+			conns := make([]net.Conn, 0, size.clients)
 			defer func() {
 				for _, conn := range conns {
 					conn.Close()
 				}
 			}()
-			for range crowdSize {
+			for range size.clients {
 				conn, err := net.DialTimeout("tcp", h.address(l), patience)
 				if err != nil {
 					continue // refused
