Clients: memory and connections of all listeners are bounded before requests are read

What callers saw: clients with heads of very many short lines, heads without an end or bodies that never come took 245 to 462 MB of a machine with 96, where the process is killed; calls to the listener for other hosts took 1,509 MB, HTTP/2 streams 1,269 MB; 600 silent connections took all 400 descriptors, which sends to servers share.

Cause: only bodies were charged to the memory budget. A parsed head takes some 30 times its bytes, and net/http keeps it from its first line until the answer; nothing counted connections.

Package clientlimit charges the bytes of heads to the same budget as they arrive, below net/http, and the parsed request until it is answered. When memory is used up the request that has been incomplete for longest is given up, when a listener has no connection left the one that has waited for longest: an ordinary request, whose head arrives at once, comes through. Requests that take over 32 KiB get half of the budget. A request is given up under the lock that hands it to its handler, so one that was refused is never sent. Calls are charged as their bodies arrive; HTTP/2 is for callers only. max_descriptors (by default the limit of the process) divides the descriptors; events 108 and 109 and a counter tell operators.

--- a/cmd/pearshelfd/main.go
+++ b/cmd/pearshelfd/main.go
@@ -13,6 +13,7 @@
 	"github.com/pearshelf/pearshelf/internal/daemon"
 	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/logging"
+	"github.com/pearshelf/pearshelf/internal/memory"
 	"github.com/pearshelf/pearshelf/internal/settings"
 	"github.com/pearshelf/pearshelf/internal/version"
 	"github.com/pearshelf/pearshelf/platform"
@@ -65,6 +66,7 @@
 	if err != nil || f.Check {
 		return err
 	}
+	memory.LimitRuntime(s.MemoryBytes())
 	d, err := newDaemon(s)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/clientlimit/limiter_test.go
@@ -0,0 +1,475 @@
+package clientlimit
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/dispatch"
+	"github.com/pearshelf/pearshelf/internal/memory"
+)
+
+const (
+	// hostBytes is the memory of a host whose budget is 1 MiB, half of it for large requests.
+	hostBytes  = 4 << 20
+	budget     = hostBytes / 4
+	manyConns  = 100
+	rawRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\nRetry-After: 1\r\nPearshelf-Outcome: not-run\r\n\r\n"
+)
+
+// counts is an Observer.
+type counts struct {
+	mu             sync.Mutex
+	refused        map[Resource]int
+	reached, ended []Resource
+}
+
+func (c *counts) ClientRefused(_ string, resource Resource) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[resource]++
+}
+
+func (c *counts) LimitReached(resource Resource) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reached = append(c.reached, resource)
+}
+
+func (c *counts) LimitEnded(resource Resource, _ int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = append(c.ended, resource)
+}
+
+func (c *counts) of(resource Resource) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused[resource]
+}
+
+// server is an http.Server within limits. Requests for /hold are answered once released is closed.
+type server struct {
+	t        *testing.T
+	limiter  *Limiter
+	memory   *memory.Budget
+	counts   *counts
+	address  string
+	served   chan string
+	released chan struct{}
+}
+
+func start(t *testing.T, maxConns int) *server {
+	t.Helper()
+	s := &server{
+		t:        t,
+		memory:   memory.NewBudget(hostBytes),
+		counts:   &counts{refused: make(map[Resource]int)},
+		served:   make(chan string, manyConns),
+		released: make(chan struct{}),
+	}
+	s.limiter = New(Config{Memory: s.memory, IsStreamed: dispatch.IsStreamed, Refusal: []byte(rawRefusal), Observer: s.counts})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler:     s.limiter.Requests(http.HandlerFunc(s.serve), refuse),
+		Protocols:   protocols,
+		ConnState:   s.limiter.ConnState,
+		ConnContext: s.limiter.ConnContext,
+	}
+	s.address = inner.Addr().String()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(s.limiter.Listen(inner, "test", maxConns)) // until Close
+	}()
+	t.Cleanup(func() {
+		server.Close()
+		<-done
+	})
+	return s
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if errors.Is(err, memory.ErrNoRoom) {
+			w.WriteHeader(http.StatusInsufficientStorage)
+		}
+		return
+	}
+	s.served <- r.URL.Path
+	if r.URL.Path == "/hold" {
+		<-s.released
+	}
+}
+
+// client is a connection to the server.
+type client struct {
+	*server
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *server) dial() *client {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	return &client{server: s, Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// status reads a response.
+func (c *client) status() int {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// rest reads until the server closes the connection.
+func (c *client) rest() string {
+	raw, _ := io.ReadAll(c.reader) // a reset ends it as well
+	return string(raw)
+}
+
+// await waits for a condition, whose time proves nothing.
+func await(condition func() bool) {
+	for !condition() {
+		runtime.Gosched()
+	}
+}
+
+// awaitCharged waits until at least n bytes are charged.
+func (s *server) awaitCharged(n int64) {
+	await(func() bool { return s.memory.InUse() >= n })
+}
+
+func (s *server) awaitFree() { await(func() bool { return s.memory.InUse() == 0 }) }
+
+const smallHead = "GET / HTTP/1.1\r\nHost: a\r\n"
+
+// lines returns n bytes of fields.
+func lines(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "x%d:\r\n", i)
+	}
+	return b.String()
+}
+
+func TestHeadIsChargedUntilAnswered(t *testing.T) {
+	s := start(t, manyConns)
+	c := s.dial()
+	c.send(smallHead + lines(3000))
+	s.awaitCharged(3000 * headFactor)
+	c.send("\r\n")
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	s.awaitFree()
+}
+
+func TestRequestIsChargedWhileItIsServed(t *testing.T) {
+	s := start(t, manyConns)
+	c := s.dial()
+	c.send("GET /hold HTTP/1.1\r\nHost: a\r\n" + lines(3000) + "\r\n")
+	<-s.served
+	if charged := s.memory.InUse(); charged < headCopies*3000 {
+		t.Errorf("%d bytes are charged for a request with a head of 3,000", charged)
+	}
+	close(s.released)
+	c.status()
+	s.awaitFree()
+}
+
+// The head that has been incomplete for longest is refused, the newest one goes on.
+func TestOldestHeadIsGivenUp(t *testing.T) {
+	const bytes = 900 // of each head, an ordinary one
+	s := start(t, manyConns)
+	var clients []*client
+	for s.counts.of(Memory) == 0 {
+		c := s.dial()
+		clients = append(clients, c)
+		before := s.memory.InUse()
+		c.send(smallHead + lines(bytes))
+		await(func() bool { return s.memory.InUse() > before || s.counts.of(Memory) > 0 })
+	}
+	if got := clients[0].rest(); got != rawRefusal {
+		t.Errorf("the oldest got %q", got)
+	}
+	newest := clients[len(clients)-1]
+	newest.send("\r\n")
+	if status := newest.status(); status != http.StatusOK {
+		t.Errorf("newest: status %d", status)
+	}
+	if n := len(s.served); n != 1 {
+		t.Errorf("%d requests were served", n)
+	}
+}
+
+// Large requests use a part of the memory, however many there are. An ordinary one is served beside them.
+func TestLargeRequestsLeaveRoom(t *testing.T) {
+	s := start(t, manyConns)
+	refused := 0
+	for refused < 3 {
+		c := s.dial()
+		before := s.counts.of(Memory)
+		c.send("GET /hold HTTP/1.1\r\nHost: a\r\n" + lines(4000) + "\r\n")
+		await(func() bool { return s.counts.of(Memory) > before || len(s.served) > 0 })
+		if s.counts.of(Memory) > before {
+			refused++
+			continue
+		}
+		<-s.served
+	}
+	if charged := s.memory.InUse(); charged > budget/2 {
+		t.Errorf("large requests take %d bytes of %d", charged, budget)
+	}
+	c := s.dial()
+	c.send(smallHead + "\r\n")
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("ordinary request: status %d", status)
+	}
+	close(s.released)
+}
+
+// The bytes of the next request, which net/http reads together with the body of the last one, are charged too.
+func TestPipelinedHeadIsCharged(t *testing.T) {
+	s := start(t, manyConns)
+	c := s.dial()
+	c.send(smallHead + "\r\n" + smallHead + lines(3000))
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	s.awaitCharged((3000 - lineOverhead) * headFactor)
+	c.send("\r\n")
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("next request: status %d", status)
+	}
+	s.awaitFree()
+}
+
+func TestKeptConnectionIsNotCharged(t *testing.T) {
+	s := start(t, manyConns)
+	c := s.dial()
+	for range 3 {
+		c.send("POST / HTTP/1.1\r\nHost: a\r\nUser-Agent: test\r\nAccept: */*\r\nContent-Length: 3\r\n\r\nabc")
+		if status := c.status(); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		s.awaitFree()
+	}
+}
+
+func TestOldestConnectionMakesRoom(t *testing.T) {
+	s := start(t, 2)
+	silent, kept := s.dial(), s.dial()
+	kept.send(smallHead + "\r\n")
+	kept.status()
+	for range 2 {
+		c := s.dial()
+		c.send(smallHead + "\r\n")
+		if status := c.status(); status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+	}
+	for name, c := range map[string]*client{"silent": silent, "kept": kept} {
+		if got := c.rest(); got != "" {
+			t.Errorf("%s connection got %q", name, got)
+		}
+	}
+	if n := s.counts.of(Connections); n != 2 {
+		t.Errorf("%d connections were closed for others, want 2", n)
+	}
+}
+
+func TestConnectionWithRequestIsNotClosed(t *testing.T) {
+	s := start(t, 1)
+	busy := s.dial()
+	busy.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-s.served
+	if got := s.dial().rest(); got != "" {
+		t.Errorf("got %q", got)
+	}
+	close(s.released)
+	if status := busy.status(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
+// A connection on which a head is being read gives way too, with a refusal.
+func TestUnfinishedHeadMakesRoom(t *testing.T) {
+	s := start(t, 1)
+	slow := s.dial()
+	slow.send(smallHead)
+	s.awaitCharged(1)
+	c := s.dial()
+	c.send(smallHead + "\r\n")
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if got := slow.rest(); got != rawRefusal {
+		t.Errorf("got %q", got)
+	}
+}
+
+// ageBodies makes the bodies that are being read older than bodyGrace.
+func (s *server) ageBodies() {
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
+	for e := s.limiter.bodies.Front(); e != nil; e = e.Next() {
+		e.Value.(*incoming).since = time.Now().Add(-bodyGrace)
+	}
+}
+
+func (s *server) awaitBodies(n int) {
+	await(func() bool {
+		s.limiter.mu.Lock()
+		defer s.limiter.mu.Unlock()
+		return s.limiter.bodies.Len() == n
+	})
+}
+
+// A body that has stood still for long gives way to another request, and a young one does not.
+func TestOldestBodyIsGivenUp(t *testing.T) {
+	const length = 60 << 10
+	s := start(t, manyConns)
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\nx", length)
+	var clients []*client
+	for n := 1; s.memory.InUse()+length < budget; n++ {
+		c := s.dial()
+		c.send(head)
+		s.awaitBodies(n)
+		clients = append(clients, c)
+	}
+	young := s.dial()
+	young.send(head)
+	if status := young.status(); status != http.StatusServiceUnavailable {
+		t.Errorf("beside young bodies: status %d", status)
+	}
+	s.ageBodies()
+	c := s.dial()
+	c.send(head + strings.Repeat("x", length-1))
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("beside old bodies: status %d", status)
+	}
+	if status := clients[0].status(); status != http.StatusInsufficientStorage {
+		t.Errorf("the oldest body: status %d", status)
+	}
+	last := clients[len(clients)-1]
+	last.send(strings.Repeat("x", length-1))
+	if status := last.status(); status != http.StatusOK {
+		t.Errorf("the youngest body: status %d", status)
+	}
+}
+
+// Guards against a request that is sent to a server although its client has been told that it has not run.
+func TestGivenUpRequestIsNotServed(t *testing.T) {
+	s := start(t, manyConns)
+	c := &conn{limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1), abandoned: true}
+	defer func() {
+		if cause := recover(); cause != http.ErrAbortHandler {
+			t.Errorf("recovered %v", cause)
+		}
+	}()
+	r, err := http.NewRequestWithContext(context.WithValue(t.Context(), connKey{}, c), http.MethodGet, "/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.limiter.Requests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was served") }), nil).ServeHTTP(nil, r)
+}
+
+func TestTrailerIsCharged(t *testing.T) {
+	s := start(t, manyConns)
+	c := s.dial()
+	c.send("POST /hold HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + lines(3000) + "\r\n")
+	<-s.served
+	if charged := s.memory.InUse(); charged < headCopies*3000 {
+		t.Errorf("%d bytes are charged for a trailer of 3,000", charged)
+	}
+	close(s.released)
+	c.status()
+	s.awaitFree()
+}
+
+func TestHTTP2ConnectionIsCharged(t *testing.T) {
+	s := start(t, manyConns)
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + s.address + "/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	await(func() bool { return s.memory.InUse() == http2ConnBytes })
+	transport.CloseIdleConnections()
+	s.awaitFree()
+}
+
+func TestCallBodiesAreLimited(t *testing.T) {
+	s := start(t, manyConns)
+	c := &conn{limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1)}
+	in := &incoming{}
+	b := &body{ReadCloser: io.NopCloser(strings.NewReader(strings.Repeat("x", budget))), limiter: s.limiter, in: in, factor: callFactor}
+	if n, err := io.Copy(io.Discard, b); !errors.Is(err, memory.ErrNoRoom) || callFactor*n > budget/2 {
+		t.Errorf("read %d bytes of a call, %v", n, err)
+	}
+	c.endRequest(in)
+	s.awaitFree()
+}
+
+func TestBeginAndEndOfLimitAreReported(t *testing.T) {
+	s := start(t, manyConns)
+	s.limiter.refused("test", Memory)
+	s.limiter.refused("test", Memory)
+	s.limiter.reportEnds(time.Now())
+	if len(s.counts.reached) != 1 || len(s.counts.ended) != 0 {
+		t.Errorf("reached %v, ended %v", s.counts.reached, s.counts.ended)
+	}
+	s.limiter.reportEnds(time.Now().Add(calmPeriod))
+	if len(s.counts.ended) != 1 || s.counts.of(Memory) != 2 {
+		t.Errorf("ended %v, %d refused", s.counts.ended, s.counts.of(Memory))
+	}
+}
+
+// Clients leave descriptors for the connections that the host opens itself.
+func TestSharesLeaveDescriptors(t *testing.T) {
+	for _, descriptors := range []int{64, 400, 4100, 1 << 20} {
+		shares := SharesOf(descriptors)
+		accepted := shares.Callers + shares.Peers + shares.Readiness + shares.Operators
+		if left := descriptors - accepted - shares.Idle; left < descriptors/8 {
+			t.Errorf("of %d descriptors %d are left: %+v", descriptors, left, shares)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/pearshelf/pearshelf/internal/boottime"
 	"github.com/pearshelf/pearshelf/internal/bus"
 	"github.com/pearshelf/pearshelf/internal/claims"
+	"github.com/pearshelf/pearshelf/internal/clientlimit"
 	"github.com/pearshelf/pearshelf/internal/crosszone"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/engine"
@@ -96,6 +97,9 @@
 	memory     *memory.Budget
 	crossZone  crosszone.Counter
 
+	clientLimiter *clientlimit.Limiter
+	connections   clientlimit.Shares
+
 	callerServer   *http.Server
 	readyServer    *http.Server // nil if the caller listener serves readiness checks
 	peerServer     *http.Server
@@ -141,7 +145,8 @@
 	}
 	d.metrics = metrics.New(d.registry)
 	d.events = event.NewLog(s.Host, d.clock, settings.DefaultEventLogCapacity)
-	steps := []func() error{d.openSockets, d.makeBus, d.makeClients, d.makeEngine, d.makeServers}
+	d.memory = memory.NewBudget(s.MemoryBytes())
+	steps := []func() error{d.makeClientLimiter, d.openSockets, d.makeBus, d.makeClients, d.makeEngine, d.makeServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			d.closeSockets()
@@ -234,6 +239,8 @@
 		DialTimeout: time.Duration(d.settings.Backend.DialTimeout),
 		Dial:        d.dialServer,
 		OnDial:      d.metrics.ServerConnection,
+
+		MaxIdleConns: d.connections.Idle,
 	})
 	d.liveness = upstream.NewLivenessChecker(d.dialServer)
 	d.owners = upstream.NewTransport(upstream.Config{
@@ -241,6 +248,7 @@
 		TLS:          tlsConf,
 		DialTimeout:  min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
 		MaxHeadBytes: upstream.MaxHostHeadBytes,
+		MaxIdleConns: d.connections.Idle,
 	})
 	d.probes = newProbeClient(d.dialServer)
 	d.platformWatcher = &platformWatcher{d: d}
@@ -320,7 +328,6 @@
 	d.limiter = newCustomerLimiter(d, rand.Uint64())
 	d.rateLimits = newRateLimiter(d, rand.Uint64())
 	d.guard = newContentGuard(d)
-	d.memory = memory.NewBudget(int64(d.settings.MemoryMB * (1 << 20)))
 	d.metrics.RegisterHeldBytes(d.memory.InUse)
 	d.metrics.RegisterControl(d.datagrams)
 	d.metrics.RegisterCrossZone(&d.crossZone)
@@ -375,6 +382,7 @@
 	d.wg.Go(func() { d.datagrams.Receive(d.receive) })
 	d.wg.Go(func() { d.crossZone.Run(d.ctx, d.settings.DataCentre, d.isFar) })
 	d.wg.Go(func() { d.limiter.run(d.ctx) })
+	d.wg.Go(func() { d.clientLimiter.Run(d.ctx) })
 	d.wg.Go(func() { d.rateLimits.run(d.ctx) })
 	leavingCheck := &rechecker{servers: d.servers, snapshot: d.engine.Snapshot, client: d.probes, protocol: d.protocol, events: d.events}
 	d.wg.Go(func() { leavingCheck.Run(d.ctx) })
@@ -395,16 +403,18 @@
 	} else {
 		close(d.informed)
 	}
-	d.serve(d.callerServer, d.listeners.caller)
+	d.serve(d.callerServer, d.listeners.caller, listenerCallers, d.connections.Callers)
 	if d.readyServer != nil {
-		d.serve(d.readyServer, d.listeners.ready)
+		d.serve(d.readyServer, d.listeners.ready, listenerReadiness, d.connections.Readiness)
 	}
-	d.serve(d.peerServer, d.listeners.peer)
-	d.serve(d.operatorServer, d.listeners.operator)
+	d.serve(d.peerServer, d.listeners.peer, listenerPeers, d.connections.Peers)
+	d.serve(d.operatorServer, d.listeners.operator, listenerOperators, d.connections.Operators)
 	return nil
 }
 
-func (d *Daemon) serve(server *http.Server, l net.Listener) {
+// serve runs a server. The name of its listener is used in metrics.
+func (d *Daemon) serve(server *http.Server, inner net.Listener, name string, maxConns int) {
+	l := d.clientLimiter.Listen(inner, name, maxConns)
 	d.wg.Go(func() {
 		var err error
 		if server.TLSConfig != nil {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -10,6 +10,7 @@
 	"github.com/pearshelf/pearshelf/internal/admin"
 	"github.com/pearshelf/pearshelf/internal/api/adminpb"
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/clientlimit"
 	"github.com/pearshelf/pearshelf/internal/frontend"
 	"github.com/pearshelf/pearshelf/internal/peer"
 	"github.com/pearshelf/pearshelf/internal/startup"
@@ -21,7 +22,7 @@
 		Protocol:              d.protocol,
 		SeparateReadyListener: d.listeners.ready != nil,
 		WhenReady:             d.engine.WhenReady(),
-		MaxHeldBytes:          int64(d.settings.MemoryMB*(1<<20)) / startup.MaxHeldShare,
+		MaxHeldBytes:          d.settings.MemoryBytes() / startup.MaxHeldShare,
 		WhenInformed:          d.informed,
 		BodyIdleTimeout:       time.Duration(d.settings.Caller.BodyIdleTimeout),
 	}, d.engine.Snapshot, d.dispatcher(), d.metrics)
@@ -48,10 +49,12 @@
 	if err != nil {
 		return err
 	}
-	d.callerServer = d.server(front.CallerHandler())
+	d.callerServer = d.server(d.clientLimiter.Requests(front.CallerHandler(), front.NoMemoryHandler()))
 	d.callerServer.TLSConfig = conf
+	d.callerServer.Protocols.SetHTTP2(true)
+	d.callerServer.Protocols.SetUnencryptedHTTP2(true)
 	if d.listeners.ready != nil {
-		d.readyServer = d.server(front.ReadyHandler())
+		d.readyServer = d.server(d.clientLimiter.Requests(front.ReadyHandler(), front.NoMemoryHandler()))
 	}
 	return nil
 }
@@ -68,13 +71,14 @@
 	calls := peerpb.NewPeerServer(&peerService{d: d})
 	router.Mount(peerpb.PeerPathPrefix, calls)
 	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
-	forwarded := front.ForwardHandler()
+	forwarded := d.clientLimiter.Requests(front.ForwardHandler(), front.NoMemoryHandler())
+	other := d.clientLimiter.Calls(router, http.HandlerFunc(refuseCall))
 	d.peerServer = d.server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if frontend.IsForwarded(r) {
 			forwarded.ServeHTTP(w, r)
 			return
 		}
-		router.ServeHTTP(w, r)
+		other.ServeHTTP(w, r)
 	}))
 	d.peerServer.TLSConfig = conf
 	return nil
@@ -88,19 +92,25 @@
 	router := chi.NewRouter()
 	router.Mount(adminpb.AdminPathPrefix, adminpb.NewAdminServer(service))
 	router.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	d.operatorServer = d.server(router)
+	d.operatorServer = d.server(d.clientLimiter.Calls(router, http.HandlerFunc(refuseCall)))
 	d.operatorServer.TLSConfig = conf
 	return nil
 }
 
+// server returns a server for HTTP/1.1, within the limits of what clients may take.
 func (d *Daemon) server(handler http.Handler) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
+		Handler:     handler,
+		Protocols:   protocols,
+		ConnState:   d.clientLimiter.ConnState,
+		ConnContext: d.clientLimiter.ConnContext,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          clientlimit.HTTP2Streams,
+			MaxReceiveBufferPerConnection: clientlimit.HTTP2WindowBytes,
+			MaxReceiveBufferPerStream:     clientlimit.HTTP2WindowBytes,
+		},
 		ReadHeaderTimeout: time.Duration(d.settings.Caller.ReadHeaderTimeout),
 		IdleTimeout:       time.Duration(d.settings.Caller.IdleTimeout),
 		MaxHeaderBytes:    d.settings.Caller.MaxHeaderBytes,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -214,24 +214,23 @@
 }
 
 // bufferBody reads a small body into memory, prepares a larger one to be kept while it is sent, and
-// returns a function that releases the memory.
+// returns a function that releases the memory of the latter. That of a small body is charged to the request by
+// package clientlimit.
 func (d *Dispatcher) bufferBody(req *Request) (returnMemory func(), refusal *Refusal) {
-	size := req.body.bufferBytes()
-	if !d.memory.TryAcquire(size) {
-		return func() {}, refuseNotRun(errs.New(errs.KindHostMemory, "this host has no memory left for request bodies", "repeat the request after the time in Retry-After; add hosts"), defaultRetryAfter)
-	}
-	release := req.body.record(d.conf.ReplayBytes, d.memory)
-	returnMemory = func() {
-		d.memory.Release(size)
-		release()
-	}
-	if err := req.body.buffer(); errors.Is(err, os.ErrDeadlineExceeded) && world.HasPassed(time.Now(), req.Deadline) {
+	returnMemory = req.body.record(d.conf.ReplayBytes, d.memory)
+	err := req.body.buffer()
+	switch {
+	case err == nil:
+		return returnMemory, nil
+	case errors.Is(err, memory.ErrNoRoom):
+		full := errs.Wrap(err, errs.KindHostMemory, "this host gave the request up for others before its body was complete", "repeat the request after the time in Retry-After, and send the body without pauses; add hosts")
+		return returnMemory, refuseNotRun(full, DefaultRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded) && world.HasPassed(time.Now(), req.Deadline):
 		late := errs.Wrap(err, errs.KindDeadline, "the request body was not complete before the deadline", "send the body without pauses, or allow more time")
 		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusRequestTimeout, Err: late}
-	} else if err != nil {
+	default:
 		return returnMemory, &Refusal{Outcome: OutcomeNotRun, Status: http.StatusBadRequest, Err: toTypedError(err)}
 	}
-	return returnMemory, nil
 }
 
 // toRefusal converts an error to a refusal, nil for none. A request that may have run at an
--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -55,7 +55,7 @@
 		return nil
 	}
 	err := x.outsideHome("no backend server of " + x.req.Service + " is in the home regions of the request: " + x.req.Homes.String())
-	return refuseNotRun(err, defaultRetryAfter)
+	return refuseNotRun(err, DefaultRetryAfter)
 }
 
 func (x *exchange) outsideHome(message string) *errs.Error {
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -37,11 +37,15 @@
 // Unwrap returns the typed cause.
 func (r *Refusal) Unwrap() error { return r.Err }
 
-const defaultRetryAfter = time.Second
+// DefaultRetryAfter is the time after which a refused request may be repeated if nothing else is known.
+const DefaultRetryAfter = time.Second
+
+// NewRefusalNotRun returns the refusal of a request that has not run, with the default time for a repeat.
+func NewRefusalNotRun(err *errs.Error) *Refusal { return refuseNotRun(err, DefaultRetryAfter) }
 
 func refuseNotRun(err *errs.Error, retryAfter time.Duration) *Refusal {
 	if retryAfter <= 0 {
-		retryAfter = defaultRetryAfter
+		retryAfter = DefaultRetryAfter
 	}
 	return &Refusal{Outcome: OutcomeNotRun, Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Err: err}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -158,14 +158,6 @@
 	trailer func()
 }
 
-// bufferBytes is how much memory buffer needs.
-func (b *replayBody) bufferBytes() int64 {
-	if b.streamed || b.buffered {
-		return 0
-	}
-	return max(b.length, 0)
-}
-
 // buffer reads a small body into memory, so that it can be sent again.
 func (b *replayBody) buffer() error {
 	if b.streamed || b.buffered {
--- a/internal/dispatch/serverstate.go
+++ b/internal/dispatch/serverstate.go
@@ -183,7 +183,7 @@
 	case !none:
 		return nil
 	case unavailability.Reason == availability.Leaving:
-		return refuseNotRun(errs.New(errs.KindServerLeaving, "all backend servers of "+x.req.Service+" report that they are leaving", "repeat the request after the time in Retry-After; start other servers"), defaultRetryAfter)
+		return refuseNotRun(errs.New(errs.KindServerLeaving, "all backend servers of "+x.req.Service+" report that they are leaving", "repeat the request after the time in Retry-After; start other servers"), DefaultRetryAfter)
 	case unavailability.Reason == availability.RateLimited:
 		after := max(x.d.rateLimits.ReserveRetry(x.limitedServers()), unavailability.Remaining)
 		text := "all backend servers of " + x.req.Service + " have no room in the rate limits that they report, for this request again in " + after.Round(time.Millisecond).String()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,6 +25,8 @@
 	HostPaused           Number = 105
 	HostFresh            Number = 106
 	InsecureListener     Number = 107
+	ClientLimitReached   Number = 108
+	ClientLimitEnded     Number = 109
 	MemberJoined         Number = 201
 	MemberSuspect        Number = 202
 	MemberDead           Number = 203
@@ -79,6 +81,8 @@
 	HostPaused:           "host-paused",
 	HostFresh:            "host-fresh",
 	InsecureListener:     "insecure-listener",
+	ClientLimitReached:   "client-limit-reached",
+	ClientLimitEnded:     "client-limit-ended",
 	MemberJoined:         "member-joined",
 	MemberSuspect:        "member-suspect",
 	MemberDead:           "member-dead",
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -109,6 +109,14 @@
 // ForwardHandler returns the handler for requests forwarded by other hosts.
 func (f *Frontend) ForwardHandler() http.Handler { return f.wrap(f.serveForwarded) }
 
+// NoMemoryHandler returns the handler that refuses requests for which the host has no memory left.
+func (f *Frontend) NoMemoryHandler() http.Handler {
+	return f.wrap(func(http.ResponseWriter, *http.Request, string) error { return errNoMemory })
+}
+
+// errNoMemory is the refusal of a request before anything was done for it.
+var errNoMemory = dispatch.NewRefusalNotRun(errs.New(errs.KindHostMemory, "this host has no memory left for the request", "repeat the request after the time in Retry-After; add hosts"))
+
 // IsForwarded reports whether a request on the peer listener was forwarded by another
 // host.
 func IsForwarded(r *http.Request) bool { return r.Header.Get(dispatch.HeaderForwardedBy) != "" }
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -71,7 +71,11 @@
 	if refusal.RetryAfter > 0 {
 		h.Set("Retry-After", f.conf.Protocol.FormatRetryAfter(refusal.RetryAfter))
 	}
-	drainBody(w, r)
+	wait := refusedBodyTimeout
+	if refusal.Err.Kind == errs.KindHostMemory {
+		wait = 0 // the request takes memory for as long as its body is waited for
+	}
+	drainBody(w, r, wait)
 	w.WriteHeader(refusal.Status)
 	body := problem{
 		Type:      problemTypePrefix + string(refusal.Err.Kind),
@@ -92,15 +96,15 @@
 // rest of a long or slow body is not worth the wait.
 const refusedBodyTimeout = 20 * time.Millisecond
 
-// drainBody reads the body of a refused request if it arrives within refusedBodyTimeout.
+// drainBody reads the body of a refused request if it arrives within the given time.
 // Otherwise it lets the response be sent before the rest of the body, which the server
 // would read first by default, and closes the connection after the response.
-func drainBody(w http.ResponseWriter, r *http.Request) {
+func drainBody(w http.ResponseWriter, r *http.Request, wait time.Duration) {
 	body, ok := r.Body.(*idleReader)
 	if !ok || r.ProtoMajor != 1 || r.ContentLength == 0 {
 		return
 	}
-	if !dispatch.IsStreamed(r) && body.discard(refusedBodyTimeout) {
+	if !dispatch.IsStreamed(r) && body.discard(wait) {
 		return
 	}
 	w.Header().Set("Connection", "close")
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -41,6 +41,7 @@
 	waited           *prometheus.HistogramVec
 	waitRefused      *prometheus.CounterVec
 	awaited          *prometheus.CounterVec
+	clientsRefused   *prometheus.CounterVec
 }
 
 // addedLatencyBuckets are histogram buckets in seconds, centred on the target of
@@ -160,13 +161,22 @@
 		Name: "pearshelf_requests_awaiting_configuration_total",
 		Help: "Requests that arrived before the first configuration, by result: admitted, no_room, expired, stopped or left.",
 	}, []string{"result"})
-	reg.MustRegister(m.waited, m.waitRefused, m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.handoverAnswers, m.handoverServers, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
+	m.clientsRefused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pearshelf_clients_refused_total",
+		Help: "Requests refused and connections closed because clients took too much, by listener and what was lacking: memory or connections.",
+	}, []string{"listener", "lack"})
+	reg.MustRegister(m.clientsRefused, m.waited, m.waitRefused, m.awaited, m.relayed, m.pathChecks, m.pathLost, m.serverConns, m.rateLimited, m.documentBytes, m.serverStates, m.sendsWithheld, m.customerLimited, m.serverEnds, m.quarantined, m.requests, m.latency, m.retries, m.retryWaits, m.handoverAnswers, m.handoverServers, m.addedLatency, m.observationsLost, m.tickDuration, m.membersLive, m.platformCalls)
 	return m
 }
 
 // AwaitedConfiguration counts a request that arrived before the first configuration, by result.
 func (m *Metrics) AwaitedConfiguration(result string) { m.awaited.WithLabelValues(result).Inc() }
 
+// ClientRefused counts a request that was refused, or a connection that was closed, for lack of memory or connections.
+func (m *Metrics) ClientRefused(listener, lack string) {
+	m.clientsRefused.WithLabelValues(listener, lack).Inc()
+}
+
 // Request records a completed request and its duration.
 func (m *Metrics) Request(service, outcome string, took time.Duration) {
 	m.requests.WithLabelValues(service, outcome).Inc()
@@ -324,6 +334,6 @@
 func (m *Metrics) RegisterHeldBytes(held func() int64) {
 	m.registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "pearshelf_held_bytes",
-		Help: "Bytes of bodies that this host holds for callers and backend servers.",
+		Help: "Bytes of request heads and of bodies that this host holds for callers and backend servers.",
 	}, func() float64 { return float64(held()) }))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -15,8 +16,10 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"github.com/pearshelf/pearshelf/internal/clientlimit"
 	"github.com/pearshelf/pearshelf/internal/config"
 	"github.com/pearshelf/pearshelf/internal/errs"
+	"github.com/pearshelf/pearshelf/internal/memory"
 	"github.com/pearshelf/pearshelf/internal/policy"
 	"github.com/pearshelf/pearshelf/internal/region"
 	"github.com/pearshelf/pearshelf/internal/upstream"
@@ -44,6 +47,8 @@
 	maxQuotaExcess           = 10
 	maxCores                 = 4096
 	maxMemoryMB              = 16 << 20
+	minDescriptors           = 64
+	MaxDescriptors           = 1 << 20
 	DefaultDirectAfter       = 2 * time.Second
 	DefaultDirectSpread      = 3 * time.Second
 	minDeferralRatio         = 1.5
@@ -271,18 +276,23 @@
 	// others. Default: 0, unknown.
 	Cores float64 `yaml:"cores"`
 	// MemoryMB is the memory that this host may use, in MiB. Up to a quarter of
-	// it buffers bodies for slow callers and backend servers. Default: 0, which
+	// it holds request heads, and bodies for slow callers and backend servers. Default: 0, which
 	// is treated as 512.
-	MemoryMB float64  `yaml:"memory_mb"`
-	Caller   Caller   `yaml:"caller"`
-	Peer     Peer     `yaml:"peer"`
-	Operator Operator `yaml:"operator"`
-	Platform Platform `yaml:"platform"`
-	Timing   Timing   `yaml:"timing"`
-	Retry    Retry    `yaml:"retry"`
-	Quota    Quota    `yaml:"quota"`
-	Policy   Policy   `yaml:"policy"`
-	Backend  Backend  `yaml:"backend"`
+	MemoryMB float64 `yaml:"memory_mb"`
+	// MaxDescriptors is the number of file descriptors that the process may have open. Connections
+	// of callers take up to four tenths of them, those of other hosts up to two tenths; see
+	// package clientlimit. A value above the process's limit lets clients take the descriptors
+	// that connections to backend servers need. Default: 0, the limit of the process.
+	MaxDescriptors int      `yaml:"max_descriptors"`
+	Caller         Caller   `yaml:"caller"`
+	Peer           Peer     `yaml:"peer"`
+	Operator       Operator `yaml:"operator"`
+	Platform       Platform `yaml:"platform"`
+	Timing         Timing   `yaml:"timing"`
+	Retry          Retry    `yaml:"retry"`
+	Quota          Quota    `yaml:"quota"`
+	Policy         Policy   `yaml:"policy"`
+	Backend        Backend  `yaml:"backend"`
 	// Scheduling applies only when forwarding is off.
 	Scheduling Scheduling `yaml:"scheduling"`
 	// Forwarding sends requests to the owner hosts of their service. If false,
@@ -291,6 +301,9 @@
 	Forwarding *bool `yaml:"forwarding"`
 }
 
+// MemoryBytes returns the memory that this host may use in bytes, 0 if it is unknown.
+func (s *Settings) MemoryBytes() int64 { return int64(s.MemoryMB * (1 << 20)) }
+
 // Load reads a settings file, applies defaults and validates it.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
@@ -413,6 +426,9 @@
 	if !(s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB) {
 		v.addf("memory_mb", "%g is outside 0 to %d", s.MemoryMB, maxMemoryMB)
 	}
+	if n := s.MaxDescriptors; n != 0 && (n < minDescriptors || n > MaxDescriptors) {
+		v.addf("max_descriptors", "%d is outside %d to %d, or 0 for the limit of the process", n, minDescriptors, MaxDescriptors)
+	}
 	if !(s.Cores >= 0 && s.Cores <= maxCores) {
 		v.addf("cores", "%g is outside 0 to %d", s.Cores, maxCores)
 	}
@@ -435,6 +451,9 @@
 	if s.Caller.MaxHeaderBytes < 1<<10 || s.Caller.MaxHeaderBytes > 1<<20 {
 		v.addf("caller.max_header_bytes", "%d is outside 1024 to 1048576", s.Caller.MaxHeaderBytes)
 	}
+	if needed := clientlimit.MinHostBytes(s.Caller.MaxHeaderBytes); needed > cmp.Or(s.MemoryBytes(), memory.DefaultHostBytes) {
+		v.addf("caller.max_header_bytes", "%d needs a memory_mb of %d or more", s.Caller.MaxHeaderBytes, needed>>20+1)
+	}
 	for _, m := range s.Policy.DisabledMechanisms {
 		if !slices.Contains(policy.Mechanisms(), m) {
 			v.addf("policy.without", "unknown mechanism %q, valid mechanisms are %v", m, policy.Mechanisms())
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,6 +50,8 @@
 		"quota window":       {validSettings + "quota: {window: 1ms}\n", "f.yaml:7: quota.window: 1ms is outside 1s to 1h0m0s"},
 		"no host":            {strings.Replace(validSettings, "host: h1", "host: ''", 1), "f.yaml:1: host"},
 		"low ratio":          {validSettings + "scheduling:\n  wait_queue: {deferral_ratio: 1}\n", "f.yaml:8: scheduling.wait_queue.deferral_ratio: 1 is outside 1.5 to 100"},
+		"few descriptors":    {validSettings + "max_descriptors: 63\n", "f.yaml:7: max_descriptors: 63 is outside 64 to 1048576"},
+		"little memory":      {validSettings + "memory_mb: 32\n", "caller.max_header_bytes: 65536 needs a memory_mb of 37 or more"},
 	}
 	if _, err := settings.Parse("f.yaml", []byte(validSettings)); err != nil {
 		t.Fatal(err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -44,6 +44,9 @@
 	DialTimeout time.Duration
 	// MaxHeadBytes limits the head of a response. The default is MaxHeadBytes.
 	MaxHeadBytes int64
+	// MaxIdleConns limits the idle connections to all addresses together, 0 for no limit. They
+	// take descriptors that other connections need.
+	MaxIdleConns int
 	// Dial opens the connections. The default is a net.Dialer.
 	Dial DialFunc
 	// Meter, if set, returns the meter of connections to an address, or nil for none.
@@ -69,6 +72,7 @@
 	}
 	transport := NewHTTPTransport(trackingDial(conf), conf.MaxHeadBytes)
 	transport.TLSClientConfig = conf.TLS
+	transport.MaxIdleConns = conf.MaxIdleConns
 	transport.MaxIdleConnsPerHost = maxIdleConnsPerAddress
 	transport.IdleConnTimeout = idleConnTimeout
 	transport.DisableCompression = true
