Upstream: a body without a length is complete only if its request has been written

What callers saw: a server answered an upload of 4 MiB at once with a 200 without a length, sent 3,000 bytes and reset the connection while the upload was being written. The caller got these bytes as the complete answer.

Cause: the kernel reports a reset once. The write of the upload that met it took the error, and the next read saw a plain end of the connection, which ends such a body.

Such a body now ends with io.EOF only if the request has been written, and no write on the connection failed; else with io.ErrUnexpectedEOF, so that the answer counts as broken off wherever it is read: first answers, copies, resumed downloads and relays share this transport.

--- /dev/null
+++ b/internal/upstream/answer_test.go
@@ -0,0 +1,109 @@
+package upstream_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pearshelf/pearshelf/internal/upstream"
+)
+
+// startRaw starts a server that passes each connection on once it has read the head of a request.
+func startRaw(t *testing.T, serve func(conn *net.TCPConn, r *http.Request)) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					serve(conn.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// post sends a request once.
+func post(t *testing.T, transport *upstream.Transport, address string, body io.Reader, length int64) (*upstream.Answer, *upstream.Failure) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.ContentLength = length
+	return transport.Do(context.Background(), req, upstream.Conditions{})
+}
+
+// Guards against a part of a body that passes for the whole: a write of the upload that meets the reset of the
+// connection leaves a plain end to the next read.
+func TestResetDuringUploadIsNoEndOfBody(t *testing.T) {
+	const upload, part, rounds = 4 << 20, 3000, 30
+	for name, head := range map[string]string{
+		"HTTP/1.1":          "HTTP/1.1 200 OK\r\n\r\n",
+		"connection: close": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"HTTP/1.0":          "HTTP/1.0 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+				_, _ = io.WriteString(conn, head+strings.Repeat("x", part))
+				time.Sleep(time.Duration(5+rand.IntN(10)) * time.Millisecond)
+				_ = conn.SetLinger(0)
+			})
+			transport := upstream.NewTransport(upstream.Config{})
+			defer transport.Close()
+			for range rounds {
+				answer, failure := post(t, transport, address, bytes.NewReader(make([]byte, upload)), upload)
+				if failure != nil {
+					continue // the reset came before the head was read
+				}
+				if body, err := io.ReadAll(answer.Body); err == nil {
+					t.Errorf("%d bytes passed for the whole body", len(body))
+				}
+				answer.Discard()
+			}
+		})
+	}
+}
+
+// A body without a length is complete if the server ends the connection after it has read the request.
+func TestEndOfConnectionEndsBody(t *testing.T) {
+	const rounds = 200
+	address := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+	})
+	transport := upstream.NewTransport(upstream.Config{})
+	defer transport.Close()
+	for i := range rounds {
+		length := i << 10
+		var body io.Reader = bytes.NewReader(make([]byte, length))
+		if i%2 == 0 {
+			body = io.MultiReader(body) // not known to be in memory
+		}
+		answer, failure := post(t, transport, address, body, int64(length))
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		if got, err := io.ReadAll(answer.Body); err != nil || string(got) != "whole" {
+			t.Errorf("upload of %d bytes: %q, %v", length, got, err)
+		}
+		answer.Discard()
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,9 @@
 	guard    Guard
 	// received counts the bytes received since the last request began.
 	received atomic.Int64
+	// writing is held during a write. failed is the error of the first write that failed.
+	writing sync.Mutex
+	failed  error
 	// serverIdleTimeout is the idle timeout that the server announced, 0 if none.
 	serverIdleTimeout time.Duration
 }
@@ -47,13 +50,32 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	n, err := c.Conn.Write(p)
+	n, err := c.write(p)
 	if n == 0 && err != nil {
 		c.undoWrite()
 	}
 	return n, err
 }
 
+func (c *trackedConn) write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.failed == nil {
+		c.failed = err
+	}
+	return n, err
+}
+
+// writeError returns the error of the first write that failed, nil for none. A write that is under way must end within
+// limit. The connection must not be written to afterwards.
+func (c *trackedConn) writeError(limit time.Duration) error {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(limit)) // fails on a closed connection, which ends writes as well
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.failed
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -181,6 +181,7 @@
 // attempt tracks the connection that one request uses.
 type attempt struct {
 	conditions Conditions
+	write      *requestWrite
 
 	mu           sync.Mutex
 	conn         *trackedConn
@@ -249,8 +250,11 @@
 // returns one for requests without content. If the only free connection does not meet the
 // conditions, the request counts as not written.
 func (t *Transport) Do(ctx context.Context, req *http.Request, conditions Conditions) (*Answer, *Failure) {
-	a := &attempt{conditions: conditions}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn}))
+	a := &attempt{conditions: conditions, write: newRequestWrite()}
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      a.gotConn,
+		WroteRequest: func(info httptrace.WroteRequestInfo) { a.write.end(info.Err) },
+	}))
 	req.GetBody = nil
 	start := time.Now()
 	resp, err := t.http.RoundTrip(req)
@@ -264,10 +268,14 @@
 		}
 		return nil, f
 	}
+	answer := &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn, received: resp.Body}
 	if conn != nil {
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
+		if resp.Body != http.NoBody {
+			resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, conn: conn, write: a.write}
+		}
 	}
-	return &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn, received: resp.Body}, nil
+	return answer, nil
 }
 
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
