Upstream: a response whose status is not between 100 and 599 is an error

What callers saw: the status 600 of a server was passed on as an answer. Those of 000 and 099 were refused by the dispatcher (502, unknown), which no test said; the transport itself, and the clients of health checks, hosts and the store, took them.

Cause: net/http accepts any three digits as a status code.

CheckHead decides in one place whether the head of a response is valid, and the transport that all clients of servers, hosts and the store share asks it. A server with such a response is at fault, and the connection carries no further request.

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/pearshelf/pearshelf/internal/errs"
 	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
@@ -107,3 +108,36 @@
 		answer.Discard()
 	}
 }
+
+// invalidHeads are responses that no client may take for an answer.
+var invalidHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok",
+	"status 099": "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\nok",
+	"status 600": "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok",
+}
+
+func TestInvalidHeadIsFailure(t *testing.T) {
+	for name, response := range invalidHeads {
+		t.Run(name, func(t *testing.T) {
+			address := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, response)
+			})
+			transport := upstream.NewTransport(upstream.Config{})
+			defer transport.Close()
+			answer, failure := post(t, transport, address, strings.NewReader("abc"), 3)
+			if failure == nil {
+				body, err := io.ReadAll(answer.Body)
+				t.Fatalf("status %d with %v, body %q, %v", answer.StatusCode, answer.Header, body, err)
+			}
+			if kind := errs.KindOf(failure.Unwrap()); !failure.Written || kind != errs.KindAnswerBroken {
+				t.Errorf("%v: written %t, kind %s", failure, failure.Written, kind)
+			}
+			resp, err := (&http.Client{Transport: upstream.NewHTTPTransport((&net.Dialer{}).DialContext, upstream.MaxHeadBytes)}).Get("http://" + address)
+			if err == nil && !strings.Contains(name, "interim") {
+				resp.Body.Close()
+				t.Errorf("a plain client got status %d with %v", resp.StatusCode, resp.Header)
+			}
+		})
+	}
+}
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+)
 
 const (
 	// MaxHeadBytes limits the head of a response, together with the interim responses before it. It is as
@@ -10,10 +13,47 @@
 	// MaxHostHeadBytes is the limit for responses of other hosts, which pass on a backend server's head
 	// with fields of their own.
 	MaxHostHeadBytes = MaxHeadBytes + 4<<10
+
+	// minStatus and maxStatus are the status codes that RFC 9110, section 15, defines.
+	minStatus = 100
+	maxStatus = 599
 )
 
-// NewHTTPTransport returns an http.Transport that limits the head of a response to maxHeadBytes. A longer
+// HeadError reports a response whose head is not valid HTTP.
+type HeadError struct{ reason string }
+
+// Error implements error.
+func (e *HeadError) Error() string { return "invalid head of a response: " + e.reason }
+
+// CheckHead returns a *HeadError if the head of a response is not valid. net/http accepts any number as a status code.
+func CheckHead(response *http.Response) error {
+	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+		return &HeadError{fmt.Sprintf("status code %03d is not between %d and %d", response.StatusCode, minStatus, maxStatus)}
+	}
+	return nil
+}
+
+// HTTPTransport is an http.Transport that returns no response with an invalid head.
+type HTTPTransport struct{ *http.Transport }
+
+// NewHTTPTransport returns a transport that limits the head of a response to maxHeadBytes. A longer
 // one is an error, and its connection is closed. The limit of a plain http.Transport is 10 MB.
-func NewHTTPTransport(dial DialFunc, maxHeadBytes int64) *http.Transport {
-	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes}
+func NewHTTPTransport(dial DialFunc, maxHeadBytes int64) *HTTPTransport {
+	return &HTTPTransport{&http.Transport{DialContext: dial, MaxResponseHeaderBytes: maxHeadBytes}}
 }
+
+// RoundTrip implements http.RoundTripper. The error for an invalid head is a *HeadError.
+func (t *HTTPTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(response); err != nil {
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// Interface guard.
+var _ http.RoundTripper = (*HTTPTransport)(nil)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,7 +30,7 @@
 
 // Transport sends requests over pooled connections.
 type Transport struct {
-	http         *http.Transport
+	http         *HTTPTransport
 	maxHeadBytes int64
 }
 
@@ -262,9 +262,8 @@
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
 		f.Reused, f.Earlier = reused, earlier
-		if f.Written && ctx.Err() == nil && conn.received.Load() >= t.maxHeadBytes {
-			f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
-			f.Reused = false // the server is at fault, not the connection
+		if f.Written && ctx.Err() == nil {
+			t.blameServer(f, conn, err)
 		}
 		return nil, f
 	}
@@ -278,6 +277,23 @@
 	return answer, nil
 }
 
+// blameServer marks a failure for which the server is to blame, not the connection: its response has a head that is too
+// long or not valid. The connection carries no further request.
+func (t *Transport) blameServer(f *Failure, conn *trackedConn, err error) {
+	var invalid *HeadError
+	switch {
+	case errors.As(err, &invalid):
+		conn.seal()
+		conn.Close()
+		f.err = errs.Wrap(err, errs.KindAnswerBroken, "the server's response is not valid HTTP", "mend the server; query the outcome before repeating a non-idempotent request")
+	case conn.received.Load() >= t.maxHeadBytes:
+		f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
+	default:
+		return
+	}
+	f.Reused = false
+}
+
 func newFailure(ctx context.Context, err error, conn *trackedConn, writesBefore uint64) *Failure {
 	f := &Failure{Connected: conn != nil, Assigned: conn != nil}
 	f.Written = conn != nil && !conn.sealIfUnwritten(writesBefore)
