Upstream: a response whose head or trailer has a line that is not a field is an error

What callers saw: a server sent a line whose name held a blank, and the caller got the answer with that line passed on; after "Content-Length :" the body ran to the end of the connection, after "Transfer-Encoding : chunked" the framing of the chunks was passed on as the body.

Cause: net/http takes names with blanks and does not count what they say.

CheckHead refuses them in the heads of final and interim responses, and a body ends as broken off if its trailer has one. Since the transport resets its own limit when interim responses are looked at, the connection keeps the limit of a head together with the interim responses before it.

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -109,11 +111,24 @@
 	}
 }
 
+const soundHead = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+
 // invalidHeads are responses that no client may take for an answer.
 var invalidHeads = map[string]string{
-	"status 000": "HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok",
-	"status 099": "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\nok",
-	"status 600": "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok",
+	"status 000":                       "HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok",
+	"status 099":                       "HTTP/1.1 099 Low\r\nContent-Length: 2\r\n\r\nok",
+	"status 600":                       "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok",
+	"blank in a name":                  soundHead + "X Odd: a\r\n\r\nok",
+	"blank after a name":               soundHead + "X-Odd : a\r\n\r\nok",
+	"blank after Content-Length":       "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
+	"blank in Content-Length":          "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok and more",
+	"blank after Transfer-Encoding":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"control character in a name":      soundHead + "X-\x01Odd: a\r\n\r\nok",
+	"control character in a value":     soundHead + "X-Odd: a\x01\r\n\r\nok",
+	"DEL in a name":                    soundHead + "X-Odd\x7f: a\r\n\r\nok",
+	"no name":                          soundHead + ": a\r\n\r\nok",
+	"blank in a name of an interim":    "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n" + soundHead + "\r\nok",
+	"blank in a name of a later field": soundHead + strings.Repeat("X-Fine: a\r\n", 50) + "X Odd: a\r\n\r\nok",
 }
 
 func TestInvalidHeadIsFailure(t *testing.T) {
@@ -141,3 +156,86 @@
 		})
 	}
 }
+
+// A trailer with a line that is not a field makes the body incomplete.
+func TestInvalidTrailerIsNoEndOfBody(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\n"
+	for line, valid := range map[string]bool{"X-Sum: a": true, "X Sum: a": false, "X-Sum : a": false, "X-Sum: a\x01": false} {
+		address := startRaw(t, func(conn *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, begin+line+"\r\n\r\n")
+		})
+		transport := upstream.NewTransport(upstream.Config{})
+		defer transport.Close()
+		answer, failure := post(t, transport, address, strings.NewReader("abc"), 3)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		body, err := io.ReadAll(answer.Body)
+		if (err == nil) != valid || string(body) != "ok" {
+			t.Errorf("trailer %q: body %q, %v", line, body, err)
+		}
+		answer.Discard()
+	}
+}
+
+// isFieldLine reports whether a line is a field of a valid head (RFC 9112, section 5), or continues one.
+func isFieldLine(line string) bool {
+	const marks = "!#$%&'*+-.^_`|~"
+	name, value, found := strings.Cut(line, ":")
+	if strings.HasPrefix(line, " ") || strings.HasPrefix(line, "\t") {
+		name, value, found = "folded", line, true
+	}
+	for _, c := range []byte(name) {
+		isLetter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !isLetter && (c < '0' || c > '9') && !strings.ContainsRune(marks, rune(c)) {
+			return false
+		}
+	}
+	for _, c := range []byte(value) {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return found && name != ""
+}
+
+// FuzzCheckHead checks that no head is taken for valid of which a line is not a field.
+func FuzzCheckHead(f *testing.F) {
+	for _, response := range invalidHeads {
+		f.Add([]byte(response))
+	}
+	f.Add([]byte(soundHead + "X-Fine: a\r\n b\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+		if err != nil {
+			return
+		}
+		defer response.Body.Close()
+		var invalid *upstream.HeadError
+		if err := upstream.CheckHead(response); err != nil {
+			if !errors.As(err, &invalid) {
+				t.Errorf("%v is not a HeadError", err)
+			}
+			return
+		}
+		if err := checkRaw(raw); err != nil {
+			t.Errorf("%q is taken for valid: %v", raw, err)
+		}
+	})
+}
+
+// checkRaw checks the lines of a head.
+func checkRaw(raw []byte) error {
+	scanner := bufio.NewScanner(bytes.NewReader(raw))
+	scanner.Scan()
+	if fields := strings.Fields(scanner.Text()); len(fields) < 2 || fields[1] < "100" || fields[1] > "599" {
+		return fmt.Errorf("status line %q", scanner.Text())
+	}
+	for scanner.Scan() && scanner.Text() != "" {
+		if !isFieldLine(scanner.Text()) {
+			return fmt.Errorf("line %q", scanner.Text())
+		}
+	}
+	return scanner.Err()
+}
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -62,6 +62,9 @@
 }
 
 func (b *responseBody) checkEnd() error {
+	if err := checkFields(b.response.Trailer); err != nil {
+		return err
+	}
 	if !endsWithConnection(b.response) {
 		return nil
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -15,6 +15,7 @@
 var (
 	errSealed        = errors.New("connection closed for writing: the request was abandoned before its first byte")
 	errWriteRejected = errors.New("write rejected by guard")
+	errHeadTooLong   = errors.New("the head of the response is too long")
 )
 
 // trackedConn is a connection that counts its writes and can be sealed against
@@ -28,8 +29,9 @@
 	writes   uint64
 	sealed   bool
 	guard    Guard
-	// received counts the bytes received since the last request began.
-	received atomic.Int64
+	// received counts the bytes received since the last request began. headLimit bounds them until the head of
+	// its response has arrived, 0 for no bound.
+	received, headLimit atomic.Int64
 	// writing is held during a write. failed is the error of the first write that failed.
 	writing sync.Mutex
 	failed  error
@@ -78,6 +80,13 @@
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
+	if limit := c.headLimit.Load(); limit > 0 {
+		left := limit - c.received.Load()
+		if left <= 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(int64(len(p)), left)]
+	}
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
 	return n, err
@@ -117,6 +126,16 @@
 	return c.writes, c.requests - 1
 }
 
+// endHead lifts the limit of a response's head, unless the connection has been given to more than the given number of
+// requests.
+func (c *trackedConn) endHead(requests int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests == requests {
+		c.headLimit.Store(0)
+	}
+}
+
 // sealIfUnwritten reports whether no write has begun since the count was
 // writesBefore. If so, it seals the connection.
 func (c *trackedConn) sealIfUnwritten(writesBefore uint64) bool {
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -19,17 +21,34 @@
 	maxStatus = 599
 )
 
-// HeadError reports a response whose head is not valid HTTP.
+// HeadError reports a response whose head is not valid HTTP. Nothing in it counts: a line that is not a field may
+// have been meant as the one that tells how long the body is.
 type HeadError struct{ reason string }
 
 // Error implements error.
 func (e *HeadError) Error() string { return "invalid head of a response: " + e.reason }
 
-// CheckHead returns a *HeadError if the head of a response is not valid. net/http accepts any number as a status code.
+// CheckHead returns a *HeadError if the head of a response is not valid. net/http accepts any number as a status code,
+// and field names with blanks (RFC 9112, section 5.1, forbids them).
 func CheckHead(response *http.Response) error {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return &HeadError{fmt.Sprintf("status code %03d is not between %d and %d", response.StatusCode, minStatus, maxStatus)}
 	}
+	return checkFields(response.Header)
+}
+
+// checkFields returns a *HeadError if a field of a head or trailer is not valid.
+func checkFields(h http.Header) error {
+	for name, values := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &HeadError{fmt.Sprintf("field name %.40q is not a token", name)}
+		}
+		for _, value := range values {
+			if !httpguts.ValidHeaderFieldValue(value) {
+				return &HeadError{fmt.Sprintf("the value of field %.40q has a control character", name)}
+			}
+		}
+	}
 	return nil
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"slices"
 	"sync"
 	"time"
@@ -180,8 +181,9 @@
 
 // attempt tracks the connection that one request uses.
 type attempt struct {
-	conditions Conditions
-	write      *requestWrite
+	conditions   Conditions
+	maxHeadBytes int64
+	write        *requestWrite
 
 	mu           sync.Mutex
 	conn         *trackedConn
@@ -225,6 +227,7 @@
 			conn.seal()
 		}
 		a.writesBefore, a.earlier = conn.beginRequest(a.conditions.Guard)
+		conn.headLimit.Store(a.maxHeadBytes)
 	}
 }
 
@@ -250,10 +253,11 @@
 // returns one for requests without content. If the only free connection does not meet the
 // conditions, the request counts as not written.
 func (t *Transport) Do(ctx context.Context, req *http.Request, conditions Conditions) (*Answer, *Failure) {
-	a := &attempt{conditions: conditions, write: newRequestWrite()}
+	a := &attempt{conditions: conditions, maxHeadBytes: t.maxHeadBytes, write: newRequestWrite()}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      a.gotConn,
-		WroteRequest: func(info httptrace.WroteRequestInfo) { a.write.end(info.Err) },
+		GotConn:        a.gotConn,
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { a.write.end(info.Err) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkFields(http.Header(h)) },
 	}))
 	req.GetBody = nil
 	start := time.Now()
@@ -269,6 +273,7 @@
 	}
 	answer := &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn, received: resp.Body}
 	if conn != nil {
+		conn.endHead(earlier + 1)
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 		if resp.Body != http.NoBody {
 			resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, conn: conn, write: a.write}
