Mutants: limits of clients, ends of bodies, heads of responses

The limit of a head is now kept by the connection for servers and hosts, and by net/http for the store, and has a mutant for each.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -40,7 +40,19 @@
 mutant "write accepted not at all" internal/upstream/conn.go 's/if n == 0 \&\& err != nil {/if false {/' ./internal/upstream -run CountsAsUnwritten
 mutant "written request read by the server" internal/upstream/upstream.go 's/f.Written = conn != nil .*/f.Written = false/' ./internal/upstream -run UnwrittenRequestIsNeverRead
 mutant "no hidden resend" internal/upstream/upstream.go 's/return emptyBody{}/return nil/' ./internal/upstream
-mutant "limit of a head" internal/upstream/head.go 's/, MaxResponseHeaderBytes: maxHeadBytes//' ./internal/upstream -run EndlessHead
+mutant "limit of a head" internal/upstream/upstream.go 's/conn.headLimit.Store(a.maxHeadBytes)/conn.headLimit.Store(0)/' ./internal/upstream -run EndlessHead -timeout 20s
+mutant "limit of a head of the store" internal/upstream/head.go 's/, MaxResponseHeaderBytes: maxHeadBytes//' ./platform -run EndlessResponsesOfStore
+mutant "end of a body whose request is not written" internal/upstream/body.go 's/if !endsWithConnection(b.response) {/if true {/' ./internal/upstream -run ResetDuringUpload
+mutant "status of a response" internal/upstream/head.go 's/response.StatusCode < minStatus/false/' ./internal/upstream -run InvalidHead
+mutant "field names of a response" internal/upstream/head.go 's/!httpguts.ValidHeaderFieldName(name)/false/' ./internal/upstream -run InvalidHead
+mutant "field names of a trailer" internal/upstream/body.go 's/if err := checkFields(b.response.Trailer); err != nil {/if err := checkFields(b.response.Trailer); false {/' ./internal/upstream -run InvalidTrailer
+mutant "charge of a head" internal/clientlimit/conn.go 's/return c.chargeHead(head, len(p))/return head != nil/' ./internal/clientlimit -run HeadIsCharged -timeout 20s
+mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
+mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run Trailer
+mutant "request whose refusal was sent" internal/clientlimit/handler.go 's/if c.abandoned {/if false {/' ./internal/clientlimit -run GivenUpRequest
+mutant "room beside large requests" internal/clientlimit/limiter.go 's/large := in.charged+n > ordinaryRequestBytes/large := in.charged+n < 0/' ./internal/clientlimit -run LargeRequests -timeout 20s
+mutant "time for a body" internal/clientlimit/limiter.go 's/now.Sub(body.since) < bodyGrace/false/' ./internal/clientlimit -run OldestBody -timeout 20s
+mutant "connections of a listener" internal/clientlimit/listener.go 's/if l.open < l.max {/if true {/' ./internal/clientlimit -run OldestConnection -timeout 20s
 mutant "reason of a cut head" internal/upstream/upstream.go 's/conn.received.Load() >= t.maxHeadBytes/false/' ./internal/upstream -run EndlessHead
 mutant "time to drain a body" internal/upstream/upstream.go 's/^	limit := time.AfterFunc(maxDrainTime, a.abandon)$/	limit := time.AfterFunc(time.Hour, a.abandon)/' ./internal/upstream -run UnwantedBodyWithoutEnd
 mutant "a request does not wait for draining" internal/upstream/upstream.go 's/^	case <-wait.C:$/	case <-(chan int)(nil):/' ./internal/upstream -timeout 20s -run WaitForUnwantedBody
@@ -194,7 +206,7 @@
 mutant "key stays here" internal/dispatch/request.go 's/r.HideKey \&\& sameHeader/false \&\& sameHeader/' ./platform -run TestServerIsToldTheCustomer
 mutant "customer is ours to name" internal/dispatch/request.go 's/sameHeader(name, proto.Customer) || /name == "" || /' ./platform -run TestServerIsToldTheCustomer
 mutant "trailers hide the customer" internal/dispatch/request.go 's/^	r.hideCustomer(forwarded, proto)$//' ./platform -run TestTrailers
-mutant "refusal before the body" internal/frontend/problem.go 's/^	drainBody(w, r)$//' ./platform -run TestUnknownKeyIsRefusedBefore -timeout 20s
+mutant "refusal before the body" internal/frontend/problem.go 's/^	drainBody(w, r, wait)$/	_ = wait/' ./platform -run TestUnknownKeyIsRefusedBefore -timeout 20s
 mutant "rate limits are asked for" internal/dispatch/ratelimit.go 's/case !verdict.OK:/case false:/' ./platform -run AllServersLimited
 mutant "unused token goes back" internal/dispatch/send.go 's/		x.returnToken(token)/		_ = token/' ./platform -run UnusedToken
 mutant "copies spare limited servers" internal/policy/copies.go 's/if r.Parallel .*/if false {/' ./internal/policy -run RateLimitedServers
