Clients: nothing is charged to a request that has ended

What callers would have met: a host that refuses more and more until it is started again, because memory stays charged for connections that are gone.

Cause: a connection may be closed for another one, and a request answered, between the arrival of its bytes and their charge. The charge went to a request that nobody releases again.

A request that has ended takes no charge.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -86,7 +86,7 @@
 		return true
 	}
 	l.mu.Lock()
-	counted := head.givenUp
+	counted := head.ended // by whoever ended it
 	c.abandon()
 	l.mu.Unlock()
 	if !counted {
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -138,7 +138,8 @@
 	listener string
 	since    time.Time
 	charged  int64
-	givenUp  bool
+	// ended is set once nothing more can be charged, givenUp if that is because the request was given up.
+	ended, givenUp bool
 	// conn is the connection on which the head is being read, nil once a handler has the request.
 	conn *conn
 	// interrupt ends the handler's read of the body. It is called with Limiter.mu held and must not block.
@@ -181,7 +182,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if in.givenUp { // to make room, possibly its own
+	if in.ended { // meanwhile: it may have been given up to make this room, or its connection closed
 		l.memory.Release(n)
 		return false
 	}
@@ -197,9 +198,10 @@
 	}
 }
 
-// discharge releases the memory of a request, which can no longer be given up. l.mu must be held.
+// discharge releases the memory of a request, which can no longer be given up or charged. l.mu must be held.
 func (l *Limiter) discharge(in *incoming) {
 	l.dequeue(in)
+	in.ended = true
 	l.memory.Release(in.charged)
 	l.addCharge(in, -in.charged)
 }
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -449,6 +449,30 @@
 	s.awaitFree()
 }
 
+// Guards against memory that is never released: a connection is closed for another one between the arrival of bytes and
+// their charge, or a body is read after its request has been answered.
+func TestNothingIsChargedAfterTheEnd(t *testing.T) {
+	s := start(t, manyConns)
+	closed := &conn{Conn: &net.TCPConn{}, limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1)}
+	s.limiter.mu.Lock()
+	closed.beginHead()
+	head := closed.head
+	s.limiter.mu.Unlock()
+	_ = closed.Close() // of a socket that was never open
+	if closed.chargeHead(head, 100) {
+		t.Error("the head of a closed connection is charged")
+	}
+	answered := &incoming{}
+	closed.serving = 1
+	closed.endRequest(answered)
+	if s.limiter.charge(answered, 100) {
+		t.Error("an answered request is charged")
+	}
+	if n := s.memory.InUse(); n != 0 {
+		t.Errorf("%d bytes stay charged", n)
+	}
+}
+
 func TestBeginAndEndOfLimitAreReported(t *testing.T) {
 	s := start(t, manyConns)
 	s.limiter.refused("test", Memory)
