Upstream: a response of HTTP/1.0 with a transfer coding is an error

What callers would see: the framing of the chunks as the body of a complete answer, as after "Transfer-Encoding : chunked" of HTTP/1.1.

Cause: net/http removes Transfer-Encoding from a response of HTTP/1.0 and reads the body to the end of the connection. RFC 9112, section 6.1, calls such framing faulty.

The connection keeps the head of a response that begins with HTTP/1.0, and the transport refuses it if it names a transfer coding. Responses of HTTP/1.1 are not copied.

Evidence: without the fix the test of the transport gets 200 with the body "2\r\nok\r\n0\r\n\r\n"; with it the response is an error there and 502 as unknown at the host. Clients that read only a status or JSON (health checks, hosts, the store) do not look for it.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,6 +32,7 @@
 	// received counts the bytes received since the last request began. headLimit bounds them until the head of
 	// its response has arrived, 0 for no bound.
 	received, headLimit atomic.Int64
+	head                headRecorder
 	// writing is held during a write. failed is the error of the first write that failed.
 	writing sync.Mutex
 	failed  error
@@ -89,9 +90,18 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if c.headLimit.Load() > 0 { // also if the read began before the request
+		c.recordHead(p[:n])
+	}
 	return n, err
 }
 
+func (c *trackedConn) recordHead(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.record(p)
+}
+
 // undoWrite uncounts a write of which the kernel accepted no byte, as on a
 // connection that the peer has closed.
 func (c *trackedConn) undoWrite() {
@@ -122,18 +132,24 @@
 	defer c.mu.Unlock()
 	c.guard = guard
 	c.received.Store(0)
+	c.head = headRecorder{}
 	c.requests++
 	return c.writes, c.requests - 1
 }
 
-// endHead lifts the limit of a response's head, unless the connection has been given to more than the given number of
-// requests.
-func (c *trackedConn) endHead(requests int) {
+// endHead lifts the limit of a response's head, and returns a *HeadError if its framing is faulty. It does nothing if
+// the connection has been given to more than the given number of requests.
+func (c *trackedConn) endHead(requests int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.requests == requests {
-		c.headLimit.Store(0)
+	if c.requests != requests {
+		return nil
 	}
+	c.headLimit.Store(0)
+	if c.head.hasTransferCoding() {
+		return &HeadError{"a response of HTTP/1.0 has a transfer coding"}
+	}
+	return nil
 }
 
 // sealIfUnwritten reports whether no write has begun since the count was
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -263,6 +263,11 @@
 	start := time.Now()
 	resp, err := t.http.RoundTrip(req)
 	conn, writesBefore, earlier, reused := a.connection()
+	if err == nil && conn != nil {
+		if err = conn.endHead(earlier + 1); err != nil {
+			resp.Body.Close()
+		}
+	}
 	if err != nil {
 		f := newFailure(ctx, err, conn, writesBefore)
 		f.Reused, f.Earlier = reused, earlier
@@ -273,7 +278,6 @@
 	}
 	answer := &Answer{Response: resp, FirstByte: time.Since(start), Reused: reused, Earlier: earlier, conn: conn, received: resp.Body}
 	if conn != nil {
-		conn.endHead(earlier + 1)
 		conn.setServerIdleTimeout(keepAliveTimeout(resp.Header))
 		if resp.Body != http.NoBody {
 			resp.Body = &responseBody{ReadCloser: resp.Body, response: resp, conn: conn, write: a.write}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,6 +45,7 @@
 mutant "end of a body whose request is not written" internal/upstream/body.go 's/if !endsWithConnection(b.response) {/if true {/' ./internal/upstream -run ResetDuringUpload
 mutant "status of a response" internal/upstream/head.go 's/response.StatusCode < minStatus/false/' ./internal/upstream -run InvalidHead
 mutant "field names of a response" internal/upstream/head.go 's/!httpguts.ValidHeaderFieldName(name)/false/' ./internal/upstream -run InvalidHead
+mutant "transfer coding of HTTP/1.0" internal/upstream/conn.go 's/if c.head.hasTransferCoding() {/if false {/' ./internal/upstream -run InvalidHead
 mutant "field names of a trailer" internal/upstream/body.go 's/if err := checkFields(b.response.Trailer); err != nil {/if err := checkFields(b.response.Trailer); false {/' ./internal/upstream -run InvalidTrailer
 mutant "charge of a head" internal/clientlimit/conn.go 's/return c.chargeHead(head, len(p))/return head != nil/' ./internal/clientlimit -run HeadIsCharged -timeout 20s
 mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
