--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -437,6 +438,37 @@
 	s.awaitFree()
 }
 
+// Connections with TLS are recognised below it, for both versions of HTTP.
+func TestRequestsWithTLSAreCharged(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		s := start(t, manyConns)
+		server := httptest.NewUnstartedServer(s.limiter.Requests(http.HandlerFunc(s.serve), nil))
+		server.Listener = s.limiter.Listen(server.Listener, "tls", manyConns)
+		server.Config.ConnState, server.Config.ConnContext = s.limiter.ConnState, s.limiter.ConnContext
+		server.EnableHTTP2 = http2
+		server.StartTLS()
+		defer server.Close()
+		done := make(chan error)
+		go func() {
+			resp, err := server.Client().Get(server.URL + "/hold")
+			if err == nil {
+				resp.Body.Close()
+			}
+			done <- err
+		}()
+		<-s.served
+		if charged := s.memory.InUse(); charged == 0 || http2 != (charged > http2ConnBytes) {
+			t.Errorf("HTTP/2 %t: %d bytes are charged", http2, charged)
+		}
+		close(s.released)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		server.Client().CloseIdleConnections()
+		s.awaitFree()
+	}
+}
+
 func TestCallBodiesAreLimited(t *testing.T) {
 	s := start(t, manyConns)
 	c := &conn{limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1)}
