Upstream: an invalid head does not end the connection's next request

What callers would see: an unknown outcome of a request whose server answered it, because the response before it on the same connection had an invalid head and no body.

Cause: net/http gives a connection back as soon as a response without a body has arrived, before CheckHead has seen its head, and the connection was closed whoever had it by then.

The connection is closed only if it has not been given to another request, as with responses that are thrown away. The new test loses sound responses without the fix and none with it.

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -241,3 +242,46 @@
 	}
 	return scanner.Err()
 }
+
+// Guards against the end of another request: after a response without a body, its connection may carry the next one when
+// the head turns out to be invalid.
+func TestInvalidHeadWithoutBodyEndsNoOtherRequest(t *testing.T) {
+	const requests, workers = 200, 8
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/odd" {
+			w.WriteHeader(600)
+		}
+	})}
+	go func() { _ = server.Serve(listener) }() // until Close
+	defer server.Close()
+	transport := upstream.NewTransport(upstream.Config{})
+	defer transport.Close()
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for i := range requests {
+				path := "/"
+				if i%2 == 0 {
+					path = "/odd"
+				}
+				req, err := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+path, upstream.Body(nil))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				answer, failure := transport.Do(context.Background(), req, upstream.Conditions{})
+				if path == "/" && failure != nil && failure.Written {
+					t.Errorf("a sound response was lost: %v", failure)
+				}
+				if failure == nil {
+					answer.DrainAndClose()
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -287,13 +287,15 @@
 }
 
 // blameServer marks a failure for which the server is to blame, not the connection: its response has a head that is too
-// long or not valid. The connection carries no further request.
+// long or not valid. The connection is closed, unless it carries the next request already, as it may after a response
+// without a body.
 func (t *Transport) blameServer(f *Failure, conn *trackedConn, err error) {
 	var invalid *HeadError
 	switch {
 	case errors.As(err, &invalid):
-		conn.seal()
-		conn.Close()
+		if conn.sealAfter(f.Earlier + 1) {
+			conn.Close()
+		}
 		f.err = errs.Wrap(err, errs.KindAnswerBroken, "the server's response is not valid HTTP", "mend the server; query the outcome before repeating a non-idempotent request")
 	case conn.received.Load() >= t.maxHeadBytes:
 		f.err = errs.Wrap(err, errs.KindHeadTooLong, "the head of the response is too long", "have the server send shorter headers; query the outcome before repeating a non-idempotent request")
