--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -209,26 +209,41 @@
 // makeRoom gives up the request that has been incomplete for longest. It returns false if there is none, or if all
 // heads together have not the missing bytes.
 func (l *Limiter) makeRoom(missing int64) bool {
-	l.mu.Lock()
-	victim := l.oldestBody(time.Now())
-	if head := front(&l.heads); head != nil && missing <= l.headBytes && (victim == nil || head.since.Before(victim.since)) {
-		victim = head
-	}
-	return l.giveUp(victim)
+	return l.giveUp(func() *incoming {
+		body, head := l.oldestBody(time.Now()), front(&l.heads)
+		if head == nil || missing > l.headBytes || body != nil && body.since.Before(head.since) {
+			return body
+		}
+		return head
+	})
 }
 
 // giveUpBody gives up a request whose body has been incomplete for longest, and reports whether there was one.
 func (l *Limiter) giveUpBody() bool {
-	l.mu.Lock()
-	return l.giveUp(l.oldestBody(time.Now()))
+	return l.giveUp(func() *incoming { return l.oldestBody(time.Now()) })
 }
 
-// giveUp gives up a request, unless it is nil. l.mu must be held; giveUp releases it.
-func (l *Limiter) giveUp(victim *incoming) bool {
+// giveUp gives up the request that choose returns, unless it is nil. choose is called with l.mu held.
+func (l *Limiter) giveUp(choose func() *incoming) bool {
+	victim := l.endChosen(choose)
 	if victim == nil {
-		l.mu.Unlock()
 		return false
 	}
+	if victim.conn != nil {
+		victim.conn.refuse()
+	}
+	l.refused(victim.listener, Memory)
+	return true
+}
+
+// endChosen keeps a request from being served, and ends the read of its body if a handler has it.
+func (l *Limiter) endChosen(choose func() *incoming) *incoming {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	victim := choose()
+	if victim == nil {
+		return nil
+	}
 	l.discharge(victim)
 	victim.givenUp = true
 	if victim.conn != nil {
@@ -236,12 +251,7 @@
 	} else {
 		victim.interrupt()
 	}
-	l.mu.Unlock()
-	if victim.conn != nil {
-		victim.conn.refuse()
-	}
-	l.refused(victim.listener, Memory)
-	return true
+	return victim
 }
 
 // oldestBody returns the request whose body has been incomplete for longest, nil if none may be given up. l.mu must be
