Clients: an HTTP/2 connection that gives way gets no response of HTTP/1.1

What callers would see: the text of an HTTP/1.1 503 between the frames of an HTTP/2 connection without TLS that has no request yet, when it is closed for another one.

Cause: whether a connection speaks HTTP/2 was decided anew from the first bytes after it became idle, and only those of the whole connection tell. Found by reading.

The first bytes of the connection decide.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -37,7 +37,10 @@
 	// served.
 	received, accounted int
 	// plain is set if the request that is being read can be answered by a plain HTTP/1.1 response.
-	plain     bool
+	plain bool
+	// begun is set once bytes have arrived, preface if the first ones may begin an HTTP/2 connection.
+	begun, preface bool
+
 	secure    bool
 	abandoned bool
 	closed    bool
@@ -65,6 +68,9 @@
 		l.mu.Unlock()
 		return false
 	}
+	if !c.begun {
+		c.begun, c.preface = true, bytes.HasPrefix(p, http2Preface[:min(len(p), len(http2Preface))])
+	}
 	c.received += len(p)
 	if c.serving > 0 || c.http2 {
 		l.mu.Unlock()
@@ -72,7 +78,7 @@
 	}
 	if c.head == nil {
 		c.beginHead()
-		c.plain = !c.secure && !bytes.HasPrefix(p, http2Preface[:min(len(p), len(http2Preface))])
+		c.plain = !c.secure && !c.preface
 	}
 	head := c.head
 	l.mu.Unlock()
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/memory"
 )
@@ -344,6 +346,42 @@
 	}
 }
 
+// An HTTP/2 connection without a request gives way without a response of HTTP/1.1, also after its preface.
+func TestHTTP2ConnectionGetsNoPlainRefusal(t *testing.T) {
+	s := start(t, 1)
+	idle := s.dial()
+	idle.send(http2.ClientPreface)
+	framer := http2.NewFramer(idle, idle.reader)
+	if err := framer.WriteSettings(); err != nil {
+		t.Fatal(err)
+	}
+	ping := func() {
+		if err := framer.WritePing(false, [8]byte{}); err != nil {
+			t.Fatal(err)
+		}
+		for {
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if answer, ok := frame.(*http2.PingFrame); ok && answer.IsAck() {
+				return
+			}
+		}
+	}
+	ping() // the preface is dealt with
+	ping()
+	s.awaitCharged(1)
+	c := s.dial()
+	c.send(smallHead + "\r\n")
+	if status := c.status(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	if got := idle.rest(); strings.Contains(got, "HTTP/1.1") {
+		t.Errorf("got %q", got)
+	}
+}
+
 // ageBodies makes the bodies that are being read older than bodyGrace.
 func (s *server) ageBodies() {
 	s.limiter.mu.Lock()
@@ -440,12 +478,12 @@
 
 // Connections with TLS are recognised below it, for both versions of HTTP.
 func TestRequestsWithTLSAreCharged(t *testing.T) {
-	for _, http2 := range []bool{false, true} {
+	for _, second := range []bool{false, true} {
 		s := start(t, manyConns)
 		server := httptest.NewUnstartedServer(s.limiter.Requests(http.HandlerFunc(s.serve), nil))
 		server.Listener = s.limiter.Listen(server.Listener, "tls", manyConns)
 		server.Config.ConnState, server.Config.ConnContext = s.limiter.ConnState, s.limiter.ConnContext
-		server.EnableHTTP2 = http2
+		server.EnableHTTP2 = second
 		server.StartTLS()
 		defer server.Close()
 		done := make(chan error)
@@ -457,8 +495,8 @@
 			done <- err
 		}()
 		<-s.served
-		if charged := s.memory.InUse(); charged == 0 || http2 != (charged > http2ConnBytes) {
-			t.Errorf("HTTP/2 %t: %d bytes are charged", http2, charged)
+		if charged := s.memory.InUse(); charged == 0 || second != (charged > http2ConnBytes) {
+			t.Errorf("HTTP/2 %t: %d bytes are charged", second, charged)
 		}
 		close(s.released)
 		if err := <-done; err != nil {
