Clients: bytes read beside a handler do not close an HTTP/2 connection

Cause: frames of HTTP/2 are read while handlers run. Bytes that were read before a handler took the first request were charged to its head after the head had ended, which chargeHead took for a lack of memory: it abandoned the connection without counting a refusal. Now a head that a handler has taken is charged nothing more, and the connection goes on; heads that were given up and closed connections end as before.

Ruled out: a full budget (nothing was refused), the closing of idle connections (the request was in a handler).

The new test, which needs no race, failed before: "the connection of a request that is being served is given up". A mutant without the check is killed by it.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -85,13 +85,18 @@
 	return c.chargeHead(head, len(p))
 }
 
-// chargeHead charges bytes of a head. If there is no memory, it abandons the connection and returns false.
+// chargeHead charges bytes of a head. If there is no memory, it abandons the connection and returns false. Nothing is
+// charged to a head that a handler has taken meanwhile: frames of HTTP/2 are read while handlers run.
 func (c *conn) chargeHead(head *incoming, bytes int) bool {
 	l := c.limiter
 	if l.charge(head, headFactor*int64(bytes)) {
 		return true
 	}
 	l.mu.Lock()
+	if head.ended && !c.abandoned && !c.closed {
+		l.mu.Unlock()
+		return true
+	}
 	counted := head.ended // by whoever ended it
 	c.abandon()
 	l.mu.Unlock()
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -543,6 +543,27 @@
 	}
 }
 
+// Guards against an HTTP/2 connection that is closed, with the request on it, because a handler has taken its first
+// request between the arrival of bytes and their charge.
+func TestBytesReadBesideAHandlerDoNotCloseTheConnection(t *testing.T) {
+	s := start(t, manyConns)
+	c := &conn{Conn: &net.TCPConn{}, limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1)}
+	s.limiter.mu.Lock()
+	c.beginHead()
+	head := c.head
+	s.limiter.mu.Unlock()
+	in, ok := c.beginRequest(&http.Request{Method: http.MethodGet, Proto: "HTTP/2.0", ProtoMajor: 2, Body: http.NoBody})
+	if !ok {
+		t.Fatal("there is no room for the request")
+	}
+	if !c.chargeHead(head, 100) || c.abandoned {
+		t.Error("the connection of a request that is being served is given up")
+	}
+	c.endRequest(in)
+	_ = c.Close() // of a socket that was never open
+	s.awaitFree()
+}
+
 func TestBeginAndEndOfLimitAreReported(t *testing.T) {
 	s := start(t, manyConns)
 	s.limiter.refused("test", Memory)
