Clients: a connection is not given up before its response has been sent

Found by reading, after the race of HTTP/2 connections; no run has shown it. net/http keeps reading an HTTP/1 connection until the response has been sent. A byte of the next request that arrived between the handler's return and that moment began a head, which may be given up for lack of memory or connections: the refusal would then have been written into the response, and a caller would have read it as a part of the body.

Now a connection is eligible again once net/http reports it idle, which is after the response. Bytes that arrive before are charged then, as those of a pipelined request already were.

The test failed before ("the connection can be given up although its response is not sent"); a mutant without the check is killed. e2e/crowd passes.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -33,6 +33,8 @@
 	head *incoming
 	// serving counts the requests in handlers.
 	serving int
+	// responding is set from the beginning of an HTTP/1 request's handler until the response has been sent.
+	responding bool
 	// received counts the bytes since the connection became idle. accounted are those of the request that is being
 	// served.
 	received, accounted int
@@ -72,7 +74,7 @@
 		c.begun, c.preface = true, bytes.HasPrefix(p, http2Preface[:min(len(p), len(http2Preface))])
 	}
 	c.received += len(p)
-	if c.serving > 0 || c.http2 {
+	if c.responding || c.serving > 0 || c.http2 {
 		l.mu.Unlock()
 		return true
 	}
@@ -192,7 +194,7 @@
 	case http.StateActive:
 		c.quiet = false
 	case http.StateIdle:
-		c.quiet = true
+		c.quiet, c.responding = true, false
 		rest = c.becomeIdle()
 	}
 	head := c.head
--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -101,6 +101,7 @@
 	c.accounted = wire + int(max(r.ContentLength, 0))
 	needsHTTP2 := r.ProtoMajor > 1 && c.http2Charged == 0
 	c.http2 = r.ProtoMajor > 1
+	c.responding = !c.http2
 	l.mu.Unlock()
 	if needsHTTP2 && !c.chargeHTTP2() {
 		return in, false
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -564,6 +564,30 @@
 	s.awaitFree()
 }
 
+// Guards against a refusal that is written into a response: net/http reads a connection until the response has been
+// sent, and the next request may begin to arrive after the handler has returned.
+func TestConnectionIsNotGivenUpBeforeItsResponseIsSent(t *testing.T) {
+	s := start(t, manyConns)
+	c := &conn{Conn: &net.TCPConn{}, limiter: s.limiter, listener: s.limiter.Listen(nil, "test", 1)}
+	in, ok := c.beginRequest(&http.Request{Method: http.MethodGet, Proto: "HTTP/1.1", ProtoMajor: 1, Body: http.NoBody})
+	if !ok {
+		t.Fatal("there is no room for the request")
+	}
+	c.endRequest(in)
+	if !c.receive([]byte("G")) || c.head != nil || c.place != nil {
+		t.Error("the connection can be given up although its response is not sent")
+	}
+	s.limiter.ConnState(c, http.StateIdle)
+	if c.place == nil {
+		t.Error("the connection does not wait for a request after its response")
+	}
+	if !c.receive([]byte("E")) || c.head == nil {
+		t.Error("the next request is not charged")
+	}
+	_ = c.Close() // of a socket that was never open
+	s.awaitFree()
+}
+
 func TestBeginAndEndOfLimitAreReported(t *testing.T) {
 	s := start(t, manyConns)
 	s.limiter.refused("test", Memory)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -49,6 +49,7 @@
 mutant "field names of a trailer" internal/upstream/body.go 's/if err := checkFields(b.response.Trailer); err != nil {/if err := checkFields(b.response.Trailer); false {/' ./internal/upstream -run InvalidTrailer
 mutant "charge of a head" internal/clientlimit/conn.go 's/return c.chargeHead(head, len(p))/return head != nil/' ./internal/clientlimit -run HeadIsCharged -timeout 20s
 mutant "bytes read beside a handler" internal/clientlimit/conn.go 's/if head.ended \&\& !c.abandoned \&\& !c.closed {/if false {/' ./internal/clientlimit -run BesideAHandler
+mutant "refusal within a response" internal/clientlimit/conn.go 's/if c.responding || c.serving > 0/if c.serving > 0/' ./internal/clientlimit -run BeforeItsResponse
 mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
 mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run Trailer
 mutant "request whose refusal was sent" internal/clientlimit/handler.go 's/if c.abandoned {/if false {/' ./internal/clientlimit -run GivenUpRequest
