Detection: a watcher that restarts takes up its own votes

Votes are registers and live on; the restarted hosts got them back from the others, counted them ("3 votes") and ejected the servers, but did not know that the votes were theirs. Nobody probed the servers and nobody withdrew the votes, which would have expired after ten minutes.

Now a watcher that finds a vote of its own in the registers takes it up: it probes the server once the hold-off since the vote is over, renews the vote, and withdraws it after three good probes. The same holds for a server whose process was replaced, which reset what the host knew of it, and for a vote without a majority, with which one more vote of another watcher ejects the server.

--- a/internal/system/detection/detection.go
+++ b/internal/system/detection/detection.go
@@ -3,7 +3,8 @@
 // a failure or while a server's score is elevated. Each watcher runs a
 // cumulative sum test per server, relative to the other servers of the service,
 // and votes; a majority of votes ejects a server (package verdict). Without a
-// majority a host only prefers other servers, which costs no capacity.
+// majority a host only prefers other servers, which costs no capacity. Votes outlive
+// the process that cast them: a watcher that restarts takes up its own.
 package detection
 
 import (
@@ -182,6 +183,9 @@
 	s.checkOwnNetwork(w, now)
 	for _, name := range w.ServiceNames() {
 		svc := w.Services[name]
+		if svc.Dirty || svc.DetectionActive {
+			s.resumeVotes(w, now, svc)
+		}
 		if svc.DetectionActive {
 			s.evaluateService(w, now, svc)
 		}
--- a/internal/system/detection/vote.go
+++ b/internal/system/detection/vote.go
@@ -28,6 +28,29 @@
 	w.Record(now, event.BackendVoted, svc.Config.Name, b.Config.ID, fmt.Sprintf("score %.1f, seen failing by %d hosts, relapses %d", d.Relative, len(e.excluding), d.Relapses))
 }
 
+// resumeVotes takes up the votes that this host cast before it restarted, or before a server's process was replaced.
+// No other host probes their servers and withdraws them.
+func (s *System) resumeVotes(w *world.World, now time.Time, svc *world.Service) {
+	for _, vote := range verdict.Own(w, svc.Config.Name) {
+		b := svc.Backend(vote.Backend)
+		if b == nil || b.Detection.Voted {
+			continue
+		}
+		d := &b.Detection
+		castAt := vote.CastAt
+		if castAt.After(now) { // the wall clock has been set back
+			castAt = now
+		}
+		d.Voted = true
+		d.Relapses = vote.Relapses
+		d.RenewAt = castAt.Add(verdict.RenewInterval)
+		d.ConsecutiveGoodProbes = 0
+		d.ProbeAt = castAt.Add(holdOff(vote.Relapses))
+		svc.DetectionActive = true
+		w.Record(now, event.BackendVoted, svc.Config.Name, b.Config.ID, fmt.Sprintf("vote of %s ago taken up again, relapses %d", now.Sub(castAt).Round(time.Millisecond), vote.Relapses))
+	}
+}
+
 func holdOff(relapses int) time.Duration {
 	hold := MinHoldOff
 	for range relapses {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/hlc"
 	"github.com/pearshelf/pearshelf/internal/world"
 )
 
@@ -96,6 +97,31 @@
 	return tallies
 }
 
+// Vote is a vote of this host.
+type Vote struct {
+	Backend  string
+	Relapses int
+	// CastAt is when the vote was cast or last renewed, by this host's wall clock.
+	CastAt time.Time
+}
+
+// Own returns this host's votes against backend servers of a service, also those that it cast before it restarted.
+func Own(w *world.World, service string) []Vote {
+	var own []Vote
+	for _, r := range w.Registers.Prefix(prefix + service + "/") {
+		v := &peerpb.Verdict{}
+		if proto.Unmarshal(r.Value, v) != nil || v.Watcher != w.Self.Host {
+			continue
+		}
+		own = append(own, Vote{
+			Backend:  v.Backend,
+			Relapses: int(v.Relapses),
+			CastAt:   hlc.Timestamp(r.Stamp.GetClock()).Time(),
+		})
+	}
+	return own
+}
+
 // Majority returns the number of votes required to eject a backend server.
 func Majority(svc *world.Service) int {
 	return len(svc.Watchers)/2 + 1
