Crowd: bytes that were received and not read count as memory of the process

The plays measured the resident set only. On the users' machines bytes that the kernel holds for a connection and that the process has not read count as well, so each play now bounds the sum of both, sampled together. The bound on the resident set alone stays. A new play has more connections for its memory than a machine in use: 1,500 clients whose uploads wait, 96 MB, 4,100 descriptors.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -94,6 +94,13 @@
 func TestCrowdOfSilence(t *testing.T)         { play(t, size.silentClients, silence) }
 func TestCrowdOfLongBodies(t *testing.T)      { play(t, size.clients, longBody) }
 
+// The bodies of uploads that wait for a server are not read, and the kernel holds what has arrived of them.
+func TestCrowdOfWaitingUploads(t *testing.T) {
+	defer func(before scale) { size = before }(size)
+	size = manyConnsScale
+	play(t, size.clients, longBody)
+}
+
 // Requests inside the limits are served in calm, whatever their fields.
 func TestModestRequestsAreServed(t *testing.T) {
 	h := startHost(t)
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -33,8 +33,10 @@
 const (
 	// patience bounds waits whose length proves nothing.
 	patience = 30 * time.Second
-	// sampleInterval is the time between two counts of the process's descriptors.
+	// sampleInterval is the time between two samples of what the process holds.
 	sampleInterval = 10 * time.Millisecond
+	// tcpListen is the state of a listening socket in /proc/net/tcp, whose queue counts connections.
+	tcpListen = "0A"
 )
 
 const (
@@ -76,6 +78,9 @@
 	fullScale  = scale{memoryMB: 284, descriptorLimit: 4100, maxDescriptors: 3075, clients: 1000, silentClients: 6000, streamClients: 100}
 
 	size = smallScale
+
+	// manyConnsScale has more connections for its memory than a machine in use.
+	manyConnsScale = scale{memoryMB: 96, descriptorLimit: 4100, maxDescriptors: 3075, clients: 1500}
 )
 
 // host is a running daemon with its own platform and backend servers.
@@ -87,8 +92,10 @@
 	exited  chan struct{}
 	stop    chan struct{}
 
-	mu          sync.Mutex
-	descriptors int // the most that were seen
+	mu sync.Mutex
+	// descriptors and held are the most that were seen: descriptors, and the resident set together with the bytes that
+	// the kernel had received and the process had not read.
+	descriptors, held int
 }
 
 var daemon = sync.OnceValues(func() (string, error) {
@@ -144,7 +151,7 @@
 	}
 	h.start(program, path)
 	h.awaitReady()
-	go h.countDescriptors()
+	go h.sample()
 	return h
 }
 
@@ -351,9 +358,12 @@
 		h.t.Fatal(err)
 	}
 	h.mu.Lock()
-	descriptors := h.descriptors
+	descriptors, held := h.descriptors, h.held>>20
 	h.mu.Unlock()
-	h.t.Logf("peak %d MB of %d, %d descriptors", peak, size.memoryMB, descriptors)
+	h.t.Logf("peak %d MB of %d, %d MB with unread bytes, %d descriptors", peak, size.memoryMB, held, descriptors)
+	if held > size.memoryMB {
+		h.t.Errorf("the process took %d MB with the bytes that it had not read; its machine has %d", held, size.memoryMB)
+	}
 	if peak > size.memoryMB {
 		h.t.Errorf("the process took %d MB at its peak; its machine has %d", peak, size.memoryMB)
 	}
@@ -381,7 +391,8 @@
 	return 0, errors.New("/proc has no VmHWM")
 }
 
-func (h *host) countDescriptors() {
+// sample notes what the process holds until the host stops.
+func (h *host) sample() {
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
 	for {
@@ -394,12 +405,55 @@
 		if err != nil {
 			continue // the process has ended, which check reports
 		}
+		held := h.residentBytes() + h.unreadBytes()
 		h.mu.Lock()
 		h.descriptors = max(h.descriptors, len(entries))
+		h.held = max(h.held, held)
 		h.mu.Unlock()
 	}
 }
 
+// residentBytes returns the size of the process's resident set, 0 once it has ended.
+func (h *host) residentBytes() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", h.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(raw))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return 0
+	}
+	return pages * os.Getpagesize()
+}
+
+// unreadBytes returns how many bytes the kernel holds for the host's listeners that the process has not read.
+func (h *host) unreadBytes() int {
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	ip := net.ParseIP(h.ip).To4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
+	total := 0
+	for line := range strings.Lines(string(raw)) {
+		const address, state, queues = 1, 3, 4 // fields
+		fields := strings.Fields(line)
+		if len(fields) <= queues || !strings.HasPrefix(fields[address], local) || fields[state] == tcpListen {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[queues], ":")
+		n, err := strconv.ParseInt(received, 16, 64)
+		if err == nil {
+			total += int(n)
+		}
+	}
+	return total
+}
+
 // lastLog returns the end of what the process wrote.
 func (h *host) lastLog() string {
 	const most = 2000
