Clients: receive buffers and waiting connections are bounded by the host's memory

Cause: the kernel's receive buffer of a connection begins at 64 to 128 KiB and grows with the speed of the sender, and up to 4,096 connections of each listener may wait to be accepted, each with its own buffer.

Now a quarter of memory_mb, if it is set, is divided among the connections that may be open or waiting; each has a receive buffer of that size, 16 KiB at least, set on the listening socket so that a connection has it before it is accepted. If the memory does not suffice, callers and other hosts get fewer connections; at 284 MB and 4,100 descriptors none is lost, and a buffer has some 23 KiB. A quarter of a listener's connections, 128 at least, may wait to be accepted.

A backlog of 64 and buffers of 24 KiB at least were tried: plays took four times as long, since handshakes were repeated.

--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"golang.org/x/net/http2"
+	"golang.org/x/sys/unix"
 
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/memory"
@@ -605,10 +606,66 @@
 // Clients leave descriptors for the connections that the host opens itself.
 func TestSharesLeaveDescriptors(t *testing.T) {
 	for _, descriptors := range []int{64, 400, 4100, 1 << 20} {
-		shares := SharesOf(descriptors)
+		shares := SharesOf(descriptors, 0)
 		accepted := shares.Callers + shares.Peers + shares.Readiness + shares.Operators
 		if left := descriptors - accepted - shares.Idle; left < descriptors/8 {
 			t.Errorf("of %d descriptors %d are left: %+v", descriptors, left, shares)
 		}
 	}
 }
+
+// Guards against connections that together hold more unread bytes than the host's memory allows.
+func TestReceiveBuffersFitTheMemory(t *testing.T) {
+	for _, descriptors := range []int{64, 400, 4100, 1 << 20} {
+		for _, hostBytes := range []int64{64 << 20, 96 << 20, 284 << 20, 16 << 30} {
+			s := SharesOf(descriptors, hostBytes)
+			if held := int64(s.sockets()) * int64(s.ReceiveBuffer); held > hostBytes/4 || s.ReceiveBuffer < minReceiveBuffer {
+				t.Errorf("%d descriptors, %d MB: %d connections of %d bytes hold %d", descriptors, hostBytes>>20, s.sockets(), s.ReceiveBuffer, held)
+			}
+			if all := SharesOf(descriptors, 0); s.Callers > all.Callers || s.Peers > all.Peers {
+				t.Errorf("%d descriptors, %d MB: more connections than descriptors allow", descriptors, hostBytes>>20)
+			}
+		}
+	}
+}
+
+// Guards against a host in use that accepts fewer connections than its descriptors allow.
+func TestMemoryOfAMachineInUseSufficesForItsConnections(t *testing.T) {
+	byMemory, all := SharesOf(4100, 284<<20), SharesOf(4100, 0)
+	byMemory.ReceiveBuffer = 0
+	if byMemory != all {
+		t.Errorf("%+v, want %+v", byMemory, all)
+	}
+}
+
+// The kernel doubles the buffer for its own overhead.
+func TestAcceptedConnectionsHaveTheReceiveBuffer(t *testing.T) {
+	shares := Shares{ReceiveBuffer: minReceiveBuffer}
+	l, err := shares.ListenTCP("127.0.0.1:0", manyConns)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	socket, err := accepted.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := socket.Control(func(fd uintptr) {
+		n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+		if err != nil || n > 2*minReceiveBuffer {
+			t.Errorf("the buffer has %d bytes, %v", n, err)
+		}
+	}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/clientlimit/shares.go
+++ b/internal/clientlimit/shares.go
@@ -1,5 +1,13 @@
 package clientlimit
 
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
 const (
 	// maxFiles is the number of descriptors that are kept for files, or filesFraction of a small limit.
 	maxFiles      = 200
@@ -13,23 +21,105 @@
 	// maxToolConns is the number of connections for readiness checks, and for operators.
 	maxToolConns = 32
 	toolShare    = 0.04
+
+	// receiveFraction is the fraction of the host's memory that may hold bytes which connections have received
+	// and the process has not read.
+	receiveFraction = 0.25
+	// backlogShare is the number of connections that may wait to be accepted, as a share of those that a listener may
+	// have open, and minBacklog the number for a listener with few of them.
+	backlogShare = 0.25
+	minBacklog   = 128
+	// minReceiveBuffer and maxReceiveBuffer bound the part of one connection. A smaller one would slow uploads down
+	// even over a short distance; a larger one exceeds what a connection can use.
+	minReceiveBuffer = 16 << 10
+	maxReceiveBuffer = 4 << 20
 )
 
-// Shares is how many connections of each kind a process may have open.
+// Shares is how many connections of each kind a process may have open, and how much each may hold.
 type Shares struct {
 	// Callers, Peers, Readiness and Operators are accepted connections, Idle kept connections to servers.
 	Callers, Peers, Readiness, Operators, Idle int
+	// ReceiveBuffer is how many bytes the kernel may hold for each accepted connection until the process reads them,
+	// 0 for the kernel's default, which grows with the speed of the sender.
+	ReceiveBuffer int
 }
 
-// SharesOf divides the descriptors of a process.
-func SharesOf(descriptors int) Shares {
+// SharesOf divides the descriptors of a process and the memory of its host, which is unknown if it is 0. If the memory
+// does not suffice for as many connections as the descriptors, callers and other hosts get fewer.
+func SharesOf(descriptors int, hostBytes int64) Shares {
 	sockets := float64(descriptors - min(maxFiles, descriptors/filesFraction))
 	tools := max(1, min(maxToolConns, int(toolShare*sockets)))
-	return Shares{
+	s := Shares{
 		Callers:   max(1, int(callerShare*sockets)),
 		Peers:     max(1, int(peerShare*sockets)),
 		Readiness: tools,
 		Operators: tools,
 		Idle:      max(1, int(idleShare*sockets)),
 	}
+	if hostBytes > 0 {
+		s.fit(receiveFraction * float64(hostBytes))
+	}
+	return s
+}
+
+// fit divides bytes among connections that are accepted or wait for it.
+func (s *Shares) fit(bytes float64) {
+	most := bytes / minReceiveBuffer
+	if float64(s.sockets()) > most {
+		tools := s.Readiness + s.Operators + 4*minBacklog
+		fraction := max(most-float64(tools), 0) / (1 + backlogShare) / float64(s.Callers+s.Peers)
+		s.Callers = max(1, int(fraction*float64(s.Callers)))
+		s.Peers = max(1, int(fraction*float64(s.Peers)))
+	}
+	s.ReceiveBuffer = min(max(int(bytes)/s.sockets(), minReceiveBuffer), maxReceiveBuffer)
+}
+
+// sockets returns how many connections are accepted or wait for it at most.
+func (s *Shares) sockets() int {
+	n := 0
+	for _, conns := range []int{s.Callers, s.Peers, s.Readiness, s.Operators} {
+		n += conns + backlogOf(conns)
+	}
+	return n
+}
+
+// ListenTCP opens a listener with the receive buffer, for up to maxConns connections.
+func (s *Shares) ListenTCP(address string, maxConns int) (net.Listener, error) {
+	conf := net.ListenConfig{Control: s.setReceiveBuffer}
+	l, err := conf.Listen(context.Background(), "tcp", address)
+	if err != nil || s.ReceiveBuffer == 0 {
+		return l, err
+	}
+	socket, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = control(socket, func(fd int) error { return unix.Listen(fd, backlogOf(maxConns)) })
+	}
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// backlogOf returns how many connections may wait to be accepted.
+func backlogOf(maxConns int) int { return max(minBacklog, int(backlogShare*float64(maxConns))) }
+
+// setReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit before they are
+// accepted.
+func (s *Shares) setReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+	if s.ReceiveBuffer == 0 {
+		return nil
+	}
+	return control(socket, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, s.ReceiveBuffer)
+	})
+}
+
+// control calls f with the descriptor of a socket.
+func control(socket syscall.RawConn, f func(fd int) error) error {
+	var failed error
+	if err := socket.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
 }
--- a/internal/daemon/clientlimit.go
+++ b/internal/daemon/clientlimit.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	d.connections = clientlimit.SharesOf(descriptors)
+	d.connections = clientlimit.SharesOf(descriptors, d.settings.MemoryBytes())
 	d.clientLimiter = clientlimit.New(clientlimit.Config{
 		Memory:     d.memory,
 		IsStreamed: dispatch.IsStreamed,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,18 +159,18 @@
 
 func (d *Daemon) openSockets() error {
 	var err error
-	if d.listeners.caller, err = listen("caller.listen", d.settings.Caller.Listen); err != nil {
+	if d.listeners.caller, err = d.listen("caller.listen", d.settings.Caller.Listen, d.connections.Callers); err != nil {
 		return err
 	}
 	if address := d.settings.Caller.ReadyListen; address != "" {
-		if d.listeners.ready, err = listen("caller.ready_listen", address); err != nil {
+		if d.listeners.ready, err = d.listen("caller.ready_listen", address, d.connections.Readiness); err != nil {
 			return err
 		}
 	}
 	if err := d.openPeerSockets(); err != nil {
 		return err
 	}
-	if d.listeners.operator, err = listen("operator.listen", d.settings.Operator.Listen); err != nil {
+	if d.listeners.operator, err = d.listen("operator.listen", d.settings.Operator.Listen, d.connections.Operators); err != nil {
 		return err
 	}
 	if d.settings.Peer.Advertise == d.settings.Peer.Listen {
@@ -198,7 +198,7 @@
 		attempts = maxPortAttempts
 	}
 	for range attempts {
-		if d.listeners.peer, err = listen("peer.listen", d.settings.Peer.Listen); err != nil {
+		if d.listeners.peer, err = d.listen("peer.listen", d.settings.Peer.Listen, d.connections.Peers); err != nil {
 			return err
 		}
 		if d.datagrams, err = peer.ListenDatagrams(d.listeners.peer.Addr().String(), sealer); err == nil {
@@ -209,8 +209,8 @@
 	return err
 }
 
-func listen(field, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func (d *Daemon) listen(field, address string, maxConns int) (net.Listener, error) {
+	l, err := d.connections.ListenTCP(address, maxConns)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.KindSettings, "cannot open listener", "free the port or change "+field)
 	}
