Crowd: callers that do not read the answers of servers

A play of 200 callers (1,000 with -full) that ask for downloads of 64 MiB and read none of it. Unread bytes are now those of all sockets of the process, also of connections that it opened itself.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -55,6 +55,10 @@
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
+		if s.unread {
+			<-ctx.Done()
+			return
+		}
 		_, _ = io.Copy(io.Discard, conn) // until the host closes the connection
 	}()
 	if err := conn.SetWriteDeadline(time.Now().Add(patience)); err != nil {
@@ -101,6 +105,17 @@
 	play(t, size.clients, longBody)
 }
 
+// A server's answer that its caller does not read stays in the host's buffers.
+func TestCrowdOfUnreadDownloads(t *testing.T) {
+	h := startHost(t)
+	c := gather(size.clients, h.address(callers), unreadDownload(callers))
+	c.settled.Wait()
+	h.awaitIdle()
+	h.askDuring()
+	c.disperse()
+	h.check()
+}
+
 // Requests inside the limits are served in calm, whatever their fields.
 func TestModestRequestsAreServed(t *testing.T) {
 	h := startHost(t)
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -41,8 +41,12 @@
 
 const (
 	shopPath = "/shop/read"
-	// uploadPath leads to servers of their own: uploads occupy them for as long as they last.
-	uploadPath = "/uploads/new"
+	// uploadPath and downloadPath lead to servers of their own: uploads and downloads occupy them for as long as they
+	// last.
+	uploadPath   = "/uploads/new"
+	downloadPath = "/download"
+	// downloadBytes is more than the kernel holds for a connection.
+	downloadBytes = 64 << 20
 )
 
 // listener is one of the addresses on which a host accepts connections.
@@ -98,6 +102,9 @@
 	descriptors, held int
 }
 
+// download is what servers send for downloadPath.
+var download = make([]byte, downloadBytes)
+
 var daemon = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "crowd")
 	if err != nil {
@@ -180,7 +187,8 @@
 	h.t.Cleanup(p.Close)
 	shop := config.Service{Name: "shop", Slots: 8, Routes: []config.Route{{Path: "/shop"}, {Path: shopPath, Idempotent: true}}}
 	uploads := config.Service{Name: "uploads", Slots: 8, Routes: []config.Route{{Path: "/uploads"}}}
-	doc := &config.Document{Services: []config.Service{h.withServers(shop), h.withServers(uploads)}}
+	downloads := config.Service{Name: "downloads", Slots: 8, Routes: []config.Route{{Path: downloadPath, Idempotent: true}}}
+	doc := &config.Document{Services: []config.Service{h.withServers(shop), h.withServers(uploads), h.withServers(downloads)}}
 	if _, err := p.PutShard(fleet.Shard, doc); err != nil {
 		h.t.Fatal(err)
 	}
@@ -195,7 +203,7 @@
 func (h *host) withServers(service config.Service) config.Service {
 	h.t.Helper()
 	for _, id := range []string{"b1", "b2"} {
-		server, err := backend.Start(backend.Config{ID: service.Name + "-" + id, Slots: service.Slots})
+		server, err := backend.Start(backend.Config{ID: service.Name + "-" + id, Slots: service.Slots, Download: download})
 		if err != nil {
 			h.t.Fatal(err)
 		}
@@ -405,7 +413,7 @@
 		if err != nil {
 			continue // the process has ended, which check reports
 		}
-		held := h.residentBytes() + h.unreadBytes()
+		held := h.residentBytes() + h.unreadBytes(entries)
 		h.mu.Lock()
 		h.descriptors = max(h.descriptors, len(entries))
 		h.held = max(h.held, held)
@@ -430,19 +438,30 @@
 	return pages * os.Getpagesize()
 }
 
-// unreadBytes returns how many bytes the kernel holds for the host's listeners that the process has not read.
-func (h *host) unreadBytes() int {
+// unreadBytes returns how many bytes the kernel holds for the process that it has not read: for its sockets, which are
+// among its descriptors, and for connections that wait to be accepted.
+func (h *host) unreadBytes(descriptors []os.DirEntry) int {
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
+	sockets := make(map[string]bool)
+	for _, d := range descriptors {
+		target, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", h.command.Process.Pid, d.Name()))
+		if inode, ok := strings.CutPrefix(target, "socket:["); err == nil && ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
 	ip := net.ParseIP(h.ip).To4()
 	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
 	total := 0
 	for line := range strings.Lines(string(raw)) {
-		const address, state, queues = 1, 3, 4 // fields
+		const address, state, queues, inode = 1, 3, 4, 9 // fields
 		fields := strings.Fields(line)
-		if len(fields) <= queues || !strings.HasPrefix(fields[address], local) || fields[state] == tcpListen {
+		if len(fields) <= inode || fields[state] == tcpListen {
+			continue
+		}
+		if !sockets[fields[inode]] && !strings.HasPrefix(fields[address], local) {
 			continue
 		}
 		_, received, _ := strings.Cut(fields[queues], ":")
--- a/e2e/crowd/shapes_test.go
+++ b/e2e/crowd/shapes_test.go
@@ -15,9 +15,10 @@
 )
 
 // shape is what one client of a crowd sends on a connection. Repeat is sent after Begin, again and again, until the
-// host closes the connection or endlessPieces have been sent.
+// host closes the connection or endlessPieces have been sent. Unless unread is set, the client reads what it gets.
 type shape struct {
 	begin, repeat []byte
+	unread        bool
 }
 
 // head returns the request line and the first fields of a request with the given body length.
@@ -75,6 +76,11 @@
 	}
 )
 
+// unreadDownload asks for a download and reads none of it.
+func unreadDownload(listener) shape {
+	return shape{begin: []byte("GET " + downloadPath + " HTTP/1.1\r\nHost: shop.example\r\n\r\n"), unread: true}
+}
+
 // modest are requests inside the limits, each of which a host serves in calm.
 func modest(l listener) map[string]shape {
 	requests := make(map[string]shape)
