--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -669,3 +669,32 @@
 		t.Error(err)
 	}
 }
+
+// Guards against connections that wait to be accepted without a limit, each with a receive buffer.
+func TestBacklogIsLimited(t *testing.T) {
+	shares := Shares{ReceiveBuffer: minReceiveBuffer}
+	l, err := shares.ListenTCP("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var opened sync.Map
+	var dials sync.WaitGroup
+	for range 2 * minBacklog {
+		dials.Go(func() {
+			if c, err := net.DialTimeout("tcp", l.Addr().String(), 500*time.Millisecond); err == nil {
+				opened.Store(c, true)
+			}
+		})
+	}
+	dials.Wait()
+	n := 0
+	opened.Range(func(c, _ any) bool {
+		n++
+		c.(net.Conn).Close()
+		return true
+	})
+	if n > minBacklog+1 { // the kernel's own rule
+		t.Errorf("%d connections wait to be accepted, want %d at most", n, minBacklog)
+	}
+}
--- a/internal/clientlimit/shares.go
+++ b/internal/clientlimit/shares.go
@@ -1,13 +1,5 @@
 package clientlimit
 
-import (
-	"context"
-	"net"
-	"syscall"
-
-	"golang.org/x/sys/unix"
-)
-
 const (
 	// maxFiles is the number of descriptors that are kept for files, or filesFraction of a small limit.
 	maxFiles      = 200
@@ -66,8 +58,9 @@
 func (s *Shares) fit(bytes float64) {
 	most := bytes / minReceiveBuffer
 	if float64(s.sockets()) > most {
-		tools := s.Readiness + s.Operators + 4*minBacklog
-		fraction := max(most-float64(tools), 0) / (1 + backlogShare) / float64(s.Callers+s.Peers)
+		tools := s.Readiness + s.Operators + 2*minBacklog
+		left := most - float64(tools) - 2*minBacklog // for callers and peers: a backlog is at most minBacklog and a share
+		fraction := max(left, 0) / (1 + backlogShare) / float64(s.Callers+s.Peers)
 		s.Callers = max(1, int(fraction*float64(s.Callers)))
 		s.Peers = max(1, int(fraction*float64(s.Peers)))
 	}
@@ -82,44 +75,3 @@
 	}
 	return n
 }
-
-// ListenTCP opens a listener with the receive buffer, for up to maxConns connections.
-func (s *Shares) ListenTCP(address string, maxConns int) (net.Listener, error) {
-	conf := net.ListenConfig{Control: s.setReceiveBuffer}
-	l, err := conf.Listen(context.Background(), "tcp", address)
-	if err != nil || s.ReceiveBuffer == 0 {
-		return l, err
-	}
-	socket, err := l.(*net.TCPListener).SyscallConn()
-	if err == nil {
-		err = control(socket, func(fd int) error { return unix.Listen(fd, backlogOf(maxConns)) })
-	}
-	if err != nil {
-		l.Close()
-		return nil, err
-	}
-	return l, nil
-}
-
-// backlogOf returns how many connections may wait to be accepted.
-func backlogOf(maxConns int) int { return max(minBacklog, int(backlogShare*float64(maxConns))) }
-
-// setReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit before they are
-// accepted.
-func (s *Shares) setReceiveBuffer(_, _ string, socket syscall.RawConn) error {
-	if s.ReceiveBuffer == 0 {
-		return nil
-	}
-	return control(socket, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, s.ReceiveBuffer)
-	})
-}
-
-// control calls f with the descriptor of a socket.
-func control(socket syscall.RawConn, f func(fd int) error) error {
-	var failed error
-	if err := socket.Control(func(fd uintptr) { failed = f(int(fd)) }); err != nil {
-		return err
-	}
-	return failed
-}
--- a/internal/daemon/clientlimit.go
+++ b/internal/daemon/clientlimit.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 
 	"github.com/pearshelf/pearshelf/internal/clientlimit"
 	"github.com/pearshelf/pearshelf/internal/dispatch"
@@ -29,6 +30,9 @@
 		return err
 	}
 	d.connections = clientlimit.SharesOf(descriptors, d.settings.MemoryBytes())
+	klog.InfoS("connections by kind", "descriptors", descriptors, "callers", d.connections.Callers, "peers", d.connections.Peers,
+		"readiness", d.connections.Readiness, "operators", d.connections.Operators, "idle", d.connections.Idle,
+		"receiveBuffer", d.connections.ReceiveBuffer)
 	d.clientLimiter = clientlimit.New(clientlimit.Config{
 		Memory:     d.memory,
 		IsStreamed: dispatch.IsStreamed,
