Claims, events: what hosts keep of a request ID is short

Where the platform's protocol keeps the caller's request ID, it may be as long as a head. Voters kept it whole for the time of a claim on an idempotency key (up to 200,000 claims), and events that name it kept it in the time line (8,192 events): some GB after a while, charged to nothing. An ID that is not UTF-8 kept claims from being encoded, and the time line from being shown.

Now voters keep 64 bytes of the ID (a ULID behind it tells claims apart), an event 1 KiB of its detail, a log line 256 bytes; claims and details are valid UTF-8. The ID is still sent on and answered as it came.

--- a/internal/claims/coordinator.go
+++ b/internal/claims/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 
 	releaseTimeout = 2 * time.Second
 
+	// maxRequestIDBytes is how much of a request ID voters keep. The ULID that follows it tells claims apart.
+	maxRequestIDBytes = 64
+
 	// contentionBackoff is the delay before a retry when no request has a quorum, in
 	// which competing requests release their votes.
 	contentionBackoff = 5 * time.Millisecond
@@ -125,7 +129,7 @@
 	cl := &Claim{
 		coordinator: c,
 		key:         key,
-		id:          requestID + "/" + ulid.Make().String(),
+		id:          shortened(requestID) + "/" + ulid.Make().String(),
 		addresses:   make(map[string]string, len(hosts)),
 	}
 	for _, host := range hosts {
@@ -134,6 +138,12 @@
 	return cl, hosts
 }
 
+// shortened returns the beginning of a request ID, which callers may choose and voters keep. It is valid UTF-8, as calls
+// require.
+func shortened(requestID string) string {
+	return strings.ToValidUTF8(requestID[:min(len(requestID), maxRequestIDBytes)], "?")
+}
+
 // ballot collects the votes on one claim.
 type ballot struct {
 	claim   *Claim
--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -70,8 +70,12 @@
 	evidenceHost notRunEvidence = "host"
 )
 
-// maxLoggedID bounds the length of another request's ID in the log.
-const maxLoggedID = 40
+const (
+	// maxLoggedID bounds the length of another request's ID in the log.
+	maxLoggedID = 40
+	// maxLoggedOwnID bounds the length of a request's own ID, which its caller may choose.
+	maxLoggedOwnID = 256
+)
 
 // purpose is why a request is sent to a server when another one has, or has had, it.
 type purpose string
@@ -266,7 +270,7 @@
 		servers = len(view.Backends)
 	}
 	klog.InfoS("request",
-		"request", req.ID,
+		"request", req.ID[:min(len(req.ID), maxLoggedOwnID)],
 		"service", req.Service,
 		"customer", req.Customer,
 		"for", req.relayedFor(),
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -193,9 +194,13 @@
 	})
 }
 
+// maxDetailBytes is the length from which on details are cut. They may name request IDs, which callers choose.
+const maxDetailBytes = 1 << 10
+
 // Add stores an event that already has a timestamp. If the ring is full, the event replaces the oldest
 // one.
 func (l *Log) Add(e Event) {
+	e.Detail = limited(e.Detail)
 	klog.InfoS(e.Number.String(), "event", uint32(e.Number), "host", e.Host, "service", e.Service, "backend", e.Backend, "detail", e.Detail)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -207,6 +212,14 @@
 	l.next = (l.next + 1) % len(l.ring)
 }
 
+// limited returns a detail as it is kept: of limited length, and valid UTF-8, as calls require.
+func limited(detail string) string {
+	if len(detail) > maxDetailBytes {
+		detail = strings.Clone(detail[:maxDetailBytes]) + "..."
+	}
+	return strings.ToValidUTF8(detail, "?")
+}
+
 // Since returns the events not older than start, sorted by Compare.
 func (l *Log) Since(start time.Time) []Event {
 	l.mu.Lock()
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -5,8 +5,10 @@
 	"os"
 	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pearshelf/pearshelf/internal/event"
 	"github.com/pearshelf/pearshelf/internal/hlc"
@@ -48,3 +50,17 @@
 		t.Fatalf("events in the ring: %q, want cde", got)
 	}
 }
+
+// Guards against a caller that fills the memory of hosts, or makes their time line unreadable, with request IDs that it
+// chooses.
+func TestDetailsAreLimited(t *testing.T) {
+	log := event.NewLog("h", &hlc.Clock{}, 3)
+	log.Record(event.RequestDuplicate, "s", "", "id \xff"+strings.Repeat("x", 60<<10))
+	detail := log.Since(time.Unix(0, 0))[0].Detail
+	if len(detail) > 2<<10 || !utf8.ValidString(detail) {
+		t.Errorf("the detail has %d bytes, valid UTF-8: %t", len(detail), utf8.ValidString(detail))
+	}
+	if !strings.HasPrefix(detail, "id ") {
+		t.Errorf("the detail begins with %.10q", detail)
+	}
+}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -49,6 +49,8 @@
 mutant "field names of a trailer" internal/upstream/body.go 's/if err := checkFields(b.response.Trailer); err != nil {/if err := checkFields(b.response.Trailer); false {/' ./internal/upstream -run InvalidTrailer
 mutant "votes of a restarted watcher" internal/system/detection/detection.go 's/s.resumeVotes(w, now, svc)/_ = 0/' ./internal/system/detection -run VoteWithoutMajority
 mutant "hold-off of a resumed vote" internal/system/detection/vote.go 's/d.ProbeAt = castAt.Add(holdOff(vote.Relapses))/d.ProbeAt = now/' ./internal/system/detection -run RestartedWatcherEndsItsVote
+mutant "length of an event" internal/event/event.go 's/len(detail) > maxDetailBytes/false/' ./internal/event -run DetailsAreLimited
+mutant "request IDs that voters keep" internal/claims/coordinator.go 's/requestID\[:min(len(requestID), maxRequestIDBytes)\]/requestID/' ./internal/claims -run LongRequestIDs
 mutant "charge of a head" internal/clientlimit/conn.go 's/return c.chargeHead(head, len(p))/return head != nil/' ./internal/clientlimit -run HeadIsCharged -timeout 20s
 mutant "bytes read beside a handler" internal/clientlimit/conn.go 's/if head.ended \&\& !c.abandoned \&\& !c.closed {/if false {/' ./internal/clientlimit -run BesideAHandler
 mutant "refusal within a response" internal/clientlimit/conn.go 's/if c.responding || c.serving > 0/if c.serving > 0/' ./internal/clientlimit -run BeforeItsResponse
