Platform: a watch that stands still is repeated in time

Cause: the open connections to the platform had gone silent, and a waiting call was given up only after its wait of 30 s and 5 s more. All readers waited on such connections, so nobody saw the new revision.

Now a call waits 2 s, so that a silent connection is left after 7 s at most. Ten readers make 10 calls/s of the 2,000 that the platform allows. Readers of the users' platform have a watch of their own and are not touched.

A mutant with a wait of 3 s is killed.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,8 +22,9 @@
 const (
 	// MaxValueBytes is the platform's own limit of a value.
 	MaxValueBytes = 1 << 20
-	// WatchWait is how long one watch call waits.
-	WatchWait = 30 * time.Second
+	// WatchWait is how long one watch call waits. An open connection may go silent for good, which shows only once the
+	// call has been without an answer for WatchWait and CallTimeout; no new configuration arrives until then.
+	WatchWait = 2 * time.Second
 	// CallTimeout bounds a call beyond its wait.
 	CallTimeout = 5 * time.Second
 	// MinBackoff and MaxBackoff bound the wait between failed watch calls.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -51,6 +51,7 @@
 mutant "hold-off of a resumed vote" internal/system/detection/vote.go 's/d.ProbeAt = castAt.Add(holdOff(vote.Relapses))/d.ProbeAt = now/' ./internal/system/detection -run RestartedWatcherEndsItsVote
 mutant "length of an event" internal/event/event.go 's/len(detail) > maxDetailBytes/false/' ./internal/event -run DetailsAreLimited
 mutant "request IDs that voters keep" internal/claims/coordinator.go 's/requestID\[:min(len(requestID), maxRequestIDBytes)\]/requestID/' ./internal/claims -run LongRequestIDs
+mutant "wait of a watch" internal/platform/platform.go 's/WatchWait = 2 /WatchWait = 3 /' ./internal/platform -run SilentWatch
 mutant "charge of a head" internal/clientlimit/conn.go 's/return c.chargeHead(head, len(p))/return head != nil/' ./internal/clientlimit -run HeadIsCharged -timeout 20s
 mutant "bytes read beside a handler" internal/clientlimit/conn.go 's/if head.ended \&\& !c.abandoned \&\& !c.closed {/if false {/' ./internal/clientlimit -run BesideAHandler
 mutant "refusal within a response" internal/clientlimit/conn.go 's/if c.responding || c.serving > 0/if c.serving > 0/' ./internal/clientlimit -run BeforeItsResponse
