Clients: however little the memory is, some callers and hosts may connect

With a memory_mb of 1 the memory sufficed for no connection, so that one caller was left; the next one took its place.

Now 64 callers and as many other hosts may connect in any case. The new test failed before (Callers:1 Peers:1) and both tests of platform pass.

--- a/internal/clientlimit/shares.go
+++ b/internal/clientlimit/shares.go
@@ -21,6 +21,8 @@
 	// have open, and minBacklog the number for a listener with few of them.
 	backlogShare = 0.25
 	minBacklog   = 128
+	// minClients is the number of callers, and of other hosts, that may connect however little the memory is.
+	minClients = 64
 	// minReceiveBuffer and maxReceiveBuffer bound the part of one connection. A smaller one would slow uploads down
 	// even over a short distance; a larger one exceeds what a connection can use.
 	minReceiveBuffer = 16 << 10
@@ -61,8 +63,8 @@
 		tools := s.Readiness + s.Operators + 2*minBacklog
 		left := most - float64(tools) - 2*minBacklog // for callers and peers: a backlog is at most minBacklog and a share
 		fraction := max(left, 0) / (1 + backlogShare) / float64(s.Callers+s.Peers)
-		s.Callers = max(1, int(fraction*float64(s.Callers)))
-		s.Peers = max(1, int(fraction*float64(s.Peers)))
+		s.Callers = max(min(s.Callers, minClients), int(fraction*float64(s.Callers)))
+		s.Peers = max(min(s.Peers, minClients), int(fraction*float64(s.Peers)))
 	}
 	s.ReceiveBuffer = min(max(int(bytes)/s.sockets(), minReceiveBuffer), maxReceiveBuffer)
 }
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,6 +57,7 @@
 mutant "refusal within a response" internal/clientlimit/conn.go 's/if c.responding || c.serving > 0/if c.serving > 0/' ./internal/clientlimit -run BeforeItsResponse
 mutant "receive buffers by memory" internal/clientlimit/shares.go 's/if float64(s.sockets()) > most {/if false {/' ./internal/clientlimit -run ReceiveBuffersFit
 mutant "connections that wait to be accepted" internal/clientlimit/socket.go 's/unix.Listen(fd, backlogOf(maxConns))/error(nil)/' ./internal/clientlimit -run BacklogIsLimited
+mutant "connections despite little memory" internal/clientlimit/shares.go 's/max(min(s.Callers, minClients), /max(1, /' ./internal/clientlimit -run LittleMemory
 mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, s.ReceiveBuffer/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveTheReceiveBuffer
 mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
 mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run Trailer
