Clients: connections to servers and hosts have limited receive buffers

Cause: without a limit the kernel raises the receive buffer of a connection to a server while the host reads fast, and the buffer fills once the caller's connection takes no more. How far it is raised depends on the speed of the machine.

The crowd and its bounds are unchanged.

A tenth of memory_mb is divided among the connections that the host opens to servers and to other hosts. The nth open one gets a buffer in proportion to 1/n: the sum is bounded whichever of them close, and a few connections are fast over any distance.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -233,7 +233,8 @@
 	if err != nil {
 		return err
 	}
-	d.dialServer = serverDial(d.settings.Backend, d.hooks)
+	buffers := clientlimit.NewDialBuffers(d.settings.MemoryBytes())
+	d.dialServer = buffers.Limit(serverDial(d.settings.Backend, d.hooks))
 	d.clients = peer.NewClients(tlsConf)
 	d.backends = upstream.NewTransport(upstream.Config{
 		DialTimeout: time.Duration(d.settings.Backend.DialTimeout),
@@ -244,6 +245,7 @@
 	})
 	d.liveness = upstream.NewLivenessChecker(d.dialServer)
 	d.owners = upstream.NewTransport(upstream.Config{
+		Dial:         buffers.Limit((&net.Dialer{}).DialContext),
 		Meter:        d.relayMeter,
 		TLS:          tlsConf,
 		DialTimeout:  min(time.Duration(d.settings.Backend.DialTimeout), upstream.DefaultDialTimeout),
