Clients: what a connection has written and cannot send is limited

Callers that read nothing of their responses made a host exceed its memory: the kernel took up to 4 MiB of each response.

Cause: the send buffer of a connection grows with the size of its window, not with what the client takes. Nothing limited the bytes that wait to be sent, and the plays did not count them.

TCP_NOTSENT_LOWAT limits the unsent bytes of accepted and of dialed connections to the number that limits their receive buffer. Bytes on their way are not limited, so the speed over a distance stays. Connections of a listener with multipath TCP, which the standard library uses unless told otherwise, do not inherit the option, so it is off.

--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -47,6 +47,8 @@
 	downloadPath = "/download"
 	// downloadBytes is more than the kernel holds for a connection.
 	downloadBytes = 64 << 20
+	// downloadSlots is how many downloads a server sends at a time.
+	downloadSlots = 16
 )
 
 // listener is one of the addresses on which a host accepts connections.
@@ -98,7 +100,7 @@
 
 	mu sync.Mutex
 	// descriptors and held are the most that were seen: descriptors, and the resident set together with the bytes that
-	// the kernel had received and the process had not read.
+	// the kernel held for the process's connections.
 	descriptors, held int
 }
 
@@ -187,7 +189,7 @@
 	h.t.Cleanup(p.Close)
 	shop := config.Service{Name: "shop", Slots: 8, Routes: []config.Route{{Path: "/shop"}, {Path: shopPath, Idempotent: true}}}
 	uploads := config.Service{Name: "uploads", Slots: 8, Routes: []config.Route{{Path: "/uploads"}}}
-	downloads := config.Service{Name: "downloads", Slots: 8, Routes: []config.Route{{Path: downloadPath, Idempotent: true}}}
+	downloads := config.Service{Name: "downloads", Slots: downloadSlots, Routes: []config.Route{{Path: downloadPath, Idempotent: true}}}
 	doc := &config.Document{Services: []config.Service{h.withServers(shop), h.withServers(uploads), h.withServers(downloads)}}
 	if _, err := p.PutShard(fleet.Shard, doc); err != nil {
 		h.t.Fatal(err)
@@ -368,9 +370,9 @@
 	h.mu.Lock()
 	descriptors, held := h.descriptors, h.held>>20
 	h.mu.Unlock()
-	h.t.Logf("peak %d MB of %d, %d MB with unread bytes, %d descriptors", peak, size.memoryMB, held, descriptors)
+	h.t.Logf("peak %d MB of %d, %d MB with the kernel's, %d descriptors", peak, size.memoryMB, held, descriptors)
 	if held > size.memoryMB {
-		h.t.Errorf("the process took %d MB with the bytes that it had not read; its machine has %d", held, size.memoryMB)
+		h.t.Errorf("the process took %d MB with what the kernel held for it; its machine has %d", held, size.memoryMB)
 	}
 	if peak > size.memoryMB {
 		h.t.Errorf("the process took %d MB at its peak; its machine has %d", peak, size.memoryMB)
@@ -413,7 +415,7 @@
 		if err != nil {
 			continue // the process has ended, which check reports
 		}
-		held := h.residentBytes() + h.unreadBytes(entries)
+		held := h.residentBytes() + h.kernelBytes(entries)
 		h.mu.Lock()
 		h.descriptors = max(h.descriptors, len(entries))
 		h.held = max(h.held, held)
@@ -438,9 +440,9 @@
 	return pages * os.Getpagesize()
 }
 
-// unreadBytes returns how many bytes the kernel holds for the process that it has not read: for its sockets, which are
-// among its descriptors, and for connections that wait to be accepted.
-func (h *host) unreadBytes(descriptors []os.DirEntry) int {
+// kernelBytes returns how many bytes the kernel holds for the process, received and not read or written and not
+// acknowledged: for its sockets, which are among its descriptors, and for connections that wait to be accepted.
+func (h *host) kernelBytes(descriptors []os.DirEntry) int {
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
@@ -464,10 +466,10 @@
 		if !sockets[fields[inode]] && !strings.HasPrefix(fields[address], local) {
 			continue
 		}
-		_, received, _ := strings.Cut(fields[queues], ":")
-		n, err := strconv.ParseInt(received, 16, 64)
-		if err == nil {
-			total += int(n)
+		for queue := range strings.SplitSeq(fields[queues], ":") {
+			if n, err := strconv.ParseInt(queue, 16, 64); err == nil {
+				total += int(n)
+			}
 		}
 	}
 	return total
--- a/internal/clientlimit/dial.go
+++ b/internal/clientlimit/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -45,12 +46,7 @@
 			return nil, err
 		}
 		c := &dialedConn{Conn: opened, buffers: b}
-		if socket, ok := opened.(interface{ SetReadBuffer(bytes int) error }); ok {
-			err = socket.SetReadBuffer(b.add())
-		} else {
-			b.add()
-		}
-		if err != nil {
+		if err := limitConn(opened, b.add()); err != nil {
 			c.Close()
 			return nil, err
 		}
@@ -58,6 +54,19 @@
 	}
 }
 
+// limitConn limits the buffers of a connection, if it is one of the kernel's.
+func limitConn(conn net.Conn, bytes int) error {
+	kernels, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	socket, err := kernels.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return limitBuffers(socket, bytes)
+}
+
 // add counts a connection, and returns its receive buffer in bytes.
 func (b *DialBuffers) add() int {
 	b.mu.Lock()
--- a/internal/clientlimit/dial_test.go
+++ b/internal/clientlimit/dial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"testing"
@@ -9,47 +10,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// bufferedConn notes its receive buffer.
-type bufferedConn struct {
-	net.Conn
-
-	bytes int
-}
-
-// SetReadBuffer is that of net.TCPConn.
-func (c *bufferedConn) SetReadBuffer(bytes int) error {
-	c.bytes = bytes
-	return nil
-}
-
-// Close implements net.Conn.
-func (c *bufferedConn) Close() error { return nil }
-
 // Guards against connections to servers that together hold more unread bytes than their part of the host's memory,
 // whichever of them are closed and opened again.
 func TestDialBuffersFitTheMemory(t *testing.T) {
 	for _, hostBytes := range []int64{64 << 20, 284 << 20, 16 << 30} {
 		random := rand.New(rand.NewPCG(1, uint64(hostBytes)))
-		var opened *bufferedConn
-		dial := NewDialBuffers(hostBytes).Limit(func(context.Context, string, string) (net.Conn, error) {
-			opened = &bufferedConn{}
-			return opened, nil
-		})
-		var conns []net.Conn
+		b := NewDialBuffers(hostBytes)
 		var buffers []int
 		for most := 1; most <= 1<<14; most *= 2 {
 			for range 4 * most {
-				if i := random.IntN(most); i < len(conns) {
-					conns[i].Close()
-					conns[i].Close()
-					conns, buffers = append(conns[:i], conns[i+1:]...), append(buffers[:i], buffers[i+1:]...)
-					continue
-				}
-				c, err := dial(t.Context(), "tcp", "127.0.0.1:0")
-				if err != nil {
-					t.Fatal(err)
+				if i := random.IntN(most); i < len(buffers) {
+					b.remove()
+					buffers = append(buffers[:i], buffers[i+1:]...)
+				} else {
+					buffers = append(buffers, b.add())
 				}
-				conns, buffers = append(conns, c), append(buffers, opened.bytes)
 			}
 			above := 0
 			for _, n := range buffers {
@@ -65,8 +40,32 @@
 	}
 }
 
+// Guards against a count that is too low because a connection was closed twice.
+func TestDialedConnectionsAreCountedOnce(t *testing.T) {
+	b := NewDialBuffers(96 << 20)
+	dial := b.Limit(func(context.Context, string, string) (net.Conn, error) {
+		conn, _ := net.Pipe()
+		return conn, nil
+	})
+	for range 2 {
+		c, err := dial(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b.open != 1 {
+			t.Errorf("%d connections are counted, want 1", b.open)
+		}
+		c.Close()
+		c.Close()
+	}
+	refused := b.Limit(func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed })
+	if _, err := refused(t.Context(), "tcp", "127.0.0.1:0"); !errors.Is(err, net.ErrClosed) || b.open != 0 {
+		t.Errorf("%d connections are counted after %v", b.open, err)
+	}
+}
+
 // The kernel doubles the buffer for its own overhead.
-func TestDialedConnectionsHaveTheReceiveBuffer(t *testing.T) {
+func TestDialedConnectionsHaveLimitedBuffers(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -86,14 +85,22 @@
 		}
 		defer c.Close()
 	}
-	socket, err := opened.(*net.TCPConn).SyscallConn()
+	checkBuffers(t, opened, hostBytes/10/4/dialDivisor)
+}
+
+// checkBuffers checks the limits of what the kernel holds for a connection.
+func checkBuffers(t *testing.T, conn net.Conn, bytes int) {
+	t.Helper()
+	socket, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
 	if err := socket.Control(func(fd uintptr) {
-		n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
-		if err != nil || n > 2*hostBytes/10/4/dialDivisor {
-			t.Errorf("the buffer has %d bytes, %v", n, err)
+		if n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF); err != nil || n > 2*bytes {
+			t.Errorf("the receive buffer has %d bytes, %v", n, err)
+		}
+		if n, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT); err != nil || n <= 0 || n > bytes { // -1 is no limit
+			t.Errorf("%d bytes may wait to be sent, %v", n, err)
 		}
 	}); err != nil {
 		t.Error(err)
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"golang.org/x/net/http2"
-	"golang.org/x/sys/unix"
 
 	"github.com/pearshelf/pearshelf/internal/dispatch"
 	"github.com/pearshelf/pearshelf/internal/memory"
@@ -650,7 +649,7 @@
 }
 
 // The kernel doubles the buffer for its own overhead.
-func TestAcceptedConnectionsHaveTheReceiveBuffer(t *testing.T) {
+func TestAcceptedConnectionsHaveLimitedBuffers(t *testing.T) {
 	shares := Shares{ReceiveBuffer: minReceiveBuffer}
 	l, err := shares.ListenTCP("127.0.0.1:0", manyConns)
 	if err != nil {
@@ -667,18 +666,7 @@
 		t.Fatal(err)
 	}
 	defer accepted.Close()
-	socket, err := accepted.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := socket.Control(func(fd uintptr) {
-		n, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
-		if err != nil || n > 2*minReceiveBuffer {
-			t.Errorf("the buffer has %d bytes, %v", n, err)
-		}
-	}); err != nil {
-		t.Error(err)
-	}
+	checkBuffers(t, accepted, minReceiveBuffer)
 }
 
 // Guards against connections that wait to be accepted without a limit, each with a receive buffer. The kernel's own
--- a/internal/clientlimit/socket.go
+++ b/internal/clientlimit/socket.go
@@ -10,7 +10,8 @@
 
 // ListenTCP opens a listener with the receive buffer, for up to maxConns connections.
 func (s *Shares) ListenTCP(address string, maxConns int) (net.Listener, error) {
-	conf := net.ListenConfig{Control: s.setReceiveBuffer}
+	conf := net.ListenConfig{Control: s.setBuffers}
+	conf.SetMultipathTCP(false) // its connections do not inherit TCP_NOTSENT_LOWAT
 	l, err := conf.Listen(context.Background(), "tcp", address)
 	if err != nil || s.ReceiveBuffer == 0 {
 		return l, err
@@ -29,14 +30,22 @@
 // backlogOf returns how many connections may wait to be accepted.
 func backlogOf(maxConns int) int { return max(minBacklog, int(backlogShare*float64(maxConns))) }
 
-// setReceiveBuffer sets the receive buffer of a listening socket, which its connections inherit before they are
-// accepted.
-func (s *Shares) setReceiveBuffer(_, _ string, socket syscall.RawConn) error {
+// setBuffers sets the buffers of a listening socket, which its connections inherit before they are accepted.
+func (s *Shares) setBuffers(_, _ string, socket syscall.RawConn) error {
 	if s.ReceiveBuffer == 0 {
 		return nil
 	}
+	return limitBuffers(socket, s.ReceiveBuffer)
+}
+
+// limitBuffers limits the bytes that a connection has received and the process has not read, and those that the process
+// has written and the kernel cannot send yet. Bytes on their way are not limited, so far receivers lose no speed.
+func limitBuffers(socket syscall.RawConn, bytes int) error {
 	return control(socket, func(fd int) error {
-		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, s.ReceiveBuffer)
+		if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes); err != nil {
+			return err
+		}
+		return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
 	})
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -58,9 +58,11 @@
 mutant "receive buffers by memory" internal/clientlimit/shares.go 's/if float64(s.sockets()) > most {/if false {/' ./internal/clientlimit -run ReceiveBuffersFit
 mutant "connections that wait to be accepted" internal/clientlimit/socket.go 's/unix.Listen(fd, backlogOf(maxConns))/error(nil)/' ./internal/clientlimit -run BacklogIsLimited
 mutant "connections despite little memory" internal/clientlimit/shares.go 's/max(min(s.Callers, minClients), /max(1, /' ./internal/clientlimit -run LittleMemory
-mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, s.ReceiveBuffer/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveTheReceiveBuffer
+mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, bytes/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveLimitedBuffers
+mutant "unsent bytes of accepted connections" internal/clientlimit/socket.go 's/conf.SetMultipathTCP(false)/conf.SetMultipathTCP(true)/' ./internal/clientlimit -run HaveLimitedBuffers
+mutant "unsent bytes" internal/clientlimit/socket.go 's/unix.TCP_NOTSENT_LOWAT, bytes/unix.TCP_NOTSENT_LOWAT, 1<<30/' ./internal/clientlimit -run HaveLimitedBuffers
 mutant "receive buffers of connections to servers" internal/clientlimit/dial.go 's/b.bytes\/dialDivisor\/b.open/b.bytes\/dialDivisor/' ./internal/clientlimit -run DialBuffersFit
-mutant "connections to servers that are closed twice" internal/clientlimit/dial.go 's/c.closed.Do(c.buffers.remove)/c.buffers.remove()/' ./internal/clientlimit -run DialBuffersFit
+mutant "connections to servers that are closed twice" internal/clientlimit/dial.go 's/c.closed.Do(c.buffers.remove)/c.buffers.remove()/' ./internal/clientlimit -run CountedOnce
 mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
 mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run Trailer
 mutant "request whose refusal was sent" internal/clientlimit/handler.go 's/if c.abandoned {/if false {/' ./internal/clientlimit -run GivenUpRequest
