Clients: a connection whose response is not read gives way to others

Callers that did not read their downloads kept all connections of a host for up to caller.body_idle_timeout. An ordinary caller's connection was closed without an answer meanwhile.

Cause: only connections without a complete request, and requests whose body is incomplete, gave way to new connections.

Evidence: the play of unread downloads now has as many downloads as the host has connections.

When a listener has no connection left and none waits for a request, the one goes whose client has taken nothing of its response for longest, two seconds at least. Over HTTP/2 a response waits for the window of its stream before it reaches the connection, so the writes of responses are watched there, and those of the connection otherwise. A client that reads slowly keeps its connection.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -105,12 +105,13 @@
 	play(t, size.clients, longBody)
 }
 
-// A server's answer that its caller does not read stays in the host's buffers.
+// A server's answer that its caller does not read stays in the host's buffers, and such callers take all connections.
 func TestCrowdOfUnreadDownloads(t *testing.T) {
 	h := startHost(t)
 	c := gather(size.clients, h.address(callers), unreadDownload(callers))
 	c.settled.Wait()
 	h.awaitIdle()
+	time.Sleep(responseGrace)
 	h.askDuring()
 	c.disperse()
 	h.check()
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -35,6 +35,8 @@
 	patience = 30 * time.Second
 	// sampleInterval is the time between two samples of what the process holds.
 	sampleInterval = 10 * time.Millisecond
+	// responseGrace is longer than a host keeps the connection of a caller that does not read, if others need it.
+	responseGrace = 3 * time.Second
 	// tcpListen is the state of a listening socket in /proc/net/tcp, whose queue counts connections.
 	tcpListen = "0A"
 )
@@ -48,7 +50,7 @@
 	// downloadBytes is more than the kernel holds for a connection.
 	downloadBytes = 64 << 20
 	// downloadSlots is how many downloads a server sends at a time.
-	downloadSlots = 16
+	downloadSlots = 80
 )
 
 // listener is one of the addresses on which a host accepts connections.
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -25,6 +25,9 @@
 	limiter  *Limiter
 	listener *Listener
 
+	// written are the writes to the connection, streamed those of responses over HTTP/2.
+	written, streamed writes
+
 	// Protected by Limiter.mu.
 
 	// place is the connection's element in Listener.waiting, nil while a handler serves it.
@@ -62,6 +65,22 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.written.begin()
+	defer c.written.end()
+	return c.Conn.Write(p)
+}
+
+// stalledSince returns since when the client has taken nothing of its responses, ok is false if none is being written.
+// Limiter.mu must be held.
+func (c *conn) stalledSince() (since time.Time, ok bool) {
+	if c.http2 {
+		return c.streamed.stalledSince()
+	}
+	return c.written.stalledSince()
+}
+
 // receive charges bytes that have arrived, and reports whether the connection may go on.
 func (c *conn) receive(p []byte) bool {
 	l := c.limiter
@@ -163,7 +182,7 @@
 	c.limiter.mu.Lock()
 	if !c.closed {
 		c.closed = true
-		c.listener.open--
+		delete(c.listener.conns, c)
 		c.stopWaiting()
 		c.endHead()
 		c.limiter.memory.Release(c.http2Charged)
--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -69,6 +69,9 @@
 		if r.Body != http.NoBody {
 			replaceBody(in, w, r)
 		}
+		if r.ProtoMajor > 1 {
+			w = &streamWriter{ResponseWriter: w, writes: &c.streamed}
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/clientlimit/limiter.go
+++ b/internal/clientlimit/limiter.go
@@ -4,7 +4,8 @@
 // of heads are therefore charged to the host's memory budget as they arrive, before net/http parses them. Once a
 // request is complete, the charge is replaced by an estimate of what the request takes until it is answered. If
 // memory runs out, the request that has been incomplete for longest is given up; if a listener has no connection
-// left, the connection that has waited for longest is closed. Neither has been sent to a server, and never is.
+// left, the connection that has waited for longest is closed. Neither has been sent to a server, and never is. After
+// them go connections whose clients do not read their responses.
 package clientlimit
 
 import (
@@ -30,6 +31,9 @@
 	// bodyGrace is the time that the body of an accepted request may take before the request can be given up. A
 	// body that follows its head at once arrives within it, even over a slow link.
 	bodyGrace = 2 * time.Second
+	// responseGrace is the time that a client may take nothing of its response before its connection can be closed
+	// for another one.
+	responseGrace = 2 * time.Second
 	// calmPeriod is the time without a refusal after which a limit no longer binds.
 	calmPeriod = 5 * time.Second
 	// calmCheckInterval is the time between two checks whether a limit still binds.
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -62,10 +62,12 @@
 	return c.refused[resource]
 }
 
-// server is an http.Server within limits. Requests for /hold are answered once released is closed.
+// server is an http.Server within limits. Requests for /hold are answered once released is closed, the response for
+// /endless ends with its connection.
 type server struct {
 	t        *testing.T
 	limiter  *Limiter
+	listener *Listener
 	memory   *memory.Budget
 	counts   *counts
 	address  string
@@ -98,10 +100,11 @@
 		ConnContext: s.limiter.ConnContext,
 	}
 	s.address = inner.Addr().String()
+	s.listener = s.limiter.Listen(inner, "test", maxConns)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = server.Serve(s.limiter.Listen(inner, "test", maxConns)) // until Close
+		_ = server.Serve(s.listener) // until Close
 	}()
 	t.Cleanup(func() {
 		server.Close()
@@ -121,6 +124,11 @@
 	if r.URL.Path == "/hold" {
 		<-s.released
 	}
+	for r.URL.Path == "/endless" {
+		if _, err := w.Write(make([]byte, 32<<10)); err != nil {
+			return
+		}
+	}
 }
 
 // client is a connection to the server.
--- a/internal/clientlimit/listener.go
+++ b/internal/clientlimit/listener.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"crypto/tls"
 	"net"
+	"time"
 )
 
 const (
@@ -15,22 +16,22 @@
 )
 
 // Listener accepts up to a number of connections. A further one takes the place of the connection that has waited
-// for longest without a complete request.
+// for longest without a complete request, or of one whose client does not read its response.
 type Listener struct {
 	net.Listener
 	limiter *Limiter
 	name    string
 	max     int
 
-	// Protected by Limiter.mu. waiting are the connections that have no request in a handler, by the time at which
+	// Protected by Limiter.mu. waiting are those connections that have no request in a handler, by the time at which
 	// they were accepted, became idle or began a request.
-	open    int
 	waiting list.List // of *conn
+	conns   map[*conn]struct{}
 }
 
 // Listen returns a listener with a limit of connections. The name is used in metrics.
 func (l *Limiter) Listen(inner net.Listener, name string, maxConns int) *Listener {
-	return &Listener{Listener: inner, limiter: l, name: name, max: maxConns}
+	return &Listener{Listener: inner, limiter: l, name: name, max: maxConns, conns: make(map[*conn]struct{})}
 }
 
 // Accept implements net.Listener.
@@ -53,26 +54,40 @@
 func (l *Listener) admit(c *conn) bool {
 	for range closesPerAccept {
 		l.limiter.mu.Lock()
-		if l.open < l.max {
+		if len(l.conns) < l.max {
 			l.add(c)
 			l.limiter.mu.Unlock()
 			return true
 		}
-		var oldest *conn
-		if element := l.waiting.Front(); element != nil {
-			oldest = element.Value.(*conn)
-			oldest.abandon()
+		victim := l.victim(time.Now())
+		if victim != nil {
+			victim.abandon()
 		}
 		l.limiter.mu.Unlock()
-		if oldest == nil {
+		if victim == nil {
 			return l.admitBeyond(c)
 		}
-		oldest.refuse()
+		victim.refuse()
 		l.limiter.refused(l.name, Connections)
 	}
 	return false
 }
 
+// victim returns the connection that is closed for another one, nil if there is none. Limiter.mu must be held.
+func (l *Listener) victim(now time.Time) *conn {
+	if element := l.waiting.Front(); element != nil {
+		return element.Value.(*conn)
+	}
+	var victim *conn
+	oldest := now.Add(-responseGrace)
+	for c := range l.conns {
+		if since, ok := c.stalledSince(); ok && since.Before(oldest) && !c.abandoned {
+			victim, oldest = c, since
+		}
+	}
+	return victim
+}
+
 // admitBeyond gives up a request that waits for its body, whose connection closes once it has been answered, and
 // admits the new connection already.
 func (l *Listener) admitBeyond(c *conn) bool {
@@ -81,7 +96,7 @@
 	}
 	l.limiter.mu.Lock()
 	defer l.limiter.mu.Unlock()
-	if l.open >= l.max+l.max/overshootFraction {
+	if len(l.conns) >= l.max+l.max/overshootFraction {
 		return false
 	}
 	l.add(c)
@@ -90,7 +105,7 @@
 
 // add counts a new connection. Limiter.mu must be held.
 func (l *Listener) add(c *conn) {
-	l.open++
+	l.conns[c] = struct{}{}
 	c.wait()
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,6 +59,10 @@
 mutant "connections that wait to be accepted" internal/clientlimit/socket.go 's/unix.Listen(fd, backlogOf(maxConns))/error(nil)/' ./internal/clientlimit -run BacklogIsLimited
 mutant "connections despite little memory" internal/clientlimit/shares.go 's/max(min(s.Callers, minClients), /max(1, /' ./internal/clientlimit -run LittleMemory
 mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, bytes/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveLimitedBuffers
+mutant "unread responses" internal/clientlimit/listener.go 's/ok \&\& since.Before(oldest)/false \&\& ok \&\& since.Before(oldest)/' ./internal/clientlimit -run MakesRoom -timeout 20s
+mutant "unread streams" internal/clientlimit/conn.go 's/if c.http2 {$/if false {/' ./internal/clientlimit -run UnreadStream -timeout 20s
+mutant "young unread responses" internal/clientlimit/listener.go 's/now.Add(-responseGrace)/now/' ./internal/clientlimit -run MakesRoom -timeout 20s
+mutant "oldest unread response" internal/clientlimit/listener.go 's/victim, oldest = c, since/return c/' ./internal/clientlimit -run OldestUnread -timeout 20s -count=5
 mutant "unsent bytes of accepted connections" internal/clientlimit/socket.go 's/conf.SetMultipathTCP(false)/conf.SetMultipathTCP(true)/' ./internal/clientlimit -run HaveLimitedBuffers
 mutant "unsent bytes" internal/clientlimit/socket.go 's/unix.TCP_NOTSENT_LOWAT, bytes/unix.TCP_NOTSENT_LOWAT, 1<<30/' ./internal/clientlimit -run HaveLimitedBuffers
 mutant "receive buffers of connections to servers" internal/clientlimit/dial.go 's/b.bytes\/dialDivisor\/b.open/b.bytes\/dialDivisor/' ./internal/clientlimit -run DialBuffersFit
