Clients: a response over HTTP/1.0 that is cut off ends with a reset

Callers that speak HTTP/1.0 got a part of a download as a complete 200 when its server cut it off.

Cause: the host aborts such a response by closing the connection. In HTTP/1.0 that is the end of a body without a length.

Responses of up to backend.buffer_bytes were not affected: the host reads them whole first.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -49,6 +49,9 @@
 	secure    bool
 	abandoned bool
 	closed    bool
+	// http10 is set if the last request was one of HTTP/1.0, unfinished while a handler has not written its whole
+	// response, failed once a write has failed.
+	http10, unfinished, failed bool
 	// http2 is set once a stream has been opened, quiet while none is open. http2Charged is the memory of the
 	// connection beside its streams.
 	http2, quiet bool
@@ -69,7 +72,13 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.written.begin()
 	defer c.written.end()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.limiter.mu.Lock()
+		defer c.limiter.mu.Unlock()
+		c.failed = true
+	}
+	return n, err
 }
 
 // stalledSince returns since when the client has taken nothing of its responses, ok is false if none is being written.
@@ -182,6 +191,9 @@
 	c.limiter.mu.Lock()
 	if !c.closed {
 		c.closed = true
+		if c.http10 && (c.unfinished || c.failed) {
+			c.resetOnClose()
+		}
 		delete(c.listener.conns, c)
 		c.stopWaiting()
 		c.endHead()
@@ -192,6 +204,13 @@
 	return c.Conn.Close()
 }
 
+// resetOnClose keeps a part of a response from passing for the whole: the end of the connection may end its body.
+func (c *conn) resetOnClose() {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails on a connection that has ended
+	}
+}
+
 // CloseWrite lets net/http send a refusal of its own before it closes the connection.
 func (c *conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -60,6 +60,7 @@
 			l.refused(c.listener.name, Memory)
 			closeAfter(w, r)
 			refuse.ServeHTTP(w, r)
+			c.finishResponse()
 			return
 		}
 		if r.ContentLength < 0 && r.ProtoMajor == 1 {
@@ -73,6 +74,7 @@
 			w = &streamWriter{ResponseWriter: w, writes: &c.streamed}
 		}
 		next.ServeHTTP(w, r)
+		c.finishResponse()
 	})
 }
 
@@ -105,6 +107,7 @@
 	needsHTTP2 := r.ProtoMajor > 1 && c.http2Charged == 0
 	c.http2 = r.ProtoMajor > 1
 	c.responding = !c.http2
+	c.http10, c.unfinished = !r.ProtoAtLeast(1, 1), true
 	l.mu.Unlock()
 	if needsHTTP2 && !c.chargeHTTP2() {
 		return in, false
@@ -130,6 +133,13 @@
 	return true
 }
 
+// finishResponse is called when a handler has written its whole response. It is not called if the handler aborts it.
+func (c *conn) finishResponse() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.unfinished = false
+}
+
 // endRequest releases a request's memory. The connection of an HTTP/1 request becomes idle once its response has been
 // sent, which ConnState tells.
 func (c *conn) endRequest(in *incoming) {
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -63,7 +63,7 @@
 }
 
 // server is an http.Server within limits. Requests for /hold are answered once released is closed, the response for
-// /endless ends with its connection.
+// /endless ends with its connection, that for /abort is aborted.
 type server struct {
 	t        *testing.T
 	limiter  *Limiter
@@ -124,6 +124,10 @@
 	if r.URL.Path == "/hold" {
 		<-s.released
 	}
+	if r.URL.Path == "/abort" {
+		_, _ = w.Write(make([]byte, 32<<10)) // the client fails the test
+		panic(http.ErrAbortHandler)
+	}
 	for r.URL.Path == "/endless" {
 		if _, err := w.Write(make([]byte, 32<<10)); err != nil {
 			return
