--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -217,16 +217,24 @@
 }
 
 func TestRequestIsChargedWhileItIsServed(t *testing.T) {
-	s := start(t, manyConns)
-	c := s.dial()
-	c.send("GET /hold HTTP/1.1\r\nHost: a\r\n" + lines(3000) + "\r\n")
-	<-s.served
-	if charged := s.memory.InUse(); charged < headCopies*3000 {
-		t.Errorf("%d bytes are charged for a request with a head of 3,000", charged)
+	const bytes = 3000
+	for name, request := range map[string]string{
+		"head":    "GET /hold HTTP/1.1\r\nHost: a\r\n" + lines(bytes) + "\r\n",
+		"trailer": "POST /hold HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + lines(bytes) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, manyConns)
+			c := s.dial()
+			c.send(request)
+			<-s.served
+			if charged := s.memory.InUse(); charged < headCopies*bytes {
+				t.Errorf("%d bytes are charged for %d", charged, bytes)
+			}
+			close(s.released)
+			c.status()
+			s.awaitFree()
+		})
 	}
-	close(s.released)
-	c.status()
-	s.awaitFree()
 }
 
 // The head that has been incomplete for longest is refused, the newest one goes on.
@@ -462,19 +470,6 @@
 	s.limiter.Requests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("the request was served") }), nil).ServeHTTP(nil, r)
 }
 
-func TestTrailerIsCharged(t *testing.T) {
-	s := start(t, manyConns)
-	c := s.dial()
-	c.send("POST /hold HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + lines(3000) + "\r\n")
-	<-s.served
-	if charged := s.memory.InUse(); charged < headCopies*3000 {
-		t.Errorf("%d bytes are charged for a trailer of 3,000", charged)
-	}
-	close(s.released)
-	c.status()
-	s.awaitFree()
-}
-
 func TestHTTP2ConnectionIsCharged(t *testing.T) {
 	s := start(t, manyConns)
 	protocols := &http.Protocols{}
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -70,7 +70,7 @@
 mutant "receive buffers of connections to servers" internal/clientlimit/dial.go 's/b.bytes\/dialDivisor\/b.open/b.bytes\/dialDivisor/' ./internal/clientlimit -run DialBuffersFit
 mutant "connections to servers that are closed twice" internal/clientlimit/dial.go 's/c.closed.Do(c.buffers.remove)/c.buffers.remove()/' ./internal/clientlimit -run CountedOnce
 mutant "charge of a pipelined head" internal/clientlimit/conn.go 's/rest := min(c.received-c.accounted-lineOverhead, readBufferBytes)/rest := 0/' ./internal/clientlimit -run Pipelined -timeout 20s
-mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run Trailer
+mutant "charge of a trailer" internal/clientlimit/handler.go 's/!errors.Is(err, io.EOF) || b.ended/true/' ./internal/clientlimit -run 'ChargedWhile|Trailer'
 mutant "request whose refusal was sent" internal/clientlimit/handler.go 's/if c.abandoned {/if false {/' ./internal/clientlimit -run GivenUpRequest
 mutant "room beside large requests" internal/clientlimit/limiter.go 's/large := in.charged+n > ordinaryRequestBytes/large := in.charged+n < 0/' ./internal/clientlimit -run LargeRequests -timeout 20s
 mutant "time for a body" internal/clientlimit/limiter.go 's/now.Sub(body.since) < bodyGrace/false/' ./internal/clientlimit -run OldestBody -timeout 20s
