Crowd tests: unread downloads stand still for longer than the play

The play slept until responses had stood still for long enough. It now asks until an ordinary request is served, with a caller.body_idle_timeout of an hour, so that nothing else frees connections.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -111,7 +111,7 @@
 	c := gather(size.clients, h.address(callers), unreadDownload(callers))
 	c.settled.Wait()
 	h.awaitIdle()
-	time.Sleep(responseGrace)
+	h.awaitServed() // once responses have stood still for long enough
 	h.askDuring()
 	c.disperse()
 	h.check()
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -35,8 +35,6 @@
 	patience = 30 * time.Second
 	// sampleInterval is the time between two samples of what the process holds.
 	sampleInterval = 10 * time.Millisecond
-	// responseGrace is longer than a host keeps the connection of a caller that does not read, if others need it.
-	responseGrace = 3 * time.Second
 	// tcpListen is the state of a listening socket in /proc/net/tcp, whose queue counts connections.
 	tcpListen = "0A"
 )
@@ -161,20 +159,20 @@
 		t.Fatal(err)
 	}
 	h.start(program, path)
-	h.awaitReady()
+	h.awaitServed()
 	go h.sample()
 	return h
 }
 
 func (h *host) address(l listener) string { return fmt.Sprintf("%s:%d", h.ip, l.port) }
 
-// settings are those of examples/ with less memory.
+// settings are those of examples/ with less memory, and with bodies that may stand still for longer than any play.
 func (h *host) settings(platformURL string) map[string]any {
 	return map[string]any{
 		"host":        "h1",
 		"data_centre": "dc1",
 		"memory_mb":   size.memoryMB,
-		"caller":      map[string]any{"listen": h.address(callers), "ready_listen": h.address(readiness)},
+		"caller":      map[string]any{"listen": h.address(callers), "ready_listen": h.address(readiness), "body_idle_timeout": "1h"},
 		"peer":        map[string]any{"listen": h.address(peers), "insecure": true},
 		"operator":    map[string]any{"listen": h.address(operators), "insecure": true},
 		"platform":    map[string]any{"address": platformURL},
@@ -241,7 +239,8 @@
 	})
 }
 
-func (h *host) awaitReady() {
+// awaitServed sends ordinary requests until one is answered.
+func (h *host) awaitServed() {
 	h.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(sampleInterval) {
 		if h.ask() == nil {
