Claims: a full table is swept

Callers that used 200,000 idempotency keys within a claim horizon made a voter abstain for good. Once that happened to a quorum of voters, each request with a key was refused as claim-unavailable until hosts were restarted. Read in the code, not seen in a run.

Cause: expired claims were removed after every 1,024 grants, and a full table grants nothing.

Evidence: TestFullTableHasRoomOnceClaimsExpire fills a table, lets the horizon pass and claims another key. Before, the table abstained and held 200,000 expired claims.

A full table that is asked for a claim is swept, once a second at most.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -193,6 +194,35 @@
 	}
 }
 
+// Guards against a voter that abstains for good once callers have used as many keys within a horizon as it can hold.
+func TestFullTableHasRoomOnceClaimsExpire(t *testing.T) {
+	const horizon = time.Minute
+	now := time.Now()
+	table := claims.NewTable(horizon, func() time.Time { return now })
+	now = now.Add(horizon)
+	claim := func(n int) peerpb.ClaimResponse_Decision {
+		key, request := claims.Key{Service: "s", Key: strconv.Itoa(n)}, strconv.Itoa(n)
+		decision, _ := table.Claim(key, request, horizon)
+		table.Release(key, request, true)
+		return decision
+	}
+	granted := 0
+	for claim(granted) == peerpb.ClaimResponse_DECISION_GRANTED {
+		granted++
+	}
+	now = now.Add(horizon / 2)
+	if decision := claim(granted + 1); decision != peerpb.ClaimResponse_DECISION_ABSTAIN {
+		t.Errorf("a full table voted %v", decision)
+	}
+	now = now.Add(horizon / 2)
+	if decision := claim(granted + 2); decision != peerpb.ClaimResponse_DECISION_GRANTED {
+		t.Errorf("after the horizon: voted %v, want DECISION_GRANTED", decision)
+	}
+	if n := table.Len(); n != 1 {
+		t.Errorf("%d claims are held, want 1", n)
+	}
+}
+
 // The release of a claim by one owner may arrive after the same request has claimed
 // the key through another owner. It must not free the newer claim.
 func TestLateReleaseKeepsNewerClaim(t *testing.T) {
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -17,8 +17,12 @@
 // evicts none.
 const MaxClaims = 200_000
 
-// grantsPerSweep is the number of grants after which expired entries are swept.
-const grantsPerSweep = 1024
+// grantsPerSweep is the number of grants after which expired entries are swept. A full table, which grants nothing, is
+// swept once in fullSweepInterval if it is asked.
+const (
+	grantsPerSweep    = 1024
+	fullSweepInterval = time.Second
+)
 
 // minTombstoneTTL is the minimum time for which the release of an unknown claim is
 // kept, in case the claim arrives later. The sender's RPC times out after
@@ -49,6 +53,7 @@
 	// the expiry of each entry.
 	tombstones map[string]time.Time
 	grants     int
+	sweptAt    time.Time
 }
 
 // NewTable returns an empty table for a host that starts at the time now returns.
@@ -80,11 +85,14 @@
 		}
 		return peerpb.ClaimResponse_DECISION_HELD, held.requestID
 	}
-	if now.Sub(t.startedAt) < t.horizon || len(t.held) >= MaxClaims {
+	if now.Sub(t.startedAt) < t.horizon || !t.hasRoom(now) {
 		return peerpb.ClaimResponse_DECISION_ABSTAIN, ""
 	}
 	t.held[key] = claim{requestID: requestID, expires: now.Add(max(hold, t.horizon))}
-	t.sweep(now)
+	t.grants++
+	if t.grants%grantsPerSweep == 0 {
+		t.sweep(now)
+	}
 	return peerpb.ClaimResponse_DECISION_GRANTED, requestID
 }
 
@@ -116,13 +124,17 @@
 	return len(t.held)
 }
 
-// sweep removes expired claims and tombstones once every grantsPerSweep calls. t.mu
-// must be held.
-func (t *Table) sweep(now time.Time) {
-	t.grants++
-	if t.grants%grantsPerSweep != 0 {
-		return
+// hasRoom reports whether one more claim fits. t.mu must be held.
+func (t *Table) hasRoom(now time.Time) bool {
+	if len(t.held) >= MaxClaims && now.Sub(t.sweptAt) >= fullSweepInterval {
+		t.sweep(now)
 	}
+	return len(t.held) < MaxClaims
+}
+
+// sweep removes expired claims and tombstones. t.mu must be held.
+func (t *Table) sweep(now time.Time) {
+	t.sweptAt = now
 	for key, held := range t.held {
 		if !now.Before(held.expires) {
 			delete(t.held, key)
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,6 +59,7 @@
 mutant "connections that wait to be accepted" internal/clientlimit/socket.go 's/unix.Listen(fd, backlogOf(maxConns))/error(nil)/' ./internal/clientlimit -run BacklogIsLimited
 mutant "connections despite little memory" internal/clientlimit/shares.go 's/max(min(s.Callers, minClients), /max(1, /' ./internal/clientlimit -run LittleMemory
 mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, bytes/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveLimitedBuffers
+mutant "sweep of a full table" internal/claims/table.go 's/now.Sub(t.sweptAt) >= fullSweepInterval/false/' ./internal/claims -run FullTable
 mutant "cut-off response over HTTP/1.0" internal/clientlimit/conn.go 's/if c.http10 \&\&/if false \&\&/' ./internal/clientlimit -run HTTP10 -timeout 20s
 mutant "complete response over HTTP/1.0" internal/clientlimit/handler.go 's/c.unfinished = false/c.unfinished = true/' ./internal/clientlimit -run HTTP10 -timeout 20s
 mutant "unread responses" internal/clientlimit/listener.go 's/ok \&\& since.Before(oldest)/false \&\& ok \&\& since.Before(oldest)/' ./internal/clientlimit -run MakesRoom -timeout 20s
