Claims: a table takes an eighth of the host's memory at most

Callers that used many long idempotency keys made a host exceed its memory.

Cause: the claims of a table were limited to 200,000, whatever their keys take and however little memory the host has. The same holds for releases that arrive before their claims.

Claims and tombstones are counted in bytes, and a table whose part of the memory is used up abstains, as a full one did before: nothing is evicted, because the claim of a request that has run must hold.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -88,7 +89,7 @@
 // newGrantingTable returns the table of a host that started two horizons ago.
 func newGrantingTable(horizon time.Duration) *claims.Table {
 	var started atomic.Bool
-	return claims.NewTable(horizon, func() time.Time {
+	return claims.NewTable(horizon, 0, func() time.Time {
 		if started.CompareAndSwap(false, true) {
 			return time.Now().Add(-2 * horizon)
 		}
@@ -187,7 +188,7 @@
 }
 
 func TestNewTableAbstains(t *testing.T) {
-	table := claims.NewTable(time.Minute, time.Now)
+	table := claims.NewTable(time.Minute, 0, time.Now)
 	decision, _ := table.Claim(claims.Key{Service: "s", Key: "k"}, "r", time.Minute)
 	if decision != peerpb.ClaimResponse_DECISION_ABSTAIN {
 		t.Fatalf("new host voted %v, want DECISION_ABSTAIN", decision)
@@ -198,7 +199,7 @@
 func TestFullTableHasRoomOnceClaimsExpire(t *testing.T) {
 	const horizon = time.Minute
 	now := time.Now()
-	table := claims.NewTable(horizon, func() time.Time { return now })
+	table := claims.NewTable(horizon, 0, func() time.Time { return now })
 	now = now.Add(horizon)
 	claim := func(n int) peerpb.ClaimResponse_Decision {
 		key, request := claims.Key{Service: "s", Key: strconv.Itoa(n)}, strconv.Itoa(n)
@@ -223,6 +224,44 @@
 	}
 }
 
+// Guards against callers that fill the memory of voters with long keys, or with requests whose claims are released before
+// they arrive.
+func TestClaimsFitTheMemory(t *testing.T) {
+	const horizon, hostBytes, requests = time.Minute, 96 << 20, 250_000
+	now := time.Now()
+	text := func(n, length int) string { return fmt.Sprintf("%0*d", length, n) }
+	for name, use := range map[string]func(table *claims.Table, n int){
+		"claims": func(table *claims.Table, n int) {
+			table.Claim(claims.Key{Service: strings.Clone("shop"), Key: text(n, 256)}, text(n, 91), horizon)
+		},
+		"releases": func(table *claims.Table, n int) {
+			table.Release(claims.Key{Service: "shop", Key: "k"}, text(n, 91), false)
+		},
+	} {
+		table := claims.NewTable(horizon, hostBytes, func() time.Time { return now })
+		now = now.Add(horizon)
+		before := heapBytes()
+		for n := range requests {
+			use(table, n)
+		}
+		if used := heapBytes() - before; used > hostBytes/8 {
+			t.Errorf("%s take %d MB of a host with %d", name, used>>20, hostBytes>>20)
+		}
+		now = now.Add(horizon)
+		if decision, _ := table.Claim(claims.Key{Service: "shop", Key: text(requests, 256)}, "r", horizon); decision != peerpb.ClaimResponse_DECISION_GRANTED {
+			t.Errorf("%s: after the horizon the table voted %v", name, decision)
+		}
+		runtime.KeepAlive(table)
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
 // The release of a claim by one owner may arrive after the same request has claimed
 // the key through another owner. It must not free the newer claim.
 func TestLateReleaseKeepsNewerClaim(t *testing.T) {
--- a/internal/claims/table.go
+++ b/internal/claims/table.go
@@ -11,11 +11,17 @@
 	"time"
 
 	"github.com/pearshelf/pearshelf/internal/api/peerpb"
+	"github.com/pearshelf/pearshelf/internal/memory"
 )
 
-// MaxClaims limits the claims in a table. A full table abstains from new claims and
-// evicts none.
-const MaxClaims = 200_000
+const (
+	// MaxClaims limits the claims in a table, and memoryFraction the fraction of the host's memory that claims and
+	// tombstones may take. A full table abstains from new claims and evicts none.
+	MaxClaims      = 200_000
+	memoryFraction = 0.125
+	// entryOverhead is the number of bytes that a claim or a tombstone takes beside its strings.
+	entryOverhead = 256
+)
 
 // grantsPerSweep is the number of grants after which expired entries are swept. A full table, which grants nothing, is
 // swept once in fullSweepInterval if it is asked.
@@ -44,11 +50,14 @@
 // Table holds the claims that one host has granted. It is safe for concurrent use.
 type Table struct {
 	horizon   time.Duration
+	maxBytes  int
 	startedAt time.Time
 	now       func() time.Time
 
-	mu   sync.Mutex
-	held map[Key]claim
+	mu sync.Mutex
+	// bytes is what held and tombstones take.
+	bytes int
+	held  map[Key]claim
 	// tombstones holds the IDs of claims that were released before they arrived, with
 	// the expiry of each entry.
 	tombstones map[string]time.Time
@@ -56,11 +65,20 @@
 	sweptAt    time.Time
 }
 
-// NewTable returns an empty table for a host that starts at the time now returns.
-// The clock is a parameter for tests.
-func NewTable(horizon time.Duration, now func() time.Time) *Table {
+// bytes returns the memory of a claim on the key.
+func (c claim) bytes(key Key) int {
+	return entryOverhead + len(key.Service) + len(key.Key) + len(c.requestID)
+}
+
+// NewTable returns an empty table for a host that starts at the time now returns and
+// has hostBytes of memory, which is unknown if it is 0. The clock is a parameter for tests.
+func NewTable(horizon time.Duration, hostBytes int64, now func() time.Time) *Table {
+	if hostBytes <= 0 {
+		hostBytes = memory.DefaultHostBytes
+	}
 	return &Table{
 		horizon:    horizon,
+		maxBytes:   int(memoryFraction * float64(hostBytes)),
 		startedAt:  now(),
 		now:        now,
 		held:       make(map[Key]claim),
@@ -85,10 +103,13 @@
 		}
 		return peerpb.ClaimResponse_DECISION_HELD, held.requestID
 	}
-	if now.Sub(t.startedAt) < t.horizon || !t.hasRoom(now) {
+	granted := claim{requestID: requestID, expires: now.Add(max(hold, t.horizon))}
+	if now.Sub(t.startedAt) < t.horizon || !t.hasRoom(now, granted.bytes(key)) {
 		return peerpb.ClaimResponse_DECISION_ABSTAIN, ""
 	}
-	t.held[key] = claim{requestID: requestID, expires: now.Add(max(hold, t.horizon))}
+	t.remove(key)
+	t.held[key] = granted
+	t.bytes += granted.bytes(key)
 	t.grants++
 	if t.grants%grantsPerSweep == 0 {
 		t.sweep(now)
@@ -105,13 +126,11 @@
 	defer t.mu.Unlock()
 	held, ok := t.held[key]
 	if !ok || held.requestID != requestID {
-		if len(t.tombstones) < MaxClaims {
-			t.tombstones[requestID] = now.Add(max(t.horizon, minTombstoneTTL))
-		}
+		t.bury(requestID, now)
 		return
 	}
 	if !finished {
-		delete(t.held, key)
+		t.remove(key)
 		return
 	}
 	t.held[key] = claim{requestID: requestID, expires: now.Add(t.horizon)}
@@ -124,12 +143,33 @@
 	return len(t.held)
 }
 
-// hasRoom reports whether one more claim fits. t.mu must be held.
-func (t *Table) hasRoom(now time.Time) bool {
-	if len(t.held) >= MaxClaims && now.Sub(t.sweptAt) >= fullSweepInterval {
+// hasRoom reports whether a claim of the given size fits. t.mu must be held.
+func (t *Table) hasRoom(now time.Time, bytes int) bool {
+	fits := func() bool { return len(t.held) < MaxClaims && t.bytes+bytes <= t.maxBytes }
+	if !fits() && now.Sub(t.sweptAt) >= fullSweepInterval {
 		t.sweep(now)
 	}
-	return len(t.held) < MaxClaims
+	return fits()
+}
+
+// remove removes a claim, if there is one. t.mu must be held.
+func (t *Table) remove(key Key) {
+	if held, ok := t.held[key]; ok {
+		t.bytes -= held.bytes(key)
+		delete(t.held, key)
+	}
+}
+
+// bury keeps a claim from being granted if it arrives after its release. t.mu must be held.
+func (t *Table) bury(requestID string, now time.Time) {
+	if _, ok := t.tombstones[requestID]; !ok {
+		size := entryOverhead + len(requestID)
+		if len(t.tombstones) >= MaxClaims || t.bytes+size > t.maxBytes {
+			return
+		}
+		t.bytes += size
+	}
+	t.tombstones[requestID] = now.Add(max(t.horizon, minTombstoneTTL))
 }
 
 // sweep removes expired claims and tombstones. t.mu must be held.
@@ -137,11 +177,12 @@
 	t.sweptAt = now
 	for key, held := range t.held {
 		if !now.Before(held.expires) {
-			delete(t.held, key)
+			t.remove(key)
 		}
 	}
 	for id, expires := range t.tombstones {
 		if !now.Before(expires) {
+			t.bytes -= entryOverhead + len(id)
 			delete(t.tombstones, id)
 		}
 	}
--- a/internal/claims/table_test.go
+++ b/internal/claims/table_test.go
@@ -13,7 +13,7 @@
 // release.
 func TestClaimArrivingAfterItsRelease(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := NewTable(time.Second, func() time.Time { return now })
+	table := NewTable(time.Second, 0, func() time.Time { return now })
 	now = now.Add(time.Minute)
 	key := Key{Service: "s", Key: "k"}
 	table.Release(key, "late", false)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -334,7 +334,7 @@
 	d.metrics.RegisterControl(d.datagrams)
 	d.metrics.RegisterCrossZone(&d.crossZone)
 	d.metrics.RegisterCustomerLimits(d.limiter)
-	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), time.Now)
+	d.claims = claims.NewTable(time.Duration(t.ClaimHorizon), d.settings.MemoryBytes(), time.Now)
 	return nil
 }
 
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -59,6 +59,10 @@
 mutant "connections that wait to be accepted" internal/clientlimit/socket.go 's/unix.Listen(fd, backlogOf(maxConns))/error(nil)/' ./internal/clientlimit -run BacklogIsLimited
 mutant "connections despite little memory" internal/clientlimit/shares.go 's/max(min(s.Callers, minClients), /max(1, /' ./internal/clientlimit -run LittleMemory
 mutant "receive buffer of a listener" internal/clientlimit/socket.go 's/unix.SO_RCVBUF, bytes/unix.SO_RCVBUF, 1<<20/' ./internal/clientlimit -run HaveLimitedBuffers
+mutant "memory of claims" internal/claims/table.go 's/\&\& t.bytes+bytes <= t.maxBytes//' ./internal/claims -run FitTheMemory
+mutant "memory of releases" internal/claims/table.go 's/|| t.bytes+size > t.maxBytes//' ./internal/claims -run FitTheMemory
+mutant "memory of expired claims" internal/claims/table.go 's/t.bytes -= held.bytes(key)/t.bytes -= 0 * held.bytes(key)/' ./internal/claims -run FitTheMemory
+mutant "memory of expired releases" internal/claims/table.go 's/t.bytes -= entryOverhead + len(id)//' ./internal/claims -run FitTheMemory
 mutant "sweep of a full table" internal/claims/table.go 's/now.Sub(t.sweptAt) >= fullSweepInterval/false/' ./internal/claims -run FullTable
 mutant "cut-off response over HTTP/1.0" internal/clientlimit/conn.go 's/if c.http10 \&\&/if false \&\&/' ./internal/clientlimit -run HTTP10 -timeout 20s
 mutant "complete response over HTTP/1.0" internal/clientlimit/handler.go 's/c.unfinished = false/c.unfinished = true/' ./internal/clientlimit -run HTTP10 -timeout 20s
