Crowd tests: a host stops during a crowd

Five crowds keep their connections and what they have begun while the host gets SIGTERM. It has to end by itself, within its memory.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -117,6 +117,25 @@
 	h.check()
 }
 
+// A host stops although clients keep their connections and what they have begun.
+func TestStopDuringCrowd(t *testing.T) {
+	for name, s := range map[string]shape{
+		"silence":          silence(callers),
+		"unfinished heads": unfinishedHead(callers),
+		"no bodies":        withoutBody(callers),
+		"long bodies":      longBody(callers),
+		"unread downloads": unreadDownload(callers),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startHost(t)
+			c := gather(size.clients, h.address(callers), s)
+			defer c.disperse()
+			c.settled.Wait()
+			h.checkStops()
+		})
+	}
+}
+
 // Requests inside the limits are served in calm, whatever their fields.
 func TestModestRequestsAreServed(t *testing.T) {
 	h := startHost(t)
--- a/e2e/crowd/host_test.go
+++ b/e2e/crowd/host_test.go
@@ -176,6 +176,7 @@
 		"peer":        map[string]any{"listen": h.address(peers), "insecure": true},
 		"operator":    map[string]any{"listen": h.address(operators), "insecure": true},
 		"platform":    map[string]any{"address": platformURL},
+		"timing":      map[string]any{"stop_grace": "100ms", "stop_timeout": "2s"},
 	}
 }
 
@@ -358,6 +359,30 @@
 	}
 }
 
+// checkStops ends the process by a signal, and checks that it ends by itself and within its memory.
+func (h *host) checkStops() {
+	h.t.Helper()
+	if err := h.command.Process.Signal(syscall.SIGTERM); err != nil {
+		h.t.Fatal(err)
+	}
+	select {
+	case <-h.exited:
+	case <-time.After(patience):
+		h.t.Fatalf("the process has not ended %s after SIGTERM\n%s", patience, h.lastLog())
+	}
+	h.mu.Lock()
+	held := h.held >> 20
+	h.mu.Unlock()
+	state := h.command.ProcessState
+	h.t.Logf("%s, %d MB of %d with the kernel's", state, held, size.memoryMB)
+	if !state.Exited() {
+		h.t.Errorf("the process did not end by itself: %s", state)
+	}
+	if held > size.memoryMB {
+		h.t.Errorf("the process took %d MB with what the kernel held for it; its machine has %d", held, size.memoryMB)
+	}
+}
+
 // check is called once the crowd has left.
 func (h *host) check() {
 	h.t.Helper()
