Clients: a response over HTTP/1.0 and TLS that is cut off has no end

Callers that speak HTTP/1.0 over TLS got a part of a response as a complete 200 when its server cut it off.

Cause: net/http ends a connection with TLS by a message that says so, also after an aborted response. The reset that follows comes too late: the client has read the end of the body.

Evidence: in TestCutOffResponseOverHTTP10AndTLSHasNoEnd 32,864 bytes of an aborted response ended without an error before.

Nothing is written to a connection once the handler of a request of HTTP/1.0 has aborted its response.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 
 	// written are the writes to the connection, streamed those of responses over HTTP/2.
 	written, streamed writes
+	// cutOff is set once a handler has aborted the response to a request of HTTP/1.0. Nothing is written after it: the
+	// message that ends a TLS connection would end the body.
+	cutOff atomic.Bool
 
 	// Protected by Limiter.mu.
 
@@ -70,6 +74,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.cutOff.Load() {
+		return 0, net.ErrClosed
+	}
 	c.written.begin()
 	defer c.written.end()
 	n, err := c.Conn.Write(p)
--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -147,6 +147,7 @@
 	defer c.limiter.mu.Unlock()
 	c.limiter.discharge(in)
 	c.serving--
+	c.cutOff.Store(c.http10 && c.unfinished)
 	if c.http2 && c.quiet {
 		c.becomeIdle()
 	}
--- a/internal/clientlimit/http10_test.go
+++ b/internal/clientlimit/http10_test.go
@@ -1,8 +1,10 @@
 package clientlimit
 
 import (
+	"crypto/tls"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -31,3 +33,22 @@
 		t.Errorf("closed: %d bytes, and no error", len(got))
 	}
 }
+
+// The message that ends a TLS connection would end the body of the response as well.
+func TestCutOffResponseOverHTTP10AndTLSHasNoEnd(t *testing.T) {
+	s := start(t, manyConns)
+	server := s.startTLS(false)
+	for path, complete := range map[string]bool{"/abort": false, "/": true} {
+		c, err := tls.Dial("tcp", strings.TrimPrefix(server.URL, "https://"), server.Client().Transport.(*http.Transport).TLSClientConfig)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET "+path+" HTTP/1.0\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(c); complete != (err == nil) {
+			t.Errorf("%s: %d bytes end with %v", path, len(got), err)
+		}
+		c.Close()
+	}
+}
--- a/internal/clientlimit/limiter_test.go
+++ b/internal/clientlimit/limiter_test.go
@@ -485,16 +485,23 @@
 	s.awaitFree()
 }
 
+// startTLS starts another server with the same limits and TLS.
+func (s *server) startTLS(second bool) *httptest.Server {
+	s.t.Helper()
+	server := httptest.NewUnstartedServer(s.limiter.Requests(http.HandlerFunc(s.serve), nil))
+	server.Listener = s.limiter.Listen(server.Listener, "tls", manyConns)
+	server.Config.ConnState, server.Config.ConnContext = s.limiter.ConnState, s.limiter.ConnContext
+	server.EnableHTTP2 = second
+	server.StartTLS()
+	s.t.Cleanup(server.Close)
+	return server
+}
+
 // Connections with TLS are recognised below it, for both versions of HTTP.
 func TestRequestsWithTLSAreCharged(t *testing.T) {
 	for _, second := range []bool{false, true} {
 		s := start(t, manyConns)
-		server := httptest.NewUnstartedServer(s.limiter.Requests(http.HandlerFunc(s.serve), nil))
-		server.Listener = s.limiter.Listen(server.Listener, "tls", manyConns)
-		server.Config.ConnState, server.Config.ConnContext = s.limiter.ConnState, s.limiter.ConnContext
-		server.EnableHTTP2 = second
-		server.StartTLS()
-		defer server.Close()
+		server := s.startTLS(second)
 		done := make(chan error)
 		go func() {
 			resp, err := server.Client().Get(server.URL + "/hold")
