--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -198,9 +198,7 @@
 	c.limiter.mu.Lock()
 	if !c.closed {
 		c.closed = true
-		if c.http10 && (c.unfinished || c.failed) {
-			c.resetOnClose()
-		}
+		c.resetCutOff()
 		delete(c.listener.conns, c)
 		c.stopWaiting()
 		c.endHead()
@@ -211,13 +209,6 @@
 	return c.Conn.Close()
 }
 
-// resetOnClose keeps a part of a response from passing for the whole: the end of the connection may end its body.
-func (c *conn) resetOnClose() {
-	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = socket.SetLinger(0) // fails on a connection that has ended
-	}
-}
-
 // CloseWrite lets net/http send a refusal of its own before it closes the connection.
 func (c *conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
--- a/internal/clientlimit/dial.go
+++ b/internal/clientlimit/dial.go
@@ -19,8 +19,8 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
-// DialBuffers limits the receive buffers of connections that the host itself opens. The nth open connection gets a
-// buffer in proportion to 1/n, so a few are fast over any distance and many fit the memory: whichever of them close,
+// DialBuffers limits what the kernel holds for connections that the host itself opens. The nth open connection gets a
+// receive buffer in proportion to 1/n, so a few are fast over any distance and many fit the memory: whichever of them close,
 // the nth oldest of those that are left was opened as the nth or later. Without a limit the kernel raises a buffer to
 // several MiB.
 type DialBuffers struct {
@@ -35,7 +35,7 @@
 	return &DialBuffers{bytes: int(dialFraction * float64(hostBytes))}
 }
 
-// Limit returns a function whose connections have a limited receive buffer.
+// Limit returns a function whose connections have limited buffers.
 func (b *DialBuffers) Limit(dial DialFunc) DialFunc {
 	if b.bytes == 0 {
 		return dial
@@ -56,11 +56,11 @@
 
 // limitConn limits the buffers of a connection, if it is one of the kernel's.
 func limitConn(conn net.Conn, bytes int) error {
-	kernels, ok := conn.(syscall.Conn)
+	inKernel, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
-	socket, err := kernels.SyscallConn()
+	socket, err := inKernel.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/internal/clientlimit/handler.go
+++ b/internal/clientlimit/handler.go
@@ -133,13 +133,6 @@
 	return true
 }
 
-// finishResponse is called when a handler has written its whole response. It is not called if the handler aborts it.
-func (c *conn) finishResponse() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.unfinished = false
-}
-
 // endRequest releases a request's memory. The connection of an HTTP/1 request becomes idle once its response has been
 // sent, which ConnState tells.
 func (c *conn) endRequest(in *incoming) {
--- a/internal/clientlimit/shares.go
+++ b/internal/clientlimit/shares.go
@@ -34,7 +34,8 @@
 	// Callers, Peers, Readiness and Operators are accepted connections, Idle kept connections to servers.
 	Callers, Peers, Readiness, Operators, Idle int
 	// ReceiveBuffer is how many bytes the kernel may hold for each accepted connection until the process reads them,
-	// 0 for the kernel's default, which grows with the speed of the sender.
+	// and how many that it has written may wait to be sent. It is 0 for the kernel's defaults, which grow with the
+	// speed of the sender.
 	ReceiveBuffer int
 }
 
--- a/internal/clientlimit/socket.go
+++ b/internal/clientlimit/socket.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// ListenTCP opens a listener with the receive buffer, for up to maxConns connections.
+// ListenTCP opens a listener for up to maxConns connections with limited buffers.
 func (s *Shares) ListenTCP(address string, maxConns int) (net.Listener, error) {
 	conf := net.ListenConfig{Control: s.setBuffers}
 	conf.SetMultipathTCP(false) // its connections do not inherit TCP_NOTSENT_LOWAT
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -64,9 +64,9 @@
 mutant "memory of expired claims" internal/claims/table.go 's/t.bytes -= held.bytes(key)/t.bytes -= 0 * held.bytes(key)/' ./internal/claims -run FitTheMemory
 mutant "memory of expired releases" internal/claims/table.go 's/t.bytes -= entryOverhead + len(id)//' ./internal/claims -run FitTheMemory
 mutant "sweep of a full table" internal/claims/table.go 's/now.Sub(t.sweptAt) >= fullSweepInterval/false/' ./internal/claims -run FullTable
-mutant "cut-off response over HTTP/1.0" internal/clientlimit/conn.go 's/if c.http10 \&\&/if false \&\&/' ./internal/clientlimit -run HTTP10 -timeout 20s
+mutant "cut-off response over HTTP/1.0" internal/clientlimit/http10.go 's/if !c.http10 ||/if true ||/' ./internal/clientlimit -run HTTP10 -timeout 20s
 mutant "cut-off response over HTTP/1.0 and TLS" internal/clientlimit/conn.go 's/if c.cutOff.Load() {/if false {/' ./internal/clientlimit -run HTTP10 -timeout 20s
-mutant "complete response over HTTP/1.0" internal/clientlimit/handler.go 's/c.unfinished = false/c.unfinished = true/' ./internal/clientlimit -run HTTP10 -timeout 20s
+mutant "complete response over HTTP/1.0" internal/clientlimit/http10.go 's/c.unfinished = false/c.unfinished = true/' ./internal/clientlimit -run HTTP10 -timeout 20s
 mutant "unread responses" internal/clientlimit/listener.go 's/ok \&\& since.Before(oldest)/false \&\& ok \&\& since.Before(oldest)/' ./internal/clientlimit -run MakesRoom -timeout 20s
 mutant "unread streams" internal/clientlimit/conn.go 's/if c.http2 {$/if false {/' ./internal/clientlimit -run UnreadStream -timeout 20s
 mutant "young unread responses" internal/clientlimit/listener.go 's/now.Add(-responseGrace)/now/' ./internal/clientlimit -run MakesRoom -timeout 20s
