--- a/internal/clientlimit/dial.go
+++ b/internal/clientlimit/dial.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"syscall"
+
+	"github.com/pearshelf/pearshelf/internal/upstream"
 )
 
 const (
@@ -16,13 +18,10 @@
 	dialDivisor = 7
 )
 
-// DialFunc opens a connection, as net.Dialer.DialContext does.
-type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
 // DialBuffers limits what the kernel holds for connections that the host itself opens. The nth open connection gets a
-// receive buffer in proportion to 1/n, so a few are fast over any distance and many fit the memory: whichever of them close,
-// the nth oldest of those that are left was opened as the nth or later. Without a limit the kernel raises a buffer to
-// several MiB.
+// receive buffer in proportion to 1/n, so a few are fast over any distance and many fit the memory: whichever of them
+// close, the nth oldest of those that are left was opened as the nth or later. Without a limit the kernel raises a
+// buffer to several MiB.
 type DialBuffers struct {
 	bytes int // for all connections, 0 for no limit
 
@@ -36,7 +35,7 @@
 }
 
 // Limit returns a function whose connections have limited buffers.
-func (b *DialBuffers) Limit(dial DialFunc) DialFunc {
+func (b *DialBuffers) Limit(dial upstream.DialFunc) upstream.DialFunc {
 	if b.bytes == 0 {
 		return dial
 	}
